Lay out the workspace, schema and decision core

Cause: an empty repository. The decision package is written first, without input or output, so that the daemon and the tests drive the same code. Change: CMake packages, Cap'n Proto schema with committed generated code, the closed list of error kinds, fair queue, server table, suspects, claims and the coordinator that joins them. Ruled out: a coroutine style for the coordinator; explicit events and actions can be replayed from a seed, suspended frames can't.

--- /dev/null
+++ b/cmake/Packages.cmake
@@ -0,0 +1,31 @@
+# Warnings for every hand-written target; generated code is exempt.
+add_library(gentianroute_warnings INTERFACE)
+target_compile_options(gentianroute_warnings INTERFACE -Wall -Wextra -Werror
+                                                       -Wno-missing-field-initializers)
+
+# gentianroute_package(<name> DEPS <targets>): a library of packages/<name>,
+# from every src/*.cc, with tests/*_test.cc as one Criterion program each.
+function(gentianroute_package name)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cc)
+  add_library(gentianroute_${name} STATIC ${sources})
+  target_include_directories(gentianroute_${name} PUBLIC include)
+  target_link_libraries(gentianroute_${name} PUBLIC ${ARG_DEPS}
+                                             PRIVATE gentianroute_warnings)
+  gentianroute_tests(${name} gentianroute_${name})
+endfunction()
+
+# gentianroute_tests(<group> <targets>): every tests/*_test.cc below the current
+# folder, each a program of its own under CTest.
+function(gentianroute_tests group)
+  file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cc)
+  foreach(test ${tests})
+    get_filename_component(stem ${test} NAME_WE)
+    set(target ${group}_${stem})
+    add_executable(${target} ${test})
+    target_link_libraries(${target} PRIVATE ${ARGN} criterion
+                                            gentianroute_warnings)
+    add_test(NAME ${group}.${stem} COMMAND ${target} -j1)
+    set_tests_properties(${group}.${stem} PROPERTIES TIMEOUT 300)
+  endforeach()
+endfunction()
--- /dev/null
+++ b/packages/base/tests/error_kind_test.cc
@@ -0,0 +1,33 @@
+#include "gentianroute/base/error_kind.h"
+
+#include <criterion/criterion.h>
+
+using gentianroute::AllErrorAnswers;
+using gentianroute::AnswerFor;
+using gentianroute::ErrorKind;
+using gentianroute::ErrorKindFromNumber;
+using gentianroute::WorkKnown;
+
+Test(error_kind, number_of_every_kind_round_trips) {
+  for (const auto& row : AllErrorAnswers()) {
+    const auto number = static_cast<std::uint16_t>(row.kind);
+    cr_assert(ErrorKindFromNumber(number) == row.kind);
+    cr_assert(AnswerFor(row.kind).name == row.name);
+  }
+}
+
+Test(error_kind, unlisted_number_is_no_kind) {
+  cr_assert(!ErrorKindFromNumber(999).has_value());
+}
+
+// A caller that is told 503 sends the request again. That is right only while
+// nothing ran, so every 503 to a caller must say not_run and when to come back.
+Test(error_kind, service_unavailable_says_not_run_and_when_to_return) {
+  for (const auto& row : AllErrorAnswers()) {
+    if (row.http_status != 503 || row.kind == ErrorKind::kPlatformUnreachable) {
+      continue;
+    }
+    cr_assert(row.work == WorkKnown::kNotRun);
+    cr_assert(row.retry_after.count() > 0);
+  }
+}
--- /dev/null
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -0,0 +1,197 @@
+#ifndef GENTIANROUTE_DECISION_COORDINATOR_H_
+#define GENTIANROUTE_DECISION_COORDINATOR_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <queue>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "gentianroute/decision/action.h"
+#include "gentianroute/decision/attempt.h"
+#include "gentianroute/decision/catalogue.h"
+#include "gentianroute/decision/claim_ledger.h"
+#include "gentianroute/decision/fair_queue.h"
+#include "gentianroute/decision/request.h"
+#include "gentianroute/decision/retry_budget.h"
+#include "gentianroute/decision/server_table.h"
+#include "gentianroute/decision/suspect_table.h"
+#include "gentianroute/decision/usage_ledger.h"
+
+namespace gentianroute {
+
+/// @brief What the coordinator has counted since its start.
+struct CoordinatorCounters {
+  std::uint64_t submitted = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t retries_denied = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t late_answers = 0;     ///< for an attempt already settled
+  std::uint64_t crossed_answers = 0;  ///< with another attempt's id
+  std::uint64_t duplicate_tokens = 0;
+  std::uint64_t resumed_streams = 0;
+  std::uint64_t joins = 0;
+};
+
+/// @brief Takes requests through their stages. No input or output: an event
+/// and the present time go in, actions come out of TakeActions().
+///
+/// @example
+///   coordinator.SetCatalogue(catalogue);
+///   RequestId id = coordinator.Submit(now, wall, std::move(submission));
+///   for (Action& action : coordinator.TakeActions()) { ... }
+class Coordinator {
+ public:
+  struct Options {
+    std::size_t max_queued = 2048;
+    std::size_t max_remembered = 4096;  ///< outcomes kept for joins
+    /// Share of the expected time that must be left for a start to make sense.
+    double least_time = 0.5;
+    std::uint64_t seed = 1;
+    RetryBudget::Options retry_budget;
+    bool refuse_early = true;  ///< false: the baseline without early refusals
+  };
+
+  /// @param servers,usage,suspects,claims outlive the coordinator
+  Coordinator(Options options, ServerTable& servers, UsageLedger& usage,
+              SuspectTable& suspects, ClaimLedger& claims);
+
+  void SetCatalogue(CatalogueRef catalogue);
+
+  /// @brief Takes a request in. Its one FinishRequest may be among the actions
+  /// at once.
+  /// @param wall only for the claim row
+  RequestId Submit(TimePoint now, UnixMicros wall, Submission submission);
+
+  /// @brief Nobody reads the answer any more. A request with a claim runs on,
+  /// so that its resend finds an outcome; any other is cancelled.
+  void OnCallerGone(TimePoint now, RequestId request);
+
+  /// @brief Call after the claim ledger was fed.
+  void PumpClaims(TimePoint now, UnixMicros wall);
+  void OnClaimerAnswered(TimePoint now, UnixMicros wall, RequestId request,
+                         const JoinOutcome& outcome);
+  /// @brief A peer asks about a token of this daemon; AnswerJoin follows.
+  JoinId Join(TimePoint now, std::string_view token);
+
+  /// @brief The first byte of a call is about to be written.
+  void OnWritten(AttemptId attempt);
+  void OnAnswer(TimePoint now, AttemptAnswer answer);
+  void OnChunk(TimePoint now, AttemptChunk chunk);
+  void OnFailure(TimePoint now, AttemptId attempt, AttemptFailure failure,
+                 std::string_view detail);
+
+  /// @brief Servers came or went, or slots may have become free.
+  void OnServersChanged(TimePoint now);
+
+  /// @brief Does what has come due.
+  void Advance(TimePoint now);
+  TimePoint NextDue() const;
+
+  std::vector<Action> TakeActions();
+
+  std::size_t active() const { return requests_.size(); }
+  std::size_t queued() const;
+  const CoordinatorCounters& counters() const { return counters_; }
+  const Request* Find(RequestId request) const;
+
+ private:
+  enum class TimerKind : std::uint8_t {
+    kDeadline,
+    kTooLate,
+    kSilence,
+    kHedge,
+  };
+  struct Timer {
+    TimePoint due;
+    TimerKind kind;
+    std::uint64_t id;
+    bool operator>(const Timer& other) const { return due > other.due; }
+  };
+  struct Remembered {
+    std::string token;
+    JoinOutcome outcome;
+  };
+  struct JoinWaiters {
+    std::vector<RequestId> requests;
+    std::vector<JoinId> peers;
+  };
+  using TimerHandler = void (Coordinator::*)(TimePoint, std::uint64_t);
+
+  // Submission and claims.
+  void Admit(TimePoint now, UnixMicros wall, Request& request);
+  std::optional<ErrorKind> RefusalOf(TimePoint now, const Request& request,
+                                     std::string& detail) const;
+  void OnVerdict(TimePoint now, UnixMicros wall, const ClaimVerdict& verdict);
+  void OnKeyTaken(TimePoint now, Request& request, const ClaimVerdict& verdict);
+  void JoinLocal(TimePoint now, Request& request, std::string_view token);
+  void FinishJoined(TimePoint now, Request& request,
+                    const JoinOutcome& outcome);
+  JoinOutcome Recall(std::string_view token) const;
+
+  // Stages and calls.
+  void EnterStage(TimePoint now, Request& request);
+  void Enqueue(TimePoint now, Request& request);
+  void Dispatch(TimePoint now, std::string_view pool);
+  bool MayGo(TimePoint now, RequestId request, ServerRef& server);
+  void Start(TimePoint now, Request& request, ServerRef server);
+  void CompleteStage(TimePoint now, Request& request, std::string result,
+                     const AttemptAnswer& answer, const Attempt& attempt);
+  void Retry(TimePoint now, Request& request, AttemptFailure failure,
+             std::string_view detail);
+  ErrorKind KindOfFailure(const Request& request, AttemptFailure failure) const;
+  void OnCrash(TimePoint now, const Attempt& attempt);
+  Attempt Detach(AttemptId attempt);
+  void CancelAll(Request& request);
+  std::string StageInput(const Request& request) const;
+  Duration ExpectedRest(const Request& request) const;
+  Duration Expected(const StageSpec& stage) const;
+
+  // Ends.
+  void Finish(TimePoint now, Request& request, std::optional<ErrorKind> error,
+              std::string detail, std::string body, bool replayed);
+  void SettleClaim(TimePoint now, const Request& request,
+                   std::optional<ErrorKind> error, const std::string& body);
+  void Remember(TimePoint now, const std::string& token, JoinOutcome outcome);
+
+  // Timers.
+  void Arm(TimePoint due, TimerKind kind, std::uint64_t id);
+  void OnDeadline(TimePoint now, std::uint64_t request);
+  void OnTooLate(TimePoint now, std::uint64_t request);
+  void OnSilence(TimePoint now, std::uint64_t attempt);
+  void OnHedge(TimePoint now, std::uint64_t attempt);
+
+  Options options_;
+  ServerTable& servers_;
+  UsageLedger& usage_;
+  SuspectTable& suspects_;
+  ClaimLedger& claims_;
+  Rng rng_;
+  CatalogueRef catalogue_;
+  std::unordered_map<RequestId, Request> requests_;
+  std::unordered_map<AttemptId, Attempt> attempts_;
+  std::unordered_map<const Server*, AttemptList> at_server_;
+  std::map<std::string, FairQueue, std::less<>> queues_;
+  std::map<std::string, RetryBudget, std::less<>> budgets_;
+  std::unordered_map<std::string, Duration> measured_;
+  std::map<std::string, RequestId, std::less<>> running_tokens_;
+  std::map<std::string, JoinWaiters, std::less<>> joins_;
+  std::deque<Remembered> remembered_;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::vector<Action> actions_;
+  CoordinatorCounters counters_;
+  std::uint64_t next_request_ = 1;
+  std::uint64_t next_attempt_ = 1;
+  std::uint64_t next_join_ = 1;
+  std::uint32_t suspects_running_ = 0;
+};
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_DECISION_COORDINATOR_H_
--- /dev/null
+++ b/packages/decision/include/gentianroute/decision/server.h
@@ -0,0 +1,53 @@
+#ifndef GENTIANROUTE_DECISION_SERVER_H_
+#define GENTIANROUTE_DECISION_SERVER_H_
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstdint>
+#include <string>
+
+#include "gentianroute/base/time.h"
+
+namespace gentianroute {
+
+/// @brief One line of the platform's lagging list of hosts.
+struct HostRecord {
+  std::string name;
+  std::string address;
+  std::uint16_t port = 0;
+  std::string pool;
+  std::string data_centre;
+  std::string region;
+  std::uint64_t incarnation = 0;
+  std::uint32_t slots = 1;  ///< calls that it works on at a time
+  bool leaving = false;
+  /// Calls in flight there from everyone, as of `load_age` before the list.
+  std::uint32_t load = 0;
+  Duration load_age{0};
+};
+
+/// @brief A backend server as this daemon sees it. Shared by count: an attempt
+/// in flight keeps the record of a server that has left the list.
+struct Server : public boost::intrusive_ref_counter<
+                    Server, boost::thread_unsafe_counter> {
+  HostRecord host;
+  /// Final for this incarnation, whatever the list says later.
+  bool leaving = false;
+  /// Missing from the last list; like leaving, but a later list may name it.
+  bool listed = true;
+  std::uint32_t in_flight = 0;             ///< calls of this daemon
+  std::uint32_t started_since_report = 0;  ///< of them, not yet in `host.load`
+  std::uint32_t consecutive_failures = 0;
+  TimePoint out_of_favour_until{};
+  double service_seconds = 0;  ///< moving average of call time; 0: unknown
+  std::uint64_t calls = 0;
+  std::uint64_t failures = 0;
+
+  bool Accepts() const { return listed && !leaving; }
+};
+
+using ServerRef = boost::intrusive_ptr<Server>;
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_DECISION_SERVER_H_
--- /dev/null
+++ b/packages/decision/src/claim_ledger.cc
@@ -0,0 +1,302 @@
+#include "gentianroute/decision/claim_ledger.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "gentianroute/base/check.h"
+
+namespace gentianroute {
+namespace {
+
+constexpr std::string_view kClaimTable = "claims";
+constexpr char kSeparator = '/';
+
+}  // namespace
+
+ClaimLedger::ClaimLedger(Options options, const ClaimCodec& codec)
+    : options_(std::move(options)), codec_(codec) {}
+
+TableKey ClaimLedger::KeyOf(const Claim& claim) const {
+  return {std::string(kClaimTable),
+          claim.organisation + kSeparator + claim.key};
+}
+
+std::string ClaimLedger::Begin(TimePoint now, UnixMicros wall,
+                               RequestId request, std::string_view organisation,
+                               std::string_view key,
+                               std::string_view body_digest,
+                               std::uint64_t replaces) {
+  Entry entry;
+  entry.version = replaces;
+  entry.request = request;
+  entry.claim.organisation = organisation;
+  entry.claim.key = key;
+  entry.claim.body_digest = body_digest;
+  entry.claim.token = options_.daemon + ":" +
+                      std::to_string(options_.incarnation) + ":" +
+                      std::to_string(next_token_++);
+  entry.claim.daemon = options_.daemon;
+  entry.claim.incarnation = options_.incarnation;
+  entry.claim.written_at = wall;
+  entry.due = now + options_.batch_window;
+  std::string token = entry.claim.token;
+  entries_.emplace(token, std::move(entry));
+  return token;
+}
+
+void ClaimLedger::Settle(TimePoint now, std::string_view token,
+                         ClaimState state, std::uint16_t status,
+                         std::string_view answer) {
+  const auto found = entries_.find(token);
+  GR_INVARIANT(found != entries_.end());
+  Entry& entry = found->second;
+  GR_INVARIANT(entry.phase == Phase::kStanding);
+  GR_INVARIANT(state != ClaimState::kClaimed);
+  entry.phase = Phase::kSettling;
+  entry.claim.state = state;
+  entry.claim.status = status;
+  entry.claim.answer = answer;
+  entry.due = now;
+  entry.give_up = now + options_.settle_for;
+}
+
+void ClaimLedger::Advance(TimePoint now) {
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    const bool expired = entry->second.phase == Phase::kSettling &&
+                         !entry->second.in_step && now >= entry->second.give_up;
+    // The row stays "claimed": a resend is told that the outcome is unknown,
+    // which is the truth for everyone but this daemon.
+    entry = expired ? entries_.erase(entry) : std::next(entry);
+  }
+  Flush(now);
+}
+
+void ClaimLedger::LeaveClaimed(std::string_view token) {
+  const auto found = entries_.find(token);
+  GR_INVARIANT(found != entries_.end());
+  GR_INVARIANT(found->second.phase == Phase::kStanding);
+  entries_.erase(found);
+}
+
+void ClaimLedger::Flush(TimePoint now) {
+  ClaimStep write;
+  ClaimStep read;
+  read.kind = ClaimStep::Kind::kRead;
+  std::vector<std::string> written;
+  std::vector<std::string> read_back;
+  std::set<TableKey> keys;
+  for (auto& [token, entry] : entries_) {
+    if (entry.in_step || entry.phase == Phase::kStanding || entry.due > now) {
+      continue;
+    }
+    const TableKey key = KeyOf(entry.claim);
+    if (entry.phase == Phase::kReading) {
+      read.reads.push_back(key);
+      read_back.push_back(token);
+      entry.in_step = true;
+      continue;
+    }
+    // One transaction can't hold two writes of one row: the second waits for
+    // the next and then meets the first one's row.
+    if (written.size() >= options_.max_batch || !keys.insert(key).second) {
+      continue;
+    }
+    if (entry.phase == Phase::kWaiting) {
+      entry.phase = Phase::kWriting;
+    }
+    write.transaction.conditions.push_back({key, entry.version});
+    write.transaction.writes.push_back({key, codec_.Encode(entry.claim)});
+    written.push_back(token);
+    entry.in_step = true;
+  }
+  Emit(std::move(write), std::move(written));
+  Emit(std::move(read), std::move(read_back));
+}
+
+void ClaimLedger::Emit(ClaimStep step, std::vector<std::string> tokens) {
+  if (tokens.empty()) {
+    return;
+  }
+  step.step = next_step_++;
+  steps_in_flight_[step.step] = std::move(tokens);
+  steps_.push_back(std::move(step));
+}
+
+std::vector<std::string> ClaimLedger::TakeTokens(std::uint64_t step) {
+  const auto found = steps_in_flight_.find(step);
+  if (found == steps_in_flight_.end()) {
+    return {};  // answered twice; the first answer counted
+  }
+  std::vector<std::string> tokens = std::move(found->second);
+  steps_in_flight_.erase(found);
+  for (const std::string& token : tokens) {
+    entries_.at(token).in_step = false;
+  }
+  return tokens;
+}
+
+void ClaimLedger::OnTransacted(TimePoint now, std::uint64_t step,
+                               const TransactResult& result) {
+  const std::vector<std::string> tokens = TakeTokens(step);
+  for (std::size_t i = 0; i < tokens.size(); ++i) {
+    const auto entry = entries_.find(tokens[i]);
+    if (result.status == TableStatus::kCommitted) {
+      GR_INVARIANT(i < result.versions.size());
+      if (entry->second.phase == Phase::kSettling) {
+        entries_.erase(entry);
+      } else {
+        Stand(entry, result.versions[i]);
+      }
+      continue;
+    }
+    const TableKey key = KeyOf(entry->second.claim);
+    const auto row = std::ranges::find(result.conflicts, key, &TableRow::key);
+    if (result.status == TableStatus::kConditionFailed &&
+        row != result.conflicts.end()) {
+      OnConflict(now, entry, *row);
+    } else {
+      OnWriteFailed(now, entry, result.status);
+    }
+  }
+  Flush(now);
+}
+
+void ClaimLedger::OnWriteFailed(TimePoint now, Entries::iterator entry,
+                                TableStatus status) {
+  Entry& claim = entry->second;
+  if (claim.phase == Phase::kSettling) {
+    // Written again under the same condition: if the lost write took effect,
+    // the conflict shows our own row and that ends it.
+    claim.due = status == TableStatus::kConditionFailed
+                    ? now
+                    : now + options_.retry_delay;
+    return;
+  }
+  switch (status) {
+    case TableStatus::kConditionFailed:
+      // Another claim of the batch failed, and nothing was written.
+      claim.phase = Phase::kWaiting;
+      claim.due = now;
+      break;
+    case TableStatus::kUnknown:
+      claim.phase = Phase::kReading;
+      claim.due = now;
+      break;
+    default:
+      Conclude(entry, ClaimOutcome::kUnavailable);
+  }
+}
+
+void ClaimLedger::OnConflict(TimePoint now, Entries::iterator entry,
+                             const TableRow& row) {
+  Entry& claim = entry->second;
+  const std::optional<Claim> holder = codec_.Decode(row.value);
+  const bool ours = holder.has_value() && holder->token == claim.claim.token;
+  if (claim.phase == Phase::kSettling) {
+    const bool settled = ours && holder->state != ClaimState::kClaimed;
+    if (settled || !ours) {
+      entries_.erase(entry);
+      return;
+    }
+    claim.version = row.version;
+    claim.due = now;
+    return;
+  }
+  if (ours) {
+    Stand(entry, row.version);
+    return;
+  }
+  const bool free = row.version == 0 ||
+                    (holder.has_value() && holder->state == ClaimState::kNotRun);
+  if (free) {
+    claim.version = row.version;
+    claim.phase = Phase::kWaiting;
+    claim.due = now;
+    return;
+  }
+  if (!holder.has_value()) {
+    // A row that can't be read may stand for an effect: never run over it.
+    Conclude(entry, ClaimOutcome::kUnavailable);
+    return;
+  }
+  ConcludeTaken(entry, *holder, row.version);
+}
+
+void ClaimLedger::OnRead(TimePoint now, std::uint64_t step,
+                         const ReadResult& result) {
+  for (const std::string& token : TakeTokens(step)) {
+    const auto entry = entries_.find(token);
+    if (!result.answered) {
+      Entry& claim = entry->second;
+      claim.due = now + options_.retry_delay;
+      if (++claim.reads >= options_.max_reads) {
+        Conclude(entry, ClaimOutcome::kUnavailable);
+      }
+      continue;
+    }
+    const TableKey key = KeyOf(entry->second.claim);
+    const auto row = std::ranges::find(result.rows, key, &TableRow::key);
+    OnReadBack(now, entry, row == result.rows.end() ? nullptr : &*row);
+  }
+  Flush(now);
+}
+
+void ClaimLedger::OnReadBack(TimePoint /*now*/, Entries::iterator entry,
+                             const TableRow* row) {
+  const std::optional<Claim> holder =
+      row == nullptr ? std::nullopt : codec_.Decode(row->value);
+  if (holder.has_value() && holder->token == entry->second.claim.token) {
+    Stand(entry, row->version);
+    return;
+  }
+  const bool taken =
+      holder.has_value() && holder->state != ClaimState::kNotRun;
+  if (taken) {
+    ConcludeTaken(entry, *holder, row->version);
+    return;
+  }
+  // The lost write may still take effect after this read. Writing again would
+  // let two tokens meet, and calling now would run without a claim; so the
+  // token is given up for good and the caller is told that nothing ran.
+  Conclude(entry, ClaimOutcome::kUnavailable);
+}
+
+void ClaimLedger::Stand(Entries::iterator entry, std::uint64_t version) {
+  entry->second.phase = Phase::kStanding;
+  entry->second.version = version;
+  verdicts_.push_back(
+      {entry->second.request, ClaimOutcome::kStands, entry->first, {}, 0});
+}
+
+void ClaimLedger::Conclude(Entries::iterator entry, ClaimOutcome outcome) {
+  verdicts_.push_back({entry->second.request, outcome, entry->first, {}, 0});
+  entries_.erase(entry);
+}
+
+void ClaimLedger::ConcludeTaken(Entries::iterator entry, Claim holder,
+                                std::uint64_t version) {
+  verdicts_.push_back({entry->second.request, ClaimOutcome::kTaken,
+                       entry->first, std::move(holder), version});
+  entries_.erase(entry);
+}
+
+TimePoint ClaimLedger::NextDue() const {
+  TimePoint due = kNever;
+  for (const auto& [token, entry] : entries_) {
+    if (!entry.in_step && entry.phase != Phase::kStanding) {
+      due = std::min(due, entry.due);
+    }
+  }
+  return due;
+}
+
+std::vector<ClaimStep> ClaimLedger::TakeSteps() {
+  return std::exchange(steps_, {});
+}
+
+std::vector<ClaimVerdict> ClaimLedger::TakeVerdicts() {
+  return std::exchange(verdicts_, {});
+}
+
+}  // namespace gentianroute
--- /dev/null
+++ b/packages/decision/src/usage_ledger.cc
@@ -0,0 +1,145 @@
+#include "gentianroute/decision/usage_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gentianroute {
+namespace {
+
+/// Half-lives after which the scale is reset, far from the end of a double.
+constexpr double kMaxExponent = 400.0;
+constexpr char kSeparator = '\x1f';
+constexpr double kKeepOnSweep = 0.75;
+
+std::string MapKey(std::string_view organisation, std::string_view subscriber) {
+  std::string key(organisation);
+  key += kSeparator;
+  key += subscriber;
+  return key;
+}
+
+}  // namespace
+
+double UsageLedger::Scale(TimePoint now) const {
+  return std::exp2(Seconds(now - origin_) / Seconds(options_.half_life));
+}
+
+void UsageLedger::RebaseIfNeeded(TimePoint now) {
+  const double exponent = Seconds(now - origin_) / Seconds(options_.half_life);
+  if (exponent < kMaxExponent) {
+    return;
+  }
+  const double shrink = std::exp2(-exponent);
+  for (auto& [key, record] : records_) {
+    record.local *= shrink;
+    record.remote *= shrink;
+  }
+  origin_ = now;
+  ++epoch_;
+}
+
+UsageLedger::Record& UsageLedger::Find(std::string_view organisation,
+                                       std::string_view subscriber) {
+  Record& record = records_[MapKey(organisation, subscriber)];
+  if (record.who.organisation.empty()) {
+    record.who = {std::string(organisation), std::string(subscriber)};
+  }
+  return record;
+}
+
+void UsageLedger::Charge(TimePoint now, std::string_view organisation,
+                         std::string_view subscriber, double cost) {
+  RebaseIfNeeded(now);
+  const double scaled = cost * Scale(now);
+  Record& whole = Find(organisation, {});
+  whole.local = std::max(0.0, whole.local + scaled);
+  if (!subscriber.empty()) {
+    Record& part = Find(organisation, subscriber);
+    part.local = std::max(0.0, part.local + scaled);
+  }
+  SweepIfNeeded();
+}
+
+void UsageLedger::SetRemote(TimePoint now, std::string_view peer,
+                            const std::vector<UseRecord>& heaviest) {
+  RebaseIfNeeded(now);
+  DropRemote(peer);
+  const double scale = Scale(now);
+  std::vector<UseRecord>& kept = remote_[std::string(peer)];
+  for (const UseRecord& use : heaviest) {
+    const double scaled = use.cost * scale;
+    Find(use.who.organisation, use.who.subscriber).remote += scaled;
+    kept.push_back({use.who, scaled});
+  }
+  SweepIfNeeded();
+}
+
+void UsageLedger::DropRemote(std::string_view peer) {
+  const auto found = remote_.find(std::string(peer));
+  if (found == remote_.end()) {
+    return;
+  }
+  for (const UseRecord& use : found->second) {
+    Record& record = Find(use.who.organisation, use.who.subscriber);
+    record.remote = std::max(0.0, record.remote - use.cost);
+  }
+  remote_.erase(found);
+}
+
+double UsageLedger::Rank(std::string_view organisation,
+                         std::string_view subscriber) const {
+  const auto found = records_.find(MapKey(organisation, subscriber));
+  if (found == records_.end()) {
+    return 0;
+  }
+  return found->second.local + found->second.remote;
+}
+
+double UsageLedger::OrganisationRank(std::string_view organisation) const {
+  return Rank(organisation, {});
+}
+
+double UsageLedger::SubscriberRank(std::string_view organisation,
+                                   std::string_view subscriber) const {
+  return Rank(organisation, subscriber);
+}
+
+std::vector<UseRecord> UsageLedger::Heaviest(TimePoint now,
+                                             std::size_t limit) const {
+  std::vector<UseRecord> heaviest;
+  heaviest.reserve(records_.size());
+  const double scale = Scale(now);
+  for (const auto& [key, record] : records_) {
+    if (record.local > 0) {
+      heaviest.push_back({record.who, record.local / scale});
+    }
+  }
+  const auto middle = heaviest.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                             limit, heaviest.size()));
+  std::partial_sort(heaviest.begin(), middle, heaviest.end(),
+                    [](const UseRecord& left, const UseRecord& right) {
+                      return left.cost > right.cost;
+                    });
+  heaviest.erase(middle, heaviest.end());
+  return heaviest;
+}
+
+void UsageLedger::SweepIfNeeded() {
+  if (records_.size() <= options_.max_records) {
+    return;
+  }
+  std::vector<double> ranks;
+  ranks.reserve(records_.size());
+  for (const auto& [key, record] : records_) {
+    ranks.push_back(record.local + record.remote);
+  }
+  const auto drop = static_cast<std::ptrdiff_t>(
+      static_cast<double>(ranks.size()) * (1.0 - kKeepOnSweep));
+  std::nth_element(ranks.begin(), ranks.begin() + drop, ranks.end());
+  const double threshold = ranks[static_cast<std::size_t>(drop)];
+  std::erase_if(records_, [threshold](const auto& item) {
+    return item.second.local + item.second.remote < threshold;
+  });
+}
+
+}  // namespace gentianroute
--- /dev/null
+++ b/packages/observe/src/tmp.cc
@@ -0,0 +1,1 @@
+// placeholder
--- /dev/null
+++ b/packages/schema/schema/peer.capnp
@@ -0,0 +1,47 @@
+@0xa94f0d7be2c61835;
+# Between daemons, over Cap'n Proto RPC.
+
+using Cxx = import "/capnp/c++.capnp";
+using Platform = import "platform.capnp";
+$Cxx.namespace("gentianroute::schema");
+
+struct HeavyUse {
+  organisation @0 :Text;
+  subscriber @1 :Text;                # empty: the whole organisation
+  cost @2 :Float64;                   # decayed, in cost units
+}
+
+struct LeavingServer {
+  server @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Quarantine {
+  fingerprint @0 :UInt64;
+  remainingMs @1 :UInt32;
+}
+
+struct Digest {
+  # Exchanged at each heartbeat; soft state only.
+  daemon @0 :Text;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  revision @3 :UInt64;
+  draining @4 :Bool;
+  heavy @5 :List(HeavyUse);
+  leaving @6 :List(LeavingServer);
+  quarantined @7 :List(Quarantine);
+}
+
+struct Outcome {
+  known @0 :Bool;                     # false: this daemon does not know the claim
+  status @1 :UInt16;
+  body @2 :Text;
+  kind @3 :UInt16;                    # error kind number; 0: an answer
+}
+
+interface Peer {
+  exchange @0 (mine :Digest) -> (yours :Digest);
+  revisions @1 (after :UInt64, limit :UInt32) -> (revisions :List(Platform.ConfigRevision));
+  join @2 (organisation :Text, key :Text, token :Text) -> (outcome :Outcome);
+}
--- /dev/null
+++ b/standins/main.cc
@@ -0,0 +1,1 @@
+int main(){}
