--- /dev/null
+++ b/loadtool/load_result.h
@@ -0,0 +1,74 @@
+#ifndef GENTIANROUTE_LOADTOOL_LOAD_RESULT_H_
+#define GENTIANROUTE_LOADTOOL_LOAD_RESULT_H_
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gentianroute/base/time.h"
+
+namespace gentianroute::load {
+
+/// @brief What one request came to.
+struct Outcome {
+  std::string service;
+  int status = 0;    ///< 0: no whole answer
+  std::string kind;  ///< of the problem body; empty for an answer
+  Duration took{0};
+  Duration first_token{0};        ///< zero: not streamed
+  std::vector<Duration> between;  ///< between the tokens of a stream
+  bool attained = false;          ///< answered whole within its deadline
+  std::int64_t cost = 0;          ///< micro-euros
+  std::string server_timing;      ///< as the daemon sent it
+};
+
+/// @brief Time and cost of one stage in a Server-Timing header.
+struct StageTiming {
+  std::string stage;
+  double milliseconds = 0;
+  std::int64_t cost = 0;  ///< micro-euros
+};
+
+/// @brief Reads the Server-Timing header of a daemon's answer.
+/// @return the stages in order; parts that can't be read are left out
+std::vector<StageTiming> ParseServerTiming(std::string_view header);
+
+/// @brief Collects outcomes of one run, per service.
+class LoadResult {
+ public:
+  void Add(const Outcome& outcome);
+
+  /// @brief Everything, as JSON: see docs/MEASUREMENTS.md.
+  nlohmann::json ToJson() const;
+  /// @brief The same for a terminal.
+  std::string ToText() const;
+
+ private:
+  struct Service {
+    std::uint64_t sent = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t attained = 0;
+    std::int64_t cost = 0;
+    std::vector<double> milliseconds;
+    std::vector<double> first_token;
+    std::vector<double> between;
+    std::map<std::string, std::uint64_t> kinds;
+    std::map<std::string, std::int64_t> stage_cost;
+    std::map<std::string, std::vector<double>> stage_milliseconds;
+  };
+
+  static nlohmann::json Describe(const Service& service);
+
+  std::map<std::string, Service> services_;
+};
+
+/// @brief A quantile by the nearest-rank method.
+/// @param values in any order; 0 if there are none
+double Quantile(std::vector<double> values, double fraction);
+
+}  // namespace gentianroute::load
+
+#endif  // GENTIANROUTE_LOADTOOL_LOAD_RESULT_H_
--- /dev/null
+++ b/loadtool/tests/load_result_test.cc
@@ -0,0 +1,44 @@
+#include "load_result.h"
+
+#include <string>
+
+#include <criterion/criterion.h>
+
+using gentianroute::Duration;
+using gentianroute::load::LoadResult;
+using gentianroute::load::Outcome;
+using gentianroute::load::ParseServerTiming;
+using gentianroute::load::Quantile;
+
+Test(load_result, server_timing_of_two_stages_gives_time_and_cost_of_each) {
+  const auto stages = ParseServerTiming(
+      "encode;dur=5.5;desc=\"cost_micros=5 attempts=1\", "
+      "generate;dur=34;desc=\"cost_micros=32 attempts=2\"");
+  cr_assert_eq(stages.size(), 2U);
+  cr_assert(stages[0].stage == "encode");
+  cr_assert_float_eq(stages[0].milliseconds, 5.5, 1e-9);
+  cr_assert_eq(stages[1].cost, 32);
+}
+
+Test(load_result, quantile_by_nearest_rank_takes_a_value_that_occurred) {
+  cr_assert_float_eq(Quantile({4, 1, 3, 2}, 0.5), 2, 1e-9);
+  cr_assert_float_eq(Quantile({4, 1, 3, 2}, 1.0), 4, 1e-9);
+  cr_assert_float_eq(Quantile({}, 0.5), 0, 1e-9);
+}
+
+Test(load_result, refused_and_late_requests_count_against_attainment) {
+  LoadResult result;
+  Outcome in_time{.service = "s", .status = 200, .attained = true};
+  in_time.took = Duration(1000);
+  Outcome late{.service = "s", .status = 200};
+  late.took = Duration(9'000'000);
+  const Outcome refused{.service = "s", .status = 503, .kind = "overloaded"};
+  const Outcome lost{.service = "s"};
+  for (const Outcome& outcome : {in_time, late, refused, lost}) {
+    result.Add(outcome);
+  }
+  const auto service = result.ToJson().at("services").at("s");
+  cr_assert_float_eq(service.at("attainment").get<double>(), 0.25, 1e-9);
+  cr_assert_eq(service.at("errors").at("overloaded").get<int>(), 1);
+  cr_assert_eq(service.at("errors").at("no_answer").get<int>(), 1);
+}
