Measure the slopes of one daemon's work and state

Cause: docs/CAPACITY.md needs slopes from runs. Change: capacity_bench prints points, fitted line and value at the target size.

--- /dev/null
+++ b/benchmarks/capacity/slope.cc
@@ -0,0 +1,105 @@
+#include "slope.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace gentianroute::capacity {
+
+Slope Fit(std::string name,
+          std::string size_unit,
+          std::string value_unit,
+          std::vector<Point> points,
+          double target) {
+  double size_sum = 0;
+  double value_sum = 0;
+  double square_sum = 0;
+  double product_sum = 0;
+  for (const Point& point : points) {
+    size_sum += point.size;
+    value_sum += point.value;
+    square_sum += point.size * point.size;
+    product_sum += point.size * point.value;
+  }
+  const auto count = static_cast<double>(points.size());
+  const double spread = count * square_sum - size_sum * size_sum;
+  Slope slope;
+  slope.name = std::move(name);
+  slope.size_unit = std::move(size_unit);
+  slope.value_unit = std::move(value_unit);
+  slope.per_size =
+      spread > 0 ? (count * product_sum - size_sum * value_sum) / spread : 0;
+  slope.base = (value_sum - slope.per_size * size_sum) / count;
+  slope.target = target;
+  slope.at_target = slope.base + slope.per_size * target;
+  for (const Point& point : points) {
+    if (point.size == target) {
+      slope.at_target = point.value;
+    }
+  }
+  slope.points = std::move(points);
+  return slope;
+}
+
+double ShortestRun(int runs, const std::function<void()>& body) {
+  double shortest = std::numeric_limits<double>::infinity();
+  for (int run = 0; run < runs; ++run) {
+    const auto begin = std::chrono::steady_clock::now();
+    body();
+    const std::chrono::duration<double> took =
+        std::chrono::steady_clock::now() - begin;
+    shortest = std::min(shortest, took.count());
+  }
+  return shortest;
+}
+
+double HeapBytes() {
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+std::string ToText(std::span<const Slope> slopes) {
+  std::string text;
+  char line[256];
+  for (const Slope& slope : slopes) {
+    std::snprintf(line, sizeof(line), "%s (%s by %s)\n", slope.name.c_str(),
+                  slope.value_unit.c_str(), slope.size_unit.c_str());
+    text += line;
+    for (const Point& point : slope.points) {
+      std::snprintf(line, sizeof(line), "  %10.0f  %14.4g\n", point.size,
+                    point.value);
+      text += line;
+    }
+    std::snprintf(line, sizeof(line),
+                  "  base %.4g, per one more %.4g, at %.0f: %.4g\n", slope.base,
+                  slope.per_size, slope.target, slope.at_target);
+    text += line;
+  }
+  return text;
+}
+
+std::string ToJson(std::span<const Slope> slopes) {
+  nlohmann::json all = nlohmann::json::array();
+  for (const Slope& slope : slopes) {
+    nlohmann::json points = nlohmann::json::array();
+    for (const Point& point : slope.points) {
+      points.push_back({{"size", point.size}, {"value", point.value}});
+    }
+    all.push_back({{"name", slope.name},
+                   {"size_unit", slope.size_unit},
+                   {"value_unit", slope.value_unit},
+                   {"points", std::move(points)},
+                   {"base", slope.base},
+                   {"per_size", slope.per_size},
+                   {"target", slope.target},
+                   {"at_target", slope.at_target}});
+  }
+  return all.dump(2);
+}
+
+}  // namespace gentianroute::capacity
