Ask for the host list by its tag

Ruled out: polling less often, since a leaving server must be known within a few seconds. Change: If-None-Match with the list's ETag; an unchanged list is a 304 and is not applied again.

--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -226,9 +226,9 @@
 // --- Hosts and configuration ------------------------------------------------
 
 void Daemon::PollHosts() {
-  platform_.List([this](const std::optional<std::vector<HostRecord>>& hosts) {
-    if (hosts.has_value()) {
-      ApplyHosts(*hosts);
+  platform_.List([this](const HostListing& listing) {
+    if (listing.changed) {
+      ApplyHosts(listing.hosts);
     }
   });
 }
--- a/packages/platform/include/gentianroute/platform/platform.h
+++ b/packages/platform/include/gentianroute/platform/platform.h
@@ -41,13 +41,19 @@
                    std::function<void(bool)> done) = 0;
 };
 
+/// @brief What the list of hosts said.
+struct HostListing {
+  bool answered = false;
+  /// False: the same as the last one that was answered; `hosts` is empty.
+  bool changed = false;
+  std::vector<HostRecord> hosts;
+};
+
 /// @brief The platform's lagging list of hosts.
 class HostDirectory {
  public:
   virtual ~HostDirectory() = default;
-  /// @brief Calls back with no list if the platform did not answer.
-  virtual void List(
-      std::function<void(std::optional<std::vector<HostRecord>>)> done) = 0;
+  virtual void List(std::function<void(HostListing)> done) = 0;
 };
 
 }  // namespace gentianroute
--- a/packages/platform/src/http_platform.cc
+++ b/packages/platform/src/http_platform.cc
@@ -10,6 +10,7 @@
 using nlohmann::json;
 
 constexpr int kOk = 200;
+constexpr int kNotModified = 304;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 constexpr int kTooManyRequests = 429;
@@ -116,20 +117,13 @@
   return host;
 }
 
-std::optional<std::vector<HostRecord>> HostsOf(const HttpResult& result) {
-  if (!result.whole || result.status != kOk) {
-    return std::nullopt;
-  }
-  try {
-    std::vector<HostRecord> hosts;
-    const json parsed = json::parse(result.body);
-    for (const json& item : parsed.at("hosts")) {
-      hosts.push_back(HostOf(item));
-    }
-    return hosts;
-  } catch (const json::exception&) {
-    return std::nullopt;
-  }
+HttpCall MakeCall(std::string method, std::string path, std::string body = {}) {
+  HttpCall call;
+  call.method = std::move(method);
+  call.path = std::move(path);
+  call.body = std::move(body);
+  call.headers = {{"content-type", "application/json"}};
+  return call;
 }
 
 }  // namespace
@@ -137,10 +131,7 @@
 HttpPlatform::HttpPlatform(EventLoop& loop, HttpClient& client, Options options)
     : loop_(loop), client_(client), options_(std::move(options)) {}
 
-void HttpPlatform::Call(std::string method,
-                        std::string path,
-                        std::string body,
-                        std::function<void(HttpResult)> done) {
+void HttpPlatform::Call(HttpCall call, std::function<void(HttpResult)> done) {
   struct Pending {
     std::function<void(HttpResult)> done;
     TimerId timer;
@@ -148,13 +139,8 @@
   };
   auto pending = std::make_shared<Pending>();
   pending->done = std::move(done);
-  HttpCall call;
   call.address = options_.address;
   call.port = options_.port;
-  call.method = std::move(method);
-  call.path = std::move(path);
-  call.headers = {{"content-type", "application/json"}};
-  call.body = std::move(body);
   pending->call = client_.Call(
       std::move(call), CollectAnswer([this, pending](HttpResult result) {
         loop_.Cancel(pending->timer);
@@ -176,7 +162,7 @@
 
 void HttpPlatform::Transact(TableTransaction transaction,
                             std::function<void(TransactResult)> done) {
-  Call("POST", "/v1/transact", ToJson(transaction).dump(),
+  Call(MakeCall("POST", "/v1/transact", ToJson(transaction).dump()),
        [done = std::move(done)](const HttpResult& result) {
          done(TransactResultOf(result));
        });
@@ -188,7 +174,7 @@
   for (const TableKey& key : keys) {
     items.push_back(ToJson(key));
   }
-  Call("POST", "/v1/read", json{{"keys", std::move(items)}}.dump(),
+  Call(MakeCall("POST", "/v1/read", json{{"keys", std::move(items)}}.dump()),
        [done = std::move(done)](const HttpResult& result) {
          done(ReadResultOf(result));
        });
@@ -196,7 +182,7 @@
 
 void HttpPlatform::Get(std::string name,
                        std::function<void(ObjectResult)> done) {
-  Call("GET", "/v1/objects/" + name, {},
+  Call(MakeCall("GET", "/v1/objects/" + name),
        [done = std::move(done)](HttpResult result) {
          const bool found = result.whole && result.status == kOk;
          const bool absent = result.whole && result.status == kNotFound;
@@ -212,18 +198,47 @@
 void HttpPlatform::Put(std::string name,
                        std::string content,
                        std::function<void(bool)> done) {
-  Call("PUT", "/v1/objects/" + name, std::move(content),
+  Call(MakeCall("PUT", "/v1/objects/" + name, std::move(content)),
        [done = std::move(done)](const HttpResult& result) {
          done(result.whole && result.status == kOk);
        });
 }
 
-void HttpPlatform::List(
-    std::function<void(std::optional<std::vector<HostRecord>>)> done) {
-  Call("GET", "/v1/hosts", {},
-       [done = std::move(done)](const HttpResult& result) {
-         done(HostsOf(result));
+void HttpPlatform::List(std::function<void(HostListing)> done) {
+  HttpCall call = MakeCall("GET", "/v1/hosts");
+  if (!host_list_tag_.empty()) {
+    call.headers.push_back({"if-none-match", host_list_tag_});
+  }
+  Call(std::move(call),
+       [this, done = std::move(done)](const HttpResult& result) {
+         done(ListingOf(result));
        });
 }
 
+HostListing HttpPlatform::ListingOf(const HttpResult& result) {
+  HostListing listing;
+  if (!result.whole) {
+    return listing;
+  }
+  if (result.status == kNotModified) {
+    listing.answered = true;
+    return listing;
+  }
+  if (result.status != kOk) {
+    return listing;
+  }
+  try {
+    const json parsed = json::parse(result.body);
+    for (const json& item : parsed.at("hosts")) {
+      listing.hosts.push_back(HostOf(item));
+    }
+  } catch (const json::exception&) {
+    return {};
+  }
+  listing.answered = true;
+  listing.changed = true;
+  host_list_tag_ = FindHeader(result.headers, "etag");
+  return listing;
+}
+
 }  // namespace gentianroute
