--- a/packages/platform/tests/http_platform_test.cc
+++ b/packages/platform/tests/http_platform_test.cc
@@ -101,7 +101,8 @@
   fixture.client_.body_ =
       R"({"conflicts":[{"table":"t","key":"k","value":"v","version":7}]})";
   TransactResult got;
-  fixture.platform_.Transact({}, [&](TransactResult result) { got = result; });
+  fixture.platform_.Transact(
+      {}, [&](const TransactResult& result) { got = result; });
   cr_assert(got.status == TableStatus::kConditionFailed);
   cr_assert_eq(got.conflicts.at(0).version, 7U);
 }
