Give the stand-ins their fault switches; drain waits for the last connection

Stand-ins: delay, status, silence (all, or connections open now), truncation, crossed ids, doubled, skipped and cut streams, crash on a marker, lost and reset answers, leaving, outage, a limit of slots; prefix cache, lagging load, counts of runs by key and marker.

Drain: a request that arrived on an open keep-alive connection after accepting had stopped was refused with shutting_down, and one on its way when the process ended was reset. Now it is served, each answer closes its connection, and the process ends when the last connection has gone. The closing flag is read when an answer begins, not when its request arrived.

Callers: header and key limits, timeouts capped, trace context checked, one log line for each request.

--- a/packages/entry/include/gentianroute/entry/caller_api.h
+++ b/packages/entry/include/gentianroute/entry/caller_api.h
@@ -38,8 +38,6 @@
   void Deliver(const DeliverChunk& chunk);
   void Finish(const FinishRequest& finish);
 
-  /// @brief Refuses what comes from now on; what runs goes on.
-  void Refuse() { refusing_ = true; }
   std::size_t active() const { return exchanges_.size(); }
 
  private:
@@ -50,6 +48,11 @@
     bool begun = false;
   };
 
+  void Refuse(ErrorKind kind,
+              std::string_view detail,
+              const HttpRequest& request,
+              HttpResponder& responder);
+  void Submit(Submission submission, std::shared_ptr<HttpResponder> responder);
   const Caller* Authenticate(const HttpRequest& request) const;
   std::string PublicId(RequestId request) const;
   void SendStreamEnd(const Exchange& exchange, const FinishRequest& finish);
@@ -60,7 +63,6 @@
   std::string id_prefix_;
   std::function<void()> touched_;
   std::unordered_map<RequestId, Exchange> exchanges_;
-  bool refusing_ = false;
   std::uint64_t refused_ = 0;
 };
 
--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -67,6 +67,7 @@
   void ApplyHosts(const std::vector<HostRecord>& hosts);
   void OnConfigChanged();
   void CheckDrained();
+  void EndDrain();
 
   EventLoop& loop_;
   const Settings& settings_;
--- a/packages/entry/src/caller_api.cc
+++ b/packages/entry/src/caller_api.cc
@@ -1,5 +1,6 @@
 #include "gentianroute/entry/caller_api.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -7,6 +8,7 @@
 
 #include "gentianroute/entry/digest.h"
 #include "gentianroute/entry/problem.h"
+#include "gentianroute/observe/log.h"
 
 namespace gentianroute {
 namespace {
@@ -18,7 +20,21 @@
 constexpr std::string_view kEventStream = "text/event-stream";
 constexpr std::size_t kPrefixCharacters = 64;
 
-std::optional<Duration> TimeoutOf(const HttpRequest& request, bool& valid) {
+constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
+constexpr std::size_t kMaxKeyCharacters = 255;
+constexpr std::size_t kTraceParentCharacters = 55;
+// Longer than any profile's deadline, which caps it; keeps the sum of times
+// far from the end of their range.
+constexpr std::int64_t kLongestTimeoutMs = 24 * 60 * 60 * 1000;
+
+/// Why a request can't be taken, or nothing.
+struct Fault {
+  ErrorKind kind;
+  std::string detail;
+};
+
+std::optional<Fault> ReadTimeout(const HttpRequest& request,
+                                 Duration& timeout) {
   const std::string_view text = FindHeader(request.headers, "x-timeout-ms");
   if (text.empty()) {
     return std::nullopt;
@@ -26,9 +42,57 @@
   std::int64_t milliseconds = 0;
   const auto [end, error] =
       std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-  valid = error == std::errc() && end == text.data() + text.size() &&
-          milliseconds > 0;
-  return std::chrono::milliseconds(milliseconds);
+  const bool valid = error == std::errc() && end == text.data() + text.size() &&
+                     milliseconds > 0;
+  if (!valid) {
+    return Fault{ErrorKind::kMalformedRequest,
+                 "x-timeout-ms: found '" + std::string(text) +
+                     "'; allowed: a whole number above 0"};
+  }
+  timeout =
+      std::chrono::milliseconds(std::min(milliseconds, kLongestTimeoutMs));
+  return std::nullopt;
+}
+
+bool IsVisibleAscii(std::string_view text) {
+  return std::ranges::all_of(text, [](char c) { return c > ' ' && c < 0x7f; });
+}
+
+/// The key goes on to backend servers in a header: a line break in it, which
+/// HTTP/2 lets through, would begin a header or a request of the caller's own
+/// making there. Visible characters only leave no such break.
+std::optional<Fault> CheckKey(std::string_view key) {
+  if (key.size() <= kMaxKeyCharacters && IsVisibleAscii(key)) {
+    return std::nullopt;
+  }
+  return Fault{ErrorKind::kMalformedRequest,
+               "idempotency-key: found " + std::to_string(key.size()) +
+                   " characters; allowed: 1 to " +
+                   std::to_string(kMaxKeyCharacters) +
+                   " visible ASCII characters"};
+}
+
+std::optional<Fault> CheckHeaderSize(const HttpHeaders& headers) {
+  std::size_t size = 0;
+  for (const HttpHeader& header : headers) {
+    size += header.name.size() + header.value.size();
+  }
+  if (size <= kMaxHeaderBytes) {
+    return std::nullopt;
+  }
+  return Fault{ErrorKind::kHeadersTooLarge,
+               "the headers have " + std::to_string(size) +
+                   " bytes; allowed: " + std::to_string(kMaxHeaderBytes)};
+}
+
+/// A trace context as it goes on; anything else is left out, as its standard
+/// asks, and could break out of its header as a key could.
+std::string_view TraceParentOf(const HttpRequest& request) {
+  const std::string_view text = FindHeader(request.headers, "traceparent");
+  const bool valid =
+      text.size() == kTraceParentCharacters &&
+      text.find_first_not_of("0123456789abcdef-") == std::string_view::npos;
+  return valid ? text : std::string_view();
 }
 
 /// Requests of one conversation share a prompt prefix, which an engine that
@@ -43,6 +107,62 @@
   return 0;
 }
 
+/// Reads what the coordinator needs of a request.
+std::optional<Fault> ReadSubmission(HttpRequest& request,
+                                    const Caller& caller,
+                                    Submission& submission) {
+  if (auto fault = ReadTimeout(request, submission.timeout)) {
+    return fault;
+  }
+  submission.key = FindHeader(request.headers, "idempotency-key");
+  if (auto fault = CheckKey(submission.key)) {
+    return fault;
+  }
+  json body;
+  try {
+    body = json::parse(request.body);
+  } catch (const json::parse_error& error) {
+    return Fault{ErrorKind::kMalformedRequest,
+                 std::string("the body is not JSON: ") + error.what()};
+  }
+  submission.service = request.path.substr(kServicePrefix.size());
+  submission.organisation = caller.organisation;
+  submission.subscriber = caller.subscriber;
+  submission.weight = caller.weight;
+  submission.body_digest = Sha256Hex(request.body);
+  submission.fingerprint =
+      Fingerprint{FastHash(submission.service + "\n" + request.body)};
+  submission.prefix = PrefixOf(body);
+  submission.body = std::move(request.body);
+  submission.wants_stream =
+      FindHeader(request.headers, "accept") == kEventStream;
+  submission.trace_parent = TraceParentOf(request);
+  return std::nullopt;
+}
+
+/// One line for each request; neither its key nor its body is in it.
+void LogFinish(const FinishRequest& finish, std::string_view request_id) {
+  std::uint32_t attempts = 0;
+  for (const StageReport& stage : finish.stages) {
+    attempts += stage.attempts;
+  }
+  const std::string_view kind =
+      finish.error.has_value() ? AnswerFor(*finish.error).name : "answered";
+  LogEvent event("request");
+  event.Field("request_id", request_id)
+      .Field("service", finish.service)
+      .Field("organisation", finish.organisation)
+      .Field("subscriber", finish.subscriber)
+      .Field("kind", kind)
+      .Field("ms", Milliseconds(finish.took))
+      .Field("cost_micros", finish.cost)
+      .Field("attempts", attempts)
+      .Field("replayed", finish.replayed ? 1 : 0);
+  if (!finish.detail.empty()) {
+    event.Field("detail", finish.detail);
+  }
+}
+
 std::string ServerTiming(const FinishRequest& finish) {
   std::string timing;
   for (const StageReport& stage : finish.stages) {
@@ -112,13 +232,32 @@
   return id_prefix_ + "-" + std::to_string(request.value);
 }
 
+void CallerApi::Refuse(ErrorKind kind,
+                       std::string_view detail,
+                       const HttpRequest& request,
+                       HttpResponder& responder) {
+  const std::string id = id_prefix_ + "-refused-" + std::to_string(++refused_);
+  HttpResponse response = ProblemResponse(kind, detail, id);
+  if (kind == ErrorKind::kMethodNotAllowed) {
+    response.headers.push_back({"allow", "POST"});
+  }
+  responder.Send(std::move(response));
+  LogEvent("request_refused", LogLevel::kWarning)
+      .Field("request_id", id)
+      .Field("kind", AnswerFor(kind).name)
+      .Field("method", request.method)
+      .Field("path", request.path);
+}
+
 void CallerApi::OnRequest(HttpRequest request,
                           std::shared_ptr<HttpResponder> responder) {
   const auto refuse = [&](ErrorKind kind, std::string_view detail) {
-    const std::string id =
-        id_prefix_ + "-refused-" + std::to_string(++refused_);
-    responder->Send(ProblemResponse(kind, detail, id));
+    Refuse(kind, detail, request, *responder);
   };
+  if (const auto fault = CheckHeaderSize(request.headers)) {
+    refuse(fault->kind, fault->detail);
+    return;
+  }
   if (!request.path.starts_with(kServicePrefix)) {
     refuse(ErrorKind::kUnknownService, "no path '" + request.path + "'");
     return;
@@ -133,48 +272,22 @@
     refuse(ErrorKind::kUnauthorised, "the bearer key is not known");
     return;
   }
-  if (refusing_) {
-    refuse(ErrorKind::kShuttingDown, "the daemon stopped accepting");
-    return;
-  }
-  bool timeout_valid = true;
-  const std::optional<Duration> timeout = TimeoutOf(request, timeout_valid);
-  if (!timeout_valid) {
-    refuse(ErrorKind::kMalformedRequest,
-           "x-timeout-ms: found '" +
-               std::string(FindHeader(request.headers, "x-timeout-ms")) +
-               "'; allowed: a whole number above 0");
-    return;
-  }
-  json body;
-  try {
-    body = json::parse(request.body);
-  } catch (const json::parse_error& error) {
-    refuse(ErrorKind::kMalformedRequest,
-           std::string("the body is not JSON: ") + error.what());
+  Submission submission;
+  if (const auto fault = ReadSubmission(request, *caller, submission)) {
+    refuse(fault->kind, fault->detail);
     return;
   }
-  Submission submission;
-  submission.service = request.path.substr(kServicePrefix.size());
-  submission.organisation = caller->organisation;
-  submission.subscriber = caller->subscriber;
-  submission.weight = caller->weight;
-  submission.key = FindHeader(request.headers, "idempotency-key");
-  submission.body_digest = Sha256Hex(request.body);
-  submission.fingerprint =
-      Fingerprint{FastHash(submission.service + "\n" + request.body)};
-  submission.prefix = PrefixOf(body);
-  submission.body = std::move(request.body);
-  submission.timeout = timeout.value_or(Duration{0});
-  submission.wants_stream =
-      FindHeader(request.headers, "accept") == kEventStream;
-  submission.trace_parent = FindHeader(request.headers, "traceparent");
+  Submit(std::move(submission), std::move(responder));
+}
 
+void CallerApi::Submit(Submission submission,
+                       std::shared_ptr<HttpResponder> responder) {
   const bool wants_stream = submission.wants_stream;
   const RequestId id =
       coordinator_.Submit(loop_.Now(), loop_.Wall(), std::move(submission));
-  exchanges_[id] = {responder, PublicId(id), wants_stream, false};
-  responder->OnGone([this, id] {
+  HttpResponder& reference = *responder;
+  exchanges_[id] = {std::move(responder), PublicId(id), wants_stream, false};
+  reference.OnGone([this, id] {
     exchanges_.erase(id);
     coordinator_.OnCallerGone(loop_.Now(), id);
     touched_();
@@ -200,6 +313,7 @@
 }
 
 void CallerApi::Finish(const FinishRequest& finish) {
+  LogFinish(finish, PublicId(finish.request));
   const auto found = exchanges_.find(finish.request);
   if (found == exchanges_.end()) {
     return;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -168,7 +168,6 @@
   }
   pumping_ = false;
   Rearm();
-  CheckDrained();
 }
 
 void Daemon::Rearm() {
@@ -426,47 +425,55 @@
 // --- Stop -------------------------------------------------------------------
 
 void Daemon::StartDrain() {
-  Drain([] {});
-}
-
-void Daemon::Drain(std::function<void()> done) {
-  drained_ = std::move(done);
   if (std::exchange(draining_, true)) {
-    return;  // a second signal cuts off nothing
+    return;
   }
-  const auto limits = settings_.get().getLimits();
   LogEvent("drain_begun").Field("active", coordinator_.active());
   // The balancer needs a moment to see that this daemon is not ready; what it
   // sends until then is served.
-  loop_.After(milliseconds(limits.getDrainNoticeMs()), [this] {
+  const auto notice =
+      milliseconds(settings_.get().getLimits().getDrainNoticeMs());
+  loop_.After(notice, [this] {
     callers_->StopAccepting();
     callers_->BeginShutdown();
-    caller_api_.Refuse();
-    CheckDrained();
+    constexpr Duration kCheckPeriod = milliseconds(20);
+    loop_.Every(kCheckPeriod, [this] { CheckDrained(); });
   });
+}
+
+void Daemon::Drain(std::function<void()> done) {
+  StartDrain();
+  if (drained_) {
+    return;  // a second signal cuts off nothing
+  }
+  drained_ = std::move(done);
+  const auto limits = settings_.get().getLimits();
   loop_.After(milliseconds(limits.getDrainDeadlineMs()), [this] {
     LogEvent("drain_deadline", LogLevel::kWarning)
-        .Field("cut_off", coordinator_.active());
-    if (drained_) {
-      std::exchange(drained_, nullptr)();
-    }
+        .Field("cut_off", coordinator_.active())
+        .Field("unsettled_claims", claims_.pending())
+        .Field("connections", callers_->connections());
+    EndDrain();
   });
 }
 
 void Daemon::CheckDrained() {
+  // A connection that is still open may carry a request that is on its way: if
+  // the process ended now, its caller would see a reset and not know whether it
+  // ran. Each answer closes its connection and idle ones time out, so waiting
+  // for the last connection leaves no such request, and ends.
   const bool idle = coordinator_.active() == 0 && caller_api_.active() == 0 &&
-                    claims_.pending() == 0;
-  if (!draining_ || !drained_ || !idle) {
-    return;
+                    claims_.pending() == 0 && callers_->connections() == 0;
+  if (idle && drained_) {
+    LogEvent("drained");
+    EndDrain();
+  }
+}
+
+void Daemon::EndDrain() {
+  if (drained_) {
+    std::exchange(drained_, nullptr)();
   }
-  // Let the last answer leave the socket.
-  constexpr Duration kFlush = std::chrono::milliseconds(50);
-  loop_.After(kFlush, [this] {
-    if (drained_ && coordinator_.active() == 0) {
-      LogEvent("drained");
-      std::exchange(drained_, nullptr)();
-    }
-  });
 }
 
 }  // namespace gentianroute
--- a/packages/loop/include/gentianroute/loop/http.h
+++ b/packages/loop/include/gentianroute/loop/http.h
@@ -30,6 +30,7 @@
   std::string query;  ///< without the question mark
   HttpHeaders headers;
   std::string body;
+  std::uint64_t connection = 0;  ///< rises with each new connection
 };
 
 struct HttpResponse {
@@ -49,6 +50,8 @@
   virtual void Begin(int status, HttpHeaders headers) = 0;
   virtual void Write(std::string_view text) = 0;
   virtual void End() = 0;
+  /// @brief Closes the connection at once, whatever was sent so far.
+  virtual void Abort() = 0;
   /// @brief Called once if the connection closes before the answer is sent.
   virtual void OnGone(std::function<void()> callback) = 0;
 };
--- a/packages/loop/src/http_server.cc
+++ b/packages/loop/src/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <openssl/err.h>
 #include <openssl/ssl.h>
+#include <sys/socket.h>
 
 #include <cstring>
 #include <deque>
@@ -19,7 +20,7 @@
 /// holder in that pool tells this object that the request is gone.
 class H2oResponder final : public HttpResponder {
  public:
-  H2oResponder(h2o_req_t* request, bool closing)
+  H2oResponder(h2o_req_t* request, const bool& closing)
       : request_(request), closing_(closing) {
     generator_.super.proceed = &H2oResponder::OnProceed;
     generator_.super.stop = &H2oResponder::OnStop;
@@ -60,6 +61,14 @@
     Push();
   }
 
+  void Abort() override {
+    if (request_ != nullptr) {
+      h2o_socket_t* socket =
+          request_->conn->callbacks->get_socket(request_->conn);
+      shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    }
+  }
+
   void OnGone(std::function<void()> callback) override {
     gone_ = std::move(callback);
   }
@@ -129,7 +138,7 @@
 
   Generator generator_{};
   h2o_req_t* request_;
-  bool closing_;
+  const bool& closing_;  ///< of the server, as it is when the answer begins
   bool begun_ = false;
   bool ended_ = false;
   bool sending_ = false;
@@ -167,6 +176,7 @@
     copy.headers.push_back({Text(*header.name), Text(header.value)});
   }
   copy.body = Text(request.entity);
+  copy.connection = request.conn->id;
   return copy;
 }
 
--- a/standins/backend.cc
+++ b/standins/backend.cc
@@ -1,6 +1,7 @@
 #include "backend.h"
 
 #include <charconv>
+#include <cstdlib>
 #include <utility>
 
 namespace gentianroute::standin {
@@ -10,6 +11,10 @@
 using std::chrono::milliseconds;
 
 constexpr int kUnavailable = 503;
+constexpr std::uint32_t kSkippedToken = 3;  // each third one
+constexpr std::size_t kPrefixCharacters = 64;
+// Lets what was written leave the socket before it is closed.
+constexpr auto kBeforeAbort = milliseconds(20);
 
 std::uint64_t NumberOf(std::string_view text) {
   std::uint64_t number = 0;
@@ -17,6 +22,17 @@
   return number;
 }
 
+/// A text field of the caller's request.
+std::string RequestField(const HttpRequest& request, const char* name) {
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object() || !body.contains("request") ||
+      !body["request"].is_object() || !body["request"].contains(name) ||
+      !body["request"][name].is_string()) {
+    return {};
+  }
+  return body["request"][name];
+}
+
 }  // namespace
 
 struct Backend::Stream {
@@ -29,12 +45,18 @@
 Backend::Backend(EventLoop& loop, Options options)
     : loop_(loop),
       options_(std::move(options)),
+      cache_(options_.cache_entries),
       server_(loop,
               {.port = options_.port},
               [this](const HttpRequest& request,
                      const std::shared_ptr<HttpResponder>& responder) {
                 OnRequest(request, responder);
-              }) {}
+              }) {
+  if (options_.load_lag_ms > 0) {
+    loop.Every(milliseconds(options_.load_lag_ms),
+               [this] { reported_load_ = in_flight_; });
+  }
+}
 
 void Backend::OnRequest(const HttpRequest& request,
                         const std::shared_ptr<HttpResponder>& responder) {
@@ -42,49 +64,83 @@
     Control(request, *responder);
     return;
   }
-  if (faults_.silent) {
+  if (Refused(request, *responder)) {
     return;
   }
-  if (faults_.refuse) {
-    HttpHeaders headers = AnswerHeaders(request);
+  CountRun(request);
+  if (!faults_.crash_marker.empty() &&
+      request.body.find(faults_.crash_marker) != std::string::npos) {
+    std::abort();
+  }
+  if (request.path == "/v1/generate") {
+    Generate(request, responder);
+  } else {
+    Run(request, responder);
+  }
+}
+
+bool Backend::Refused(const HttpRequest& request,
+                      HttpResponder& responder) const {
+  if (faults_.Silent(request.connection)) {
+    return true;
+  }
+  if (faults_.outage) {
+    responder.Abort();
+    return true;
+  }
+  const bool full =
+      faults_.max_in_flight > 0 && in_flight_ >= faults_.max_in_flight;
+  HttpHeaders headers = AnswerHeaders(request);
+  if (faults_.refuse || faults_.leaving || full) {
     headers.push_back({"x-not-run", "1"});
-    responder->Send({kUnavailable, std::move(headers), "{}"});
-    return;
+    if (faults_.leaving) {
+      headers.push_back({"x-leaving", "1"});
+    }
+    responder.Send({kUnavailable, std::move(headers), "{}"});
+    return true;
   }
   if (faults_.error_status != 0) {
-    responder->Send(
-        {static_cast<int>(faults_.error_status), AnswerHeaders(request), "{}"});
-    return;
+    const int status = static_cast<int>(faults_.error_status);
+    responder.Send({status, std::move(headers), "{}"});
+    return true;
   }
+  return false;
+}
+
+void Backend::CountRun(const HttpRequest& request) {
   ++runs_;
-  const std::string_view key = FindHeader(request.headers, "idempotency-key");
+  const std::string key(FindHeader(request.headers, "idempotency-key"));
   if (!key.empty()) {
-    ++runs_by_key_[std::string(key)];
+    ++runs_by_key_[key];
   }
-  if (request.path == "/v1/generate") {
-    Generate(request, responder);
-  } else {
-    Run(request, responder);
+  const std::string marker = RequestField(request, "marker");
+  if (!marker.empty()) {
+    ++runs_by_marker_[marker];
   }
 }
 
 void Backend::Control(const HttpRequest& request, HttpResponder& responder) {
   if (request.path == "/control/faults") {
-    faults_.Update(json::parse(request.body));
+    faults_.Update(json::parse(request.body), request.connection);
     responder.Send({200, {}, "{}"});
     return;
   }
   const json counts = {
-      {"runs", runs_}, {"in_flight", in_flight_}, {"by_key", runs_by_key_}};
+      {"runs", runs_},           {"in_flight", in_flight_},
+      {"by_key", runs_by_key_},  {"by_marker", runs_by_marker_},
+      {"cancelled", cancelled_}, {"cache_hits", cache_hits_}};
   responder.Send({200, {}, counts.dump()});
 }
 
 HttpHeaders Backend::AnswerHeaders(const HttpRequest& request) const {
+  const std::uint64_t attempt =
+      NumberOf(FindHeader(request.headers, "x-attempt-id"));
+  const std::uint32_t load =
+      options_.load_lag_ms > 0 ? reported_load_ : in_flight_;
   return {{"content-type", "application/json"},
-          {"x-attempt-id",
-           std::string(FindHeader(request.headers, "x-attempt-id"))},
+          {"x-attempt-id", std::to_string(attempt + (faults_.crossed ? 1 : 0))},
           {"x-units", "1"},
-          {"x-load", std::to_string(in_flight_)}};
+          {"x-load", std::to_string(load)}};
 }
 
 void Backend::Run(const HttpRequest& request,
@@ -94,31 +150,69 @@
   loop_.After(milliseconds(options_.service_ms + faults_.delay_ms),
               [this, responder, stage, headers = AnswerHeaders(request)] {
                 --in_flight_;
-                if (faults_.lose_answers) {
-                  return;
-                }
-                const json body = {{"stage", stage}, {"by", options_.name}};
-                responder->Send({200, headers, body.dump()});
+                AnswerRun(responder, headers, stage);
               });
 }
 
+void Backend::AnswerRun(const std::shared_ptr<HttpResponder>& responder,
+                        HttpHeaders headers,
+                        const std::string& stage) {
+  if (faults_.lose_answers) {
+    return;
+  }
+  if (faults_.reset_answers) {
+    responder->Abort();
+    return;
+  }
+  const json body = {{"stage", stage}, {"by", options_.name}};
+  if (faults_.truncate) {
+    responder->Begin(200, std::move(headers));
+    responder->Write(body.dump().substr(0, 4));
+    loop_.After(kBeforeAbort, [responder] { responder->Abort(); });
+    return;
+  }
+  responder->Send({200, std::move(headers), body.dump()});
+}
+
 void Backend::Generate(const HttpRequest& request,
                        const std::shared_ptr<HttpResponder>& responder) {
   ++in_flight_;
   auto stream = std::make_shared<Stream>();
   stream->responder = responder;
   stream->attempt = NumberOf(FindHeader(request.headers, "x-attempt-id"));
+  stream->attempt += faults_.crossed ? 1 : 0;
   stream->offset = NumberOf(FindHeader(request.headers, "x-resume-offset"));
   responder->OnGone([stream] { stream->gone = true; });
   HttpHeaders headers = AnswerHeaders(request);
   headers.front().value = "text/event-stream";
-  responder->Begin(200, std::move(headers));
-  NextToken(stream);
+  loop_.After(TimeToFirstToken(request),
+              [this, stream, headers = std::move(headers)] {
+                stream->responder->Begin(200, headers);
+                NextToken(stream);
+              });
+}
+
+Duration Backend::TimeToFirstToken(const HttpRequest& request) {
+  std::string prefix = RequestField(request, "conversation");
+  if (prefix.empty()) {
+    prefix = RequestField(request, "prompt");
+  }
+  if (cache_.Touch(prefix.substr(0, kPrefixCharacters))) {
+    ++cache_hits_;
+    return Duration{0};
+  }
+  return milliseconds(options_.prefill_ms);
 }
 
 void Backend::NextToken(const std::shared_ptr<Stream>& stream) {
-  if (stream->gone) {
+  if (stream->gone) {  // the caller closed the connection: cancelled
+    --in_flight_;
+    ++cancelled_;
+    return;
+  }
+  if (faults_.cut_at_token != 0 && stream->offset >= faults_.cut_at_token) {
     --in_flight_;
+    loop_.After(kBeforeAbort, [stream] { stream->responder->Abort(); });
     return;
   }
   if (stream->offset >= options_.tokens) {
@@ -130,13 +224,25 @@
     stream->responder->End();
     return;
   }
-  const json token = {{"attempt", stream->attempt},
-                      {"offset", stream->offset},
-                      {"text", "w" + std::to_string(stream->offset) + " "}};
-  stream->responder->Write("data: " + token.dump() + "\n\n");
+  WriteToken(*stream);
   ++stream->offset;
   loop_.After(milliseconds(options_.token_ms + faults_.delay_ms),
               [this, stream] { NextToken(stream); });
 }
 
+void Backend::WriteToken(const Stream& stream) const {
+  if (faults_.skip_tokens &&
+      stream.offset % kSkippedToken == kSkippedToken - 1) {
+    return;
+  }
+  const json token = {{"attempt", stream.attempt},
+                      {"offset", stream.offset},
+                      {"text", "w" + std::to_string(stream.offset) + " "}};
+  const std::string event = "data: " + token.dump() + "\n\n";
+  stream.responder->Write(event);
+  if (faults_.double_tokens) {
+    stream.responder->Write(event);
+  }
+}
+
 }  // namespace gentianroute::standin
--- a/standins/backend.h
+++ b/standins/backend.h
@@ -10,6 +10,7 @@
 #include "faults.h"
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/http_server.h"
+#include "prefix_cache.h"
 
 namespace gentianroute::standin {
 
@@ -23,6 +24,9 @@
     std::uint32_t service_ms = 5;  ///< of one call of /v1/run
     std::uint32_t token_ms = 2;    ///< between tokens of /v1/generate
     std::uint32_t tokens = 16;     ///< of one answer
+    std::uint32_t prefill_ms = 0;  ///< before the first token, if not cached
+    std::uint32_t cache_entries = 64;  ///< prompt prefixes that are held
+    std::uint32_t load_lag_ms = 0;     ///< age that reported load may have
   };
 
   Backend(EventLoop& loop, Options options);
@@ -31,6 +35,8 @@
  private:
   struct Stream;
 
+  using Counts = std::map<std::string, std::uint64_t>;
+
   void OnRequest(const HttpRequest& request,
                  const std::shared_ptr<HttpResponder>& responder);
   void Control(const HttpRequest& request, HttpResponder& responder);
@@ -39,6 +45,15 @@
   void Generate(const HttpRequest& request,
                 const std::shared_ptr<HttpResponder>& responder);
   void NextToken(const std::shared_ptr<Stream>& stream);
+  /// Ends the request as the present faults say, before it runs.
+  /// @return false if it is to run
+  bool Refused(const HttpRequest& request, HttpResponder& responder) const;
+  void CountRun(const HttpRequest& request);
+  void AnswerRun(const std::shared_ptr<HttpResponder>& responder,
+                 HttpHeaders headers,
+                 const std::string& stage);
+  void WriteToken(const Stream& stream) const;
+  Duration TimeToFirstToken(const HttpRequest& request);
   HttpHeaders AnswerHeaders(const HttpRequest& request) const;
 
   EventLoop& loop_;
@@ -46,7 +61,12 @@
   Faults faults_;
   std::uint32_t in_flight_ = 0;
   std::uint64_t runs_ = 0;
-  std::map<std::string, std::uint64_t> runs_by_key_;
+  Counts runs_by_key_;
+  Counts runs_by_marker_;
+  std::uint64_t cancelled_ = 0;
+  std::uint64_t cache_hits_ = 0;
+  std::uint32_t reported_load_ = 0;
+  PrefixCache cache_;
   HttpServer server_;
 };
 
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -27,6 +27,12 @@
   backend->add_option("--service-ms", options.service_ms, "time of one call");
   backend->add_option("--token-ms", options.token_ms, "time between tokens");
   backend->add_option("--tokens", options.tokens, "tokens of one answer");
+  backend->add_option("--prefill-ms", options.prefill_ms,
+                      "time before the first token of an uncached prompt");
+  backend->add_option("--cache-entries", options.cache_entries,
+                      "prompt prefixes held");
+  backend->add_option("--load-lag-ms", options.load_lag_ms,
+                      "age that reported load may have");
   CLI11_PARSE(app, argc, argv);
 
   EventLoop loop;
--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -28,7 +28,7 @@
 void Platform::OnRequest(const HttpRequest& request,
                          const std::shared_ptr<HttpResponder>& responder) {
   if (request.path == "/control/faults") {
-    faults_.Update(json::parse(request.body));
+    faults_.Update(json::parse(request.body), request.connection);
     responder->Send(JsonResponse(200, json::object()));
     return;
   }
@@ -37,7 +37,11 @@
     responder->Send(JsonResponse(200, json::object()));
     return;
   }
-  if (faults_.silent) {
+  if (faults_.Silent(request.connection)) {
+    return;
+  }
+  if (faults_.outage) {
+    responder->Abort();
     return;
   }
   if (faults_.error_status != 0) {
