--- a/packages/entry/include/gentianroute/entry/problem.h
+++ b/packages/entry/include/gentianroute/entry/problem.h
@@ -20,6 +20,10 @@
                              std::string_view detail,
                              std::string_view request_id);
 
+/// @brief The answer to a request that the HTTP library turned down with a
+/// status of its own, before any of it was handed on.
+HttpResponse ProblemForStatus(int status);
+
 }  // namespace gentianroute
 
 #endif  // GENTIANROUTE_ENTRY_PROBLEM_H_
--- a/packages/entry/src/caller_api.cc
+++ b/packages/entry/src/caller_api.cc
@@ -254,6 +254,11 @@
   const auto refuse = [&](ErrorKind kind, std::string_view detail) {
     Refuse(kind, detail, request, *responder);
   };
+  if (request.over_limit) {
+    refuse(ErrorKind::kTooManyConnections,
+           "this connection is one more than the daemon takes");
+    return;
+  }
   if (const auto fault = CheckHeaderSize(request.headers)) {
     refuse(fault->kind, fault->detail);
     return;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -3,6 +3,7 @@
 #include <random>
 #include <utility>
 
+#include "gentianroute/entry/problem.h"
 #include "gentianroute/observe/log.h"
 
 namespace gentianroute {
@@ -44,6 +45,7 @@
   options.key_file = listener.getKeyFile().cStr();
   options.max_body = limits.getMaxBodyBytes();
   options.max_connections = limits.getMaxConnections();
+  options.turned_down = &ProblemForStatus;
   return options;
 }
 
--- a/packages/entry/src/problem.cc
+++ b/packages/entry/src/problem.cc
@@ -8,7 +8,7 @@
                         std::string_view detail,
                         std::string_view request_id) {
   const ErrorAnswer answer = AnswerFor(kind);
-  const nlohmann::json body = {
+  nlohmann::json body = {
       {"type", "about:blank"},
       {"title", answer.title},
       {"status", answer.http_status},
@@ -16,8 +16,10 @@
       {"kind", answer.name},
       {"number", static_cast<int>(answer.kind)},
       {"work", WorkKnownName(answer.work)},
-      {"request_id", request_id},
   };
+  if (!request_id.empty()) {
+    body["request_id"] = request_id;
+  }
   return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -27,8 +29,10 @@
   const ErrorAnswer answer = AnswerFor(kind);
   HttpResponse response;
   response.status = answer.http_status;
-  response.headers = {{"content-type", "application/problem+json"},
-                      {"x-request-id", std::string(request_id)}};
+  response.headers = {{"content-type", "application/problem+json"}};
+  if (!request_id.empty()) {
+    response.headers.push_back({"x-request-id", std::string(request_id)});
+  }
   if (answer.retry_after.count() > 0) {
     const auto seconds =
         std::chrono::ceil<std::chrono::seconds>(answer.retry_after).count();
@@ -38,4 +42,14 @@
   return response;
 }
 
+HttpResponse ProblemForStatus(int status) {
+  constexpr int kContentTooLarge = 413;
+  if (status == kContentTooLarge) {
+    return ProblemResponse(ErrorKind::kBodyTooLarge,
+                           "the body is over the limit of this daemon", "");
+  }
+  return ProblemResponse(ErrorKind::kMalformedRequest,
+                         "the request breaks HTTP", "");
+}
+
 }  // namespace gentianroute
--- a/packages/loop/include/gentianroute/loop/http.h
+++ b/packages/loop/include/gentianroute/loop/http.h
@@ -31,6 +31,8 @@
   HttpHeaders headers;
   std::string body;
   std::uint64_t connection = 0;  ///< rises with each new connection
+  /// Came over one connection more than the server takes; to be refused.
+  bool over_limit = false;
 };
 
 struct HttpResponse {
--- a/packages/loop/include/gentianroute/loop/http_server.h
+++ b/packages/loop/include/gentianroute/loop/http_server.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -21,6 +22,9 @@
     std::string key_file;
     std::size_t max_body = 1024 * 1024;
     std::size_t max_connections = 4096;
+    /// Makes the answer to a request that h2o itself turns down, such as a body
+    /// over the limit; null: h2o's own text.
+    std::function<HttpResponse(int status)> turned_down;
   };
 
   /// @throws std::runtime_error if the address or the certificate can't be
--- a/packages/loop/src/http_server.cc
+++ b/packages/loop/src/http_server.cc
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <deque>
 #include <stdexcept>
+#include <unordered_set>
 #include <utility>
 
 #include "gentianroute/loop/h2o.h"
@@ -16,12 +17,21 @@
 
 constexpr std::uint16_t kAnyPort = 65535;
 
+void AddHeader(h2o_req_t& request, const HttpHeader& header) {
+  const h2o_iovec_t name =
+      h2o_strdup(&request.pool, header.name.data(), header.name.size());
+  const h2o_iovec_t value =
+      h2o_strdup(&request.pool, header.value.data(), header.value.size());
+  h2o_add_header_by_str(&request.pool, &request.res.headers, name.base,
+                        name.len, 1, nullptr, value.base, value.len);
+}
+
 /// Answers through h2o. h2o owns the request and frees it with its pool; the
 /// holder in that pool tells this object that the request is gone.
 class H2oResponder final : public HttpResponder {
  public:
-  H2oResponder(h2o_req_t* request, const bool& closing)
-      : request_(request), closing_(closing) {
+  H2oResponder(h2o_req_t* request, const bool& closing, bool close_after)
+      : request_(request), closing_(closing), close_after_(close_after) {
     generator_.super.proceed = &H2oResponder::OnProceed;
     generator_.super.stop = &H2oResponder::OnStop;
     generator_.self = this;
@@ -73,6 +83,12 @@
     gone_ = std::move(callback);
   }
 
+  /// Whether the answer to this request comes from a responder.
+  static bool Answers(const h2o_req_t& request) {
+    return request._generator != nullptr &&
+           request._generator->proceed == &H2oResponder::OnProceed;
+  }
+
   void Detach() {
     request_ = nullptr;
     const std::function<void()> gone = std::exchange(gone_, nullptr);
@@ -103,16 +119,9 @@
     request_->res.status = status;
     request_->res.reason = "";
     for (const HttpHeader& header : headers) {
-      char* name =
-          h2o_strdup(&request_->pool, header.name.data(), header.name.size())
-              .base;
-      h2o_iovec_t value =
-          h2o_strdup(&request_->pool, header.value.data(), header.value.size());
-      h2o_add_header_by_str(&request_->pool, &request_->res.headers, name,
-                            header.name.size(), 1, nullptr, value.base,
-                            value.len);
+      AddHeader(*request_, header);
     }
-    if (closing_) {
+    if (closing_ || close_after_) {
       request_->http1_is_persistent = 0;
     }
     h2o_start_response(request_, &generator_.super);
@@ -139,6 +148,7 @@
   Generator generator_{};
   h2o_req_t* request_;
   const bool& closing_;  ///< of the server, as it is when the answer begins
+  bool close_after_;
   bool begun_ = false;
   bool ended_ = false;
   bool sending_ = false;
@@ -180,6 +190,21 @@
   return copy;
 }
 
+/// Puts another body in place of the one that h2o sends.
+struct BodySwap {
+  h2o_ostream_t super;
+  h2o_iovec_t body;
+
+  static void Send(h2o_ostream_t* stream,
+                   h2o_req_t* request,
+                   h2o_iovec_t* /*buffers*/,
+                   std::size_t /*count*/,
+                   h2o_send_state_t state) {
+    auto* swap = reinterpret_cast<BodySwap*>(stream);
+    h2o_ostream_send_next(&swap->super, request, &swap->body, 1, state);
+  }
+};
+
 SSL_CTX* MakeTlsContext(const HttpServer::Options& options) {
   SSL_CTX* context = SSL_CTX_new(TLS_server_method());
   SSL_CTX_set_min_proto_version(context, TLS1_2_VERSION);
@@ -215,6 +240,12 @@
         reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
     entry->super.on_req = &Impl::OnRequest;
     entry->self = this;
+    if (options_.turned_down) {
+      // The body is refused before a path is chosen, so the filter stands on
+      // the host's own configuration too.
+      AddFilter(&host->fallback_path);
+      AddFilter(path);
+    }
     h2o_context_init(&context_, loop.h2o(), &config_);
     accept_.ctx = &context_;
     accept_.hosts = config_.hosts;
@@ -240,29 +271,83 @@
     Impl* self;
   };
 
+  struct Filter {
+    h2o_filter_t super;
+    Impl* self;
+  };
+
+  void AddFilter(h2o_pathconf_t* path) {
+    auto* filter =
+        reinterpret_cast<Filter*>(h2o_create_filter(path, sizeof(Filter)));
+    filter->super.on_setup_ostream = &Impl::OnSetUpStream;
+    filter->self = this;
+  }
+
+  static void OnSetUpStream(h2o_filter_t* filter,
+                            h2o_req_t* request,
+                            h2o_ostream_t** slot) {
+    if (!H2oResponder::Answers(*request)) {
+      Impl* self = reinterpret_cast<Filter*>(filter)->self;
+      const HttpResponse response =
+          self->options_.turned_down(request->res.status);
+      auto* swap = reinterpret_cast<BodySwap*>(
+          h2o_add_ostream(request, sizeof(BodySwap), slot));
+      slot = &swap->super.next;
+      swap->super.do_send = &BodySwap::Send;
+      swap->body = h2o_strdup(&request->pool, response.body.data(),
+                              response.body.size());
+      request->res.status = response.status;
+      request->res.content_length = response.body.size();
+      request->res.headers = {};
+      for (const HttpHeader& header : response.headers) {
+        AddHeader(*request, header);
+      }
+    }
+    h2o_setup_next_ostream(request, slot);
+  }
+
   static int OnRequest(h2o_handler_t* handler, h2o_req_t* request) {
     Impl* self = reinterpret_cast<Handler*>(handler)->self;
-    auto responder = std::make_shared<H2oResponder>(request, self->closing_);
+    const bool over_limit = self->over_limit_.contains(
+        request->conn->callbacks->get_socket(request->conn));
+    auto responder =
+        std::make_shared<H2oResponder>(request, self->closing_, over_limit);
     void* memory =
         h2o_mem_alloc_shared(&request->pool, sizeof(Holder), &DisposeHolder);
     new (memory) Holder{responder};
-    self->handler_(Copy(*request), std::move(responder));
+    HttpRequest copy = Copy(*request);
+    copy.over_limit = over_limit;
+    self->handler_(std::move(copy), std::move(responder));
     return 0;
   }
 
+  /// Connections over the limit are taken as far as an answer needs, so that
+  /// their callers hear why; beyond a margin they are closed at once.
   void Accept(h2o_socket_t* socket) {
-    if (connections_ >= options_.max_connections) {
+    constexpr std::size_t kMargin = 64;
+    if (connections_ >= options_.max_connections + kMargin) {
       h2o_socket_close(socket);
       return;
     }
+    if (connections_ >= options_.max_connections) {
+      over_limit_.insert(socket);
+    }
     ++connections_;
+    auto* open = new Open{this, socket};
     socket->on_close.cb = [](void* data) {
-      --static_cast<Impl*>(data)->connections_;
+      const std::unique_ptr<Open> closed(static_cast<Open*>(data));
+      --closed->server->connections_;
+      closed->server->over_limit_.erase(closed->socket);
     };
-    socket->on_close.data = this;
+    socket->on_close.data = open;
     h2o_accept(&accept_, socket);
   }
 
+  struct Open {
+    Impl* server;
+    h2o_socket_t* socket;
+  };
+
   Options options_;
   HttpHandler handler_;
   h2o_globalconf_t config_{};
@@ -271,6 +356,7 @@
   std::unique_ptr<EventLoop::Listener> listener_;
   std::uint16_t port_ = 0;
   std::size_t connections_ = 0;
+  std::unordered_set<const h2o_socket_t*> over_limit_;
   bool closing_ = false;
 };
 
--- /dev/null
+++ b/tests/process/backend_failure_test.cc
@@ -0,0 +1,177 @@
+#include <signal.h>
+#include <unistd.h>
+
+#include <future>
+#include <string>
+#include <vector>
+
+#include "harness.h"
+#include "pipelines.h"
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute::testing;
+
+namespace {
+
+/// All tokens of one engine's answer, each once and in order.
+std::string WholeDraft() {
+  constexpr int kTokens = 100;
+  std::string text = "\"";
+  for (int i = 0; i < kTokens; ++i) {
+    text += "w" + std::to_string(i) + " ";
+  }
+  return text + "\"";
+}
+
+/// Index of the engine that runs requests with this marker.
+std::size_t EngineOf(const Pipelines& run, const std::string& marker) {
+  std::size_t found = 0;
+  const bool runs = Eventually(10, [&] {
+    for (const std::size_t engine : run.engines) {
+      if (run.deployment.Runs(engine, marker) > 0) {
+        found = engine;
+        return true;
+      }
+    }
+    return false;
+  });
+  cr_assert(runs);
+  return found;
+}
+
+}  // namespace
+
+TestSuite(backend_failure);
+
+// What the caller sees: its draft, whole, a little late. The engine is killed
+// in the middle of the stream; another one takes over at the offset that the
+// daemon holds, so that no token is lost or doubled.
+Test(backend_failure, engine_killed_in_mid_stream_answer_is_whole) {
+  Pipelines run(1, 1, 2);
+  std::future<Answer> draft = run.Post(0, "drafting", "letter");
+  const std::size_t engine = EngineOf(run, "letter");
+  usleep(200'000);  // some of the 100 tokens have gone by now
+  run.deployment.backend(engine).Signal(SIGKILL);
+  const Answer answer = draft.get();
+  cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+  cr_assert_eq(answer.body, WholeDraft());
+}
+
+// What the caller sees: its draft, whole. The engine is frozen in the middle of
+// the stream, so the connection stands and says nothing; the silence ends the
+// call, and another engine goes on. Once resumed, the first one finds its
+// connection closed, and what it still sends reaches nobody.
+Test(backend_failure, engine_frozen_in_mid_stream_answer_is_whole) {
+  Pipelines run(1, 1, 2);
+  std::future<Answer> draft = run.Post(0, "drafting", "letter");
+  const std::size_t engine = EngineOf(run, "letter");
+  usleep(200'000);
+  run.deployment.backend(engine).Signal(SIGSTOP);
+  const Answer answer = draft.get();
+  run.deployment.backend(engine).Signal(SIGCONT);
+  cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+  cr_assert_eq(answer.body, WholeDraft());
+  cr_assert_eq(run.Post(0, "drafting", "next").get().body, WholeDraft());
+}
+
+// What the caller sees: every draft whole, whatever the first engine does to
+// its stream: tokens twice, tokens left out, a cut, another attempt's id.
+Test(backend_failure, engine_with_broken_streams_answers_are_whole) {
+  Pipelines run(1, 1, 2);
+  for (const char* fault :
+       {R"({"double_tokens": true})", R"({"skip_tokens": true})",
+        R"({"skip_tokens": false, "cut_at_token": 30})",
+        R"({"cut_at_token": 0, "crossed": true})"}) {
+    run.deployment.SetFaults(run.engines[0], fault);
+    for (int i = 0; i < 3; ++i) {
+      const Answer answer = run.Post(0, "drafting", "letter").get();
+      cr_assert_eq(answer.status, 200, "%s: %s", fault, answer.body.c_str());
+      cr_assert_eq(answer.body, WholeDraft(), "%s: %s", fault,
+                   answer.body.c_str());
+    }
+  }
+}
+
+// What the caller sees: answers, after one short delay. The connections to the
+// only server that are open now go silent for good, while new ones work. The
+// first timeout condemns the idle ones, so that the next requests do not each
+// wait for a silent connection of their own.
+Test(backend_failure, open_connections_silent_requests_go_over_new_ones) {
+  Pipelines run(1, 1, 0);
+  std::vector<std::future<Answer>> warm;
+  for (int i = 0; i < 8; ++i) {
+    warm.push_back(run.Post(0, "chat", "warm"));
+  }
+  for (std::future<Answer>& answer : warm) {
+    cr_assert_eq(answer.get().status, 200);
+  }
+  run.deployment.SetFaults(run.encoders[0], R"({"silence_open": true})");
+  for (int i = 0; i < 10; ++i) {
+    const Answer answer = run.Post(0, "chat", "after").get();
+    cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+  }
+  cr_assert_eq(run.deployment.Runs(run.encoders[0], "after"), 10);
+}
+
+// What the caller sees: its order goes through at the first try, though every
+// open connection to the order server has gone silent. An order must not be
+// sent twice, so a silent connection would leave its outcome unknown; it goes
+// over a connection of its own.
+Test(backend_failure, open_connections_silent_order_goes_over_fresh_one) {
+  Pipelines run(1, 1, 0);
+  cr_assert_eq(run.Post(0, "ordering", "first").get().status, 200);
+  run.deployment.SetFaults(run.orders, R"({"silence_open": true})");
+  const Answer answer = run.Post(0, "ordering", "second").get();
+  cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+  cr_assert_eq(run.deployment.Runs(run.orders, "second"), 1);
+}
+
+// What the caller sees: outcome_unknown, once the order server has taken the
+// order and its connection broke without an answer. The effect took place; a
+// second call would make a second plaque.
+Test(backend_failure, order_with_lost_answer_is_not_sent_again) {
+  Pipelines run(1, 1, 0);
+  run.deployment.SetFaults(run.orders, R"({"reset_answers": true})");
+  const Answer answer = run.Post(0, "ordering", "plaque").get();
+  cr_assert(IsProblem(answer, "outcome_unknown"), "%s", answer.body.c_str());
+  cr_assert_eq(run.deployment.Runs(run.orders, "plaque"), 1);
+  run.deployment.SetFaults(run.orders,
+                           R"({"reset_answers": false, "truncate": true})");
+  const Answer cut = run.Post(0, "ordering", "cut").get();
+  cr_assert(IsProblem(cut, "outcome_unknown"), "%s", cut.body.c_str());
+  cr_assert_eq(run.deployment.Runs(run.orders, "cut"), 1);
+}
+
+// What the callers see: the one whose request crashes each server that runs it
+// is refused as quarantined; all others, whose work was on the same servers,
+// are answered. The servers come back as new processes.
+Test(backend_failure, crashing_request_is_quarantined_neighbours_answered) {
+  Pipelines run(1, 3, 0);
+  for (const std::size_t encoder : run.encoders) {
+    run.deployment.SetFaults(encoder,
+                             R"({"crash_marker": "poison", "delay_ms": 150})");
+  }
+  std::vector<std::future<Answer>> neighbours;
+  for (int i = 0; i < 9; ++i) {
+    neighbours.push_back(run.Post(0, "chat", "letter"));
+  }
+  bool quarantined = false;
+  for (int i = 0; i < 6 && !quarantined; ++i) {
+    const Answer poison = run.Post(0, "chat", "poison").get();
+    cr_assert_neq(poison.status, 200);
+    quarantined = IsProblem(poison, "quarantined");
+    for (const std::size_t encoder : run.encoders) {
+      if (run.deployment.backend(encoder).Wait(0) >= 0) {
+        run.deployment.RestartBackend(encoder);
+        run.deployment.SetFaults(encoder, R"({"crash_marker": "poison"})");
+      }
+    }
+    usleep(400'000);  // the daemon reads the host list
+  }
+  cr_assert(quarantined);
+  for (std::future<Answer>& neighbour : neighbours) {
+    const Answer answer = neighbour.get();
+    cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+  }
+}
--- /dev/null
+++ b/tests/process/connection.cc
@@ -0,0 +1,82 @@
+#include "connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace gentianroute::testing {
+namespace {
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr std::string_view kLength = "content-length: ";
+
+}  // namespace
+
+Connection::Connection(std::uint16_t port)
+    : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  constexpr int kSeconds = 30;
+  const timeval timeout{kSeconds, 0};
+  setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+      0) {
+    close(fd_);
+    fd_ = -1;
+  }
+}
+
+Connection::~Connection() {
+  if (fd_ >= 0) {
+    close(fd_);
+  }
+}
+
+void Connection::Send(std::string_view text) const {
+  [[maybe_unused]] const ssize_t sent =
+      send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+}
+
+void Connection::Post(const std::string& service,
+                      const std::string& body,
+                      const std::string& headers) const {
+  Send("POST /v1/services/" + service + " HTTP/1.1\r\nhost: test\r\n" +
+       "authorization: Bearer test-key\r\n" + headers +
+       "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+std::string Connection::ReadTo(std::string_view mark) const {
+  std::string text;
+  char c = 0;
+  while (!text.ends_with(mark) && recv(fd_, &c, 1, 0) == 1) {
+    text += c;
+  }
+  return text;
+}
+
+std::string Connection::ReadAnswer() const {
+  std::string text = ReadTo(kHeadEnd);
+  std::ranges::transform(text, text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  const std::size_t at = text.find(kLength);
+  if (at == std::string::npos) {
+    return text;
+  }
+  std::size_t left = std::stoul(text.substr(at + kLength.size()));
+  char c = 0;
+  while (left > 0 && recv(fd_, &c, 1, 0) == 1) {
+    text += c;
+    --left;
+  }
+  return text;
+}
+
+}  // namespace gentianroute::testing
--- /dev/null
+++ b/tests/process/drain_test.cc
@@ -0,0 +1,88 @@
+#include <signal.h>
+
+#include <future>
+#include <string>
+#include <vector>
+
+#include "connection.h"
+#include "harness.h"
+#include "pipelines.h"
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute::testing;
+
+TestSuite(drain);
+
+// What the caller sees: all its requests answered, though its daemon is being
+// stopped. Streams, keyed orders and requests that wait for a slot are in
+// flight; SIGTERM comes, and a second one; readyz turns 503 at once, while
+// newcomers are served until the balancer has noticed.
+Test(drain, stop_under_load_answers_all_and_exits_zero) {
+  Pipelines run(1, 1, 1, R"({"limits": {"drainNoticeMs": 600}})");
+  run.deployment.SetFaults(run.encoders[0], R"({"delay_ms": 300})");
+  run.deployment.SetFaults(run.orders, R"({"delay_ms": 1500})");
+  std::vector<std::future<Answer>> answers;
+  for (int i = 0; i < 24; ++i) {  // 8 slots: two thirds wait
+    answers.push_back(run.Post(0, "chat", "chat"));
+  }
+  for (int i = 0; i < 4; ++i) {
+    answers.push_back(run.Post(0, "drafting", "draft"));
+    answers.push_back(
+        run.Post(0, "ordering", "order", "key-" + std::to_string(i)));
+  }
+  const std::uint16_t operators = run.deployment.operator_port(0);
+  cr_assert(Eventually(
+      10, [&] { return run.deployment.Runs(run.orders, "order") == 4; }));
+  run.deployment.daemon(0).Signal(SIGTERM);
+  cr_assert(Eventually(5, [operators] {
+    return Http(operators, "GET", "/readyz", "").status == 503;
+  }));
+  answers.push_back(run.Post(0, "chat", "newcomer"));
+  run.deployment.daemon(0).Signal(SIGTERM);
+  for (std::future<Answer>& answer : answers) {
+    const Answer got = answer.get();
+    cr_assert_eq(got.status, 200, "status %d: %s", got.status,
+                 got.body.c_str());
+  }
+  cr_assert_eq(run.deployment.daemon(0).Wait(20), 0);
+  cr_assert_eq(run.deployment.Runs(run.orders, "order"), 4);
+}
+
+// What the caller sees: a request on its open connection is answered, though
+// the daemon takes no new connections any more. The connection was idle when
+// accepting stopped, so the client could not know; the answer tells it to
+// close, and the daemon waits for that before it ends.
+Test(drain, request_on_open_connection_after_accepting_stopped_is_served) {
+  Pipelines run(1, 1, 0, R"({"limits": {"drainNoticeMs": 50}})");
+  const Connection connection(run.deployment.caller_port(0));
+  connection.Post("chat", "{}");
+  cr_assert(connection.ReadAnswer().starts_with("http/1.1 200"));
+  run.deployment.daemon(0).Signal(SIGTERM);
+  cr_assert(Eventually(5, [&] {
+    return !Connection(run.deployment.caller_port(0)).connected();
+  }));
+  connection.Post("chat", "{}");
+  const std::string answer = connection.ReadAnswer();
+  cr_assert(answer.starts_with("http/1.1 200"), "%s", answer.c_str());
+  cr_assert(answer.find("connection: close") != std::string::npos);
+  cr_assert_eq(run.deployment.daemon(0).Wait(20), 0);
+}
+
+// What the operator sees: a daemon whose work does not end is stopped by the
+// drain deadline alone, which says in the log how much it cut off.
+Test(drain, deadline_is_the_only_cut_off_and_is_logged) {
+  Pipelines run(
+      1, 1, 0, R"({"limits": {"drainNoticeMs": 50, "drainDeadlineMs": 1500}})");
+  run.deployment.SetFaults(run.orders, R"({"silent": true})");
+  const std::future<Answer> order = run.Post(0, "ordering", "stuck");
+  cr_assert(Eventually(5, [&] {
+    return Http(run.deployment.operator_port(0), "GET", "/status", "")
+               .body.find("\"active\": 1") != std::string::npos;
+  }));
+  run.deployment.daemon(0).Signal(SIGTERM);
+  cr_assert_eq(run.deployment.daemon(0).Wait(20), 0);
+  const std::string log = run.deployment.Log(0);
+  cr_assert(log.find("event=drain_deadline") != std::string::npos);
+  cr_assert(log.find("cut_off=1") != std::string::npos);
+}
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -13,6 +13,7 @@
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -200,11 +201,44 @@
   command.insert(command.end(), options.begin(), options.end());
   host.process = std::make_unique<Process>(command, File(host.name + ".err"));
   host.port = host.process->ReadPort();
+  host.command = std::move(command);
+  host.command.insert(host.command.end(),
+                      {"--port", std::to_string(host.port)});
   backends_.push_back(std::move(host));
   PublishHosts();
   return backends_.size() - 1;
 }
 
+void Deployment::RestartBackend(std::size_t index) {
+  Host& host = backends_[index];
+  host.process =
+      std::make_unique<Process>(host.command, File(host.name + ".err"));
+  host.process->ReadPort();
+  ++host.incarnation;
+  PublishHosts();
+}
+
+void Deployment::SetFaults(std::size_t backend,
+                           const std::string& faults) const {
+  Http(backend_port(backend), "PUT", "/control/faults", faults);
+}
+
+void Deployment::SetPlatformFaults(const std::string& faults) const {
+  Http(platform_port_, "PUT", "/control/faults", faults);
+}
+
+std::uint64_t Deployment::Runs(std::size_t backend,
+                               const std::string& marker) const {
+  const Answer answer =
+      Http(backend_port(backend), "GET", "/control/counts", "");
+  return json::parse(answer.body).at("by_marker").value(marker, 0U);
+}
+
+std::string Deployment::Log(std::size_t daemon) const {
+  std::ifstream file(File(daemons_[daemon].name + ".err"));
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
 void Deployment::PublishHosts() {
   json hosts = json::array();
   for (const Host& host : backends_) {
@@ -214,7 +248,7 @@
                      {"pool", host.pool},
                      {"data_centre", host.data_centre},
                      {"region", host.region},
-                     {"incarnation", 1},
+                     {"incarnation", host.incarnation},
                      {"slots", 8}});
   }
   for (const Daemon& daemon : daemons_) {
@@ -238,7 +272,7 @@
   daemon.callers = FreePort();
   daemon.operators = FreePort();
   daemon.peers = FreePort();
-  const json settings = {
+  json settings = {
       {"name", daemon.name},
       {"dataCentre", data_centre},
       {"region", region},
@@ -251,6 +285,7 @@
        {{{"name", "test"},
          {"keys", {{{"subscriber", "tester"}, {"sha256", kTestKeyDigest}}}}}}},
   };
+  settings.merge_patch(json::parse(settings_));
   const std::string file = File(daemon.name + ".json");
   std::ofstream(file) << settings.dump(2);
   daemon.process = std::make_unique<Process>(
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -62,6 +62,17 @@
   /// @brief Starts a daemon and waits until it answers.
   std::size_t AddDaemon(const std::string& data_centre = "dc-1",
                         const std::string& region = "region-1");
+  /// @brief Merged over the settings of daemons that are added from now on.
+  void SetDaemonSettings(const std::string& patch) { settings_ = patch; }
+  /// @brief Starts a backend server again on its port, as a new incarnation.
+  void RestartBackend(std::size_t index);
+  /// @brief Sets fault switches of a backend server, or of the platform.
+  void SetFaults(std::size_t backend, const std::string& faults) const;
+  void SetPlatformFaults(const std::string& faults) const;
+  /// @brief How often a backend server ran requests with this marker in them.
+  std::uint64_t Runs(std::size_t backend, const std::string& marker) const;
+  /// @brief What a daemon has logged so far.
+  std::string Log(std::size_t daemon) const;
   /// @brief Applies declarations through a daemon, and waits until all have
   /// them in force.
   void Apply(const std::string& declarations);
@@ -92,6 +103,8 @@
  private:
   struct Host {
     std::unique_ptr<Process> process;
+    std::vector<std::string> command;
+    std::uint64_t incarnation = 1;
     std::uint16_t port = 0;
     std::string name;
     std::string pool;
@@ -109,6 +122,7 @@
   };
 
   std::string folder_;
+  std::string settings_ = "{}";
   std::unique_ptr<Process> platform_;
   std::uint16_t platform_port_ = 0;
   std::vector<Host> backends_;
