--- a/packages/loop/src/http_server.cc
+++ b/packages/loop/src/http_server.cc
@@ -220,7 +220,11 @@
         "can't use certificate '" + options.certificate_file + "' with key '" +
         options.key_file + "': " + (reason == nullptr ? "" : reason));
   }
-  h2o_ssl_register_alpn_protocols(context, h2o_http2_alpn_protocols);
+  // h2o's own list lacks http/1.1, which some clients insist on being chosen.
+  static const h2o_iovec_t kProtocols[] = {{const_cast<char*>("h2"), 2},
+                                           {const_cast<char*>("http/1.1"), 8},
+                                           {nullptr, 0}};
+  h2o_ssl_register_alpn_protocols(context, kProtocols);
   return context;
 }
 
--- /dev/null
+++ b/packages/loop/tests/rpc_test.cc
@@ -0,0 +1,107 @@
+#include <peer.capnp.h>
+
+#include <memory>
+#include <string>
+
+#include "gentianroute/loop/event_loop.h"
+#include "gentianroute/loop/rpc.h"
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Answers an exchange at once, and a join never.
+class FakePeer final : public schema::Peer::Server {
+ public:
+  kj::Promise<void> exchange(ExchangeContext context) override {
+    context.getResults().initYours().setRevision(7);
+    return kj::READY_NOW;
+  }
+  kj::Promise<void> join(JoinContext /*context*/) override {
+    return kj::NEVER_DONE;
+  }
+};
+
+struct Links {
+  Links()
+      : server(std::make_unique<RpcServer>(loop,
+                                           "127.0.0.1",
+                                           0,
+                                           kj::heap<FakePeer>())),
+        connection(std::make_unique<RpcConnection>(loop,
+                                                   "127.0.0.1",
+                                                   server->port(),
+                                                   [this] { ++broken; })) {
+    RunFor(milliseconds(50));
+  }
+  void RunFor(Duration duration) {
+    loop.After(duration, [this] { loop.Stop(); });
+    loop.Run();
+  }
+  schema::Peer::Client peer() const {
+    return connection->bootstrap().castAs<schema::Peer>();
+  }
+
+  EventLoop loop;
+  int broken = 0;
+  std::unique_ptr<RpcServer> server;
+  std::unique_ptr<RpcConnection> connection;
+};
+
+}  // namespace
+
+TestSuite(rpc);
+
+Test(rpc, call_over_loopback_is_answered) {
+  Links links;
+  cr_assert(links.connection->connected());
+  const auto answer =
+      links.peer().exchangeRequest().send().wait(links.loop.wait_scope());
+  cr_assert_eq(answer.getYours().getRevision(), 7);
+}
+
+// The caller of a join waits for a peer that dies: the call must fail, so that
+// the caller is told, and the link must say once that it is broken.
+Test(rpc, peer_gone_during_a_call_fails_it_and_breaks_the_link) {
+  Links links;
+  bool failed = false;
+  auto call = links.peer().joinRequest().send().then(
+      [](auto&&) {}, [&failed](kj::Exception&&) { failed = true; });
+  auto running = call.eagerlyEvaluate(nullptr);
+  links.RunFor(milliseconds(50));
+  cr_assert_not(failed);
+  links.server.reset();
+  links.RunFor(milliseconds(100));
+  cr_assert(failed);
+  cr_assert_eq(links.broken, 1);
+  cr_assert_not(links.connection->connected());
+}
+
+// A daemon gives a silent link up while a call waits on it: the call ends, and
+// nothing of the link is touched after it is gone.
+Test(rpc, link_destroyed_during_a_call_ends_the_call) {
+  Links links;
+  bool ended = false;
+  auto call = links.peer().joinRequest().send().then(
+      [](auto&&) {}, [&ended](kj::Exception&&) { ended = true; });
+  auto running = call.eagerlyEvaluate(nullptr);
+  links.RunFor(milliseconds(30));
+  links.connection.reset();
+  links.RunFor(milliseconds(50));
+  cr_assert(ended);
+}
+
+Test(rpc, nobody_listens_breaks_once_and_calls_fail) {
+  Links links;
+  const std::uint16_t port = links.server->port();
+  links.server.reset();
+  int broken = 0;
+  RpcConnection connection(links.loop, "127.0.0.1", port,
+                           [&broken] { ++broken; });
+  links.RunFor(milliseconds(50));
+  cr_assert_eq(broken, 1);
+  cr_assert_not(connection.connected());
+}
--- a/tests/process/backend_failure_test.cc
+++ b/tests/process/backend_failure_test.cc
@@ -100,6 +100,7 @@
 Test(backend_failure, open_connections_silent_requests_go_over_new_ones) {
   Pipelines run(1, 1, 0);
   std::vector<std::future<Answer>> warm;
+  warm.reserve(8);
   for (int i = 0; i < 8; ++i) {
     warm.push_back(run.Post(0, "chat", "warm"));
   }
@@ -153,6 +154,7 @@
                              R"({"crash_marker": "poison", "delay_ms": 150})");
   }
   std::vector<std::future<Answer>> neighbours;
+  neighbours.reserve(9);
   for (int i = 0; i < 9; ++i) {
     neighbours.push_back(run.Post(0, "chat", "letter"));
   }
--- a/tests/process/drain_test.cc
+++ b/tests/process/drain_test.cc
@@ -24,6 +24,7 @@
   run.deployment.SetFaults(run.encoders[0], R"({"delay_ms": 300})");
   run.deployment.SetFaults(run.orders, R"({"delay_ms": 1500})");
   std::vector<std::future<Answer>> answers;
+  answers.reserve(33);
   for (int i = 0; i < 24; ++i) {  // 8 slots: two thirds wait
     answers.push_back(run.Post(0, "chat", "chat"));
   }
--- a/tests/process/pipelines.cc
+++ b/tests/process/pipelines.cc
@@ -40,7 +40,9 @@
   for (std::size_t i = 0; i < daemons; ++i) {
     deployment.AddDaemon();
   }
-  deployment.Apply(kDeclarations);
+  if (daemons > 0) {
+    deployment.Apply(kDeclarations);
+  }
 }
 
 std::future<Answer> Pipelines::Post(std::size_t daemon,
--- a/tests/process/pipelines.h
+++ b/tests/process/pipelines.h
@@ -13,7 +13,8 @@
 /// @brief A deployment with a service of each sort: `chat` runs one stage that
 /// may repeat, `drafting` streams after it, `ordering` runs one that may not.
 struct Pipelines {
-  /// @param daemons,encoders,engines how many of each; one order server
+  /// @param daemons,encoders,engines how many of each; one order server;
+  /// without daemons nothing is declared
   Pipelines(std::size_t daemons,
             std::size_t encoders,
             std::size_t engines,
