--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -62,11 +62,13 @@
   void Touch();
   void Pump();
   void Execute(Action& action);
+  void Ask(const AskClaimer& ask);
   void Rearm();
   void PollHosts();
   void ApplyHosts(const std::vector<HostRecord>& hosts);
   void OnConfigChanged();
   void CheckDrained();
+  void EndDrain();
 
   EventLoop& loop_;
   const Settings& settings_;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -3,6 +3,7 @@
 #include <random>
 #include <utility>
 
+#include "gentianroute/entry/problem.h"
 #include "gentianroute/observe/log.h"
 
 namespace gentianroute {
@@ -44,6 +45,7 @@
   options.key_file = listener.getKeyFile().cStr();
   options.max_body = limits.getMaxBodyBytes();
   options.max_connections = limits.getMaxConnections();
+  options.turned_down = &ProblemForStatus;
   return options;
 }
 
@@ -168,7 +170,6 @@
   }
   pumping_ = false;
   Rearm();
-  CheckDrained();
 }
 
 void Daemon::Rearm() {
@@ -201,16 +202,7 @@
     void operator()(const FinishRequest& finish) const {
       daemon.caller_api_.Finish(finish);
     }
-    void operator()(const AskClaimer& ask) const {
-      constexpr Duration kAskTimeout = std::chrono::seconds(2);
-      daemon.peers_->AskOutcome(
-          ask.claim.daemon, ask.claim, kAskTimeout,
-          [daemon = &daemon, id = ask.request](const JoinOutcome& outcome) {
-            daemon->coordinator_.OnClaimerAnswered(
-                daemon->loop_.Now(), daemon->loop_.Wall(), id, outcome);
-            daemon->Touch();
-          });
-    }
+    void operator()(const AskClaimer& ask) const { daemon.Ask(ask); }
     void operator()(const AnswerJoin& answer) const {
       const auto found = daemon.joins_.find(answer.join);
       if (found != daemon.joins_.end()) {
@@ -223,6 +215,21 @@
   std::visit(Visitor{*this}, action);
 }
 
+void Daemon::Ask(const AskClaimer& ask) {
+  constexpr Duration kAskTimeout = std::chrono::seconds(2);
+  const auto done = [this, id = ask.request](const JoinOutcome& outcome) {
+    coordinator_.OnClaimerAnswered(loop_.Now(), loop_.Wall(), id, outcome);
+    Touch();
+  };
+  if (ask.claim.daemon != settings_.get().getName().cStr()) {
+    peers_->AskOutcome(ask.claim.daemon, ask.claim, kAskTimeout, done);
+    return;
+  }
+  // A row of this daemon's own: a write that it had given up took effect late,
+  // or an earlier process of this name made it, whose token nobody here knows.
+  OnJoin(ask.claim.token, done);
+}
+
 // --- Hosts and configuration ------------------------------------------------
 
 void Daemon::PollHosts() {
@@ -426,47 +433,55 @@
 // --- Stop -------------------------------------------------------------------
 
 void Daemon::StartDrain() {
-  Drain([] {});
-}
-
-void Daemon::Drain(std::function<void()> done) {
-  drained_ = std::move(done);
   if (std::exchange(draining_, true)) {
-    return;  // a second signal cuts off nothing
+    return;
   }
-  const auto limits = settings_.get().getLimits();
   LogEvent("drain_begun").Field("active", coordinator_.active());
   // The balancer needs a moment to see that this daemon is not ready; what it
   // sends until then is served.
-  loop_.After(milliseconds(limits.getDrainNoticeMs()), [this] {
+  const auto notice =
+      milliseconds(settings_.get().getLimits().getDrainNoticeMs());
+  loop_.After(notice, [this] {
     callers_->StopAccepting();
     callers_->BeginShutdown();
-    caller_api_.Refuse();
-    CheckDrained();
+    constexpr Duration kCheckPeriod = milliseconds(20);
+    loop_.Every(kCheckPeriod, [this] { CheckDrained(); });
   });
+}
+
+void Daemon::Drain(std::function<void()> done) {
+  StartDrain();
+  if (drained_) {
+    return;  // a second signal cuts off nothing
+  }
+  drained_ = std::move(done);
+  const auto limits = settings_.get().getLimits();
   loop_.After(milliseconds(limits.getDrainDeadlineMs()), [this] {
     LogEvent("drain_deadline", LogLevel::kWarning)
-        .Field("cut_off", coordinator_.active());
-    if (drained_) {
-      std::exchange(drained_, nullptr)();
-    }
+        .Field("cut_off", coordinator_.active())
+        .Field("unsettled_claims", claims_.pending())
+        .Field("connections", callers_->connections());
+    EndDrain();
   });
 }
 
 void Daemon::CheckDrained() {
+  // A connection that is still open may carry a request that is on its way: if
+  // the process ended now, its caller would see a reset and not know whether it
+  // ran. Each answer closes its connection and idle ones time out, so waiting
+  // for the last connection leaves no such request, and ends.
   const bool idle = coordinator_.active() == 0 && caller_api_.active() == 0 &&
-                    claims_.pending() == 0;
-  if (!draining_ || !drained_ || !idle) {
-    return;
+                    claims_.pending() == 0 && callers_->connections() == 0;
+  if (idle && drained_) {
+    LogEvent("drained");
+    EndDrain();
+  }
+}
+
+void Daemon::EndDrain() {
+  if (drained_) {
+    std::exchange(drained_, nullptr)();
   }
-  // Let the last answer leave the socket.
-  constexpr Duration kFlush = std::chrono::milliseconds(50);
-  loop_.After(kFlush, [this] {
-    if (drained_ && coordinator_.active() == 0) {
-      LogEvent("drained");
-      std::exchange(drained_, nullptr)();
-    }
-  });
 }
 
 }  // namespace gentianroute
