Refuse settings and profiles that contradict themselves

Cause: duplicate keys won silently (last one), a NUL cut a name short, a digest in another case passed as a second key, one TLS file without the other left a listener in the clear, a stage that must not repeat could be told to, and a deadline could be shorter than its stages. References were named by document, not by file and field. Ruled out: taking the default maxAttempts of 3 as stated; only what is stated is refused, else every non-repeatable stage would have to say 1. Change: a listener on the parser's tokens (duplicate keys, nesting over 32), a size limit of 4 MiB, ranges from the field's type too, checks of what a profile's fields say together, origins of documents, the annotation 'about' on every field and a reference generated from the compiled schema.

--- a/packages/schema/include/gentianroute/schema/checked_json.h
+++ b/packages/schema/include/gentianroute/schema/checked_json.h
@@ -7,6 +7,7 @@
 #include <capnp/dynamic.h>
 
 #include <boost/leaf.hpp>
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,9 @@
 
 namespace leaf = boost::leaf;
 
+/// @brief Largest file of settings or profiles, in bytes.
+inline constexpr std::size_t kLargestFile = std::size_t{4} << 20U;
+
 /// @brief Why a file of settings or profiles can't be used.
 struct SchemaError {
   std::string file;
@@ -29,8 +33,9 @@
 /// constraint annotations, then decodes it.
 /// @param file only for errors
 /// @param output struct of the schema, empty before
-/// @return SchemaError for text that is not JSON, an unknown field, a wrong
-/// type, a value out of range or a required field that is missing
+/// @return SchemaError for text that is not JSON, too large or nested too deep,
+/// a duplicate key, an unknown field, a wrong type, a value out of range or a
+/// required field that is missing
 /// @complexity linear in the text
 leaf::result<void> DecodeChecked(std::string_view file,
                                  std::string_view text,
--- a/packages/schema/include/gentianroute/schema/declarations.h
+++ b/packages/schema/include/gentianroute/schema/declarations.h
@@ -2,6 +2,7 @@
 #define GENTIANROUTE_SCHEMA_DECLARATIONS_H_
 
 #include <boost/leaf.hpp>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -10,16 +11,37 @@
 
 namespace gentianroute {
 
+/// @brief Where a document was read.
+struct Origin {
+  std::string file;
+  std::string path;  ///< like `profiles[0]`
+};
+using Origins = std::map<DocumentName, Origin>;
+
 /// @brief Reads a profile file into documents; every one is valid by itself.
-/// @return SchemaError, see DecodeChecked(); also for a name that stands twice
+/// @param origins gets the place of each document
+/// @return SchemaError, see DecodeChecked(); also for a name that stands twice,
+/// a stage that must not repeat but is told to, and a deadline that the stages
+/// can't meet
+leaf::result<Documents> ParseDeclarations(std::string_view file,
+                                          std::string_view text,
+                                          Origins& origins);
 leaf::result<Documents> ParseDeclarations(std::string_view file,
                                           std::string_view text);
 
 /// @brief Checks what one document says of another: each stage names a pool,
 /// each service a profile.
+/// @param file for documents without an origin
 /// @param documents all documents that would be in force
 leaf::result<void> CheckReferences(std::string_view file,
-                                   const Documents& documents);
+                                   const Documents& documents,
+                                   const Origins& origins = {});
+
+/// @brief Checks one document by itself, as ParseDeclarations() does.
+/// @param text JSON of the document
+/// @return SchemaError whose file is `kind/name`
+leaf::result<void> CheckDocument(const DocumentName& name,
+                                 std::string_view text);
 
 /// @brief Text forms of the configuration log, as JSON by the schema.
 class JsonConfigCodec final : public ConfigCodec {
--- a/packages/schema/schema/constraint.capnp
+++ b/packages/schema/schema/constraint.capnp
@@ -9,3 +9,4 @@
 annotation required @0x93f5e7a9b1d42683 (field) :Void;
 annotation hexDigest @0x84a6f8bac2e53794 (field) :Void; # 64 hex digits
 annotation ipNumber @0xf5b7a9cbd3f648a5 (field) :Void;  # dotted IPv4
+annotation about @0xd7c8e9f0a1b25369 (field) :Text;      # one sentence for the reference
--- a/packages/schema/schema/profile.capnp
+++ b/packages/schema/schema/profile.capnp
@@ -11,36 +11,78 @@
 }
 
 struct Stage {
-  name @0 :Text $Constraint.required;
-  pool @1 :Text $Constraint.required;
-  streams @2 :Bool = false;           # model engine that answers token by token
-  repeatable @3 :Bool = true;         # false: at most one call ever leaves the daemon
-  deduplicatesByKey @4 :Bool = false; # the backend recognises the idempotency key itself
-  firstByteTimeoutMs @5 :UInt32 = 1000 $Constraint.min(1) $Constraint.max(600000);
-  maxAttempts @6 :UInt32 = 3 $Constraint.min(1) $Constraint.max(10);
-  hedgeAfterMs @7 :UInt32 = 0 $Constraint.min(0) $Constraint.max(600000);        # 0: never hedged
-  costPerCallMicros @8 :UInt32 = 0 $Constraint.min(0) $Constraint.max(1000000000);   # micro-euros for one call
-  costPerUnitMicros @9 :UInt32 = 0 $Constraint.min(0) $Constraint.max(1000000000);   # micro-euros for one unit that the answer reports
-  expectedMs @10 :UInt32 = 50 $Constraint.min(1) $Constraint.max(600000);        # usual duration, used before anything is measured
+  name @0 :Text
+      $Constraint.required
+      $Constraint.about("Name, unique in its profile; the key of its result and the label of its metrics.");
+  pool @1 :Text
+      $Constraint.required
+      $Constraint.about("Pool of backend servers that runs it.");
+  streams @2 :Bool = false
+      $Constraint.about("Whether it is a model engine that answers token by token.");
+  repeatable @3 :Bool = true
+      $Constraint.about("False for work that must run at most once, such as an order.");
+  deduplicatesByKey @4 :Bool = false
+      $Constraint.about("Whether the backend server recognises the idempotency key itself.");
+  firstByteTimeoutMs @5 :UInt32 = 1000
+      $Constraint.min(1)
+      $Constraint.max(600000)
+      $Constraint.about("Longest silence before the first byte, in milliseconds.");
+  maxAttempts @6 :UInt32 = 3
+      $Constraint.min(1)
+      $Constraint.max(10)
+      $Constraint.about("Most calls for one request; a stage that may not repeat has one, unless deduplicatesByKey.");
+  hedgeAfterMs @7 :UInt32 = 0
+      $Constraint.min(0)
+      $Constraint.max(600000)
+      $Constraint.about("Time after which a second call starts beside the first, in milliseconds; 0 for never.");
+  costPerCallMicros @8 :UInt32 = 0
+      $Constraint.min(0)
+      $Constraint.max(1000000000)
+      $Constraint.about("Price of one call, in micro-euros.");
+  costPerUnitMicros @9 :UInt32 = 0
+      $Constraint.min(0)
+      $Constraint.max(1000000000)
+      $Constraint.about("Price of one unit that the answer reports, in micro-euros.");
+  expectedMs @10 :UInt32 = 50
+      $Constraint.min(1)
+      $Constraint.max(600000)
+      $Constraint.about("Usual duration, in milliseconds, used before anything is measured.");
 }
 
 struct Profile {
-  name @0 :Text $Constraint.required;
-  objective @1 :Objective = attainment;
-  deadlineMs @2 :UInt32 = 6000 $Constraint.min(1) $Constraint.max(600000);
-  stages @3 :List(Stage) $Constraint.required;
-  crossRegion @4 :Bool = true;        # may a stage run in another region
+  name @0 :Text
+      $Constraint.required
+      $Constraint.about("Name that services pick it by.");
+  objective @1 :Objective = attainment
+      $Constraint.about("What goes first: attainment of the deadline, or cost.");
+  deadlineMs @2 :UInt32 = 6000
+      $Constraint.min(1)
+      $Constraint.max(600000)
+      $Constraint.about("Longest time to a whole answer, in milliseconds; a caller may ask for less.");
+  stages @3 :List(Stage)
+      $Constraint.required
+      $Constraint.about("Stages in the order in which they run.");
+  crossRegion @4 :Bool = true
+      $Constraint.about("Whether a stage may run in another region.");
 }
 
 struct Service {
-  name @0 :Text $Constraint.required;
-  profile @1 :Text $Constraint.required;
+  name @0 :Text
+      $Constraint.required
+      $Constraint.about("Name in the path that callers post to.");
+  profile @1 :Text
+      $Constraint.required
+      $Constraint.about("Profile that it runs under.");
 }
 
 struct Pool {
-  name @0 :Text $Constraint.required;
-  kind @1 :Kind = service;
-  fenced @2 :Bool = false;            # engines that refuse an old fencing number
+  name @0 :Text
+      $Constraint.required
+      $Constraint.about("Name, as in the platform's host list.");
+  kind @1 :Kind = service
+      $Constraint.about("Plain services, or model engines that take orders.");
+  fenced @2 :Bool = false
+      $Constraint.about("Whether its engines refuse an order with an old fencing number.");
 
   enum Kind {
     service @0;
@@ -50,7 +92,10 @@
 
 struct Declarations {
   # The content of a profile file: any number of documents of each sort.
-  pools @0 :List(Pool);
-  profiles @1 :List(Profile);
-  services @2 :List(Service);
+  pools @0 :List(Pool)
+      $Constraint.about("Pools of backend servers.");
+  profiles @1 :List(Profile)
+      $Constraint.about("Profiles.");
+  services @2 :List(Service)
+      $Constraint.about("Services.");
 }
--- a/packages/schema/src/checked_json.cc
+++ b/packages/schema/src/checked_json.cc
@@ -3,36 +3,23 @@
 #include <arpa/inet.h>
 #include <capnp/compat/json.h>
 #include <capnp/dynamic.h>
-#include <constraint.capnp.h>
 
 #include <cctype>
 #include <cmath>
 #include <fstream>
-#include <limits>
 #include <nlohmann/json.hpp>
-#include <optional>
-#include <sstream>
-#include <vector>
+
+#include "constraints.h"
+#include "json_structure.h"
 
 namespace gentianroute {
 namespace {
 
 using nlohmann::json;
 
-// Ids of the annotations in constraint.capnp.
-constexpr std::uint64_t kMin = 0xa1d3c5e7f9b20461;
-constexpr std::uint64_t kMax = 0xb2e4d6f8a0c31572;
-constexpr std::uint64_t kRequired = 0x93f5e7a9b1d42683;
-constexpr std::uint64_t kHexDigest = 0x84a6f8bac2e53794;
-constexpr std::uint64_t kIpNumber = 0xf5b7a9cbd3f648a5;
 constexpr std::size_t kHexDigestSize = 64;
 constexpr std::size_t kLongestQuote = 60;
 
-struct Limits {
-  std::int64_t min = std::numeric_limits<std::int64_t>::min();
-  std::int64_t max = std::numeric_limits<std::int64_t>::max();
-};
-
 std::string Quote(const json& value) {
   std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
   if (text.size() > kLongestQuote) {
@@ -41,28 +28,6 @@
   return text;
 }
 
-bool HasAnnotation(capnp::StructSchema::Field field, std::uint64_t id) {
-  for (const auto annotation : field.getProto().getAnnotations()) {
-    if (annotation.getId() == id) {
-      return true;
-    }
-  }
-  return false;
-}
-
-Limits LimitsOf(capnp::StructSchema::Field field) {
-  Limits limits;
-  for (const auto annotation : field.getProto().getAnnotations()) {
-    if (annotation.getId() == kMin) {
-      limits.min = annotation.getValue().getInt64();
-    }
-    if (annotation.getId() == kMax) {
-      limits.max = annotation.getValue().getInt64();
-    }
-  }
-  return limits;
-}
-
 /// Walks JSON along the schema; stops at the first error.
 class Checker {
  public:
@@ -84,7 +49,8 @@
     }
     for (const auto field : schema.getFields()) {
       const char* name = field.getProto().getName().cStr();
-      if (HasAnnotation(field, kRequired) && !value.contains(name)) {
+      if (HasAnnotation(field, Annotation::kRequired) &&
+          !value.contains(name)) {
         return Fail(path.empty() ? name : path + "." + name, "nothing",
                     "a value: the field is required");
       }
@@ -111,15 +77,19 @@
   leaf::result<void> Field(const json& value,
                            capnp::StructSchema::Field field,
                            const std::string& path) const {
-    const bool missing_text = value.is_string() && value.empty();
-    if (HasAnnotation(field, kRequired) && missing_text) {
+    const bool required = HasAnnotation(field, Annotation::kRequired);
+    if (required && value.is_string() &&
+        value.get_ref<const std::string&>().empty()) {
       return Fail(path, "an empty text", "a text that is not empty");
     }
-    BOOST_LEAF_CHECK(Value(value, field.getType(), LimitsOf(field), path));
-    if (HasAnnotation(field, kHexDigest)) {
+    if (required && value.is_array() && value.empty()) {
+      return Fail(path, "an empty list", "at least one element");
+    }
+    BOOST_LEAF_CHECK(Value(value, field.getType(), RangeOf(field), path));
+    if (HasAnnotation(field, Annotation::kHexDigest)) {
       return HexDigest(value.get<std::string>(), path);
     }
-    if (HasAnnotation(field, kIpNumber)) {
+    if (HasAnnotation(field, Annotation::kIpNumber)) {
       return IpNumber(value.get<std::string>(), path);
     }
     return {};
@@ -145,7 +115,7 @@
 
   leaf::result<void> Value(const json& value,
                            capnp::Type type,
-                           Limits limits,
+                           NumberRange limits,
                            const std::string& path) const {
     if (type.isStruct()) {
       return Struct(value, type.asStruct(), path);
@@ -154,8 +124,7 @@
       return List(value, type.asList(), path);
     }
     if (type.isText()) {
-      return value.is_string() ? leaf::result<void>()
-                               : Fail(path, Quote(value), "a text");
+      return Text(value, path);
     }
     if (type.isBool()) {
       return value.is_boolean() ? leaf::result<void>()
@@ -172,6 +141,17 @@
     return Integer(value, limits, path);
   }
 
+  leaf::result<void> Text(const json& value, const std::string& path) const {
+    if (!value.is_string()) {
+      return Fail(path, Quote(value), "a text");
+    }
+    // The schema's texts end at a NUL: two names could become one.
+    const bool has_nul =
+        value.get_ref<const std::string&>().find('\0') != std::string::npos;
+    return has_nul ? Fail(path, Quote(value), "a text without NUL")
+                   : leaf::result<void>();
+  }
+
   leaf::result<void> List(const json& value,
                           capnp::ListSchema schema,
                           const std::string& path) const {
@@ -179,7 +159,7 @@
       return Fail(path, Quote(value), "a list");
     }
     for (std::size_t i = 0; i < value.size(); ++i) {
-      BOOST_LEAF_CHECK(Value(value[i], schema.getElementType(), Limits{},
+      BOOST_LEAF_CHECK(Value(value[i], schema.getElementType(), NumberRange{},
                              path + "[" + std::to_string(i) + "]"));
     }
     return {};
@@ -188,19 +168,17 @@
   leaf::result<void> Enum(const json& value,
                           capnp::EnumSchema schema,
                           const std::string& path) const {
-    std::string names = "one of:";
     for (const auto enumerant : schema.getEnumerants()) {
       const std::string name = enumerant.getProto().getName().cStr();
       if (value.is_string() && value.get<std::string>() == name) {
         return {};
       }
-      names += " " + name;
     }
-    return Fail(path, Quote(value), names);
+    return Fail(path, Quote(value), EnumerantNames(schema));
   }
 
   leaf::result<void> Integer(const json& value,
-                             Limits limits,
+                             NumberRange limits,
                              const std::string& path) const {
     const std::string allowed = "a whole number from " +
                                 std::to_string(limits.min) + " to " +
@@ -221,6 +199,11 @@
   std::string file_;
 };
 
+SchemaError TooLarge(std::string_view file) {
+  return {std::string(file), "", "a larger file",
+          "at most " + std::to_string(kLargestFile) + " bytes"};
+}
+
 }  // namespace
 
 std::string SchemaError::Text() const {
@@ -231,13 +214,11 @@
 leaf::result<void> DecodeChecked(std::string_view file,
                                  std::string_view text,
                                  capnp::DynamicStruct::Builder output) {
-  json value;
-  try {
-    value = json::parse(text, nullptr, true, /*ignore_comments=*/true);
-  } catch (const json::parse_error& error) {
-    return leaf::new_error(SchemaError{std::string(file), "", error.what(),
-                                       "JSON, with comments"});
+  if (text.size() > kLargestFile) {
+    return leaf::new_error(TooLarge(file));
   }
+  BOOST_LEAF_CHECK(CheckJsonStructure(file, text));
+  const json value = json::parse(text, nullptr, true, /*ignore_comments=*/true);
   BOOST_LEAF_CHECK(Checker(file).Struct(value, output.getSchema(), ""));
   capnp::JsonCodec codec;
   codec.setRejectUnknownFields(true);
@@ -248,13 +229,19 @@
 
 leaf::result<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
-  std::stringstream text;
-  text << file.rdbuf();
-  if (!file) {
+  // One byte more than allowed tells a file that is too large from one that
+  // just fits, without reading all of it.
+  std::string text(kLargestFile + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (file.bad() || file.gcount() == 0) {
     return leaf::new_error(
         SchemaError{path, "", "no readable file", "a file of JSON"});
   }
-  return text.str();
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  if (text.size() > kLargestFile) {
+    return leaf::new_error(TooLarge(path));
+  }
+  return text;
 }
 
 }  // namespace gentianroute
--- /dev/null
+++ b/packages/schema/src/constraints.h
@@ -0,0 +1,40 @@
+#ifndef GENTIANROUTE_SCHEMA_CONSTRAINTS_H_
+#define GENTIANROUTE_SCHEMA_CONSTRAINTS_H_
+
+#include <capnp/schema.h>
+
+#include <cstdint>
+#include <string>
+
+namespace gentianroute {
+
+/// @brief Ids of the annotations in constraint.capnp.
+enum class Annotation : std::uint64_t {
+  kMin = 0xa1d3c5e7f9b20461,
+  kMax = 0xb2e4d6f8a0c31572,
+  kRequired = 0x93f5e7a9b1d42683,
+  kHexDigest = 0x84a6f8bac2e53794,
+  kIpNumber = 0xf5b7a9cbd3f648a5,
+  kAbout = 0xd7c8e9f0a1b25369,
+};
+
+/// @brief Smallest and largest value of a whole number.
+struct NumberRange {
+  std::int64_t min = 0;
+  std::int64_t max = 0;
+};
+
+bool HasAnnotation(capnp::StructSchema::Field field, Annotation annotation);
+
+/// @return the sentence about the field; empty if it has none
+std::string AboutOf(capnp::StructSchema::Field field);
+
+/// @brief The range of the field's type, narrowed by its annotations.
+NumberRange RangeOf(capnp::StructSchema::Field field);
+
+/// @return `one of:` and the enumerants
+std::string EnumerantNames(capnp::EnumSchema schema);
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_SCHEMA_CONSTRAINTS_H_
--- a/packages/schema/src/declarations.cc
+++ b/packages/schema/src/declarations.cc
@@ -6,11 +6,15 @@
 #include <profile.capnp.h>
 
 #include <array>
+#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "profile_meaning.h"
+
 namespace gentianroute {
 namespace {
 
+using nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr auto kKindNames =
@@ -28,18 +32,19 @@
                           std::string_view field,
                           DocumentKind kind,
                           List list,
-                          Documents& documents) {
+                          Documents& documents,
+                          Origins& origins) {
   std::size_t index = 0;
   for (const auto item : list) {
     const std::string name = item.getName().cStr();
-    const bool added =
-        documents.insert({{kind, name}, {EncodeOne(item), 0}}).second;
-    if (!added) {
-      return leaf::new_error(SchemaError{
-          std::string(file),
-          std::string(field) + "[" + std::to_string(index) + "].name",
-          "'" + name + "' a second time", "a name that stands once"});
+    const std::string path =
+        std::string(field) + "[" + std::to_string(index) + "]";
+    if (!documents.insert({{kind, name}, {EncodeOne(item), 0}}).second) {
+      return leaf::new_error(SchemaError{std::string(file), path + ".name",
+                                         "'" + name + "' a second time",
+                                         "a name that stands once"});
     }
+    origins[{kind, name}] = {std::string(file), path};
     ++index;
   }
   return {};
@@ -127,19 +132,41 @@
   return true;
 }
 
+using Checker = leaf::result<void> (*)(std::string_view, std::string_view);
+
+template <typename Schema>
+leaf::result<void> CheckOne(std::string_view file, std::string_view text) {
+  capnp::MallocMessageBuilder message;
+  return DecodeChecked(file, text, message.initRoot<Schema>());
+}
+
+constexpr std::array<Checker, 3> kCheckers = {&CheckOne<schema::Profile>,
+                                              &CheckOne<schema::Service>,
+                                              &CheckOne<schema::Pool>};
+
 constexpr std::array<Adder, 3> kAdders = {&AddProfile, &AddService, &AddPool};
 
-leaf::result<void> CheckStages(std::string_view file,
+/// Where a document stands; by its name, if it stands in no file.
+Origin OriginOf(std::string_view file,
+                const DocumentName& name,
+                const Origins& origins) {
+  const auto found = origins.find(name);
+  if (found != origins.end()) {
+    return found->second;
+  }
+  return {std::string(file),
+          std::string(DocumentKindName(name.first)) + "/" + name.second};
+}
+
+leaf::result<void> CheckStages(const Origin& origin,
                                const Profile& profile,
                                const Catalogue& catalogue) {
   for (std::size_t i = 0; i < profile.stages.size(); ++i) {
     const StageSpec& stage = profile.stages[i];
     if (!catalogue.pools.contains(stage.pool)) {
-      return leaf::new_error(
-          SchemaError{std::string(file),
-                      "profile '" + profile.name + "'.stages[" +
-                          std::to_string(i) + "].pool",
-                      "'" + stage.pool + "'", "the name of a declared pool"});
+      return leaf::new_error(SchemaError{
+          origin.file, origin.path + ".stages[" + std::to_string(i) + "].pool",
+          "'" + stage.pool + "'", "the name of a declared pool"});
     }
   }
   return {};
@@ -162,45 +189,82 @@
 
 leaf::result<Documents> ParseDeclarations(std::string_view file,
                                           std::string_view text) {
+  Origins origins;
+  return ParseDeclarations(file, text, origins);
+}
+
+leaf::result<Documents> ParseDeclarations(std::string_view file,
+                                          std::string_view text,
+                                          Origins& origins) {
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<schema::Declarations>();
   BOOST_LEAF_CHECK(DecodeChecked(file, text, root));
+  const json value = json::parse(text, nullptr, true, true);
+  if (value.contains("profiles")) {
+    std::size_t index = 0;
+    for (const json& profile : value["profiles"]) {
+      const std::string path = "profiles[" + std::to_string(index++) + "]";
+      BOOST_LEAF_CHECK(CheckProfileMeaning({std::string(file), path}, profile));
+    }
+  }
   const auto declared = root.asReader();
   Documents documents;
   BOOST_LEAF_CHECK(AddAll(file, "pools", DocumentKind::kPool,
-                          declared.getPools(), documents));
+                          declared.getPools(), documents, origins));
   BOOST_LEAF_CHECK(AddAll(file, "profiles", DocumentKind::kProfile,
-                          declared.getProfiles(), documents));
+                          declared.getProfiles(), documents, origins));
   BOOST_LEAF_CHECK(AddAll(file, "services", DocumentKind::kService,
-                          declared.getServices(), documents));
+                          declared.getServices(), documents, origins));
   return documents;
 }
 
 leaf::result<void> CheckReferences(std::string_view file,
-                                   const Documents& documents) {
+                                   const Documents& documents,
+                                   const Origins& origins) {
   const JsonConfigCodec codec;
   Catalogue catalogue;
   for (const auto& [name, document] : documents) {
-    codec.AddTo(catalogue, name, document);
+    if (!codec.AddTo(catalogue, name, document)) {
+      const Origin origin = OriginOf(file, name, origins);
+      return leaf::new_error(SchemaError{origin.file, origin.path,
+                                         "a document that can't be read",
+                                         "one that its schema allows"});
+    }
   }
   for (const auto& [name, profile] : catalogue.profiles) {
-    if (profile->stages.empty()) {
-      return leaf::new_error(SchemaError{std::string(file),
-                                         "profile '" + name + "'.stages",
-                                         "no stage", "at least one stage"});
-    }
-    BOOST_LEAF_CHECK(CheckStages(file, *profile, catalogue));
+    const Origin origin =
+        OriginOf(file, {DocumentKind::kProfile, name}, origins);
+    BOOST_LEAF_CHECK(CheckStages(origin, *profile, catalogue));
   }
   for (const auto& [name, service] : catalogue.services) {
     if (!catalogue.profiles.contains(service.profile)) {
-      return leaf::new_error(SchemaError{
-          std::string(file), "service '" + name + "'.profile",
-          "'" + service.profile + "'", "the name of a declared profile"});
+      const Origin origin =
+          OriginOf(file, {DocumentKind::kService, name}, origins);
+      return leaf::new_error(SchemaError{origin.file, origin.path + ".profile",
+                                         "'" + service.profile + "'",
+                                         "the name of a declared profile"});
     }
   }
   return {};
 }
 
+leaf::result<void> CheckDocument(const DocumentName& name,
+                                 std::string_view text) {
+  const std::string file =
+      std::string(DocumentKindName(name.first)) + "/" + name.second;
+  const Checker checker = kCheckers[static_cast<std::size_t>(name.first)];
+  BOOST_LEAF_CHECK(checker(file, text));
+  const json value = json::parse(text, nullptr, true, true);
+  if (value["name"] != name.second) {
+    return leaf::new_error(SchemaError{file, "name", value["name"].dump(),
+                                       "the document's own name"});
+  }
+  if (name.first == DocumentKind::kProfile) {
+    return CheckProfileMeaning({file, ""}, value);
+  }
+  return {};
+}
+
 bool JsonConfigCodec::AddTo(Catalogue& catalogue,
                             const DocumentName& name,
                             const Document& document) const {
--- /dev/null
+++ b/packages/schema/src/json_structure.h
@@ -0,0 +1,20 @@
+#ifndef GENTIANROUTE_SCHEMA_JSON_STRUCTURE_H_
+#define GENTIANROUTE_SCHEMA_JSON_STRUCTURE_H_
+
+#include <boost/leaf.hpp>
+#include <string_view>
+
+#include "gentianroute/schema/checked_json.h"
+
+namespace gentianroute {
+
+/// @brief Checks what the parsed value no longer shows: duplicate keys, and
+/// nesting so deep that a recursive walk would run out of stack.
+/// @return SchemaError, also for text that is not JSON
+/// @complexity linear in the text, logarithmic in the keys of one object
+leaf::result<void> CheckJsonStructure(std::string_view file,
+                                      std::string_view text);
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_SCHEMA_JSON_STRUCTURE_H_
--- /dev/null
+++ b/packages/schema/src/reference.cc
@@ -0,0 +1,111 @@
+#include "gentianroute/schema/reference.h"
+
+#include <capnp/dynamic.h>
+#include <capnp/message.h>
+#include <profile.capnp.h>
+#include <settings.capnp.h>
+
+#include <string_view>
+
+#include "constraints.h"
+
+namespace gentianroute {
+namespace {
+
+constexpr std::string_view kHeading =
+    "| Field | Type | Default | Limits | Meaning |\n"
+    "| --- | --- | --- | --- | --- |\n";
+
+std::string TypeName(capnp::Type type) {
+  if (type.isList()) {
+    return "list of " + TypeName(type.asList().getElementType()) + "s";
+  }
+  if (type.isStruct()) {
+    return "object";
+  }
+  if (type.isText()) {
+    return "text";
+  }
+  if (type.isBool()) {
+    return "true or false";
+  }
+  if (type.isEnum()) {
+    return "word";
+  }
+  return type.isFloat64() ? "number" : "whole number";
+}
+
+bool IsCompound(capnp::Type type) {
+  return type.isList() || type.isStruct();
+}
+
+std::string DefaultOf(capnp::StructSchema schema,
+                      capnp::StructSchema::Field field) {
+  if (HasAnnotation(field, Annotation::kRequired)) {
+    return "required";
+  }
+  if (IsCompound(field.getType())) {
+    return "none";
+  }
+  capnp::MallocMessageBuilder message;
+  const auto empty = message.initRoot<capnp::DynamicStruct>(schema).asReader();
+  const std::string text = kj::str(empty.get(field)).cStr();
+  return text == "\"\"" ? "none" : "`" + text + "`";
+}
+
+std::string LimitsOf(capnp::StructSchema::Field field) {
+  const capnp::Type type = field.getType();
+  if (HasAnnotation(field, Annotation::kHexDigest)) {
+    return "64 hexadecimal digits";
+  }
+  if (HasAnnotation(field, Annotation::kIpNumber)) {
+    return "an IPv4 number";
+  }
+  if (type.isEnum()) {
+    return EnumerantNames(type.asEnum());
+  }
+  if (type.isFloat64()) {
+    return "0 to 1";
+  }
+  if (type.isText() || type.isBool() || IsCompound(type)) {
+    return "";
+  }
+  const NumberRange range = RangeOf(field);
+  return std::to_string(range.min) + " to " + std::to_string(range.max);
+}
+
+void AddFields(capnp::StructSchema schema,
+               const std::string& prefix,
+               std::string& output) {
+  for (const auto field : schema.getFields()) {
+    const std::string path = prefix + field.getProto().getName().cStr();
+    output += "| `" + path + "` | " + TypeName(field.getType()) + " | " +
+              DefaultOf(schema, field) + " | " + LimitsOf(field) + " | " +
+              AboutOf(field) + " |\n";
+    const capnp::Type type = field.getType();
+    if (type.isStruct()) {
+      AddFields(type.asStruct(), path + ".", output);
+    } else if (type.isList() && type.asList().getElementType().isStruct()) {
+      AddFields(type.asList().getStructElementType(), path + "[].", output);
+    }
+  }
+}
+
+template <typename Root>
+std::string Table() {
+  std::string output(kHeading);
+  AddFields(capnp::Schema::from<Root>(), "", output);
+  return output;
+}
+
+}  // namespace
+
+std::string SettingsReference() {
+  return Table<schema::Settings>();
+}
+
+std::string ProfilesReference() {
+  return Table<schema::Declarations>();
+}
+
+}  // namespace gentianroute
--- a/packages/schema/src/settings.cc
+++ b/packages/schema/src/settings.cc
@@ -2,11 +2,54 @@
 
 #include <capnp/dynamic.h>
 
+#include <cctype>
 #include <set>
+#include <string>
 
 namespace gentianroute {
 namespace {
 
+std::string Lower(std::string text) {
+  for (char& c : text) {
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  }
+  return text;
+}
+
+leaf::result<void> CheckOrganisationsAreUnique(
+    std::string_view file,
+    schema::Settings::Reader settings) {
+  std::set<std::string> seen;
+  std::size_t index = 0;
+  for (const auto organisation : settings.getOrganisations()) {
+    const std::string name = organisation.getName().cStr();
+    if (!seen.insert(name).second) {
+      return leaf::new_error(SchemaError{
+          std::string(file),
+          "organisations[" + std::to_string(index) + "].name",
+          "'" + name + "' a second time", "a name that stands once"});
+    }
+    ++index;
+  }
+  return {};
+}
+
+/// One file without the other would leave the listener without TLS.
+leaf::result<void> CheckTlsFiles(std::string_view file,
+                                 const std::string& path,
+                                 schema::Listener::Reader listener) {
+  const bool certificate = listener.getCertificateFile().size() > 0;
+  const bool key = listener.getKeyFile().size() > 0;
+  if (certificate == key) {
+    return {};
+  }
+  const std::string missing = certificate ? "keyFile" : "certificateFile";
+  const std::string named = certificate ? "certificateFile" : "keyFile";
+  return leaf::new_error(SchemaError{std::string(file), path + "." + missing,
+                                     "nothing",
+                                     "a file, since " + named + " is named"});
+}
+
 leaf::result<void> CheckKeysAreUnique(std::string_view file,
                                       schema::Settings::Reader settings) {
   std::set<std::string> seen;
@@ -14,7 +57,8 @@
   for (const auto organisation : settings.getOrganisations()) {
     std::size_t key_index = 0;
     for (const auto key : organisation.getKeys()) {
-      if (!seen.insert(key.getSha256().cStr()).second) {
+      // Hex digits of either case are one digest.
+      if (!seen.insert(Lower(key.getSha256().cStr())).second) {
         return leaf::new_error(SchemaError{
             std::string(file),
             "organisations[" + std::to_string(organisation_index) + "].keys[" +
@@ -35,7 +79,12 @@
   Settings settings;
   auto root = settings.message_->initRoot<schema::Settings>();
   BOOST_LEAF_CHECK(DecodeChecked(file, text, root));
-  BOOST_LEAF_CHECK(CheckKeysAreUnique(file, settings.get()));
+  const auto read = settings.get();
+  BOOST_LEAF_CHECK(CheckOrganisationsAreUnique(file, read));
+  BOOST_LEAF_CHECK(CheckKeysAreUnique(file, read));
+  BOOST_LEAF_CHECK(CheckTlsFiles(file, "callers", read.getCallers()));
+  BOOST_LEAF_CHECK(CheckTlsFiles(file, "operators", read.getOperators()));
+  BOOST_LEAF_CHECK(CheckTlsFiles(file, "peers", read.getPeers()));
   return settings;
 }
 
--- /dev/null
+++ b/packages/schema/tests/reference_test.cc
@@ -0,0 +1,36 @@
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "gentianroute/schema/reference.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+std::string Page() {
+  std::ifstream file(GENTIANROUTE_SOURCE_DIR "/docs/REFERENCE.md");
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+Test(reference, page_has_the_tables_of_the_compiled_schema) {
+  const std::string page = Page();
+  cr_assert(page.find(gentianroute::SettingsReference()) != std::string::npos,
+            "write `gentianctl reference settings` into docs/REFERENCE.md");
+  cr_assert(page.find(gentianroute::ProfilesReference()) != std::string::npos,
+            "write `gentianctl reference profiles` into docs/REFERENCE.md");
+}
+
+Test(reference, every_field_has_a_meaning) {
+  std::istringstream lines(gentianroute::SettingsReference() +
+                           gentianroute::ProfilesReference());
+  std::string line;
+  while (std::getline(lines, line)) {
+    cr_expect(!line.ends_with("|  |"), "%s", line.c_str());
+  }
+}
