Give operators the whole of gentianctl

Cause: gentianctl knew validate, apply and status; apply always made a new revision, a conflict showed one line, nothing told when a change was in force, a drain asked for over HTTP never ended the process, and the daemon put any body into the log. The daemon checks a change against the schema and the documents in force. Proof: with the base check, the wait's condition, the reference check, the daemon's own check, the comparison of documents and the stop hook taken out, 7 of 10 tests of process.gentianctl_test fail; all 10 pass with them (14.5 s).

--- a/apps/gentianctl/commands.h
+++ b/apps/gentianctl/commands.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_APPS_GENTIANCTL_COMMANDS_H_
 #define GENTIANROUTE_APPS_GENTIANCTL_COMMANDS_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -11,17 +12,40 @@
 
 /// @brief What all commands share.
 struct CommonOptions {
-  DaemonClient::Options daemon;
-  bool json = false;  ///< --output json
+  Target daemon;
+  std::vector<std::string> also;  ///< more daemons, `address:port`
+  bool json = false;              ///< --output json
 };
 
+/// @brief How a change is submitted.
+struct ChangeOptions {
+  std::string author = "unknown";
+  std::string change_id;     ///< empty: a new one
+  std::uint32_t wait_s = 0;  ///< 0: do not wait until it is in force
+};
+
+struct ApplyOptions {
+  std::vector<std::string> files;
+  std::vector<std::string> deletes;  ///< `kind/name`
+  bool prune = false;                ///< delete what no file names
+  std::int64_t base = -1;  ///< revision that the edits began from; -1: unstated
+  ChangeOptions change;
+};
+
+// One function a command, each in a file of its own. They print their result
+// and return the exit code.
 ExitCode Validate(const CommonOptions& common,
                   const std::vector<std::string>& files);
-ExitCode Apply(const CommonOptions& common,
-               const std::vector<std::string>& files,
-               const std::string& author,
-               const std::string& change_id);
+ExitCode Diff(const CommonOptions& common, const ApplyOptions& options);
+ExitCode Apply(const CommonOptions& common, const ApplyOptions& options);
+ExitCode History(const CommonOptions& common);
+ExitCode Rollback(const CommonOptions& common,
+                  std::uint64_t revision,
+                  const ChangeOptions& options);
+ExitCode GetDocument(const CommonOptions& common, const std::string& name);
 ExitCode Status(const CommonOptions& common);
+ExitCode Drain(const CommonOptions& common);
+ExitCode Reference(const CommonOptions& common, const std::string& of);
 
 }  // namespace gentianroute::ctl
 
--- /dev/null
+++ b/apps/gentianctl/configuration.cc
@@ -0,0 +1,177 @@
+#include "configuration.h"
+
+#include <array>
+#include <ctime>
+
+namespace gentianroute::ctl {
+namespace {
+
+constexpr UnixMicros kMicrosPerSecond = 1'000'000;
+
+DocumentName NameOf(const json& value) {
+  const auto kind = DocumentKindFromName(value.at("kind").get<std::string>());
+  return {kind.value_or(DocumentKind::kProfile), value.at("name")};
+}
+
+ConfigRevision RevisionOf(const json& value) {
+  ConfigRevision revision;
+  revision.revision = value.at("revision");
+  revision.change_id = value.at("change_id");
+  revision.author = value.at("author");
+  revision.applied_at = value.at("unix_micros");
+  for (const json& item : value.at("changes")) {
+    const DocumentName name = NameOf(item);
+    revision.changes.push_back(
+        {name.first, name.second, item.at("body"), item.at("base_revision")});
+  }
+  return revision;
+}
+
+/// The change of one document in one revision.
+const DocumentChange* ChangeIn(const ConfigRevision& revision,
+                               const DocumentName& name) {
+  for (const DocumentChange& change : revision.changes) {
+    if (change.FullName() == name) {
+      return &change;
+    }
+  }
+  return nullptr;
+}
+
+/// The document as written by one revision of the history.
+const DocumentChange* WrittenBy(const std::vector<ConfigRevision>& history,
+                                std::uint64_t number,
+                                const DocumentName& name) {
+  for (const ConfigRevision& revision : history) {
+    if (revision.revision == number) {
+      return ChangeIn(revision, name);
+    }
+  }
+  return nullptr;
+}
+
+Failure TooOld(std::uint64_t revision) {
+  return {kExitInvalid,
+          "the daemon does not keep enough of the history to "
+          "tell what stood at revision " +
+              std::to_string(revision)};
+}
+
+}  // namespace
+
+std::string FullNameText(const DocumentName& name) {
+  return std::string(DocumentKindName(name.first)) + "/" + name.second;
+}
+
+leaf::result<DocumentName> ParseFullName(const std::string& text) {
+  const std::size_t slash = text.find('/');
+  const auto kind = DocumentKindFromName(text.substr(0, slash));
+  const bool named = slash != std::string::npos && slash + 1 < text.size();
+  if (!kind.has_value() || !named) {
+    return leaf::new_error(
+        Failure{kExitInvalid, "found '" + text +
+                                  "'; allowed: profile/NAME, service/NAME or "
+                                  "pool/NAME"});
+  }
+  return DocumentName{*kind, text.substr(slash + 1)};
+}
+
+leaf::result<Declared> ReadDeclared(const std::vector<std::string>& files) {
+  Declared declared;
+  for (const std::string& file : files) {
+    BOOST_LEAF_AUTO(text, ReadFile(file));
+    Origins origins;
+    BOOST_LEAF_AUTO(documents, ParseDeclarations(file, text, origins));
+    for (const auto& [name, document] : documents) {
+      const auto earlier = declared.origins.find(name);
+      if (earlier != declared.origins.end()) {
+        return leaf::new_error(SchemaError{
+            file, origins[name].path + ".name",
+            "'" + name.second + "', which " + earlier->second.file + " has too",
+            "a name that stands once in all files"});
+      }
+      declared.documents[name] = document;
+      declared.origins[name] = origins[name];
+    }
+  }
+  return declared;
+}
+
+leaf::result<InForce> GetInForce(const Target& target) {
+  BOOST_LEAF_AUTO(value, Get(target, "/v1/documents"));
+  InForce in_force;
+  in_force.revision = value.at("revision");
+  for (const json& item : value.at("documents")) {
+    in_force.documents[NameOf(item)] = {item.at("body").dump(),
+                                        item.at("revision")};
+  }
+  return in_force;
+}
+
+leaf::result<std::vector<ConfigRevision>> GetHistory(const Target& target) {
+  BOOST_LEAF_AUTO(value, Get(target, "/v1/history"));
+  std::vector<ConfigRevision> history;
+  for (const json& item : value.at("revisions")) {
+    history.push_back(RevisionOf(item));
+  }
+  return history;
+}
+
+leaf::result<Documents> DocumentsAt(const std::vector<ConfigRevision>& history,
+                                    const InForce& in_force,
+                                    std::uint64_t revision) {
+  if (revision > in_force.revision) {
+    return leaf::new_error(
+        Failure{kExitInvalid, "there is no revision " +
+                                  std::to_string(revision) + "; the last is " +
+                                  std::to_string(in_force.revision)});
+  }
+  Documents documents = in_force.documents;
+  // Newest first, each change is undone: what its author saw comes back.
+  std::uint64_t reached = in_force.revision;
+  for (auto undone = history.rbegin();
+       undone != history.rend() && undone->revision > revision; ++undone) {
+    for (const DocumentChange& change : undone->changes) {
+      documents.erase(change.FullName());
+      if (change.base_revision == 0) {
+        continue;
+      }
+      const DocumentChange* before =
+          WrittenBy(history, change.base_revision, change.FullName());
+      if (before != nullptr) {
+        documents[change.FullName()] = {before->body, change.base_revision};
+      } else if (change.base_revision <= revision) {
+        return leaf::new_error(TooOld(revision));
+      }
+    }
+    reached = undone->revision - 1;
+  }
+  if (reached != revision) {
+    return leaf::new_error(TooOld(revision));
+  }
+  return documents;
+}
+
+const ConfigRevision* LastChangeOf(const std::vector<ConfigRevision>& history,
+                                   const DocumentName& name) {
+  for (auto revision = history.rbegin(); revision != history.rend();
+       ++revision) {
+    if (ChangeIn(*revision, name) != nullptr) {
+      return &*revision;
+    }
+  }
+  return nullptr;
+}
+
+std::string TimeText(UnixMicros time) {
+  constexpr std::size_t kLongest = 32;
+  const std::time_t seconds = time / kMicrosPerSecond;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, kLongest> text{};
+  const std::size_t size =
+      std::strftime(text.data(), text.size(), "%Y-%m-%d %H:%M:%SZ", &parts);
+  return {text.data(), size};
+}
+
+}  // namespace gentianroute::ctl
--- a/apps/gentianctl/daemon_client.h
+++ b/apps/gentianctl/daemon_client.h
@@ -4,32 +4,37 @@
 #include <cstdint>
 #include <string>
 
-#include "gentianroute/loop/event_loop.h"
-#include "gentianroute/loop/h2o_http_client.h"
+#include "failure.h"
+#include "gentianroute/loop/http.h"
 
 namespace gentianroute::ctl {
 
-/// @brief Asks one daemon's operators' address and waits for the answer.
-class DaemonClient {
- public:
-  struct Options {
-    std::string address = "127.0.0.1";
-    std::uint16_t port = 0;
-    Duration timeout = std::chrono::seconds(10);
-  };
-
-  explicit DaemonClient(Options options)
-      : options_(std::move(options)), client_(loop_) {}
-
-  /// @return `whole` is false if no whole answer came in time
-  HttpResult Call(std::string method, std::string path, std::string body);
-
- private:
-  Options options_;
-  EventLoop loop_;
-  H2oHttpClient client_;
+/// @brief One daemon's operators' address.
+struct Target {
+  std::string address = "127.0.0.1";
+  std::uint16_t port = 0;
+
+  std::string Text() const { return address + ":" + std::to_string(port); }
 };
 
+/// @brief Reads `address:port`.
+/// @return Failure with kExitInvalid
+leaf::result<Target> ParseTarget(const std::string& text);
+
+/// @brief Asks one daemon and waits for the answer, at most ten seconds.
+/// @return `whole` is false if no whole answer came in time
+HttpResult Call(const Target& target,
+                std::string method,
+                std::string path,
+                std::string body);
+
+/// @brief Reads one path of a daemon.
+/// @return Failure with kExitUnreachable, or kExitFailed for any status but 200
+leaf::result<json> Get(const Target& target, const std::string& path);
+
+/// @brief What a daemon's problem+json says, for a person.
+std::string ProblemText(const HttpResult& result);
+
 }  // namespace gentianroute::ctl
 
 #endif  // GENTIANROUTE_APPS_GENTIANCTL_DAEMON_CLIENT_H_
--- /dev/null
+++ b/apps/gentianctl/drain.cc
@@ -0,0 +1,25 @@
+#include "commands.h"
+
+namespace gentianroute::ctl {
+
+ExitCode Drain(const CommonOptions& common) {
+  return Guarded(common.json, [&]() -> leaf::result<ExitCode> {
+    constexpr int kAccepted = 202;
+    const HttpResult result = Call(common.daemon, "POST", "/v1/drain", {});
+    if (!result.whole) {
+      return leaf::new_error(
+          Failure{kExitUnreachable,
+                  common.daemon.Text() + " did not answer: " + result.detail});
+    }
+    if (result.status != kAccepted) {
+      return leaf::new_error(Failure{kExitFailed, ProblemText(result)});
+    }
+    Print(common.json, {{"draining", true}},
+          common.daemon.Text() +
+              " finishes what it has taken, then stops; requests that run are "
+              "not cut off\n");
+    return kExitDone;
+  });
+}
+
+}  // namespace gentianroute::ctl
--- a/apps/gentianctl/exit_code.h
+++ b/apps/gentianctl/exit_code.h
@@ -11,6 +11,7 @@
   kExitConflict = 3,     ///< somebody else changed the same document
   kExitUnreachable = 4,  ///< no answer; an apply may or may not stand
   kExitTimeout = 5,      ///< applied, but not yet in force everywhere
+  kExitDiffers = 6,      ///< diff only: an apply would change something
 };
 
 }  // namespace gentianroute::ctl
--- /dev/null
+++ b/apps/gentianctl/failure.h
@@ -0,0 +1,54 @@
+#ifndef GENTIANROUTE_APPS_GENTIANCTL_FAILURE_H_
+#define GENTIANROUTE_APPS_GENTIANCTL_FAILURE_H_
+
+#include <boost/leaf.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "exit_code.h"
+#include "gentianroute/schema/checked_json.h"
+
+namespace gentianroute::ctl {
+
+using nlohmann::json;
+
+/// @brief Why a command did not do what it was asked to.
+struct Failure {
+  ExitCode code = kExitFailed;
+  std::string text;
+  json details = json::object();  ///< added to the output as JSON
+};
+
+/// @brief Prints a result: JSON as it is, or a text for a person.
+void Print(bool as_json, const json& value, const std::string& text);
+
+/// @return the failure's exit code
+ExitCode PrintFailure(bool as_json, const Failure& failure);
+
+/// @brief Runs a command; prints a Failure or SchemaError and turns it into its
+/// exit code.
+/// @param body returns leaf::result<ExitCode>
+template <typename Body>
+ExitCode Guarded(bool as_json, Body body) {
+  return leaf::try_handle_all(
+      body,
+      [as_json](const Failure& failure) {
+        return PrintFailure(as_json, failure);
+      },
+      [as_json](const SchemaError& error) {
+        return PrintFailure(as_json, {kExitInvalid,
+                                      error.Text(),
+                                      {{"file", error.file},
+                                       {"field", error.field},
+                                       {"found", error.found},
+                                       {"allowed", error.allowed}}});
+      },
+      [as_json] {
+        return PrintFailure(as_json, {kExitFailed, "unexpected error"});
+      });
+}
+
+}  // namespace gentianroute::ctl
+
+#endif  // GENTIANROUTE_APPS_GENTIANCTL_FAILURE_H_
--- a/apps/gentianctl/main.cc
+++ b/apps/gentianctl/main.cc
@@ -1,5 +1,7 @@
 // The operators' tool.
 
+#include <cstdlib>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -7,40 +9,130 @@
 
 #include "commands.h"
 
-int main(int argc, char** argv) {
-  namespace ctl = gentianroute::ctl;
-  CLI::App app{"gentianctl applies profiles and shows what the daemons do"};
-  app.require_subcommand(1);
-  app.set_version_flag("--version", "gentianctl 0.1.0");
+namespace {
+
+namespace ctl = gentianroute::ctl;
+
+/// What the command line fills in.
+struct Arguments {
   ctl::CommonOptions common;
   std::string output = "text";
+  ctl::ApplyOptions apply;
+  std::uint64_t revision = 0;
+  std::string document;
+  std::string reference_of;
+};
+
+std::string DefaultAuthor() {
+  const char* user = std::getenv("USER");
+  return user == nullptr || *user == '\0' ? "unknown" : user;
+}
+
+void AddCommonOptions(CLI::App& app, Arguments& arguments) {
+  ctl::CommonOptions& common = arguments.common;
   app.add_option("--address", common.daemon.address, "a daemon's IP number");
   app.add_option("--port", common.daemon.port, "its operators' port");
-  app.add_option("--output", output, "text or json")
+  app.add_option("--also", common.also,
+                 "one more daemon, address:port; may stand several times");
+  app.add_option("--output", arguments.output, "text or json")
       ->check(CLI::IsMember({"text", "json"}));
+}
 
-  std::vector<std::string> files;
-  std::string author = "unknown";
-  std::string change_id;
-  CLI::App* validate = app.add_subcommand("validate", "check profile files");
-  validate->add_option("files", files)->required();
-  CLI::App* apply = app.add_subcommand("apply", "put profile files in force");
-  apply->add_option("files", files)->required();
-  apply->add_option("--author", author, "who changes it");
-  apply->add_option("--change-id", change_id,
-                    "the id of an earlier try whose answer was lost");
-  CLI::App* status = app.add_subcommand("status", "what a daemon does");
-  CLI11_PARSE(app, argc, argv);
-
-  common.json = output == "json";
-  if (validate->parsed()) {
-    return ctl::Validate(common, files);
-  }
-  if (apply->parsed()) {
-    return ctl::Apply(common, files, author, change_id);
-  }
-  if (status->parsed()) {
-    return ctl::Status(common);
+void AddFiles(CLI::App& command, Arguments& arguments) {
+  command.add_option("files", arguments.apply.files, "profile files")
+      ->required();
+}
+
+void AddPlanOptions(CLI::App& command, Arguments& arguments) {
+  AddFiles(command, arguments);
+  command.add_option("--delete", arguments.apply.deletes,
+                     "a document to delete, KIND/NAME");
+  command.add_flag("--prune", arguments.apply.prune,
+                   "delete every document that no file names");
+}
+
+void AddChangeOptions(CLI::App& command, Arguments& arguments) {
+  constexpr std::uint32_t kLongestWait = 3600;
+  ctl::ChangeOptions& change = arguments.apply.change;
+  command.add_option("--author", change.author, "who changes it");
+  command.add_option("--change-id", change.change_id,
+                     "the id of an earlier try whose answer was lost");
+  command
+      .add_option("--wait", change.wait_s,
+                  "seconds to wait until every reachable daemon has it")
+      ->check(CLI::Range(1U, kLongestWait));
+}
+
+using Command = std::function<ctl::ExitCode(const Arguments&)>;
+
+/// Declares all commands; the one that was given is left in `chosen`.
+void AddCommands(CLI::App& app, Arguments& arguments, Command& chosen) {
+  const auto add = [&](const char* name, const char* about, Command run) {
+    CLI::App* command = app.add_subcommand(name, about);
+    command->callback([&chosen, run = std::move(run)] { chosen = run; });
+    return command;
+  };
+  AddFiles(*add("validate", "check profile files, without a daemon",
+                [](const Arguments& a) {
+                  return ctl::Validate(a.common, a.apply.files);
+                }),
+           arguments);
+  AddPlanOptions(
+      *add("diff", "show what an apply would change",
+           [](const Arguments& a) { return ctl::Diff(a.common, a.apply); }),
+      arguments);
+  CLI::App* apply =
+      add("apply", "put profile files in force",
+          [](const Arguments& a) { return ctl::Apply(a.common, a.apply); });
+  AddPlanOptions(*apply, arguments);
+  AddChangeOptions(*apply, arguments);
+  apply->add_option("--base", arguments.apply.base,
+                    "the revision that the edits began from; documents that "
+                    "changed since are a conflict");
+  add("history", "list the revisions, their authors and times",
+      [](const Arguments& a) { return ctl::History(a.common); });
+  CLI::App* rollback =
+      add("rollback", "restore all documents of an earlier revision",
+          [](const Arguments& a) {
+            return ctl::Rollback(a.common, a.revision, a.apply.change);
+          });
+  rollback->add_option("revision", arguments.revision)->required();
+  AddChangeOptions(*rollback, arguments);
+  add("get", "print one document in force",
+      [](const Arguments& a) { return ctl::GetDocument(a.common, a.document); })
+      ->add_option("document", arguments.document, "KIND/NAME")
+      ->required();
+  add("status", "show what a daemon does",
+      [](const Arguments& a) { return ctl::Status(a.common); });
+  add("drain", "stop a daemon in a planned way",
+      [](const Arguments& a) { return ctl::Drain(a.common); });
+  add("reference", "print the table of all fields",
+      [](const Arguments& a) {
+        return ctl::Reference(a.common, a.reference_of);
+      })
+      ->add_option("of", arguments.reference_of)
+      ->check(CLI::IsMember({"settings", "profiles"}))
+      ->required();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"gentianctl applies profiles and shows what the daemons do"};
+  app.require_subcommand(1);
+  app.fallthrough();
+  app.set_version_flag("--version", "gentianctl 0.1.0");
+  Arguments arguments;
+  arguments.apply.change.author = DefaultAuthor();
+  Command chosen;
+  AddCommonOptions(app, arguments);
+  AddCommands(app, arguments, chosen);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error);
+    return code == 0 ? ctl::kExitDone : ctl::kExitInvalid;
   }
-  return ctl::kExitInvalid;
+  arguments.common.json = arguments.output == "json";
+  return chosen(arguments);
 }
--- /dev/null
+++ b/apps/gentianctl/wait.h
@@ -0,0 +1,32 @@
+#ifndef GENTIANROUTE_APPS_GENTIANCTL_WAIT_H_
+#define GENTIANROUTE_APPS_GENTIANCTL_WAIT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "commands.h"
+
+namespace gentianroute::ctl {
+
+/// @brief Which daemons have a revision in force.
+struct Waited {
+  bool in_force = false;  ///< at every daemon that can be reached
+  json daemons = json::array();
+  std::string text;  ///< one line a daemon
+};
+
+/// @brief Polls until every reachable daemon has a revision in force.
+///
+/// One daemon is enough to ask: it tells the revision that each peer last
+/// reported. A peer that it has not heard from for a while counts as out of
+/// reach; one that it has yet to hear from does not, so that a daemon that just
+/// started can't report success for peers it knows nothing of. The daemons
+/// named by --also are asked themselves and must answer.
+leaf::result<Waited> WaitInForce(const CommonOptions& common,
+                                 std::uint64_t revision,
+                                 std::chrono::seconds limit);
+
+}  // namespace gentianroute::ctl
+
+#endif  // GENTIANROUTE_APPS_GENTIANCTL_WAIT_H_
--- a/apps/gentianroute/main.cc
+++ b/apps/gentianroute/main.cc
@@ -28,6 +28,7 @@
   try {
     EventLoop loop;
     Daemon daemon(loop, settings);
+    daemon.SetStop([&loop] { loop.Stop(); });
     loop.OnSignal(SIGTERM, [&] { daemon.Drain([&loop] { loop.Stop(); }); });
     loop.OnSignal(SIGINT, [&] { daemon.Drain([&loop] { loop.Stop(); }); });
     loop.Run();
--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -14,6 +14,7 @@
 #include "gentianroute/entry/config_sync.h"
 #include "gentianroute/entry/operator_api.h"
 #include "gentianroute/entry/peer_links.h"
+#include "gentianroute/entry/peer_revisions.h"
 #include "gentianroute/loop/h2o_http_client.h"
 #include "gentianroute/loop/http_server.h"
 #include "gentianroute/platform/http_platform.h"
@@ -36,6 +37,9 @@
   /// @brief Stops in a planned way; `done` is called once nothing runs.
   void Drain(std::function<void()> done);
 
+  /// @brief What ends the process once an operator's drain is through.
+  void SetStop(std::function<void()> stop) { stop_ = std::move(stop); }
+
   std::uint16_t caller_port() const { return callers_->port(); }
   std::uint16_t operator_port() const { return operators_->port(); }
   std::uint16_t peer_port() const { return peers_->port(); }
@@ -54,6 +58,9 @@
   bool Ready() const override;
   nlohmann::json Status() const override;
   nlohmann::json DocumentsInForce() const override;
+  const gentianroute::Documents& PresentDocuments() const override {
+    return follower_.documents();
+  }
   nlohmann::json History() const override;
   std::string Metrics() const override;
   void Apply(ConfigRevision change, const ConfigSync::Done& done) override;
@@ -91,6 +98,8 @@
   std::unique_ptr<PeerLinks> peers_;
   std::unordered_map<JoinId, std::function<void(JoinOutcome)>> joins_;
   std::vector<PeerAddress> seeds_;
+  PeerRevisions peer_revisions_;
+  std::function<void()> stop_ = [] {};
   TimerId wake_;
   bool pumping_ = false;
   bool touched_ = false;
--- a/packages/entry/include/gentianroute/entry/operator_api.h
+++ b/packages/entry/include/gentianroute/entry/operator_api.h
@@ -19,6 +19,7 @@
   virtual bool Ready() const = 0;
   virtual nlohmann::json Status() const = 0;
   virtual nlohmann::json DocumentsInForce() const = 0;
+  virtual const gentianroute::Documents& PresentDocuments() const = 0;
   virtual nlohmann::json History() const = 0;
   virtual std::string Metrics() const = 0;
   virtual void Apply(ConfigRevision change, const ConfigSync::Done& done) = 0;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -102,7 +102,8 @@
                       std::to_string(incarnation_),
                   [this] { Touch(); }),
       operator_api_(loop, *this),
-      seeds_(SeedsOf(settings.get())) {
+      seeds_(SeedsOf(settings.get())),
+      peer_revisions_(loop.Now()) {
   const auto root = settings.get();
   callers_ = std::make_unique<HttpServer>(
       loop, ServerOptions(root.getCallers(), root.getLimits()),
@@ -123,6 +124,9 @@
   PeerHandler& handler = *this;
   peers_ = std::make_unique<PeerLinks>(loop, peer_options, handler);
   peers_->SetPeers(seeds_);
+  for (const PeerAddress& seed : seeds_) {
+    peer_revisions_.Know(seed.name, seed.data_centre);
+  }
 
   const Duration poll = milliseconds(root.getPlatform().getPollMs());
   loop.Every(poll, [this] {
@@ -246,6 +250,12 @@
     });
     peers.push_back({host.name, host.data_centre, host.address, host.port});
   }
+  for (const PeerAddress& peer : peers) {
+    if (peer.name != settings_.get().getName().cStr()) {
+      peer_revisions_.Know(peer.name, peer.data_centre);
+    }
+  }
+  peer_revisions_.ForgetOthers();
   peers_->SetPeers(std::move(peers));
   servers_.ApplyHostList(loop_.Now(), backends);
   coordinator_.OnServersChanged(loop_.Now());
@@ -306,6 +316,7 @@
   }
   const std::string peer = digest.getDaemon().cStr();
   usage_.SetRemote(now, peer, heavy);
+  peer_revisions_.Heard(now, peer, digest.getRevision());
   for (const auto server : digest.getLeaving()) {
     servers_.MarkLeaving(server.getServer().cStr(), server.getIncarnation());
   }
@@ -376,6 +387,7 @@
           {"active", coordinator_.active()},
           {"queued", coordinator_.queued()},
           {"peers", peers_->peer_count()},
+          {"peer_revisions", peer_revisions_.ToJson(loop_.Now())},
           {"submitted", counters.submitted},
           {"answered", counters.answered},
           {"failed", counters.failed},
@@ -406,6 +418,7 @@
       changes.push_back({{"kind", DocumentKindName(change.kind)},
                          {"name", change.name},
                          {"deleted", change.body.empty()},
+                         {"base_revision", change.base_revision},
                          {"body", change.body}});
     }
     revisions.push_back({{"revision", revision.revision},
@@ -426,7 +439,7 @@
 // --- Stop -------------------------------------------------------------------
 
 void Daemon::StartDrain() {
-  Drain([] {});
+  Drain(stop_);
 }
 
 void Daemon::Drain(std::function<void()> done) {
--- a/packages/entry/src/operator_api.cc
+++ b/packages/entry/src/operator_api.cc
@@ -58,6 +58,33 @@
   return change;
 }
 
+leaf::result<void> CheckChange(const ConfigRevision& change,
+                               Documents documents) {
+  for (const DocumentChange& item : change.changes) {
+    if (item.body.empty()) {
+      documents.erase(item.FullName());
+      continue;
+    }
+    BOOST_LEAF_CHECK(CheckDocument(item.FullName(), item.body));
+    documents[item.FullName()] = {item.body, 0};
+  }
+  return CheckReferences("in force", documents);
+}
+
+/// Why a change can't be put in force; empty if it can. A body that no daemon
+/// can read would stand in the log for good, and its service would be gone
+/// without a word.
+std::string InvalidityOf(const ConfigRevision& change,
+                         const Documents& present) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(CheckChange(change, present));
+        return std::string();
+      },
+      [](const SchemaError& error) { return error.Text(); },
+      [] { return std::string("the change can't be checked"); });
+}
+
 }  // namespace
 
 struct OperatorApi::RouteRow {
@@ -136,6 +163,11 @@
     responder->Send(ProblemResponse(ErrorKind::kMalformedRequest, error, "-"));
     return;
   }
+  error = InvalidityOf(*change, handler_.PresentDocuments());
+  if (!error.empty()) {
+    responder->Send(ProblemResponse(ErrorKind::kInvalidSettings, error, "-"));
+    return;
+  }
   change->applied_at = loop_.Wall();
   const std::string id = change->change_id;
   handler_.Apply(std::move(*change), [responder, id](const ConfigApply& apply) {
--- /dev/null
+++ b/tests/process/gentianctl_test.cc
@@ -0,0 +1,270 @@
+#include <signal.h>
+
+#include <algorithm>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "harness.h"
+
+#include <criterion/criterion.h>
+
+using gentianroute::testing::Deployment;
+using gentianroute::testing::Eventually;
+using gentianroute::testing::Http;
+using gentianroute::testing::Process;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kFirst = R"({
+  "pools": [{"name": "encoders"}, {"name": "llm", "kind": "engine"}],
+  "profiles": [{"name": "drafts", "deadlineMs": 5000,
+                "stages": [{"name": "encode", "pool": "encoders"}]}]
+})";
+constexpr const char* kServices =
+    R"({"services": [{"name": "drafting", "profile": "drafts"}]})";
+
+std::unique_ptr<Deployment> deployment;
+int runs = 0;
+
+std::size_t PeersOf(std::size_t daemon) {
+  return json::parse(
+             Http(deployment->operator_port(daemon), "GET", "/status", "").body)
+      .at("peer_revisions")
+      .size();
+}
+
+void SetUp() {
+  deployment = std::make_unique<Deployment>();
+  deployment->AddBackend("encoders");
+  deployment->AddDaemon("dc-1", "region-1");
+  deployment->AddDaemon("dc-2", "region-2");
+  deployment->AddDaemon("dc-3", "region-3");
+  // The host list lags: the first daemon started before the others were in it.
+  cr_assert(Eventually(10, [] { return PeersOf(0) == 2; }));
+}
+
+void TearDown() {
+  deployment.reset();
+}
+
+std::string Write(const std::string& name, const std::string& text) {
+  std::string path = deployment->File(name);
+  std::ofstream(path) << text;
+  return path;
+}
+
+std::string Slurp(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// What one run of gentianctl came to.
+struct Run {
+  int code = -1;
+  std::string errors;
+  json output;  ///< with --output json
+};
+
+Run Ctl(std::vector<std::string> arguments, std::size_t daemon = 0) {
+  const std::string errors = deployment->File("ctl" + std::to_string(++runs));
+  std::vector<std::string> command = {
+      std::string(getenv("GENTIANROUTE_BIN")) + "/apps/gentianctl", "--port",
+      std::to_string(deployment->operator_port(daemon)), "--output", "json"};
+  command.insert(command.end(), arguments.begin(), arguments.end());
+  Process process(command, errors);
+  Run run;
+  run.output = json::parse(process.ReadAll(), nullptr, false);
+  run.code = process.Wait(60);
+  run.errors = Slurp(errors);
+  return run;
+}
+
+std::uint64_t RevisionInForce(std::size_t daemon = 0) {
+  return json::parse(
+             Http(deployment->operator_port(daemon), "GET", "/status", "").body)
+      .at("revision");
+}
+
+/// Two files applied: revision 1.
+void ApplyFirst() {
+  const Run run = Ctl({"apply", Write("first.json", kFirst),
+                       Write("services.json", kServices), "--author", "aino",
+                       "--wait", "30"});
+  cr_assert_eq(run.code, 0, "%s", run.output.dump().c_str());
+  cr_assert_eq(run.output.at("revision"), 1);
+}
+
+std::string WithDeadline(int milliseconds) {
+  std::string text = kFirst;
+  const std::string old = "5000";
+  return text.replace(text.find(old), old.size(), std::to_string(milliseconds));
+}
+
+}  // namespace
+
+TestSuite(gentianctl, .init = SetUp, .fini = TearDown, .timeout = 240);
+
+Test(gentianctl, apply_with_wait_returns_when_all_daemons_have_the_revision) {
+  ApplyFirst();
+  for (const std::size_t daemon : {0U, 1U, 2U}) {
+    cr_assert_eq(RevisionInForce(daemon), 1);
+  }
+  const std::string also =
+      "127.0.0.1:" + std::to_string(deployment->operator_port(2));
+  const Run run =
+      Ctl({"--also", also, "apply", Write("first.json", WithDeadline(4000)),
+           "--wait", "30"});
+  cr_assert_eq(run.code, 0);
+  cr_assert_eq(run.output.at("daemons").size(), 4U);
+  for (const std::size_t daemon : {0U, 1U, 2U}) {
+    cr_assert_eq(RevisionInForce(daemon), 2);
+  }
+}
+
+// The operator applies and waits while one daemon is paused: it listens but
+// answers nobody. It was heard from a moment ago, so it counts as reachable,
+// and the wait must not report success for it.
+Test(gentianctl, apply_with_wait_tells_that_a_daemon_lags) {
+  ApplyFirst();
+  deployment->daemon(2).Signal(SIGSTOP);
+  const Run run =
+      Ctl({"apply", Write("first.json", WithDeadline(4000)), "--wait", "2"});
+  deployment->daemon(2).Signal(SIGCONT);
+  cr_assert_eq(run.code, 5, "%s", run.output.dump().c_str());
+  cr_assert_eq(run.output.at("in_force_everywhere"), false);
+}
+
+Test(gentianctl, diff_and_apply_see_only_what_differs) {
+  ApplyFirst();
+  const std::string same = Write("first.json", kFirst);
+  cr_assert_eq(Ctl({"diff", same}).code, 0);
+  const Run unchanged = Ctl({"apply", same});
+  cr_assert_eq(unchanged.code, 0);
+  cr_assert_eq(unchanged.output.at("changed"), false);
+  cr_assert_eq(RevisionInForce(), 1);
+
+  const std::string other = Write("other.json", WithDeadline(4000));
+  const Run diff = Ctl({"diff", other});
+  cr_assert_eq(diff.code, 6);
+  cr_assert_eq(diff.output.at("changes").size(), 1U);
+  cr_assert_eq(diff.output.at("changes")[0].at("document"), "profile/drafts");
+  cr_assert_eq(RevisionInForce(), 1);
+}
+
+Test(gentianctl, apply_deletes_what_is_named_or_pruned_but_nothing_in_use) {
+  ApplyFirst();
+  const std::string services = Write("services.json", kServices);
+  const Run used = Ctl({"apply", services, "--delete", "pool/encoders"});
+  cr_assert_eq(used.code, 2);
+  cr_assert_eq(used.output.at("field"), "profile/drafts.stages[0].pool");
+
+  cr_assert_eq(Ctl({"apply", services, "--delete", "pool/llm"}).code, 0);
+  cr_assert_eq(Ctl({"get", "pool/llm"}).code, 1);
+  const std::string pool = Write("pool.json", R"({"pools": [{"name": "p"}]})");
+  const Run pruned = Ctl({"apply", pool, "--prune"});
+  cr_assert_eq(pruned.code, 0);
+  cr_assert_eq(pruned.output.at("changes").size(), 4U);
+  cr_assert_eq(Ctl({"get", "profile/drafts"}).code, 1);
+}
+
+// Two operators start from revision 1. The first one's change is in force when
+// the second one applies his: he must see both sides and who was first, and
+// nothing of the first one's change may be lost.
+Test(gentianctl, second_of_two_racing_operators_sees_both_sides) {
+  ApplyFirst();
+  cr_assert_eq(Ctl({"apply", Write("a.json", WithDeadline(4000)), "--base", "1",
+                    "--author", "aino"})
+                   .code,
+               0);
+  const Run second = Ctl({"apply", Write("b.json", WithDeadline(3000)),
+                          "--base", "1", "--author", "bela"});
+  cr_assert_eq(second.code, 3);
+  const json& conflict = second.output.at("conflicts").at(0);
+  cr_assert_eq(conflict.at("yours").at("deadlineMs"), 3000);
+  cr_assert_eq(conflict.at("theirs").at("deadlineMs"), 4000);
+  cr_assert_eq(conflict.at("author"), "aino");
+  cr_assert_eq(conflict.at("revision"), 2);
+  cr_assert_eq(RevisionInForce(), 2);
+}
+
+// The platform takes the change but its answers are lost, so the operator does
+// not know whether it stands. A second try with the same id must find it and
+// make no second revision.
+Test(gentianctl, lost_answer_is_settled_by_the_change_id) {
+  ApplyFirst();
+  const std::string file = Write("a.json", WithDeadline(4000));
+  const auto faults = [](const std::string& text) {
+    Http(deployment->platform_port(), "PUT", "/control/faults", text);
+  };
+  faults(R"({"lose_answers": true})");
+  const Run lost = Ctl({"apply", file, "--change-id", "first-try"});
+  faults(R"({"lose_answers": false})");
+  cr_assert_eq(lost.code, 4, "%s", lost.output.dump().c_str());
+  const Run again = Ctl({"apply", file, "--change-id", "first-try"});
+  cr_assert_eq(again.code, 0);
+  const Run third = Ctl({"apply", file, "--change-id", "first-try"});
+  cr_assert_eq(third.code, 0);
+  cr_assert_eq(third.output.at("revision"), 2);
+  cr_assert_eq(RevisionInForce(), 2);
+}
+
+Test(gentianctl, rollback_restores_documents_as_a_new_revision) {
+  ApplyFirst();
+  const std::string pool = Write("p.json", R"({"pools": [{"name": "extra"}]})");
+  cr_assert_eq(Ctl({"apply", Write("a.json", WithDeadline(4000))}).code, 0);
+  cr_assert_eq(Ctl({"apply", pool, "--delete", "pool/llm"}).code, 0);
+  const Run back = Ctl({"rollback", "1", "--author", "bela", "--wait", "30"});
+  cr_assert_eq(back.code, 0, "%s", back.output.dump().c_str());
+  cr_assert_eq(RevisionInForce(), 4);
+  const Run profile = Ctl({"get", "profile/drafts"});
+  cr_assert_eq(profile.output.at("body").at("deadlineMs"), 5000);
+  cr_assert_eq(Ctl({"get", "pool/llm"}).code, 0);
+  cr_assert_eq(Ctl({"get", "pool/extra"}).code, 1);
+  const Run history = Ctl({"history"});
+  cr_assert_eq(history.output.at("revisions").back().at("author"), "bela");
+  cr_assert_eq(Ctl({"rollback", "9"}).code, 2);
+}
+
+Test(gentianctl, bad_file_or_argument_exits_two_and_names_the_field) {
+  const Run bad = Ctl({"validate", Write("bad.json", R"({"pools": [{}]})")});
+  cr_assert_eq(bad.code, 2);
+  cr_assert_eq(bad.output.at("field"), "pools[0].name");
+  const std::string first = Write("first.json", kFirst);
+  const std::string copy = Write("copy.json", kFirst);
+  const Run twice = Ctl({"validate", first, copy});
+  cr_assert_eq(twice.code, 2);
+  cr_assert_eq(twice.output.at("file"), copy);
+  cr_assert_eq(Ctl({"no-such-command"}).code, 2);
+  cr_assert_eq(Ctl({"get", "drafts"}).code, 2);
+}
+
+// Someone posts to the daemon without gentianctl. A body that no daemon can
+// read would take its service away everywhere.
+Test(gentianctl, daemon_refuses_a_change_that_its_schema_refuses) {
+  const json change = {{"change_id", "x"},
+                       {"author", "x"},
+                       {"changes",
+                        {{{"kind", "pool"},
+                          {"name", "p"},
+                          {"body", R"({"name": "p", "kind": "disk"})"},
+                          {"base_revision", 0}}}}};
+  const auto answer =
+      Http(deployment->operator_port(0), "POST", "/v1/apply", change.dump());
+  cr_assert_eq(answer.status, 422);
+  cr_assert(answer.body.find("pool/p: kind") != std::string::npos);
+  cr_assert_eq(RevisionInForce(), 0);
+}
+
+Test(gentianctl, drain_ends_the_daemon_in_a_planned_way) {
+  cr_assert_eq(Ctl({"status"}, 1).output.at("draining"), false);
+  cr_assert_eq(Ctl({"drain"}, 1).code, 0);
+  cr_assert_eq(deployment->daemon(1).Wait(20), 0);
+  cr_assert_eq(Ctl({"status"}, 1).code, 4);
+}
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -131,6 +131,16 @@
   return static_cast<std::uint16_t>(std::stoi(text.substr(equals + 1)));
 }
 
+std::string Process::ReadAll() {
+  std::string text;
+  char buffer[4096];
+  ssize_t got = 0;
+  while ((got = read(output_, buffer, sizeof(buffer))) > 0) {
+    text.append(buffer, static_cast<std::size_t>(got));
+  }
+  return text;
+}
+
 Answer Http(std::uint16_t port,
             const std::string& method,
             const std::string& path,
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -26,6 +26,8 @@
   int Wait(int seconds);
   /// @brief Reads standard output up to `name=` and a number.
   std::uint16_t ReadPort();
+  /// @brief Reads standard output to its end.
+  std::string ReadAll();
 
  private:
   pid_t pid_ = -1;
