Count finished requests in histograms, as Prometheus text

Cause: /metrics had one line without heading or type. Change: Boost.Histogram per service, profile and stage for latency, queueing and first token; counters of answers, errors by kind, attempts, repeats, units, billed bytes and cost; the coordinator's counters. Only declared names become labels, at most 4096 sets, the rest goes under 'other'. Found on the way: the library's bins exclude their upper edge and the text format's buckets include it; each edge lies one microsecond above its bound. Not done: stage repeats do not tell retries from hedges (StageReport has attempts only); the totals of the coordinator do.

--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -17,6 +17,7 @@
 #include "gentianroute/entry/peer_revisions.h"
 #include "gentianroute/loop/h2o_http_client.h"
 #include "gentianroute/loop/http_server.h"
+#include "gentianroute/observe/request_metrics.h"
 #include "gentianroute/platform/http_platform.h"
 #include "gentianroute/schema/declarations.h"
 #include "gentianroute/schema/rows.h"
@@ -99,6 +100,7 @@
   std::unordered_map<JoinId, std::function<void(JoinOutcome)>> joins_;
   std::vector<PeerAddress> seeds_;
   PeerRevisions peer_revisions_;
+  RequestMetrics metrics_;
   std::function<void()> stop_ = [] {};
   TimerId wake_;
   bool pumping_ = false;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -203,6 +203,7 @@
       daemon.caller_api_.Deliver(chunk);
     }
     void operator()(const FinishRequest& finish) const {
+      daemon.metrics_.Observe(finish);
       daemon.caller_api_.Finish(finish);
     }
     void operator()(const AskClaimer& ask) const {
@@ -264,6 +265,7 @@
 
 void Daemon::OnConfigChanged() {
   coordinator_.SetCatalogue(follower_.catalogue());
+  metrics_.SetCatalogue(follower_.catalogue());
   LogEvent("configuration").Field("revision", follower_.revision());
   peers_->Gossip();  // a rumour: peers hear of it now, not at the next round
 }
@@ -431,9 +433,10 @@
 }
 
 std::string Daemon::Metrics() const {
-  const CoordinatorCounters& counters = coordinator_.counters();
-  return "gentianroute_requests_total " + std::to_string(counters.submitted) +
-         "\n";
+  MetricWriter writer;
+  WriteCounters(writer, coordinator_.counters());
+  metrics_.Write(writer);
+  return writer.text();
 }
 
 // --- Stop -------------------------------------------------------------------
--- /dev/null
+++ b/packages/observe/tests/request_metrics_test.cc
@@ -0,0 +1,309 @@
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "gentianroute/observe/request_metrics.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using gentianroute::Catalogue;
+using gentianroute::ErrorKind;
+using gentianroute::FinishRequest;
+using gentianroute::MetricWriter;
+using gentianroute::Profile;
+using gentianroute::RequestMetrics;
+using std::chrono::milliseconds;
+
+using LabelMap = std::map<std::string, std::string>;
+
+/// A strict reader of the Prometheus text format 0.0.4. Anything that it does
+/// not expect is an error.
+class MetricReader {
+ public:
+  explicit MetricReader(const std::string& text) : text_(text) {
+    while (error_.empty() && at_ < text_.size()) {
+      Line();
+    }
+  }
+
+  const std::string& error() const { return error_; }
+  const std::map<std::string, std::map<LabelMap, double>>& samples() const {
+    return samples_;
+  }
+  double Value(const std::string& name, const LabelMap& labels) const {
+    const auto metric = samples_.find(name);
+    if (metric == samples_.end()) {
+      return -1;
+    }
+    const auto sample = metric->second.find(labels);
+    return sample == metric->second.end() ? -1 : sample->second;
+  }
+
+ private:
+  bool Take(const std::string& word) {
+    if (text_.compare(at_, word.size(), word) != 0) {
+      return false;
+    }
+    at_ += word.size();
+    return true;
+  }
+  void Fail(const std::string& why) {
+    error_ = why + " at byte " + std::to_string(at_);
+  }
+  std::string Name() {
+    std::string name;
+    while (at_ < text_.size() &&
+           (std::isalnum(static_cast<unsigned char>(text_[at_])) != 0 ||
+            text_[at_] == '_')) {
+      name += text_[at_++];
+    }
+    if (name.empty() ||
+        std::isdigit(static_cast<unsigned char>(name[0])) != 0) {
+      Fail("no name");
+    }
+    return name;
+  }
+  std::string RestOfLine() {
+    const std::size_t end = text_.find('\n', at_);
+    if (end == std::string::npos) {
+      Fail("no end of line");
+      return {};
+    }
+    std::string rest = text_.substr(at_, end - at_);
+    at_ = end + 1;
+    return rest;
+  }
+  void Line() {
+    if (Take("# HELP ")) {
+      metric_ = Name();
+      type_.clear();
+      if (!seen_.insert(metric_).second) {
+        Fail("a second heading of " + metric_);
+      }
+      if (RestOfLine().size() < 2) {
+        Fail("no help");
+      }
+    } else if (Take("# TYPE ")) {
+      if (Name() != metric_ || !Take(" ")) {
+        Fail("TYPE does not follow its HELP");
+      }
+      type_ = RestOfLine();
+      if (type_ != "counter" && type_ != "histogram" && type_ != "gauge") {
+        Fail("unknown type " + type_);
+      }
+    } else {
+      Sample();
+    }
+  }
+  void Sample() {
+    const std::string name = Name();
+    const bool fits = type_ == "histogram" ? name == metric_ + "_bucket" ||
+                                                 name == metric_ + "_sum" ||
+                                                 name == metric_ + "_count"
+                                           : !type_.empty() && name == metric_;
+    if (!fits) {
+      Fail(name + " stands under " + metric_);
+      return;
+    }
+    LabelMap labels;
+    if (Take("{")) {
+      do {
+        Label(labels);
+      } while (error_.empty() && Take(","));
+      if (!Take("}")) {
+        Fail("no }");
+      }
+    }
+    if (!Take(" ")) {
+      Fail("no space");
+      return;
+    }
+    const std::string number = RestOfLine();
+    char* end = nullptr;
+    const double value = std::strtod(number.c_str(), &end);
+    if (number.empty() || *end != '\0') {
+      Fail("no number");
+    }
+    if (!samples_[name].emplace(labels, value).second) {
+      Fail("a second sample of " + name);
+    }
+  }
+  void Label(LabelMap& labels) {
+    const std::string name = Name();
+    if (!Take("=\"")) {
+      Fail("no value");
+      return;
+    }
+    std::string value;
+    while (at_ < text_.size() && text_[at_] != '"') {
+      if (text_[at_] == '\n') {
+        Fail("a raw end of line in a label");
+        return;
+      }
+      if (text_[at_] == '\\') {
+        ++at_;
+        const char c = text_[at_];
+        if (c != 'n' && c != '\\' && c != '"') {
+          Fail("unknown escape");
+          return;
+        }
+        value += c == 'n' ? '\n' : c;
+      } else {
+        value += text_[at_];
+      }
+      ++at_;
+    }
+    if (!Take("\"") || !labels.emplace(name, value).second) {
+      Fail("bad label " + name);
+    }
+  }
+
+  std::string text_;
+  std::size_t at_ = 0;
+  std::string error_;
+  std::string metric_;
+  std::string type_;
+  std::set<std::string> seen_;
+  std::map<std::string, std::map<LabelMap, double>> samples_;
+};
+
+constexpr const char* kOddName = "dr\"af\\t\ns";
+
+gentianroute::CatalogueRef Declared() {
+  auto catalogue = std::make_shared<Catalogue>();
+  auto profile = std::make_shared<Profile>();
+  profile->name = "p";
+  profile->stages = {{.name = "encode", .pool = "e"},
+                     {.name = "generate", .pool = "g"}};
+  catalogue->profiles["p"] = profile;
+  catalogue->services["drafts"] = {"drafts", "p"};
+  catalogue->services[kOddName] = {kOddName, "p"};
+  return catalogue;
+}
+
+FinishRequest Finished(const std::string& service) {
+  FinishRequest finish;
+  finish.service = service;
+  finish.profile = "p";
+  finish.took = milliseconds(100);
+  finish.first_token = milliseconds(30);
+  finish.stages = {{.stage = "generate",
+                    .queued = milliseconds(3),
+                    .took = milliseconds(80),
+                    .attempts = 3,
+                    .units = 40,
+                    .billed_bytes = 1000,
+                    .cost = 12}};
+  return finish;
+}
+
+MetricReader Read(const RequestMetrics& metrics) {
+  MetricWriter writer;
+  metrics.Write(writer);
+  WriteCounters(writer, {.submitted = 7, .hedges = 2});
+  return MetricReader(writer.text());
+}
+
+}  // namespace
+
+Test(request_metrics, finished_requests_read_back_from_the_text_format) {
+  RequestMetrics metrics;
+  metrics.SetCatalogue(Declared());
+  FinishRequest finish = Finished("drafts");
+  metrics.Observe(finish);
+  metrics.Observe(Finished(kOddName));
+  finish.error = ErrorKind::kOverloaded;
+  finish.stages.clear();
+  metrics.Observe(finish);
+
+  const MetricReader read = Read(metrics);
+  cr_assert_eq(read.error(), "", "%s", read.error().c_str());
+  const LabelMap request = {{"service", "drafts"}, {"profile", "p"}};
+  cr_expect_eq(read.Value("gentianroute_answers_total", request), 1);
+  cr_expect_eq(read.Value("gentianroute_errors_total", {{"service", "drafts"},
+                                                        {"profile", "p"},
+                                                        {"kind", "overloaded"},
+                                                        {"work", "not_run"}}),
+               1);
+  cr_expect_eq(read.Value("gentianroute_request_seconds_count", request), 2);
+  cr_expect_float_eq(read.Value("gentianroute_request_seconds_sum", request),
+                     0.2, 1e-9);
+  cr_expect_eq(read.Value("gentianroute_answers_total",
+                          {{"service", kOddName}, {"profile", "p"}}),
+               1);
+  LabelMap stage = request;
+  stage["stage"] = "generate";
+  cr_expect_eq(read.Value("gentianroute_stage_attempts_total", stage), 3);
+  cr_expect_eq(read.Value("gentianroute_stage_repeats_total", stage), 2);
+  cr_expect_eq(read.Value("gentianroute_stage_units_total", stage), 40);
+  cr_expect_eq(read.Value("gentianroute_stage_billed_bytes_total", stage),
+               1000);
+  cr_expect_eq(read.Value("gentianroute_stage_cost_micros_total", stage), 12);
+  cr_expect_eq(read.Value("gentianroute_requests_total", {}), 7);
+  cr_expect_eq(read.Value("gentianroute_hedges_total", {}), 2);
+}
+
+Test(request_metrics, buckets_include_their_bound_and_only_grow) {
+  RequestMetrics metrics;
+  metrics.SetCatalogue(Declared());
+  for (const auto took :
+       {std::chrono::microseconds(100'000), std::chrono::microseconds(100'001),
+        std::chrono::microseconds(90'000'000)}) {
+    FinishRequest finish = Finished("drafts");
+    finish.took = took;
+    metrics.Observe(finish);
+  }
+  const MetricReader read = Read(metrics);
+  const auto bucket = [&read](const std::string& bound) {
+    return read.Value("gentianroute_request_seconds_bucket",
+                      {{"service", "drafts"}, {"profile", "p"}, {"le", bound}});
+  };
+  cr_expect_eq(bucket("0.05"), 0);
+  cr_expect_eq(bucket("0.1"), 1);
+  cr_expect_eq(bucket("0.25"), 2);
+  cr_expect_eq(bucket("60"), 2);
+  cr_expect_eq(bucket("+Inf"), 3);
+}
+
+// Callers try names at random: each would become a series that is kept for
+// ever, until the daemon and the monitoring run out of memory. Only declared
+// names may become labels, and not even those without bound.
+Test(request_metrics, names_that_nobody_declared_share_one_series) {
+  RequestMetrics metrics;
+  metrics.SetCatalogue(Declared());
+  for (int i = 0; i < 1000; ++i) {
+    FinishRequest finish = Finished("guess-" + std::to_string(i));
+    finish.profile = finish.service;
+    finish.stages[0].stage = finish.service;
+    metrics.Observe(finish);
+  }
+  cr_expect_eq(metrics.label_sets(), 2U);
+  cr_expect_eq(
+      Read(metrics).Value("gentianroute_answers_total",
+                          {{"service", "other"}, {"profile", "other"}}),
+      1000);
+}
+
+Test(request_metrics, label_sets_beyond_the_cap_go_under_other) {
+  RequestMetrics metrics({.max_label_sets = 10});
+  auto catalogue = std::make_shared<Catalogue>(*Declared());
+  for (int i = 0; i < 100; ++i) {
+    const std::string name = "s" + std::to_string(i);
+    catalogue->services[name] = {name, "p"};
+  }
+  metrics.SetCatalogue(catalogue);
+  for (int i = 0; i < 100; ++i) {
+    metrics.Observe(Finished("s" + std::to_string(i)));
+  }
+  // The two sets of `other` come on top of the cap.
+  cr_expect_eq(metrics.label_sets(), 12U);
+  cr_expect_eq(
+      Read(metrics).Value("gentianroute_answers_total",
+                          {{"service", "other"}, {"profile", "other"}}),
+      95);
+}
