Report service-level burn

Cause: nothing told how fast a service spends its error budget. Change: attainment per service in rings of fixed size (5 min, 1 h, 6 h, 3 d), GET /v1/report, and gentianctl report, which adds the reports of several daemons up as text, JSON or one HTML page with inline plots. Callers' mistakes (1xx) do not count. The report says since when each daemon counts. Found on the way: reading a member of a null JSON value threw, and gentianctl said only 'unexpected error'; exceptions now print what they say. Not done: the page was not looked at in a browser; none is installed.

--- a/apps/gentianctl/commands.h
+++ b/apps/gentianctl/commands.h
@@ -45,6 +45,7 @@
 ExitCode GetDocument(const CommonOptions& common, const std::string& name);
 ExitCode Status(const CommonOptions& common);
 ExitCode Drain(const CommonOptions& common);
+ExitCode Report(const CommonOptions& common, const std::string& html_file);
 ExitCode Reference(const CommonOptions& common, const std::string& of);
 
 }  // namespace gentianroute::ctl
--- a/apps/gentianctl/failure.h
+++ b/apps/gentianctl/failure.h
@@ -2,6 +2,7 @@
 #define GENTIANROUTE_APPS_GENTIANCTL_FAILURE_H_
 
 #include <boost/leaf.hpp>
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -44,6 +45,9 @@
                                        {"found", error.found},
                                        {"allowed", error.allowed}}});
       },
+      [as_json](const std::exception& error) {
+        return PrintFailure(as_json, {kExitFailed, error.what()});
+      },
       [as_json] {
         return PrintFailure(as_json, {kExitFailed, "unexpected error"});
       });
--- a/apps/gentianctl/main.cc
+++ b/apps/gentianctl/main.cc
@@ -21,6 +21,7 @@
   std::uint64_t revision = 0;
   std::string document;
   std::string reference_of;
+  std::string html_file;
 };
 
 std::string DefaultAuthor() {
@@ -106,6 +107,9 @@
       [](const Arguments& a) { return ctl::Status(a.common); });
   add("drain", "stop a daemon in a planned way",
       [](const Arguments& a) { return ctl::Drain(a.common); });
+  add("report", "show service levels, burn rates and cost by stage",
+      [](const Arguments& a) { return ctl::Report(a.common, a.html_file); })
+      ->add_option("--html", arguments.html_file, "write a page to this file");
   add("reference", "print the table of all fields",
       [](const Arguments& a) {
         return ctl::Reference(a.common, a.reference_of);
--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -18,6 +18,7 @@
 #include "gentianroute/loop/h2o_http_client.h"
 #include "gentianroute/loop/http_server.h"
 #include "gentianroute/observe/request_metrics.h"
+#include "gentianroute/observe/service_level.h"
 #include "gentianroute/platform/http_platform.h"
 #include "gentianroute/schema/declarations.h"
 #include "gentianroute/schema/rows.h"
@@ -63,6 +64,7 @@
     return follower_.documents();
   }
   nlohmann::json History() const override;
+  nlohmann::json Report() const override;
   std::string Metrics() const override;
   void Apply(ConfigRevision change, const ConfigSync::Done& done) override;
   void StartDrain() override;
@@ -101,6 +103,7 @@
   std::vector<PeerAddress> seeds_;
   PeerRevisions peer_revisions_;
   RequestMetrics metrics_;
+  ServiceLevels levels_;
   std::function<void()> stop_ = [] {};
   TimerId wake_;
   bool pumping_ = false;
--- a/packages/entry/include/gentianroute/entry/operator_api.h
+++ b/packages/entry/include/gentianroute/entry/operator_api.h
@@ -21,6 +21,7 @@
   virtual nlohmann::json DocumentsInForce() const = 0;
   virtual const gentianroute::Documents& PresentDocuments() const = 0;
   virtual nlohmann::json History() const = 0;
+  virtual nlohmann::json Report() const = 0;
   virtual std::string Metrics() const = 0;
   virtual void Apply(ConfigRevision change, const ConfigSync::Done& done) = 0;
   virtual void StartDrain() = 0;
@@ -53,6 +54,8 @@
                  const std::shared_ptr<HttpResponder>& responder);
   void History(const HttpRequest& request,
                const std::shared_ptr<HttpResponder>& responder);
+  void Report(const HttpRequest& request,
+              const std::shared_ptr<HttpResponder>& responder);
   void Apply(const HttpRequest& request,
              const std::shared_ptr<HttpResponder>& responder);
   void Drain(const HttpRequest& request,
--- /dev/null
+++ b/packages/entry/include/gentianroute/entry/report.h
@@ -0,0 +1,28 @@
+#ifndef GENTIANROUTE_ENTRY_REPORT_H_
+#define GENTIANROUTE_ENTRY_REPORT_H_
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "gentianroute/decision/server_table.h"
+#include "gentianroute/decision/usage_ledger.h"
+#include "gentianroute/observe/request_metrics.h"
+#include "gentianroute/observe/service_level.h"
+
+namespace gentianroute {
+
+/// @brief Attainment of each service: sums only, so that the reports of several
+/// daemons add up.
+nlohmann::json ServicesReport(const ServiceLevels& levels, TimePoint now);
+
+/// @brief Calls, units, billed bytes and cost of each stage.
+nlohmann::json StagesReport(const RequestMetrics& metrics);
+
+/// @brief Servers that get no work now, with the reason.
+nlohmann::json OutOfFavourReport(const ServerTable& servers, TimePoint now);
+
+nlohmann::json HeaviestReport(const std::vector<UseRecord>& heaviest);
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_ENTRY_REPORT_H_
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -3,6 +3,7 @@
 #include <random>
 #include <utility>
 
+#include "gentianroute/entry/report.h"
 #include "gentianroute/observe/log.h"
 
 namespace gentianroute {
@@ -204,6 +205,11 @@
     }
     void operator()(const FinishRequest& finish) const {
       daemon.metrics_.Observe(finish);
+      if (CountsForServiceLevel(finish.error)) {
+        daemon.levels_.Observe(daemon.loop_.Now(),
+                               daemon.metrics_.ServiceLabel(finish.service),
+                               !finish.error.has_value());
+      }
       daemon.caller_api_.Finish(finish);
     }
     void operator()(const AskClaimer& ask) const {
@@ -371,33 +377,28 @@
          {"calls", server->calls},
          {"failures", server->failures}});
   }
-  json heavy = json::array();
-  for (const UseRecord& use : usage_.Heaviest(loop_.Now(), kHeavyRecords)) {
-    heavy.push_back({{"organisation", use.who.organisation},
-                     {"subscriber", use.who.subscriber},
-                     {"cost", use.cost}});
-  }
   const CoordinatorCounters& counters = coordinator_.counters();
-  return {{"name", settings_.get().getName().cStr()},
-          {"data_centre", settings_.get().getDataCentre().cStr()},
-          {"region", settings_.get().getRegion().cStr()},
-          {"incarnation", incarnation_},
-          {"ready", Ready()},
-          {"draining", draining_},
-          {"revision", follower_.revision()},
-          {"highest_heard", follower_.highest_heard()},
-          {"active", coordinator_.active()},
-          {"queued", coordinator_.queued()},
-          {"peers", peers_->peer_count()},
-          {"peer_revisions", peer_revisions_.ToJson(loop_.Now())},
-          {"submitted", counters.submitted},
-          {"answered", counters.answered},
-          {"failed", counters.failed},
-          {"retries", counters.retries},
-          {"late_answers", counters.late_answers},
-          {"crossed_answers", counters.crossed_answers},
-          {"heaviest", std::move(heavy)},
-          {"servers", std::move(servers)}};
+  return {
+      {"name", settings_.get().getName().cStr()},
+      {"data_centre", settings_.get().getDataCentre().cStr()},
+      {"region", settings_.get().getRegion().cStr()},
+      {"incarnation", incarnation_},
+      {"ready", Ready()},
+      {"draining", draining_},
+      {"revision", follower_.revision()},
+      {"highest_heard", follower_.highest_heard()},
+      {"active", coordinator_.active()},
+      {"queued", coordinator_.queued()},
+      {"peers", peers_->peer_count()},
+      {"peer_revisions", peer_revisions_.ToJson(loop_.Now())},
+      {"submitted", counters.submitted},
+      {"answered", counters.answered},
+      {"failed", counters.failed},
+      {"retries", counters.retries},
+      {"late_answers", counters.late_answers},
+      {"crossed_answers", counters.crossed_answers},
+      {"heaviest", HeaviestReport(usage_.Heaviest(loop_.Now(), kHeavyRecords))},
+      {"servers", std::move(servers)}};
 }
 
 json Daemon::DocumentsInForce() const {
@@ -432,6 +433,21 @@
   return {{"revisions", std::move(revisions)}};
 }
 
+json Daemon::Report() const {
+  const TimePoint now = loop_.Now();
+  return {{"name", settings_.get().getName().cStr()},
+          {"data_centre", settings_.get().getDataCentre().cStr()},
+          {"revision", follower_.revision()},
+          {"peer_revisions", peer_revisions_.ToJson(now)},
+          {"counting_since_unix_micros", incarnation_},
+          {"at_unix_micros", loop_.Wall()},
+          {"attainment_target", settings_.get().getSlo().getAttainmentTarget()},
+          {"services", ServicesReport(levels_, now)},
+          {"stages", StagesReport(metrics_)},
+          {"heaviest", HeaviestReport(usage_.Heaviest(now, kHeavyRecords))},
+          {"out_of_favour", OutOfFavourReport(servers_, now)}};
+}
+
 std::string Daemon::Metrics() const {
   MetricWriter writer;
   WriteCounters(writer, coordinator_.counters());
--- a/packages/entry/src/operator_api.cc
+++ b/packages/entry/src/operator_api.cc
@@ -100,6 +100,7 @@
     {"GET", "/status", &OperatorApi::Status},
     {"GET", "/v1/documents", &OperatorApi::Documents},
     {"GET", "/v1/history", &OperatorApi::History},
+    {"GET", "/v1/report", &OperatorApi::Report},
     {"POST", "/v1/apply", &OperatorApi::Apply},
     {"POST", "/v1/drain", &OperatorApi::Drain},
 };
@@ -155,6 +156,11 @@
   SendJson(*responder, 200, handler_.History());
 }
 
+void OperatorApi::Report(const HttpRequest& /*request*/,
+                         const std::shared_ptr<HttpResponder>& responder) {
+  SendJson(*responder, 200, handler_.Report());
+}
+
 void OperatorApi::Apply(const HttpRequest& request,
                         const std::shared_ptr<HttpResponder>& responder) {
   std::string error;
--- /dev/null
+++ b/packages/entry/src/report.cc
@@ -0,0 +1,92 @@
+#include "gentianroute/entry/report.h"
+
+#include <string>
+#include <utility>
+
+namespace gentianroute {
+namespace {
+
+using nlohmann::json;
+
+json AttainmentJson(const Attainment& attainment) {
+  return {{"total", attainment.total}, {"attained", attainment.attained}};
+}
+
+/// Why a server gets no work; empty if it does.
+std::string WhyNot(const Server& server, TimePoint now) {
+  if (server.leaving) {
+    return "leaving";
+  }
+  if (!server.listed) {
+    return "missing from the host list";
+  }
+  if (now < server.out_of_favour_until) {
+    return std::to_string(server.consecutive_failures) +
+           " failures in a row, tried again in " +
+           std::to_string(static_cast<std::int64_t>(
+               Milliseconds(server.out_of_favour_until - now))) +
+           " ms";
+  }
+  return {};
+}
+
+}  // namespace
+
+json ServicesReport(const ServiceLevels& levels, TimePoint now) {
+  json services = json::array();
+  for (const ServiceLevels::Service& service : levels.Report(now)) {
+    json windows = json::array();
+    for (std::size_t i = 0; i < service.windows.size(); ++i) {
+      json window = AttainmentJson(service.windows[i]);
+      window["seconds"] =
+          static_cast<std::int64_t>(Seconds(ServiceLevels::kWindows[i]));
+      windows.push_back(std::move(window));
+    }
+    json record = AttainmentJson(service.since_start);
+    record["service"] = service.name;
+    record["windows"] = std::move(windows);
+    services.push_back(std::move(record));
+  }
+  return services;
+}
+
+json StagesReport(const RequestMetrics& metrics) {
+  json stages = json::array();
+  for (const auto& [labels, series] : metrics.stages()) {
+    stages.push_back({{"service", labels.service},
+                      {"profile", labels.profile},
+                      {"stage", labels.stage},
+                      {"runs", series.latency.count()},
+                      {"attempts", series.attempts},
+                      {"units", series.units},
+                      {"billed_bytes", series.billed_bytes},
+                      {"cost_micros", series.cost_micros}});
+  }
+  return stages;
+}
+
+json OutOfFavourReport(const ServerTable& servers, TimePoint now) {
+  json list = json::array();
+  for (const auto& [name, server] : servers.servers()) {
+    const std::string why = WhyNot(*server, now);
+    if (!why.empty()) {
+      list.push_back({{"server", name},
+                      {"pool", server->host.pool},
+                      {"data_centre", server->host.data_centre},
+                      {"why", why}});
+    }
+  }
+  return list;
+}
+
+json HeaviestReport(const std::vector<UseRecord>& heaviest) {
+  json list = json::array();
+  for (const UseRecord& use : heaviest) {
+    list.push_back({{"organisation", use.who.organisation},
+                    {"subscriber", use.who.subscriber},
+                    {"cost", use.cost}});
+  }
+  return list;
+}
+
+}  // namespace gentianroute
--- /dev/null
+++ b/packages/observe/include/gentianroute/observe/service_level.h
@@ -0,0 +1,118 @@
+#ifndef GENTIANROUTE_OBSERVE_SERVICE_LEVEL_H_
+#define GENTIANROUTE_OBSERVE_SERVICE_LEVEL_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gentianroute/base/error_kind.h"
+#include "gentianroute/base/time.h"
+
+namespace gentianroute {
+
+/// @brief Requests that count towards the service level.
+struct Attainment {
+  std::uint64_t total = 0;
+  std::uint64_t attained = 0;  ///< answered whole within their deadline
+
+  /// @return from 0 to 1; 1 if there were none
+  double Share() const;
+  /// @brief How fast the error budget is spent: 1 spends exactly all of it.
+  /// @param target share of requests to be attained, from 0 to 1
+  /// @return 0 if none failed; with a target of 1 the budget is taken as 1e-6
+  double BurnRate(double target) const;
+};
+
+/// @brief Whether a request that ended so counts: the caller's own mistakes do
+/// not.
+bool CountsForServiceLevel(std::optional<ErrorKind> error);
+
+/// @brief Sums over the last part of time, in a ring of equal slots.
+///
+/// @tparam kSlots number of slots; memory is fixed
+template <std::size_t kSlots>
+class AttainmentRing {
+ public:
+  explicit AttainmentRing(Duration slot) : slot_(slot) {}
+
+  void Add(TimePoint now, bool attained) {
+    Slot& slot = slots_[NumberOf(now) % kSlots];
+    if (slot.number != NumberOf(now)) {
+      slot = {NumberOf(now), {}};
+    }
+    ++slot.sum.total;
+    slot.sum.attained += attained ? 1 : 0;
+  }
+
+  /// @param window at most kSlots slots long; the slot at hand counts whole
+  /// @complexity linear in the slots
+  Attainment Sum(TimePoint now, Duration window) const {
+    const std::int64_t newest = NumberOf(now);
+    const std::int64_t oldest = newest - window / slot_ + 1;
+    Attainment sum;
+    for (const Slot& slot : slots_) {
+      if (slot.number >= oldest && slot.number <= newest) {
+        sum.total += slot.sum.total;
+        sum.attained += slot.sum.attained;
+      }
+    }
+    return sum;
+  }
+
+ private:
+  struct Slot {
+    std::int64_t number = -1;  ///< counted from the daemon's start; -1: unused
+    Attainment sum;
+  };
+
+  std::int64_t NumberOf(TimePoint now) const {
+    return now.time_since_epoch() / slot_;
+  }
+
+  Duration slot_;
+  std::array<Slot, kSlots> slots_{};
+};
+
+/// @brief Attainment of each service over several windows.
+///
+/// Two short windows show a fast burn, two long ones a slow burn. Hosts keep
+/// nothing: a daemon knows only what happened since its own start.
+class ServiceLevels {
+ public:
+  static constexpr std::array<Duration, 4> kWindows = {
+      std::chrono::minutes(5), std::chrono::hours(1), std::chrono::hours(6),
+      std::chrono::hours(72)};
+
+  /// @param service a declared name, or the label for the others
+  void Observe(TimePoint now, std::string_view service, bool attained);
+
+  struct Service {
+    std::string name;
+    Attainment since_start;
+    std::array<Attainment, kWindows.size()> windows;
+  };
+  /// @return one record a service, by name
+  std::vector<Service> Report(TimePoint now) const;
+
+ private:
+  static constexpr Duration kShortSlot = std::chrono::seconds(10);
+  static constexpr Duration kLongSlot = std::chrono::minutes(10);
+  static constexpr std::size_t kShortSlots = 360;  // one hour
+  static constexpr std::size_t kLongSlots = 432;   // three days
+
+  struct Rings {
+    Attainment since_start;
+    AttainmentRing<kShortSlots> by_seconds{kShortSlot};
+    AttainmentRing<kLongSlots> by_minutes{kLongSlot};
+  };
+
+  std::map<std::string, Rings, std::less<>> services_;
+};
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_OBSERVE_SERVICE_LEVEL_H_
--- /dev/null
+++ b/packages/observe/src/service_level.cc
@@ -0,0 +1,57 @@
+#include "gentianroute/observe/service_level.h"
+
+#include <algorithm>
+
+namespace gentianroute {
+namespace {
+
+constexpr auto kFirstNotOfCaller = ErrorKind::kOverloaded;
+
+}  // namespace
+
+double Attainment::Share() const {
+  return total == 0
+             ? 1
+             : static_cast<double>(attained) / static_cast<double>(total);
+}
+
+double Attainment::BurnRate(double target) const {
+  constexpr double kSmallestBudget = 1e-6;
+  return (1 - Share()) / std::max(1 - target, kSmallestBudget);
+}
+
+bool CountsForServiceLevel(std::optional<ErrorKind> error) {
+  // The numbers below are the caller's mistakes: no daemon could answer them.
+  return !error.has_value() || *error >= kFirstNotOfCaller;
+}
+
+void ServiceLevels::Observe(TimePoint now,
+                            std::string_view service,
+                            bool attained) {
+  auto found = services_.find(service);
+  if (found == services_.end()) {
+    found = services_.try_emplace(std::string(service)).first;
+  }
+  Rings& rings = found->second;
+  ++rings.since_start.total;
+  rings.since_start.attained += attained ? 1 : 0;
+  rings.by_seconds.Add(now, attained);
+  rings.by_minutes.Add(now, attained);
+}
+
+std::vector<ServiceLevels::Service> ServiceLevels::Report(TimePoint now) const {
+  std::vector<Service> report;
+  for (const auto& [name, rings] : services_) {
+    Service service{name, rings.since_start, {}};
+    for (std::size_t i = 0; i < kWindows.size(); ++i) {
+      const Duration window = kWindows[i];
+      service.windows[i] = window <= kShortSlot * kShortSlots
+                               ? rings.by_seconds.Sum(now, window)
+                               : rings.by_minutes.Sum(now, window);
+    }
+    report.push_back(std::move(service));
+  }
+  return report;
+}
+
+}  // namespace gentianroute
--- /dev/null
+++ b/packages/observe/tests/service_level_test.cc
@@ -0,0 +1,68 @@
+#include <cmath>
+
+#include "gentianroute/observe/service_level.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using gentianroute::Attainment;
+using gentianroute::CountsForServiceLevel;
+using gentianroute::ErrorKind;
+using gentianroute::ServiceLevels;
+using gentianroute::TimePoint;
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+TimePoint At(gentianroute::Duration since_start) {
+  return TimePoint{} + since_start;
+}
+
+}  // namespace
+
+Test(service_level, burn_rate_is_the_share_of_failures_over_the_budget) {
+  const Attainment half_of_budget{1000, 975};
+  cr_expect(std::abs(half_of_budget.BurnRate(0.95) - 0.5) < 1e-9);
+  cr_expect_eq(Attainment{}.BurnRate(0.95), 0);
+  cr_expect_eq((Attainment{10, 10}).BurnRate(1), 0);
+  cr_expect(std::isfinite((Attainment{10, 0}).BurnRate(1)));
+}
+
+Test(service_level, callers_mistakes_do_not_count) {
+  cr_expect(!CountsForServiceLevel(ErrorKind::kMalformedRequest));
+  cr_expect(!CountsForServiceLevel(ErrorKind::kKeyConflict));
+  cr_expect(CountsForServiceLevel(ErrorKind::kOverloaded));
+  cr_expect(CountsForServiceLevel(ErrorKind::kDeadlineExceeded));
+  cr_expect(CountsForServiceLevel(std::nullopt));
+}
+
+// An outage of one minute: ten requests fail, then all is well again. The
+// short window must forget it and the longer ones still show it, each until its
+// own end; a ring that reuses a slot must not count what stood there before.
+Test(service_level, failures_leave_each_window_at_its_own_end) {
+  ServiceLevels levels;
+  for (int i = 0; i < 10; ++i) {
+    levels.Observe(At(seconds(i)), "drafts", false);
+  }
+  struct Row {
+    gentianroute::Duration at;
+    std::uint64_t totals[4];
+  };
+  const Row rows[] = {{minutes(1), {10, 10, 10, 10}},
+                      {minutes(6), {0, 10, 10, 10}},
+                      {minutes(61), {0, 0, 10, 10}},
+                      {hours(7), {0, 0, 0, 10}},
+                      {hours(73), {0, 0, 0, 0}}};
+  for (const Row& row : rows) {
+    const ServiceLevels::Service service = levels.Report(At(row.at)).at(0);
+    for (std::size_t i = 0; i < 4; ++i) {
+      cr_expect_eq(service.windows[i].total, row.totals[i], "window %zu", i);
+    }
+    cr_expect_eq(service.since_start.total, 10U);
+  }
+  levels.Observe(At(hours(72)), "drafts", true);
+  const auto again = levels.Report(At(hours(72))).at(0);
+  cr_expect_eq(again.windows[0].total, 1U);
+  cr_expect_eq(again.windows[3].total, 1U);
+}
--- a/tests/process/gentianctl_test.cc
+++ b/tests/process/gentianctl_test.cc
@@ -268,3 +268,52 @@
   cr_assert_eq(deployment->daemon(1).Wait(20), 0);
   cr_assert_eq(Ctl({"status"}, 1).code, 4);
 }
+
+// One of two services answers, the other one has no server. Both daemons count;
+// the report must add them up, and the page must stand on its own.
+Test(gentianctl, report_adds_daemons_up_and_writes_one_page) {
+  ApplyFirst();
+  const std::string broken = Write("broken.json", R"({
+    "profiles": [{"name": "<b>", "stages": [{"name": "gen", "pool": "llm"}]}],
+    "services": [{"name": "<broken>", "profile": "<b>"}]})");
+  cr_assert_eq(Ctl({"apply", broken, "--wait", "30"}).code, 0);
+  for (const std::size_t daemon : {0U, 1U, 1U}) {
+    cr_assert_eq(deployment->Post(daemon, "drafting", "{}").status, 200);
+  }
+  deployment->Post(0, "<broken>", "{}");
+
+  const std::string page = deployment->File("report.html");
+  const std::string also =
+      "127.0.0.1:" + std::to_string(deployment->operator_port(1));
+  const Run run = Ctl({"--also", also, "report", "--html", page});
+  cr_assert_eq(run.code, 0, "%s", run.output.dump().c_str());
+  const json& services = run.output.at("services");
+  cr_assert_eq(services.size(), 2U);
+  cr_assert_eq(services[0].at("service"), "<broken>");
+  cr_assert_eq(services[0].at("attained"), 0);
+  cr_assert(services[0].at("windows")[0].at("burn_rate") > 1);
+  cr_assert_eq(services[1].at("total"), 3);
+  cr_assert_eq(services[1].at("windows")[3].at("attained"), 3);
+  cr_assert_eq(run.output.at("stages")[0].at("runs"), 3);
+  cr_assert_eq(run.output.at("daemons").size(), 3U);
+
+  const std::string html = Slurp(page);
+  cr_assert(html.find("&lt;broken&gt;") != std::string::npos);
+  for (const char* foreign : {"<broken>", "<script", "http:", "https:"}) {
+    cr_assert(html.find(foreign) == std::string::npos, "%s", foreign);
+  }
+  deployment->daemon(1).Signal(SIGKILL);
+  deployment->daemon(1).Wait(10);
+  const Run partial = Ctl({"--also", also, "report"});
+  cr_assert_eq(partial.code, 4);
+  cr_assert_eq(partial.output.at("unreachable").at(0), also);
+}
+
+Test(gentianctl, metrics_name_the_service_after_its_first_request) {
+  ApplyFirst();
+  deployment->Post(0, "drafting", "{}");
+  const auto answer = Http(deployment->operator_port(0), "GET", "/metrics", "");
+  const std::string line =
+      "gentianroute_answers_total{service=\"drafting\",profile=\"drafts\"} 1\n";
+  cr_assert(answer.body.find(line) != std::string::npos);
+}
