--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -14,8 +14,11 @@
 #include "gentianroute/entry/config_sync.h"
 #include "gentianroute/entry/operator_api.h"
 #include "gentianroute/entry/peer_links.h"
+#include "gentianroute/entry/peer_revisions.h"
 #include "gentianroute/loop/h2o_http_client.h"
 #include "gentianroute/loop/http_server.h"
+#include "gentianroute/observe/request_metrics.h"
+#include "gentianroute/observe/service_level.h"
 #include "gentianroute/platform/http_platform.h"
 #include "gentianroute/schema/declarations.h"
 #include "gentianroute/schema/rows.h"
@@ -36,6 +39,9 @@
   /// @brief Stops in a planned way; `done` is called once nothing runs.
   void Drain(std::function<void()> done);
 
+  /// @brief What ends the process once an operator's drain is through.
+  void SetStop(std::function<void()> stop) { stop_ = std::move(stop); }
+
   std::uint16_t caller_port() const { return callers_->port(); }
   std::uint16_t operator_port() const { return operators_->port(); }
   std::uint16_t peer_port() const { return peers_->port(); }
@@ -54,7 +60,11 @@
   bool Ready() const override;
   nlohmann::json Status() const override;
   nlohmann::json DocumentsInForce() const override;
+  const gentianroute::Documents& PresentDocuments() const override {
+    return follower_.documents();
+  }
   nlohmann::json History() const override;
+  nlohmann::json Report() const override;
   std::string Metrics() const override;
   void Apply(ConfigRevision change, const ConfigSync::Done& done) override;
   void StartDrain() override;
@@ -67,6 +77,7 @@
   void PollHosts();
   void ApplyHosts(const std::vector<HostRecord>& hosts);
   void OnConfigChanged();
+  void BeginDrain();
   void CheckDrained();
   void EndDrain();
 
@@ -93,6 +104,10 @@
   std::unique_ptr<PeerLinks> peers_;
   std::unordered_map<JoinId, std::function<void(JoinOutcome)>> joins_;
   std::vector<PeerAddress> seeds_;
+  PeerRevisions peer_revisions_;
+  RequestMetrics metrics_;
+  ServiceLevels levels_;
+  std::function<void()> stop_ = [] {};
   TimerId wake_;
   bool pumping_ = false;
   bool touched_ = false;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gentianroute/entry/problem.h"
+#include "gentianroute/entry/report.h"
 #include "gentianroute/observe/log.h"
 
 namespace gentianroute {
@@ -104,7 +105,8 @@
                       std::to_string(incarnation_),
                   [this] { Touch(); }),
       operator_api_(loop, *this),
-      seeds_(SeedsOf(settings.get())) {
+      seeds_(SeedsOf(settings.get())),
+      peer_revisions_(loop.Now()) {
   const auto root = settings.get();
   callers_ = std::make_unique<HttpServer>(
       loop, ServerOptions(root.getCallers(), root.getLimits()),
@@ -125,6 +127,9 @@
   PeerHandler& handler = *this;
   peers_ = std::make_unique<PeerLinks>(loop, peer_options, handler);
   peers_->SetPeers(seeds_);
+  for (const PeerAddress& seed : seeds_) {
+    peer_revisions_.Know(seed.name, seed.data_centre);
+  }
 
   const Duration poll = milliseconds(root.getPlatform().getPollMs());
   loop.Every(poll, [this] {
@@ -200,6 +205,12 @@
       daemon.caller_api_.Deliver(chunk);
     }
     void operator()(const FinishRequest& finish) const {
+      daemon.metrics_.Observe(finish);
+      if (CountsForServiceLevel(finish.error)) {
+        daemon.levels_.Observe(daemon.loop_.Now(),
+                               daemon.metrics_.ServiceLabel(finish.service),
+                               !finish.error.has_value());
+      }
       daemon.caller_api_.Finish(finish);
     }
     void operator()(const AskClaimer& ask) const { daemon.Ask(ask); }
@@ -253,6 +264,12 @@
     });
     peers.push_back({host.name, host.data_centre, host.address, host.port});
   }
+  for (const PeerAddress& peer : peers) {
+    if (peer.name != settings_.get().getName().cStr()) {
+      peer_revisions_.Know(peer.name, peer.data_centre);
+    }
+  }
+  peer_revisions_.ForgetOthers();
   peers_->SetPeers(std::move(peers));
   servers_.ApplyHostList(loop_.Now(), backends);
   coordinator_.OnServersChanged(loop_.Now());
@@ -261,6 +278,7 @@
 
 void Daemon::OnConfigChanged() {
   coordinator_.SetCatalogue(follower_.catalogue());
+  metrics_.SetCatalogue(follower_.catalogue());
   LogEvent("configuration").Field("revision", follower_.revision());
   peers_->Gossip();  // a rumour: peers hear of it now, not at the next round
 }
@@ -313,6 +331,7 @@
   }
   const std::string peer = digest.getDaemon().cStr();
   usage_.SetRemote(now, peer, heavy);
+  peer_revisions_.Heard(now, peer, digest.getRevision());
   for (const auto server : digest.getLeaving()) {
     servers_.MarkLeaving(server.getServer().cStr(), server.getIncarnation());
   }
@@ -365,32 +384,28 @@
          {"calls", server->calls},
          {"failures", server->failures}});
   }
-  json heavy = json::array();
-  for (const UseRecord& use : usage_.Heaviest(loop_.Now(), kHeavyRecords)) {
-    heavy.push_back({{"organisation", use.who.organisation},
-                     {"subscriber", use.who.subscriber},
-                     {"cost", use.cost}});
-  }
   const CoordinatorCounters& counters = coordinator_.counters();
-  return {{"name", settings_.get().getName().cStr()},
-          {"data_centre", settings_.get().getDataCentre().cStr()},
-          {"region", settings_.get().getRegion().cStr()},
-          {"incarnation", incarnation_},
-          {"ready", Ready()},
-          {"draining", draining_},
-          {"revision", follower_.revision()},
-          {"highest_heard", follower_.highest_heard()},
-          {"active", coordinator_.active()},
-          {"queued", coordinator_.queued()},
-          {"peers", peers_->peer_count()},
-          {"submitted", counters.submitted},
-          {"answered", counters.answered},
-          {"failed", counters.failed},
-          {"retries", counters.retries},
-          {"late_answers", counters.late_answers},
-          {"crossed_answers", counters.crossed_answers},
-          {"heaviest", std::move(heavy)},
-          {"servers", std::move(servers)}};
+  return {
+      {"name", settings_.get().getName().cStr()},
+      {"data_centre", settings_.get().getDataCentre().cStr()},
+      {"region", settings_.get().getRegion().cStr()},
+      {"incarnation", incarnation_},
+      {"ready", Ready()},
+      {"draining", draining_},
+      {"revision", follower_.revision()},
+      {"highest_heard", follower_.highest_heard()},
+      {"active", coordinator_.active()},
+      {"queued", coordinator_.queued()},
+      {"peers", peers_->peer_count()},
+      {"peer_revisions", peer_revisions_.ToJson(loop_.Now())},
+      {"submitted", counters.submitted},
+      {"answered", counters.answered},
+      {"failed", counters.failed},
+      {"retries", counters.retries},
+      {"late_answers", counters.late_answers},
+      {"crossed_answers", counters.crossed_answers},
+      {"heaviest", HeaviestReport(usage_.Heaviest(loop_.Now(), kHeavyRecords))},
+      {"servers", std::move(servers)}};
 }
 
 json Daemon::DocumentsInForce() const {
@@ -413,6 +428,7 @@
       changes.push_back({{"kind", DocumentKindName(change.kind)},
                          {"name", change.name},
                          {"deleted", change.body.empty()},
+                         {"base_revision", change.base_revision},
                          {"body", change.body}});
     }
     revisions.push_back({{"revision", revision.revision},
@@ -424,15 +440,35 @@
   return {{"revisions", std::move(revisions)}};
 }
 
+json Daemon::Report() const {
+  const TimePoint now = loop_.Now();
+  return {{"name", settings_.get().getName().cStr()},
+          {"data_centre", settings_.get().getDataCentre().cStr()},
+          {"revision", follower_.revision()},
+          {"peer_revisions", peer_revisions_.ToJson(now)},
+          {"counting_since_unix_micros", incarnation_},
+          {"at_unix_micros", loop_.Wall()},
+          {"attainment_target", settings_.get().getSlo().getAttainmentTarget()},
+          {"services", ServicesReport(levels_, now)},
+          {"stages", StagesReport(metrics_)},
+          {"heaviest", HeaviestReport(usage_.Heaviest(now, kHeavyRecords))},
+          {"out_of_favour", OutOfFavourReport(servers_, now)}};
+}
+
 std::string Daemon::Metrics() const {
-  const CoordinatorCounters& counters = coordinator_.counters();
-  return "gentianroute_requests_total " + std::to_string(counters.submitted) +
-         "\n";
+  MetricWriter writer;
+  WriteCounters(writer, coordinator_.counters());
+  metrics_.Write(writer);
+  return writer.text();
 }
 
 // --- Stop -------------------------------------------------------------------
 
 void Daemon::StartDrain() {
+  Drain(stop_);
+}
+
+void Daemon::BeginDrain() {
   if (std::exchange(draining_, true)) {
     return;
   }
@@ -450,7 +486,7 @@
 }
 
 void Daemon::Drain(std::function<void()> done) {
-  StartDrain();
+  BeginDrain();
   if (drained_) {
     return;  // a second signal cuts off nothing
   }
