Measure the policies against baselines in virtual time

Change: policy_bench drives one real coordinator per region against fake servers with slots, queues and lagging reports; first come, first served becomes a queue order to compare with, and Options::retry_budget, which nothing read, now reaches the budgets.

--- /dev/null
+++ b/benchmarks/policy_bench.cc
@@ -0,0 +1,50 @@
+// Measures the policies in virtual time: `policy_bench SCENARIO [--json]`.
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "scenarios.h"
+
+namespace gentianroute::bench {
+namespace {
+
+int RunScenarios(const std::string& name,
+                 const ScenarioOptions& options,
+                 bool json) {
+  bool broken = false;
+  for (const Scenario& scenario : AllScenarios()) {
+    if (name != "all" && name != scenario.name) {
+      continue;
+    }
+    Report report;
+    report.scenario = scenario.name;
+    report.seed = options.seed;
+    scenario.run(options, report);
+    json ? report.WriteJson(std::cout) : report.WriteText(std::cout);
+    broken = broken || !report.broken.empty();
+  }
+  return broken ? 1 : 0;
+}
+
+}  // namespace
+}  // namespace gentianroute::bench
+
+int main(int argc, char** argv) {
+  using gentianroute::bench::AllScenarios;
+  CLI::App app("Measures gentianroute's policies in virtual time.");
+  std::vector<std::string> names = {"all"};
+  for (const auto& scenario : AllScenarios()) {
+    names.emplace_back(scenario.name);
+  }
+  std::string name;
+  gentianroute::bench::ScenarioOptions options;
+  bool json = false;
+  app.add_option("scenario", name, "what to measure")
+      ->required()
+      ->check(CLI::IsMember(names));
+  app.add_option("--seed", options.seed, "seed of the random numbers");
+  app.add_flag("--json", json, "JSON instead of a table");
+  app.add_flag("--quick", options.quick, "a small size, to see that it runs");
+  CLI11_PARSE(app, argc, argv);
+  return gentianroute::bench::RunScenarios(name, options, json);
+}
--- /dev/null
+++ b/benchmarks/report.h
@@ -0,0 +1,36 @@
+#ifndef GENTIANROUTE_BENCHMARKS_REPORT_H_
+#define GENTIANROUTE_BENCHMARKS_REPORT_H_
+
+#include <iosfwd>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace gentianroute::bench {
+
+/// @brief One measured line: names and values in the order of the columns.
+using Row = nlohmann::ordered_json;
+
+/// @brief What a scenario measured, and which of its assertions failed.
+struct Report {
+  std::string scenario;
+  std::uint64_t seed = 0;
+  std::vector<Row> rows;
+  std::vector<std::string> broken;
+
+  void Expect(bool holds, std::string what) {
+    if (!holds) {
+      broken.push_back(std::move(what));
+    }
+  }
+  void WriteText(std::ostream& out) const;
+  void WriteJson(std::ostream& out) const;
+};
+
+/// @brief A number with three decimals at most.
+double Rounded(double value);
+
+}  // namespace gentianroute::bench
+
+#endif  // GENTIANROUTE_BENCHMARKS_REPORT_H_
--- /dev/null
+++ b/benchmarks/scenarios.cc
@@ -0,0 +1,249 @@
+#include "scenarios.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+#include "load_model.h"
+
+namespace gentianroute::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kCapacity = 240;  ///< requests a second, by the engines
+
+StageSpec Stage(const char* name, Duration expected, std::int64_t cost) {
+  StageSpec stage;
+  stage.name = name;
+  stage.pool = name;
+  stage.expected = expected;
+  stage.cost_per_call = cost;
+  return stage;
+}
+
+Plan BasePlan(const ScenarioOptions& options) {
+  Plan plan;
+  plan.seed = options.seed;
+  plan.length = options.quick ? seconds(12) : seconds(40);
+  plan.profile.deadline = seconds(2);
+  plan.profile.stages = {Stage("encode", milliseconds(20), 10),
+                         Stage("retrieve", milliseconds(25), 15),
+                         Stage("rerank", milliseconds(25), 20),
+                         Stage("generate", milliseconds(200), 400)};
+  plan.pools = {{"encode", 3, 4, milliseconds(20)},
+                {"retrieve", 3, 4, milliseconds(25)},
+                {"rerank", 3, 4, milliseconds(25)},
+                {"generate", 12, 4, milliseconds(200)}};
+  return plan;
+}
+
+void AddEqualTraffic(Plan& plan, double load) {
+  for (int i = 0; i < 5; ++i) {
+    plan.traffic.push_back(
+        {"org" + std::to_string(i), "s", load * kCapacity / 5});
+  }
+}
+
+Row Summary(const Outcome& outcome) {
+  Row row;
+  row["attainment"] = Rounded(outcome.all.Attainment());
+  row["refused"] = Rounded(Ratio(outcome.all.refused, outcome.all.sent));
+  row["p50_ms"] = Rounded(outcome.Percentile(0.5));
+  row["p99_ms"] = Rounded(outcome.Percentile(0.99));
+  row["spread"] = Rounded(outcome.load_spread);
+  row["cost_per_answer"] = Rounded(outcome.CostPerAnswer());
+  return row;
+}
+
+Row Joined(Row row, const Row& more) {
+  row.update(more);
+  return row;
+}
+
+// --- Load and routing -------------------------------------------------------
+
+struct Trouble {
+  const char* name;
+  void (*apply)(Plan& plan);
+};
+
+constexpr std::array<Trouble, 4> kTroubles = {{
+    {"bursts", [](Plan& /*plan*/) {}},
+    {"one slow engine", [](Plan& plan) { plan.pools.back().slowness = 8; }},
+    {"rerank fails 5 s",
+     [](Plan& plan) {
+       plan.pools[2].fails_from = seconds(5);
+       plan.pools[2].fails_until = seconds(10);
+     }},
+    {"reports 3 s late", [](Plan& plan) { plan.report_lag = seconds(3); }},
+}};
+
+struct Routing {
+  const char* name;
+  RoutingPolicy policy;
+};
+
+constexpr std::array<Routing, 3> kRoutings = {
+    {{"predicted", RoutingPolicy::kPredictedCompletion},
+     {"random", RoutingPolicy::kRandom},
+     {"least reported", RoutingPolicy::kLeastReportedLoad}}};
+
+void RunLoad(const ScenarioOptions& options, Report& report) {
+  for (const double load : {0.5, 0.8, 1.0, 1.5}) {
+    for (const Trouble& trouble : kTroubles) {
+      std::array<double, 3> attained{};
+      for (std::size_t i = 0; i < kRoutings.size(); ++i) {
+        Plan plan = BasePlan(options);
+        plan.routing = kRoutings[i].policy;
+        AddEqualTraffic(plan, load);
+        trouble.apply(plan);
+        const Outcome outcome = LoadModel(plan).Run();
+        attained[i] = outcome.all.Attainment();
+        Row row;
+        row["load"] = load;
+        row["trouble"] = trouble.name;
+        row["routing"] = kRoutings[i].name;
+        report.rows.push_back(Joined(row, Summary(outcome)));
+        for (const auto& [stage, cost] : outcome.stage_cost) {
+          report.rows.back()["cost_" + stage] =
+              Rounded(static_cast<double>(cost) /
+                      static_cast<double>(
+                          std::max<std::uint64_t>(1, outcome.all.in_time)));
+        }
+      }
+      report.Expect(attained[0] >= std::max(attained[1], attained[2]) - 0.03,
+                    std::string("predicted routing is no worse: ") +
+                        trouble.name + " at " + std::to_string(load));
+    }
+  }
+}
+
+// --- Heavy subscribers ------------------------------------------------------
+
+/// Others send 60 % of the capacity; the heavy one sends 20 times its share.
+void RunHeavy(const ScenarioOptions& options, Report& report) {
+  constexpr double kShare = 0.6 / 5 * kCapacity;
+  for (const bool inside : {false, true}) {
+    double baseline = 0;
+    for (const bool fair : {false, true}) {
+      Plan plan = BasePlan(options);
+      plan.coordinator.queue_order =
+          fair ? QueueOrder::kFair : QueueOrder::kArrival;
+      for (int i = 0; i < 5; ++i) {
+        const std::string name = inside ? "one" : "org" + std::to_string(i);
+        plan.traffic.push_back(
+            {name, "s" + std::to_string(i), kShare * (i == 0 ? 20 : 1)});
+      }
+      const Outcome outcome = LoadModel(plan).Run();
+      Tally others;
+      Tally heavy;
+      for (const auto& [name, tally] : outcome.subscribers) {
+        Tally& sum = name.ends_with("s0") ? heavy : others;
+        sum.sent += tally.sent;
+        sum.in_time += tally.in_time;
+      }
+      const double measured = Seconds(plan.length - plan.warm_up);
+      const auto per_second = [measured](const Tally& tally) {
+        return static_cast<double>(tally.in_time) / measured;
+      };
+      Row row;
+      row["heavy"] = inside ? "subscriber" : "organisation";
+      row["order"] = fair ? "fair" : "arrival";
+      row["others_attainment"] = Rounded(others.Attainment());
+      row["heavy_attainment"] = Rounded(heavy.Attainment());
+      row["others_per_s"] = Rounded(per_second(others));
+      row["heavy_per_s"] = Rounded(per_second(heavy));
+      row["total_of_capacity"] = Rounded(per_second(outcome.all) / kCapacity);
+      report.rows.push_back(row);
+      if (fair) {
+        report.Expect(others.Attainment() >= baseline,
+                      "fair queueing is no worse for the others");
+        report.Expect(others.Attainment() >= 0.9,
+                      "the others meet nine deadlines of ten");
+        report.Expect(heavy.in_time > 0, "the heavy one gets what is idle");
+      }
+      baseline = others.Attainment();
+    }
+  }
+}
+
+// --- Retries ----------------------------------------------------------------
+
+/// Seconds after the fault until three seconds in a row are as good as before.
+double SecondsToRecover(const Outcome& outcome, std::size_t from) {
+  constexpr double kGood = 0.9;
+  for (std::size_t i = from; i + 3 < outcome.seconds.size(); ++i) {
+    const bool good = std::all_of(
+        outcome.seconds.begin() + static_cast<std::ptrdiff_t>(i),
+        outcome.seconds.begin() + static_cast<std::ptrdiff_t>(i + 3),
+        [](const Tally& tally) { return tally.Attainment() >= kGood; });
+    if (good) {
+      return static_cast<double>(i - from);
+    }
+  }
+  return -1;
+}
+
+struct Restraint {
+  const char* name;
+  bool budget;
+  bool refuse_early;
+};
+
+constexpr std::array<Restraint, 4> kRestraints = {
+    {{"neither", false, false},
+     {"budget", true, false},
+     {"early refusal", false, true},
+     {"both", true, true}}};
+
+void RunRetries(const ScenarioOptions& options, Report& report) {
+  constexpr std::size_t kFaultEnd = 15;
+  std::vector<double> recovered;
+  std::vector<double> calls;
+  for (const Restraint& restraint : kRestraints) {
+    Plan plan = BasePlan(options);
+    plan.length = seconds(40);
+    plan.bursts = false;
+    plan.caller_resends = 3;
+    plan.pools[2].fails_from = seconds(5);
+    plan.pools[2].fails_until = seconds(kFaultEnd);
+    plan.coordinator.refuse_early = restraint.refuse_early;
+    if (!restraint.budget) {
+      plan.coordinator.retry_budget = {1e9, 1e9};
+    }
+    AddEqualTraffic(plan, 0.9);
+    const Outcome outcome = LoadModel(plan).Run();
+    recovered.push_back(SecondsToRecover(outcome, kFaultEnd));
+    calls.push_back(outcome.CallsPerRequest());
+    Row row;
+    row["restraint"] = restraint.name;
+    row["calls_per_request"] = Rounded(calls.back());
+    row["rerank_calls_per_request"] =
+        Rounded(static_cast<double>(outcome.stage_cost.at("rerank")) /
+                static_cast<double>(plan.profile.stages[2].cost_per_call) /
+                static_cast<double>(outcome.all.sent));
+    row["recovers_after_s"] = recovered.back();
+    report.rows.push_back(Joined(row, Summary(outcome)));
+  }
+  report.Expect(calls[3] <= calls[0], "both restraints make no more calls");
+  report.Expect(
+      recovered[3] >= 0 && (recovered[0] < 0 || recovered[3] <= recovered[0]),
+      "with both it recovers no later");
+}
+
+constexpr std::array<Scenario, 3> kScenarios = {{
+    {"load", "attainment and cost by load, trouble and routing", &RunLoad},
+    {"heavy", "one at 20 times its share, fair and by arrival", &RunHeavy},
+    {"retries", "a stage fails for 10 s, with and without restraint",
+     &RunRetries},
+}};
+
+}  // namespace
+
+std::span<const Scenario> AllScenarios() {
+  return kScenarios;
+}
+
+}  // namespace gentianroute::bench
--- a/packages/decision/include/gentianroute/decision/coordinator.h
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -55,6 +55,7 @@
     double least_time = 0.5;
     std::uint64_t seed = 1;
     RetryBudget::Options retry_budget;
+    QueueOrder queue_order = QueueOrder::kFair;
     bool refuse_early = true;  ///< false: the baseline without early refusals
   };
 
@@ -159,6 +160,7 @@
              Request& request,
              AttemptFailure failure,
              std::string_view detail);
+  RetryBudget& BudgetOf(const std::string& pool);
   ErrorKind KindOfFailure(const Request& request, AttemptFailure failure) const;
   void OnCrash(TimePoint now, const Attempt& attempt);
   Attempt Detach(AttemptId attempt);
--- a/packages/decision/include/gentianroute/decision/fair_queue.h
+++ b/packages/decision/include/gentianroute/decision/fair_queue.h
@@ -2,6 +2,7 @@
 #define GENTIANROUTE_DECISION_FAIR_QUEUE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -15,6 +16,12 @@
 
 namespace gentianroute {
 
+/// @brief Who goes first; kArrival is a baseline to measure with.
+enum class QueueOrder : std::uint8_t {
+  kFair,     ///< by use per weight
+  kArrival,  ///< first come, first served
+};
+
 /// @brief What waits for one pool, in the order in which it may go.
 ///
 /// Organisations go by use per weight, then subscribers of one organisation by
@@ -31,7 +38,8 @@
     double cost = 1;  ///< estimate in cost units, charged when it goes
   };
 
-  explicit FairQueue(UsageLedger& ledger) : ledger_(ledger) {}
+  explicit FairQueue(UsageLedger& ledger, QueueOrder order = QueueOrder::kFair)
+      : ledger_(ledger), order_(order) {}
 
   void Push(Waiter waiter);
 
@@ -65,6 +73,7 @@
              const Line::iterator& waiter);
 
   UsageLedger& ledger_;
+  QueueOrder order_;
   std::map<std::string, OrganisationLine> organisations_;
   std::unordered_map<RequestId, SubscriberName> where_;
   double waiting_cost_ = 0;
--- a/packages/decision/src/coordinator_stages.cc
+++ b/packages/decision/src/coordinator_stages.cc
@@ -49,7 +49,9 @@
   const StageSpec& stage = request.stage();
   request.phase = RequestPhase::kQueued;
   request.queued_at = now;
-  FairQueue& queue = queues_.try_emplace(stage.pool, usage_).first->second;
+  FairQueue& queue =
+      queues_.try_emplace(stage.pool, usage_, options_.queue_order)
+          .first->second;
   queue.Push({request.id, request.submission.organisation,
               request.submission.subscriber, request.submission.weight,
               Seconds(Expected(stage))});
@@ -227,7 +229,7 @@
   const Attempt attempt = Detach(answer.attempt);
   servers_.OnSuccess(now, server, now - attempt.started);
   Request& request = requests_.at(attempt.request);
-  budgets_[request.stage().pool].OnSuccess();
+  BudgetOf(request.stage().pool).OnSuccess();
   suspects_.OnAnswered(attempt.fingerprint);
   std::string result = request.stage().streams ? QuoteText(request.streamed)
                                                : std::move(answer.body);
@@ -343,6 +345,10 @@
   Dispatch(now, pool);
 }
 
+RetryBudget& Coordinator::BudgetOf(const std::string& pool) {
+  return budgets_.try_emplace(pool, options_.retry_budget).first->second;
+}
+
 void Coordinator::Retry(TimePoint now,
                         Request& request,
                         AttemptFailure failure,
@@ -354,7 +360,7 @@
       suspects_.IsQuarantined(now, request.submission.fingerprint);
   bool again = harmless && meaning.worth_repeating && !quarantined &&
                request.attempts_made < stage.max_attempts;
-  if (again && !budgets_[stage.pool].TryTake()) {
+  if (again && !BudgetOf(stage.pool).TryTake()) {
     ++counters_.retries_denied;
     again = false;
   }
@@ -420,7 +426,7 @@
   if (!MayGo(now, request.id, server) || server == found->second.server) {
     return;
   }
-  if (!budgets_[request.stage().pool].TryTake()) {
+  if (!BudgetOf(request.stage().pool).TryTake()) {
     return;
   }
   ++counters_.hedges;
--- a/packages/decision/src/fair_queue.cc
+++ b/packages/decision/src/fair_queue.cc
@@ -8,9 +8,13 @@
 
 void FairQueue::Push(Waiter waiter) {
   waiting_cost_ += waiter.cost;
-  where_[waiter.request] = {waiter.organisation, waiter.subscriber};
-  OrganisationLine& line = organisations_[waiter.organisation];
-  line.subscribers[waiter.subscriber].push_back(std::move(waiter));
+  SubscriberName who;
+  if (order_ == QueueOrder::kFair) {
+    who = {waiter.organisation, waiter.subscriber};
+  }
+  where_[waiter.request] = who;
+  OrganisationLine& line = organisations_[who.organisation];
+  line.subscribers[who.subscriber].push_back(std::move(waiter));
 }
 
 std::optional<FairQueue::Waiter> FairQueue::Pop(
@@ -44,7 +48,8 @@
         continue;
       }
       Waiter taken = *waiter;
-      Erase(taken.organisation, taken.subscriber, waiter);
+      const SubscriberName who = where_.at(taken.request);
+      Erase(who.organisation, who.subscriber, waiter);
       ledger_.Charge(now, taken.organisation, taken.subscriber, taken.cost);
       return taken;
     }
