Draw servers from the free ones of each distance

Cause: Pick walked all servers of the pool when most were full, and its two draws could be the same server. A late load report reset the count of own calls, so servers looked idle (herding); a slow engine drew call after call that would end beyond the deadline. Change: free servers are kept per pool and distance (own data centre, own region, others); two different ones of each are scored. The load of other daemons is a moving average of reports less own calls. A server slower than the time left gets one call at a time. A thrifty profile waits for a near server while its deadline allows. Engines believed to hold the prompt's prefix are considered; a gap in an engine's cache events discards that belief.

--- a/packages/decision/include/gentianroute/decision/server.h
+++ b/packages/decision/include/gentianroute/decision/server.h
@@ -1,8 +1,10 @@
 #ifndef GENTIANROUTE_DECISION_SERVER_H_
 #define GENTIANROUTE_DECISION_SERVER_H_
 
+#include <algorithm>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -36,15 +38,31 @@
   bool leaving = false;
   /// Missing from the last list; like leaving, but a later list may name it.
   bool listed = true;
-  std::uint32_t in_flight = 0;             ///< calls of this daemon
-  std::uint32_t started_since_report = 0;  ///< of them, not yet in `host.load`
+  std::uint32_t in_flight = 0;  ///< calls of this daemon
+  /// Moving average of what reports show beyond this daemon's own calls. A
+  /// report is seconds late and may miss own calls, so one alone says little
+  /// and can be negative; their average is right.
+  double others_load = 0;
   std::uint32_t consecutive_failures = 0;
   TimePoint out_of_favour_until{};
   double service_seconds = 0;  ///< moving average of call time; 0: unknown
   std::uint64_t calls = 0;
   std::uint64_t failures = 0;
 
+  /// Where the server stands in its tier's list of free ones.
+  std::size_t free_index = kNotFree;
+  bool counted = false;  ///< among the accepting servers of its tier
+
+  static constexpr std::size_t kNotFree = static_cast<std::size_t>(-1);
+
   bool Accepts() const { return listed && !leaving; }
+  /// @brief Calls there now, as far as this daemon can tell.
+  double PredictedLoad() const {
+    return std::max(0.0, others_load) + in_flight;
+  }
+  /// @brief Whether this daemon may send one more call. Only own calls count:
+  /// withholding slots on the word of late reports left servers idle.
+  bool HasFreeSlot() const { return in_flight < host.slots; }
 };
 
 using ServerRef = boost::intrusive_ptr<Server>;
--- a/packages/decision/include/gentianroute/decision/server_table.h
+++ b/packages/decision/include/gentianroute/decision/server_table.h
@@ -1,7 +1,9 @@
 #ifndef GENTIANROUTE_DECISION_SERVER_TABLE_H_
 #define GENTIANROUTE_DECISION_SERVER_TABLE_H_
 
+#include <array>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <random>
 #include <set>
@@ -11,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "gentianroute/decision/prefix_affinity.h"
 #include "gentianroute/decision/profile.h"
 #include "gentianroute/decision/server.h"
 
@@ -70,12 +73,17 @@
 
   /// @brief Chooses a server that accepts work and has a free slot.
   /// @return null if there is none
-  /// @complexity see docs/CAPACITY.md: flat in the servers of the pool
+  /// @complexity constant in servers: a few draws from the free ones of each
+  /// tier; the baselines may look at all
   ServerRef Pick(TimePoint now, const PickContext& context, Rng& rng);
 
   /// @brief Whether any server of the pool accepts work, busy or not.
   bool HasServer(std::string_view pool) const;
 
+  /// @brief Lets engines that hold a prompt's prefix be preferred.
+  /// @param caches outlives the table; null: no preference
+  void SetPrefixAffinity(const PrefixAffinity* caches) { caches_ = caches; }
+
   void OnStart(Server& server);
   void OnSuccess(TimePoint now, Server& server, Duration took);
   void OnFailure(TimePoint now, Server& server);
@@ -92,34 +100,59 @@
   }
 
  private:
+  /// Nearest first: own data centre, own region, all others.
+  static constexpr std::size_t kTiers = 3;
+  struct Tier {
+    std::vector<ServerRef> free;
+    std::size_t accepting = 0;  ///< busy or not
+  };
   struct Pool {
-    std::vector<ServerRef> servers;
+    std::array<Tier, kTiers> tiers;
+  };
+  struct Choice {
+    ServerRef server;
+    double score = std::numeric_limits<double>::infinity();
+  };
+  struct Question {
+    TimePoint now;
+    const PickContext& context;
+    bool in_favour_only;
   };
-  using Score = double (ServerTable::*)(TimePoint,
-                                        const Server&,
-                                        const PickContext&) const;
-
-  double ScorePredicted(TimePoint now,
-                        const Server& server,
-                        const PickContext& context) const;
-  double ScoreNothing(TimePoint now,
-                      const Server& server,
-                      const PickContext& context) const;
-  double ScoreReported(TimePoint now,
-                       const Server& server,
-                       const PickContext& context) const;
-  static Score ScoreOf(RoutingPolicy policy);
-
-  bool MayTake(TimePoint now,
-               const Server& server,
-               const PickContext& context,
-               bool in_favour_only) const;
+  using Choose = ServerRef (ServerTable::*)(const Pool&,
+                                            const Question&,
+                                            Rng&) const;
+
+  ServerRef ChoosePredicted(const Pool& pool,
+                            const Question& question,
+                            Rng& rng) const;
+  ServerRef ChooseRandom(const Pool& pool,
+                         const Question& question,
+                         Rng& rng) const;
+  ServerRef ChooseLeastReported(const Pool& pool,
+                                const Question& question,
+                                Rng& rng) const;
+  void ConsiderHolders(const Question& question, Choice& best) const;
+  void ConsiderTwo(const Tier& tier,
+                   const Question& question,
+                   Rng& rng,
+                   Choice& best) const;
+  void Consider(const ServerRef& server,
+                const Question& question,
+                Choice& best) const;
+  static bool MayWaitForNearer(const Pool& pool, const PickContext& context);
+  double PredictedSeconds(const Server& server,
+                          const PickContext& context) const;
+  bool MayTake(const Server& server, const Question& question) const;
+
+  std::size_t TierOf(const Server& server) const;
+  void Refresh(Server& server);
   void Rebuild();
 
   Options options_;
   std::map<std::string, PathCost> paths_;
   std::map<std::string, ServerRef, std::less<>> servers_;
   std::map<std::string, Pool, std::less<>> pools_;
+  const PrefixAffinity* caches_ = nullptr;
   std::set<std::pair<std::string, std::uint64_t>> leaving_;
 };
 
--- a/packages/decision/src/server_table.cc
+++ b/packages/decision/src/server_table.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 #include "gentianroute/base/check.h"
 
@@ -11,10 +10,25 @@
 
 constexpr std::size_t kChoices = 2;
 constexpr std::size_t kDraws = 8;
+/// Free servers looked at, at most, when draws keep failing.
+constexpr std::size_t kScanned = 16;
 constexpr double kAverageWeight = 0.1;
+constexpr double kReportWeight = 0.1;
+/// Share of the service time that a cached prefix saves.
+constexpr double kPrefixGain = 0.4;
+/// Expected times that must be left for a thrifty call to wait for a near
+/// server instead of paying for a far one.
+constexpr double kPatience = 4;
 /// Seconds that a micro-euro of transfer is worth, by objective.
 constexpr std::array<double, 2> kSecondsPerMicroEuro = {0.00001, 0.001};
 
+/// Takes a late report into the average of the other daemons' calls.
+void NoteLoad(Server& server, std::uint32_t load) {
+  const double others =
+      static_cast<double>(load) - static_cast<double>(server.in_flight);
+  server.others_load += kReportWeight * (others - server.others_load);
+}
+
 }  // namespace
 
 ServerTable::ServerTable(Options options, std::map<std::string, PathCost> paths)
@@ -41,7 +55,7 @@
     }
     slot->host = host;
     slot->listed = true;
-    slot->started_since_report = 0;
+    NoteLoad(*slot, host.load);
     if (host.leaving) {
       leaving_.insert({host.name, host.incarnation});
     }
@@ -55,9 +69,17 @@
 }
 
 void ServerTable::Rebuild() {
+  for (auto& [name, pool] : pools_) {
+    for (Tier& tier : pool.tiers) {
+      for (const ServerRef& server : tier.free) {
+        server->free_index = Server::kNotFree;
+      }
+    }
+  }
   pools_.clear();
   for (const auto& [name, server] : servers_) {
-    pools_[server->host.pool].servers.push_back(server);
+    server->counted = false;
+    Refresh(*server);
   }
 }
 
@@ -68,6 +90,7 @@
   if (found != servers_.end() &&
       found->second->host.incarnation == incarnation) {
     found->second->leaving = true;
+    Refresh(*found->second);
   }
 }
 
@@ -75,22 +98,58 @@
                                Server& server,
                                std::uint32_t load) {
   server.host.load = load;
-  server.started_since_report = 0;
+  NoteLoad(server, load);
+  Refresh(server);
 }
 
-bool ServerTable::MayTake(TimePoint now,
-                          const Server& server,
-                          const PickContext& context,
-                          bool in_favour_only) const {
-  if (!server.Accepts() || server.in_flight >= server.host.slots) {
-    return false;
+std::size_t ServerTable::TierOf(const Server& server) const {
+  if (server.host.data_centre == options_.data_centre) {
+    return 0;
   }
-  if (in_favour_only && now < server.out_of_favour_until) {
+  return server.host.region == options_.region ? 1 : 2;
+}
+
+void ServerTable::Refresh(Server& server) {
+  Tier& tier = pools_[server.host.pool].tiers[TierOf(server)];
+  if (server.counted != server.Accepts()) {
+    server.counted = server.Accepts();
+    tier.accepting += server.counted ? 1 : std::size_t(-1);
+  }
+  const bool free = server.Accepts() && server.HasFreeSlot();
+  const bool listed = server.free_index != Server::kNotFree;
+  if (free == listed) {
+    return;
+  }
+  if (free) {
+    server.free_index = tier.free.size();
+    tier.free.emplace_back(&server);
+    return;
+  }
+  const std::size_t index = server.free_index;
+  server.free_index = Server::kNotFree;
+  std::swap(tier.free[index], tier.free.back());
+  tier.free.pop_back();
+  if (index < tier.free.size()) {
+    tier.free[index]->free_index = index;
+  }
+}
+
+bool ServerTable::MayTake(const Server& server,
+                          const Question& question) const {
+  const PickContext& context = question.context;
+  if (question.in_favour_only && question.now < server.out_of_favour_until) {
     return false;
   }
   if (!context.cross_region && server.host.region != options_.region) {
     return false;
   }
+  // A slow server would run the call beyond its deadline, and the slot that
+  // looks free would draw one doomed call after another. A single call at a
+  // time shows when the server is well again.
+  const bool too_slow = server.service_seconds > Seconds(context.remaining);
+  if (too_slow && server.in_flight > 0) {
+    return false;
+  }
   return std::ranges::find(context.avoid, &server, &ServerRef::get) ==
          context.avoid.end();
 }
@@ -98,57 +157,138 @@
 ServerRef ServerTable::Pick(TimePoint now,
                             const PickContext& context,
                             Rng& rng) {
+  static constexpr std::array<Choose, 3> kChooses = {
+      &ServerTable::ChoosePredicted, &ServerTable::ChooseRandom,
+      &ServerTable::ChooseLeastReported};
   const auto pool = pools_.find(context.pool);
   if (pool == pools_.end()) {
     return nullptr;
   }
-  const std::vector<ServerRef>& servers = pool->second.servers;
-  const Score score = ScoreOf(options_.policy);
+  const Choose choose = kChooses[static_cast<std::size_t>(options_.policy)];
   for (const bool in_favour_only : {true, false}) {
-    ServerRef best;
-    double best_score = std::numeric_limits<double>::infinity();
-    std::size_t seen = 0;
-    const std::size_t offset = rng() % servers.size();
-    for (std::size_t step = 0; step < servers.size(); ++step) {
-      const std::size_t draw = step < kDraws ? rng() % servers.size()
-                                             : (offset + step) % servers.size();
-      const ServerRef& server = servers[draw];
-      if (!MayTake(now, *server, context, in_favour_only)) {
-        continue;
-      }
-      const double value = (this->*score)(now, *server, context);
-      if (value < best_score) {
-        best_score = value;
-        best = server;
-      }
-      if (++seen == kChoices) {
-        break;
-      }
-    }
-    if (best != nullptr) {
-      return best;
+    ServerRef server =
+        (this->*choose)(pool->second, {now, context, in_favour_only}, rng);
+    if (server != nullptr) {
+      return server;
     }
   }
   return nullptr;
 }
 
-ServerTable::Score ServerTable::ScoreOf(RoutingPolicy policy) {
-  static constexpr std::array<Score, 3> kScores = {&ServerTable::ScorePredicted,
-                                                   &ServerTable::ScoreNothing,
-                                                   &ServerTable::ScoreReported};
-  return kScores[static_cast<std::size_t>(policy)];
+ServerRef ServerTable::ChoosePredicted(const Pool& pool,
+                                       const Question& question,
+                                       Rng& rng) const {
+  Choice best;
+  ConsiderHolders(question, best);
+  for (std::size_t i = 0; i < kTiers; ++i) {
+    if (i + 1 == kTiers && MayWaitForNearer(pool, question.context)) {
+      break;
+    }
+    ConsiderTwo(pool.tiers[i], question, rng, best);
+  }
+  return best.server;
+}
+
+bool ServerTable::MayWaitForNearer(const Pool& pool,
+                                   const PickContext& context) {
+  const bool near = pool.tiers[0].accepting + pool.tiers[1].accepting > 0;
+  return near && context.objective == Objective::kCost &&
+         Seconds(context.remaining) > kPatience * Seconds(context.expected);
+}
+
+void ServerTable::ConsiderHolders(const Question& question,
+                                  Choice& best) const {
+  if (caches_ == nullptr || question.context.prefix == 0) {
+    return;
+  }
+  for (const std::string& name : caches_->Holders(question.context.prefix)) {
+    const auto found = servers_.find(name);
+    if (found == servers_.end()) {
+      continue;
+    }
+    const ServerRef& server = found->second;
+    if (server->host.pool == question.context.pool &&
+        server->free_index != Server::kNotFree && MayTake(*server, question)) {
+      Consider(server, question, best);
+    }
+  }
+}
+
+void ServerTable::ConsiderTwo(const Tier& tier,
+                              const Question& question,
+                              Rng& rng,
+                              Choice& best) const {
+  const std::size_t count = tier.free.size();
+  if (count == 0) {
+    return;
+  }
+  const std::size_t offset = rng() % count;
+  const std::size_t steps = kDraws + std::min(count, kScanned);
+  std::size_t seen = 0;
+  const Server* last = nullptr;
+  for (std::size_t step = 0; step < steps && seen < kChoices; ++step) {
+    const std::size_t index =
+        step < kDraws ? rng() % count : (offset + step) % count;
+    const ServerRef& server = tier.free[index];
+    if (server.get() == last || !MayTake(*server, question)) {
+      continue;
+    }
+    last = server.get();
+    ++seen;
+    Consider(server, question, best);
+  }
+}
+
+void ServerTable::Consider(const ServerRef& server,
+                           const Question& question,
+                           Choice& best) const {
+  const double score = PredictedSeconds(*server, question.context);
+  if (score < best.score) {
+    best = {server, score};
+  }
+}
+
+ServerRef ServerTable::ChooseRandom(const Pool& pool,
+                                    const Question& question,
+                                    Rng& rng) const {
+  std::vector<ServerRef> able;
+  for (const Tier& tier : pool.tiers) {
+    for (const ServerRef& server : tier.free) {
+      if (MayTake(*server, question)) {
+        able.push_back(server);
+      }
+    }
+  }
+  return able.empty() ? nullptr : able[rng() % able.size()];
 }
 
-double ServerTable::ScorePredicted(TimePoint /*now*/,
-                                   const Server& server,
-                                   const PickContext& context) const {
+ServerRef ServerTable::ChooseLeastReported(const Pool& pool,
+                                           const Question& question,
+                                           Rng& /*rng*/) const {
+  ServerRef best;
+  for (const Tier& tier : pool.tiers) {
+    for (const ServerRef& server : tier.free) {
+      if (MayTake(*server, question) &&
+          (best == nullptr || server->host.load < best->host.load)) {
+        best = server;
+      }
+    }
+  }
+  return best;
+}
+
+double ServerTable::PredictedSeconds(const Server& server,
+                                     const PickContext& context) const {
   const auto path = paths_.find(server.host.data_centre);
   const PathCost cost = path == paths_.end() ? PathCost{} : path->second;
-  const double service = server.service_seconds > 0 ? server.service_seconds
-                                                    : Seconds(context.expected);
-  const double ahead = std::max(server.host.load + server.started_since_report,
-                                server.in_flight);
-  const double queueing = ahead / std::max(1U, server.host.slots) * service;
+  double service = server.service_seconds > 0 ? server.service_seconds
+                                              : Seconds(context.expected);
+  if (caches_ != nullptr && context.prefix != 0 &&
+      caches_->Holds(server.host.name, context.prefix)) {
+    service *= 1 - kPrefixGain;
+  }
+  const double queueing =
+      server.PredictedLoad() / std::max(1U, server.host.slots) * service;
   const double price =
       cost.micros_per_byte * static_cast<double>(context.bytes);
   const double price_seconds =
@@ -156,30 +296,18 @@
   return 2 * Seconds(cost.one_way) + service + queueing + price_seconds;
 }
 
-double ServerTable::ScoreNothing(TimePoint /*now*/,
-                                 const Server& /*server*/,
-                                 const PickContext& /*context*/) const {
-  return 0;
-}
-
-double ServerTable::ScoreReported(TimePoint /*now*/,
-                                  const Server& server,
-                                  const PickContext& /*context*/) const {
-  return server.host.load;
-}
-
 bool ServerTable::HasServer(std::string_view pool) const {
   const auto found = pools_.find(pool);
   return found != pools_.end() &&
-         std::ranges::any_of(
-             found->second.servers,
-             [](const ServerRef& server) { return server->Accepts(); });
+         std::ranges::any_of(found->second.tiers, [](const Tier& tier) {
+           return tier.accepting > 0;
+         });
 }
 
 void ServerTable::OnStart(Server& server) {
   ++server.in_flight;
-  ++server.started_since_report;
   ++server.calls;
+  Refresh(server);
 }
 
 void ServerTable::OnSuccess(TimePoint /*now*/, Server& server, Duration took) {
@@ -211,6 +339,7 @@
 void ServerTable::OnCancelled(Server& server) {
   GR_INVARIANT(server.in_flight > 0);
   --server.in_flight;
+  Refresh(server);
 }
 
 }  // namespace gentianroute
--- /dev/null
+++ b/packages/decision/tests/prefix_affinity_test.cc
@@ -0,0 +1,50 @@
+#include "gentianroute/decision/prefix_affinity.h"
+
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute;
+
+namespace {
+
+const std::vector<std::uint64_t> kOne = {1};
+const std::vector<std::uint64_t> kTwo = {2};
+
+}  // namespace
+
+Test(prefix_affinity, events_in_order_add_and_remove) {
+  PrefixAffinity caches;
+  cr_assert(caches.OnEvent({"e", 1, 5, kOne, {}}));
+  cr_assert(caches.OnEvent({"e", 1, 6, kTwo, kOne}));
+  cr_assert_not(caches.Holds("e", 1));
+  cr_assert(caches.Holds("e", 2));
+  cr_assert_eq(caches.Holders(2).count("e"), 1);
+  cr_assert(caches.Holders(1).empty());
+}
+
+// The engine evicts prefix 1 in event 6, which is lost. Event 7 shows the gap:
+// were prefix 1 still believed there, calls would go to an engine that has to
+// read the whole prompt again.
+Test(prefix_affinity, gap_discards_what_was_believed_of_that_engine_only) {
+  PrefixAffinity caches;
+  caches.OnEvent({"e", 1, 5, kOne, {}});
+  caches.OnEvent({"f", 1, 1, kOne, {}});
+  cr_assert_not(caches.OnEvent({"e", 1, 7, kTwo, {}}));
+  cr_assert_not(caches.Holds("e", 1));
+  cr_assert(caches.Holds("e", 2));
+  cr_assert(caches.Holds("f", 1));
+}
+
+Test(prefix_affinity, restart_discards_and_old_event_changes_nothing) {
+  PrefixAffinity caches;
+  caches.OnEvent({"e", 1, 5, kOne, {}});
+  cr_assert_not(caches.OnEvent({"e", 2, 1, kTwo, {}}));
+  cr_assert_not(caches.Holds("e", 1));
+  cr_assert(caches.OnEvent({"e", 1, 6, kOne, {}}));
+  cr_assert(caches.OnEvent({"e", 2, 1, kOne, kTwo}));
+  cr_assert_not(caches.Holds("e", 1));
+  cr_assert(caches.Holds("e", 2));
+  caches.Forget("e");
+  cr_assert(caches.Holders(2).empty());
+}
