Rank waiting organisations lazily and shed from the heaviest

Cause: Pop sorted all subscribers of all organisations on each dispatch, and with more work than capacity each line grew until everybody in it went too late: work was done for requests that then missed their deadline. Change: ranked lines of organisations, then of subscribers; a line whose use grew is put in its place when it comes first, all once a second. The time between starts of a pool predicts how long the last of its line waits; while that is longer than the deadline allows, the last of the heaviest subscriber of the heaviest organisation is told so at once, and a newcomer that would be the worst is refused as not run before any stage. Proof: without the ranks being refreshed at the head, the weight and the generated-history tests fail; without the ranking once a second, rank_that_fell_counts_after_a_second fails.

--- a/packages/decision/include/gentianroute/decision/coordinator.h
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -14,6 +14,7 @@
 #include "gentianroute/decision/attempt.h"
 #include "gentianroute/decision/catalogue.h"
 #include "gentianroute/decision/claim_ledger.h"
+#include "gentianroute/decision/dispatch_pace.h"
 #include "gentianroute/decision/fair_queue.h"
 #include "gentianroute/decision/request.h"
 #include "gentianroute/decision/retry_budget.h"
@@ -136,7 +137,11 @@
   void Admit(TimePoint now, UnixMicros wall, Request& request);
   std::optional<ErrorKind> RefusalOf(TimePoint now,
                                      const Request& request,
-                                     std::string& detail) const;
+                                     std::string& detail);
+  bool WouldWaitTooLong(TimePoint now, const Request& request);
+  void Shed(TimePoint now, std::string_view pool);
+  FairQueue::Waiter WaiterOf(const Request& request,
+                             const StageSpec& stage) const;
   void OnVerdict(TimePoint now, UnixMicros wall, const ClaimVerdict& verdict);
   void OnKeyTaken(TimePoint now, Request& request, const ClaimVerdict& verdict);
   void JoinLocal(TimePoint now, Request& request, std::string_view token);
@@ -203,6 +208,7 @@
   std::unordered_map<const Server*, AttemptList> at_server_;
   std::map<std::string, FairQueue, std::less<>> queues_;
   std::map<std::string, RetryBudget, std::less<>> budgets_;
+  std::map<std::string, DispatchPace, std::less<>> paces_;
   std::unordered_map<std::string, Duration> measured_;
   std::map<std::string, RequestId, std::less<>> running_tokens_;
   std::map<std::string, JoinWaiters, std::less<>> joins_;
--- a/packages/decision/include/gentianroute/decision/fair_queue.h
+++ b/packages/decision/include/gentianroute/decision/fair_queue.h
@@ -3,13 +3,14 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <map>
+#include <limits>
+#include <list>
 #include <optional>
+#include <set>
 #include <string>
-#include <string_view>
 #include <unordered_map>
+#include <utility>
 
 #include "gentianroute/base/id.h"
 #include "gentianroute/decision/usage_ledger.h"
@@ -41,19 +42,35 @@
   explicit FairQueue(UsageLedger& ledger, QueueOrder order = QueueOrder::kFair)
       : ledger_(ledger), order_(order) {}
 
+  FairQueue(const FairQueue&) = delete;  // its lines point into themselves
+  FairQueue& operator=(const FairQueue&) = delete;
+
+  /// @complexity logarithmic in organisations and in the subscribers of one
   void Push(Waiter waiter);
 
   /// @brief Takes the next one out and charges its estimated cost.
   /// @param now present time, for the decay of use
   /// @param may_go asked in order; a false leaves that waiter where it is
+  /// @param max_asked waiters asked before giving up
   /// @return nothing if no waiter may go
   /// @complexity logarithmic in organisations and in the subscribers of one,
-  /// plus the waiters that may not go
+  /// plus the waiters that may not go; linear in organisations once a second
   std::optional<Waiter> Pop(
       TimePoint now,
-      const std::function<bool(const Waiter&)>& may_go = nullptr);
+      const std::function<bool(const Waiter&)>& may_go = nullptr,
+      std::size_t max_asked = std::numeric_limits<std::size_t>::max());
+
+  /// @brief The one to drop when all can't be served: the last to come of the
+  /// heaviest subscriber of the heaviest organisation. Nothing is charged.
+  /// @return null if nobody waits; valid until the next change
+  /// @complexity constant, but for what Pop does once a second
+  const Waiter* Worst(TimePoint now);
+
+  /// @brief Whether a newcomer would be the worst, or as bad.
+  bool WouldBeWorst(TimePoint now, const Waiter& newcomer);
 
   /// @brief Takes one out that will not go: done, cancelled or out of time.
+  /// @complexity linear in what its subscriber has waiting
   bool Remove(RequestId request);
 
   std::size_t size() const { return where_.size(); }
@@ -63,20 +80,55 @@
   double waiting_cost() const { return waiting_cost_; }
 
  private:
-  using Line = std::deque<Waiter>;
-  struct OrganisationLine {
-    std::map<std::string, Line> subscribers;
+  /// Place of a line among its like. A rank only grows between two full
+  /// rankings, but for corrections of a little: a key that is out of date
+  /// stands too early, and is put right when its line comes first.
+  template <typename Line>
+  struct Key {
+    double rank;
+    std::uint64_t order;  ///< of the lines' making, for equal ranks
+    Line* line;
+
+    bool operator<(const Key& other) const {
+      return std::pair(rank, order) < std::pair(other.rank, other.order);
+    }
   };
+  template <typename Line>
+  using Ranking = std::set<Key<Line>>;
 
-  void Erase(const std::string& organisation,
-             const std::string& subscriber,
-             const Line::iterator& waiter);
+  struct SubscriberLine {
+    std::string name;
+    std::list<Waiter> waiters;
+    Ranking<SubscriberLine>::iterator place;
+  };
+  struct OrganisationLine {
+    std::string name;
+    double weight = 1;
+    std::unordered_map<std::string, SubscriberLine> subscribers;
+    Ranking<SubscriberLine> ranking;
+    Ranking<OrganisationLine>::iterator place;
+  };
+  using Ask = std::function<bool(const Waiter&)>;
+  using Found = std::optional<std::list<Waiter>::iterator>;
+
+  double RankOf(const OrganisationLine& line) const;
+  double RankOf(const OrganisationLine& line, const SubscriberLine& part) const;
+  OrganisationLine& LineOf(const Waiter& waiter, const std::string& name);
+  SubscriberLine& PartOf(OrganisationLine& line, const std::string& name);
+  void RankAgainIfDue(TimePoint now);
+  void RankAgain(OrganisationLine& line);
+  Found FindIn(OrganisationLine& line, const Ask& may_go, std::size_t& asked);
+  Waiter Take(std::list<Waiter>::iterator waiter);
 
   UsageLedger& ledger_;
   QueueOrder order_;
-  std::map<std::string, OrganisationLine> organisations_;
+  std::unordered_map<std::string, OrganisationLine> organisations_;
+  Ranking<OrganisationLine> ranking_;
   std::unordered_map<RequestId, SubscriberName> where_;
   double waiting_cost_ = 0;
+  std::uint64_t next_order_ = 0;
+  std::uint64_t ranked_epoch_ = 0;
+  TimePoint ranked_at_{};
 };
 
 }  // namespace gentianroute
--- a/packages/decision/src/coordinator.cc
+++ b/packages/decision/src/coordinator.cc
@@ -76,7 +76,7 @@
 
 std::optional<ErrorKind> Coordinator::RefusalOf(TimePoint now,
                                                 const Request& request,
-                                                std::string& detail) const {
+                                                std::string& detail) {
   if (suspects_.IsQuarantined(now, request.submission.fingerprint)) {
     detail = "this request crashed the backend servers that ran it";
     return ErrorKind::kQuarantined;
@@ -100,9 +100,29 @@
              std::to_string(left.count() / 1000) + " ms are left";
     return ErrorKind::kDeadlineTooShort;
   }
+  if (options_.refuse_early && WouldWaitTooLong(now, request)) {
+    detail = "those before it take longer than its deadline";
+    return ErrorKind::kOverloaded;
+  }
   return std::nullopt;
 }
 
+bool Coordinator::WouldWaitTooLong(TimePoint now, const Request& request) {
+  const Duration slack = request.deadline - now - ExpectedRest(request);
+  for (const StageSpec& stage : request.profile->stages) {
+    const auto queue = queues_.find(stage.pool);
+    if (queue == queues_.end() || queue->second.empty()) {
+      continue;
+    }
+    const Duration wait = paces_[stage.pool].WaitFor(queue->second.size());
+    if (wait > slack &&
+        queue->second.WouldBeWorst(now, WaiterOf(request, stage))) {
+      return true;
+    }
+  }
+  return false;
+}
+
 Duration Coordinator::Expected(const StageSpec& stage) const {
   const auto found = measured_.find(stage.pool);
   return found == measured_.end() ? stage.expected : found->second;
--- a/packages/decision/src/coordinator_stages.cc
+++ b/packages/decision/src/coordinator_stages.cc
@@ -15,7 +15,7 @@
 constexpr int kFirstServerError = 500;
 constexpr double kMeasureWeight = 0.1;
 /// Waiters asked per dispatch before the pool counts as busy.
-constexpr int kMaxAsked = 16;
+constexpr std::size_t kMaxAsked = 16;
 
 std::string QuoteText(const std::string& text) {
   return nlohmann::json(text).dump(-1, ' ', false,
@@ -52,13 +52,43 @@
   FairQueue& queue =
       queues_.try_emplace(stage.pool, usage_, options_.queue_order)
           .first->second;
-  queue.Push({request.id, request.submission.organisation,
-              request.submission.subscriber, request.submission.weight,
-              Seconds(Expected(stage))});
+  queue.Push(WaiterOf(request, stage));
   if (options_.refuse_early) {
     Arm(now, TimerKind::kTooLate, request.id.value);
   }
-  Dispatch(now, stage.pool);
+  const std::string pool = stage.pool;
+  Dispatch(now, pool);
+  if (options_.refuse_early) {
+    Shed(now, pool);  // may end this request
+  }
+}
+
+FairQueue::Waiter Coordinator::WaiterOf(const Request& request,
+                                        const StageSpec& stage) const {
+  const Submission& submission = request.submission;
+  return {request.id, submission.organisation, submission.subscriber,
+          submission.weight, Seconds(Expected(stage))};
+}
+
+void Coordinator::Shed(TimePoint now, std::string_view pool) {
+  FairQueue& queue = queues_.find(pool)->second;
+  const DispatchPace& pace =
+      paces_.try_emplace(std::string(pool)).first->second;
+  // The worst one goes last, so it waits for all the others. Once that takes
+  // longer than its deadline allows it is told so at once. Without this the
+  // line grows until everybody in it, light ones too, goes just too late.
+  while (const FairQueue::Waiter* worst = queue.Worst(now)) {
+    Request& request = requests_.at(worst->request);
+    const TimePoint latest = request.deadline - ExpectedRest(request);
+    if (now + pace.WaitFor(queue.size()) <= latest ||
+        request.EffectMayHaveRun()) {
+      return;
+    }
+    const ErrorKind kind = request.MayHaveRun() ? ErrorKind::kDeadlineExceeded
+                                                : ErrorKind::kOverloaded;
+    Finish(now, request, kind, "those before it take longer than its deadline",
+           {}, false);
+  }
 }
 
 void Coordinator::Dispatch(TimePoint now, std::string_view pool) {
@@ -68,14 +98,16 @@
   }
   while (!found->second.empty()) {
     ServerRef server;
-    int asked = 0;
-    const auto waiter =
-        found->second.Pop(now, [&](const FairQueue::Waiter& candidate) {
-          return ++asked <= kMaxAsked && MayGo(now, candidate.request, server);
-        });
+    const auto waiter = found->second.Pop(
+        now,
+        [&](const FairQueue::Waiter& candidate) {
+          return MayGo(now, candidate.request, server);
+        },
+        kMaxAsked);
     if (!waiter.has_value()) {
       return;
     }
+    paces_[std::string(pool)].OnStart(now, !found->second.empty());
     Start(now, requests_.at(waiter->request), std::move(server));
   }
 }
