--- a/packages/decision/src/coordinator_stages.cc
+++ b/packages/decision/src/coordinator_stages.cc
@@ -15,7 +15,7 @@
 constexpr int kFirstServerError = 500;
 constexpr double kMeasureWeight = 0.1;
 /// Waiters asked per dispatch before the pool counts as busy.
-constexpr int kMaxAsked = 16;
+constexpr std::size_t kMaxAsked = 16;
 
 std::string QuoteText(const std::string& text) {
   return nlohmann::json(text).dump(-1, ' ', false,
@@ -49,14 +49,46 @@
   const StageSpec& stage = request.stage();
   request.phase = RequestPhase::kQueued;
   request.queued_at = now;
-  FairQueue& queue = queues_.try_emplace(stage.pool, usage_).first->second;
-  queue.Push({request.id, request.submission.organisation,
-              request.submission.subscriber, request.submission.weight,
-              Seconds(Expected(stage))});
+  FairQueue& queue =
+      queues_.try_emplace(stage.pool, usage_, options_.queue_order)
+          .first->second;
+  queue.Push(WaiterOf(request, stage));
   if (options_.refuse_early) {
     Arm(now, TimerKind::kTooLate, request.id.value);
   }
-  Dispatch(now, stage.pool);
+  const std::string pool = stage.pool;
+  Dispatch(now, pool);
+  if (options_.refuse_early) {
+    Shed(now, pool);  // may end this request
+  }
+}
+
+FairQueue::Waiter Coordinator::WaiterOf(const Request& request,
+                                        const StageSpec& stage) const {
+  const Submission& submission = request.submission;
+  return {request.id, submission.organisation, submission.subscriber,
+          submission.weight, Seconds(Expected(stage))};
+}
+
+void Coordinator::Shed(TimePoint now, std::string_view pool) {
+  FairQueue& queue = queues_.find(pool)->second;
+  const DispatchPace& pace =
+      paces_.try_emplace(std::string(pool)).first->second;
+  // The worst one goes last, so it waits for all the others. Once that takes
+  // longer than its deadline allows it is told so at once. Without this the
+  // line grows until everybody in it, light ones too, goes just too late.
+  while (const FairQueue::Waiter* worst = queue.Worst(now)) {
+    Request& request = requests_.at(worst->request);
+    const TimePoint latest = request.deadline - ExpectedRest(request);
+    if (now + pace.WaitFor(queue.size()) <= latest ||
+        request.EffectMayHaveRun()) {
+      return;
+    }
+    const ErrorKind kind = request.MayHaveRun() ? ErrorKind::kDeadlineExceeded
+                                                : ErrorKind::kOverloaded;
+    Finish(now, request, kind, "those before it take longer than its deadline",
+           {}, false);
+  }
 }
 
 void Coordinator::Dispatch(TimePoint now, std::string_view pool) {
@@ -66,14 +98,16 @@
   }
   while (!found->second.empty()) {
     ServerRef server;
-    int asked = 0;
-    const auto waiter =
-        found->second.Pop(now, [&](const FairQueue::Waiter& candidate) {
-          return ++asked <= kMaxAsked && MayGo(now, candidate.request, server);
-        });
+    const auto waiter = found->second.Pop(
+        now,
+        [&](const FairQueue::Waiter& candidate) {
+          return MayGo(now, candidate.request, server);
+        },
+        kMaxAsked);
     if (!waiter.has_value()) {
       return;
     }
+    paces_[std::string(pool)].OnStart(now, !found->second.empty());
     Start(now, requests_.at(waiter->request), std::move(server));
   }
 }
@@ -227,7 +261,7 @@
   const Attempt attempt = Detach(answer.attempt);
   servers_.OnSuccess(now, server, now - attempt.started);
   Request& request = requests_.at(attempt.request);
-  budgets_[request.stage().pool].OnSuccess();
+  BudgetOf(request.stage().pool).OnSuccess();
   suspects_.OnAnswered(attempt.fingerprint);
   std::string result = request.stage().streams ? QuoteText(request.streamed)
                                                : std::move(answer.body);
@@ -343,6 +377,10 @@
   Dispatch(now, pool);
 }
 
+RetryBudget& Coordinator::BudgetOf(const std::string& pool) {
+  return budgets_.try_emplace(pool, options_.retry_budget).first->second;
+}
+
 void Coordinator::Retry(TimePoint now,
                         Request& request,
                         AttemptFailure failure,
@@ -354,7 +392,7 @@
       suspects_.IsQuarantined(now, request.submission.fingerprint);
   bool again = harmless && meaning.worth_repeating && !quarantined &&
                request.attempts_made < stage.max_attempts;
-  if (again && !budgets_[stage.pool].TryTake()) {
+  if (again && !BudgetOf(stage.pool).TryTake()) {
     ++counters_.retries_denied;
     again = false;
   }
@@ -420,7 +458,7 @@
   if (!MayGo(now, request.id, server) || server == found->second.server) {
     return;
   }
-  if (!budgets_[request.stage().pool].TryTake()) {
+  if (!BudgetOf(request.stage().pool).TryTake()) {
     return;
   }
   ++counters_.hedges;
