--- a/apps/gentianctl/commands.h
+++ b/apps/gentianctl/commands.h
@@ -13,8 +13,8 @@
 /// @brief What all commands share.
 struct CommonOptions {
   Target daemon;
-  std::vector<std::string> also;  ///< more daemons, `address:port`
-  bool json = false;              ///< --output json
+  std::vector<Target> also;  ///< more daemons
+  bool json = false;         ///< --output json
 };
 
 /// @brief How a change is submitted.
--- a/apps/gentianctl/main.cc
+++ b/apps/gentianctl/main.cc
@@ -17,6 +17,7 @@
 struct Arguments {
   ctl::CommonOptions common;
   std::string output = "text";
+  std::vector<std::string> also;
   ctl::ApplyOptions apply;
   std::uint64_t revision = 0;
   std::string document;
@@ -33,7 +34,7 @@
   ctl::CommonOptions& common = arguments.common;
   app.add_option("--address", common.daemon.address, "a daemon's IP number");
   app.add_option("--port", common.daemon.port, "its operators' port");
-  app.add_option("--also", common.also,
+  app.add_option("--also", arguments.also,
                  "one more daemon, address:port; may stand several times");
   app.add_option("--output", arguments.output, "text or json")
       ->check(CLI::IsMember({"text", "json"}));
@@ -115,7 +116,7 @@
         return ctl::Reference(a.common, a.reference_of);
       })
       ->add_option("of", arguments.reference_of)
-      ->check(CLI::IsMember({"settings", "profiles"}))
+      ->check(CLI::IsMember({"settings", "profiles", "errors"}))
       ->required();
 }
 
@@ -138,5 +139,15 @@
     return code == 0 ? ctl::kExitDone : ctl::kExitInvalid;
   }
   arguments.common.json = arguments.output == "json";
-  return chosen(arguments);
+  return ctl::Guarded(arguments.common.json,
+                      [&]() -> gentianroute::leaf::result<ctl::ExitCode> {
+                        // Before anything is sent: a change must not be made
+                        // and then not be waited for because of a mistyped
+                        // address.
+                        for (const std::string& text : arguments.also) {
+                          BOOST_LEAF_AUTO(target, ctl::ParseTarget(text));
+                          arguments.common.also.push_back(target);
+                        }
+                        return chosen(arguments);
+                      });
 }
--- a/apps/gentianctl/report.cc
+++ b/apps/gentianctl/report.cc
@@ -7,18 +7,10 @@
 namespace gentianroute::ctl {
 namespace {
 
-leaf::result<std::vector<Target>> TargetsOf(const CommonOptions& common) {
-  std::vector<Target> targets = {common.daemon};
-  for (const std::string& also : common.also) {
-    BOOST_LEAF_AUTO(target, ParseTarget(also));
-    targets.push_back(target);
-  }
-  return targets;
-}
-
 /// Reads what can be read; a daemon that does not answer is named.
 leaf::result<json> Collect(const CommonOptions& common) {
-  BOOST_LEAF_AUTO(targets, TargetsOf(common));
+  std::vector<Target> targets = {common.daemon};
+  targets.insert(targets.end(), common.also.begin(), common.also.end());
   std::vector<json> reports;
   std::vector<std::string> unreachable;
   for (const Target& target : targets) {
--- a/apps/gentianctl/status.cc
+++ b/apps/gentianctl/status.cc
@@ -1,4 +1,5 @@
 #include "commands.h"
+#include "report_merge.h"
 #include "text_table.h"
 
 namespace gentianroute::ctl {
@@ -70,7 +71,7 @@
   Rows rows = {{"organisation", "subscriber", "recent cost"}};
   for (const json& use : status.at("heaviest")) {
     rows.push_back({TextOf(use, "organisation"), TextOf(use, "subscriber"),
-                    TextOf(use, "cost")});
+                    TwoDecimals(use.at("cost"))});
   }
   return "\nheaviest\n" + TextTable(rows);
 }
--- a/apps/gentianctl/submit.cc
+++ b/apps/gentianctl/submit.cc
@@ -130,8 +130,8 @@
       (outcome.changed ? PlanText(plan) : "") + outcome.sentence + "\n";
   ExitCode code = kExitDone;
   if (options.wait_s > 0) {
-    BOOST_LEAF_AUTO(waited, WaitInForce(common, outcome.revision,
-                                        std::chrono::seconds(options.wait_s)));
+    const Waited waited = WaitInForce(common, outcome.revision,
+                                      std::chrono::seconds(options.wait_s));
     value["in_force_everywhere"] = waited.in_force;
     value["daemons"] = waited.daemons;
     text += waited.text;
--- a/apps/gentianctl/wait.h
+++ b/apps/gentianctl/wait.h
@@ -22,10 +22,12 @@
 /// reported. A peer that it has not heard from for a while counts as out of
 /// reach; one that it has yet to hear from does not, so that a daemon that just
 /// started can't report success for peers it knows nothing of. The daemons
-/// named by --also are asked themselves and must answer.
-leaf::result<Waited> WaitInForce(const CommonOptions& common,
-                                 std::uint64_t revision,
-                                 std::chrono::seconds limit);
+/// named by --also are asked themselves and must answer. A change that stands
+/// must never look as if it failed, so a daemon that does not answer is a
+/// daemon that lags, not an error.
+Waited WaitInForce(const CommonOptions& common,
+                   std::uint64_t revision,
+                   std::chrono::seconds limit);
 
 }  // namespace gentianroute::ctl
 
--- a/packages/schema/include/gentianroute/schema/reference.h
+++ b/packages/schema/include/gentianroute/schema/reference.h
@@ -10,6 +10,9 @@
 std::string SettingsReference();
 std::string ProfilesReference();
 
+/// @brief Markdown table of every error kind, from the closed list.
+std::string ErrorsReference();
+
 }  // namespace gentianroute
 
 #endif  // GENTIANROUTE_SCHEMA_REFERENCE_H_
--- a/packages/schema/src/reference.cc
+++ b/packages/schema/src/reference.cc
@@ -5,9 +5,11 @@
 #include <profile.capnp.h>
 #include <settings.capnp.h>
 
+#include <chrono>
 #include <string_view>
 
 #include "constraints.h"
+#include "gentianroute/base/error_kind.h"
 
 namespace gentianroute {
 namespace {
@@ -108,4 +110,22 @@
   return Table<schema::Declarations>();
 }
 
+std::string ErrorsReference() {
+  std::string output =
+      "| Number | Kind | Status | Work | Retry-After | Meaning | Example |\n"
+      "| --- | --- | --- | --- | --- | --- | --- |\n";
+  for (const ErrorAnswer& answer : AllErrorAnswers()) {
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(answer.retry_after).count();
+    output += "| " + std::to_string(static_cast<int>(answer.kind)) + " | `" +
+              std::string(answer.name) + "` | " +
+              std::to_string(answer.http_status) + " | `" +
+              std::string(WorkKnownName(answer.work)) + "` | " +
+              (seconds == 0 ? "" : std::to_string(seconds) + " s") + " | " +
+              std::string(answer.title) + " | " + std::string(answer.example) +
+              " |\n";
+  }
+  return output;
+}
+
 }  // namespace gentianroute
--- a/tests/process/gentianctl_test.cc
+++ b/tests/process/gentianctl_test.cc
@@ -317,3 +317,16 @@
       "gentianroute_answers_total{service=\"drafting\",profile=\"drafts\"} 1\n";
   cr_assert(answer.body.find(line) != std::string::npos);
 }
+
+// The address of one more daemon is mistyped, or nobody listens there. The
+// change must not be made and then reported as an error.
+Test(gentianctl, mistyped_daemon_is_refused_before_and_silent_one_is_a_lag) {
+  const std::string file = Write("first.json", kFirst);
+  const Run mistyped = Ctl({"--also", "nowhere", "apply", file, "--wait", "1"});
+  cr_assert_eq(mistyped.code, 2);
+  cr_assert_eq(RevisionInForce(), 0);
+  const Run silent =
+      Ctl({"--also", "127.0.0.1:1", "apply", file, "--wait", "1"});
+  cr_assert_eq(silent.code, 5, "%s", silent.output.dump().c_str());
+  cr_assert_eq(silent.output.at("revision"), 1);
+}
