Let two operators apply at the same moment in a test

Change: a process test in which a slow platform makes two applies overlap: one stands, the other exits 3 with both sides.

--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -3,6 +3,7 @@
 #include <random>
 #include <utility>
 
+#include "gentianroute/entry/config_report.h"
 #include "gentianroute/entry/report.h"
 #include "gentianroute/observe/log.h"
 
@@ -402,35 +403,11 @@
 }
 
 json Daemon::DocumentsInForce() const {
-  json documents = json::array();
-  for (const auto& [name, document] : follower_.documents()) {
-    documents.push_back({{"kind", DocumentKindName(name.first)},
-                         {"name", name.second},
-                         {"revision", document.revision},
-                         {"body", json::parse(document.body)}});
-  }
-  return {{"revision", follower_.revision()},
-          {"documents", std::move(documents)}};
+  return DocumentsReport(follower_);
 }
 
 json Daemon::History() const {
-  json revisions = json::array();
-  for (const ConfigRevision& revision : follower_.kept()) {
-    json changes = json::array();
-    for (const DocumentChange& change : revision.changes) {
-      changes.push_back({{"kind", DocumentKindName(change.kind)},
-                         {"name", change.name},
-                         {"deleted", change.body.empty()},
-                         {"base_revision", change.base_revision},
-                         {"body", change.body}});
-    }
-    revisions.push_back({{"revision", revision.revision},
-                         {"change_id", revision.change_id},
-                         {"author", revision.author},
-                         {"unix_micros", revision.applied_at},
-                         {"changes", std::move(changes)}});
-  }
-  return {{"revisions", std::move(revisions)}};
+  return HistoryReport(follower_);
 }
 
 json Daemon::Report() const {
--- a/tests/process/gentianctl_test.cc
+++ b/tests/process/gentianctl_test.cc
@@ -72,18 +72,33 @@
   json output;  ///< with --output json
 };
 
-Run Ctl(std::vector<std::string> arguments, std::size_t daemon = 0) {
-  const std::string errors = deployment->File("ctl" + std::to_string(++runs));
+/// A run of gentianctl that goes on.
+struct Started {
+  std::string errors;
+  std::unique_ptr<Process> process;
+
+  Run Finish() {
+    Run run;
+    run.output = json::parse(process->ReadAll(), nullptr, false);
+    run.code = process->Wait(60);
+    run.errors = Slurp(errors);
+    return run;
+  }
+};
+
+Started Start(std::vector<std::string> arguments, std::size_t daemon) {
+  Started started;
+  started.errors = deployment->File("ctl" + std::to_string(++runs));
   std::vector<std::string> command = {
       std::string(getenv("GENTIANROUTE_BIN")) + "/apps/gentianctl", "--port",
       std::to_string(deployment->operator_port(daemon)), "--output", "json"};
   command.insert(command.end(), arguments.begin(), arguments.end());
-  Process process(command, errors);
-  Run run;
-  run.output = json::parse(process.ReadAll(), nullptr, false);
-  run.code = process.Wait(60);
-  run.errors = Slurp(errors);
-  return run;
+  started.process = std::make_unique<Process>(command, started.errors);
+  return started;
+}
+
+Run Ctl(std::vector<std::string> arguments, std::size_t daemon = 0) {
+  return Start(std::move(arguments), daemon).Finish();
 }
 
 std::uint64_t RevisionInForce(std::size_t daemon = 0) {
@@ -330,3 +345,26 @@
   cr_assert_eq(silent.code, 5, "%s", silent.output.dump().c_str());
   cr_assert_eq(silent.output.at("revision"), 1);
 }
+
+// Two operators apply at the same moment through two daemons. Both read
+// revision 1, and the slow platform takes one change first. The other operator
+// must be told, with both sides, and not overwrite what he has not seen.
+Test(gentianctl, two_applies_at_once_let_one_through_and_show_both_sides) {
+  ApplyFirst();
+  cr_assert(Eventually(10, [] { return RevisionInForce(1) == 1; }));
+  Http(deployment->platform_port(), "PUT", "/control/faults",
+       R"({"delay_ms": 400})");
+  const std::string first = Write("a.json", WithDeadline(4000));
+  const std::string second = Write("b.json", WithDeadline(3000));
+  Started one = Start({"apply", first, "--author", "aino"}, 0);
+  Started two = Start({"apply", second, "--author", "bela"}, 1);
+  const Run ended[] = {one.Finish(), two.Finish()};
+  const Run& won = ended[0].code == 0 ? ended[0] : ended[1];
+  const Run& lost = ended[0].code == 0 ? ended[1] : ended[0];
+  cr_assert_eq(won.code, 0, "%s", won.output.dump().c_str());
+  cr_assert_eq(lost.code, 3, "%s", lost.output.dump().c_str());
+  const json& conflict = lost.output.at("conflicts").at(0);
+  cr_assert_eq(conflict.at("revision"), 2);
+  cr_assert_neq(conflict.at("yours"), conflict.at("theirs"));
+  cr_assert_eq(RevisionInForce(&won == &ended[0] ? 0 : 1), 2);
+}
