Take key digests in lower case only

Cause: a digest in upper case was taken, but the daemon compares it with its own, which are lower case (digest.cc): every call with that key would be refused as unauthorised, with nothing to tell why. Ruled out: folding the case in the callers' table, which is another package. Change: the check names the field and asks for lower case; the check of duplicates needs no folding any more.

--- a/packages/schema/src/checked_json.cc
+++ b/packages/schema/src/checked_json.cc
@@ -99,10 +99,14 @@
                                const std::string& path) const {
     bool valid = text.size() == kHexDigestSize;
     for (const char c : text) {
-      valid = valid && std::isxdigit(static_cast<unsigned char>(c)) != 0;
+      // Lower case only, as the daemon writes digests: in upper case it would
+      // match no key, and every call with that key would be refused.
+      valid = valid && (std::isdigit(static_cast<unsigned char>(c)) != 0 ||
+                        (c >= 'a' && c <= 'f'));
     }
     return valid ? leaf::result<void>()
-                 : Fail(path, "'" + text + "'", "64 hexadecimal digits");
+                 : Fail(path, "'" + text + "'",
+                        "64 hexadecimal digits in lower case");
   }
 
   leaf::result<void> IpNumber(const std::string& text,
--- a/packages/schema/src/reference.cc
+++ b/packages/schema/src/reference.cc
@@ -58,7 +58,7 @@
 std::string LimitsOf(capnp::StructSchema::Field field) {
   const capnp::Type type = field.getType();
   if (HasAnnotation(field, Annotation::kHexDigest)) {
-    return "64 hexadecimal digits";
+    return "64 hexadecimal digits in lower case";
   }
   if (HasAnnotation(field, Annotation::kIpNumber)) {
     return "an IPv4 number";
--- a/packages/schema/src/settings.cc
+++ b/packages/schema/src/settings.cc
@@ -2,20 +2,12 @@
 
 #include <capnp/dynamic.h>
 
-#include <cctype>
 #include <set>
 #include <string>
 
 namespace gentianroute {
 namespace {
 
-std::string Lower(std::string text) {
-  for (char& c : text) {
-    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-  }
-  return text;
-}
-
 leaf::result<void> CheckOrganisationsAreUnique(
     std::string_view file,
     schema::Settings::Reader settings) {
@@ -57,8 +49,7 @@
   for (const auto organisation : settings.getOrganisations()) {
     std::size_t key_index = 0;
     for (const auto key : organisation.getKeys()) {
-      // Hex digits of either case are one digest.
-      if (!seen.insert(Lower(key.getSha256().cStr())).second) {
+      if (!seen.insert(key.getSha256().cStr()).second) {
         return leaf::new_error(SchemaError{
             std::string(file),
             "organisations[" + std::to_string(organisation_index) + "].keys[" +
--- a/packages/schema/tests/bad_input_test.cc
+++ b/packages/schema/tests/bad_input_test.cc
@@ -140,11 +140,15 @@
          {SettingsWith(R"(, "organisations": [{"name": "o", "keys": [)" +
                        KeyOf('x') + "]}]"),
           "f: organisations[0].keys[0].sha256: found '" + Digest('x') +
-              "'; allowed: 64 hexadecimal digits"},
-         // The same digest in another case is the same key.
+              "'; allowed: 64 hexadecimal digits in lower case"},
+         // The daemon's own digests are in lower case; this would match none.
+         {SettingsWith(R"(, "organisations": [{"name": "o", "keys": [)" +
+                       KeyOf('A') + "]}]"),
+          "f: organisations[0].keys[0].sha256: found '" + Digest('A') +
+              "'; allowed: 64 hexadecimal digits in lower case"},
          {SettingsWith(R"(, "organisations": [{"name": "o", "keys": [)" +
                        KeyOf('a') + R"(]}, {"name": "q", "keys": [)" +
-                       KeyOf('b') + "," + KeyOf('A') + "]}]"),
+                       KeyOf('b') + "," + KeyOf('a') + "]}]"),
           "f: organisations[1].keys[1].sha256: found a digest that stands "
           "twice; allowed: one organisation for each key"},
          {SettingsWith(R"(, "organisations": [{"name": "o"}, {"name": "o"}])"),
