Wait for near servers as the objective allows; measure prefixes and profiles

Cause: a thrifty profile measured its patience by the stage alone, so a 20 ms stage waited until 300 ms of 6 s were left; a prompt one took far servers though a near one would have answered in time.

--- a/benchmarks/load_model.cc
+++ b/benchmarks/load_model.cc
@@ -14,6 +14,9 @@
 constexpr Duration kWithinRegion{500};
 constexpr Duration kBetweenRegions = milliseconds(20);
 constexpr Duration kToCallers = milliseconds(3);
+constexpr Duration kEventsLate = milliseconds(500);
+/// Share of an engine's mean time that reading an uncached prefix takes.
+constexpr double kPrefillShare = 0.4;
 constexpr Duration kFailsAfter = milliseconds(5);
 constexpr Duration kResendAfter = milliseconds(300);
 constexpr Duration kHostListEvery = seconds(1);
@@ -42,6 +45,8 @@
   std::uint32_t running = 0;
   std::deque<std::shared_ptr<Call>> line;
   std::deque<std::pair<TimePoint, std::uint32_t>> history;
+  std::deque<std::uint64_t> cache;  ///< prefixes, the latest used first
+  std::uint64_t sequence = 0;
 
   std::uint32_t Load() const {
     return running + static_cast<std::uint32_t>(line.size());
@@ -53,6 +58,7 @@
   FakeServer* server;
   AttemptId attempt;
   std::size_t bytes;
+  std::uint64_t prefix = 0;
   bool running = false;
   bool over = false;
 };
@@ -77,6 +83,7 @@
   ServerTable servers;
   UsageLedger usage;
   SuspectTable suspects;
+  PrefixAffinity caches;
   ClaimLedger claims;
   Coordinator coordinator;
   std::unordered_map<RequestId, Sent> sent;
@@ -92,14 +99,13 @@
   return Ratio(static_cast<std::uint64_t>(all.cost), all.in_time);
 }
 
-double Outcome::Percentile(double share) const {
-  if (took_ms.empty()) {
+double Outcome::Percentile(std::vector<double> values, double share) {
+  if (values.empty()) {
     return 0;
   }
-  std::vector<double> sorted = took_ms;
-  std::ranges::sort(sorted);
-  const auto last = static_cast<double>(sorted.size() - 1);
-  return sorted[static_cast<std::size_t>(share * last)];
+  std::ranges::sort(values);
+  const auto last = static_cast<double>(values.size() - 1);
+  return values[static_cast<std::size_t>(share * last)];
 }
 
 LoadModel::LoadModel(Plan plan) : plan_(std::move(plan)), rng_(plan_.seed) {
@@ -151,6 +157,9 @@
     daemons_.push_back(
         std::make_unique<Daemon>(plan_, region, std::move(options), paths));
     daemons_.back()->coordinator.SetCatalogue(catalogue);
+    if (plan_.affinity) {
+      daemons_.back()->servers.SetPrefixAffinity(&daemons_.back()->caches);
+    }
   }
 }
 
@@ -192,7 +201,9 @@
   }
   At(due, [this, index, arrives = wait <= 0.1] {
     if (arrives) {
-      Daemon& daemon = *daemons_[rng_() % daemons_.size()];
+      const double draw = std::uniform_real_distribution<double>(0, 1)(rng_);
+      const std::size_t any = rng_() % daemons_.size();
+      Daemon& daemon = *daemons_[draw < plan_.at_first ? 0 : any];
       Submit(daemon, plan_.traffic[index], now_, plan_.caller_resends);
     }
     ScheduleArrival(index);
@@ -211,6 +222,13 @@
   submission.body =
       "{\"letter\":\"" + std::string(plan_.body_bytes, 'a') + "\"}";
   submission.fingerprint = Fingerprint{rng_()};
+  if (plan_.prefixes > 0) {
+    // The square makes a few prefixes much more frequent than the others.
+    const double draw = std::uniform_real_distribution<double>(0, 1)(rng_);
+    submission.prefix =
+        1 + static_cast<std::uint64_t>(draw * draw *
+                                       static_cast<double>(plan_.prefixes));
+  }
   submission.timeout = std::max(left, Duration(1));
   const RequestId id =
       daemon.coordinator.Submit(now_, 0, std::move(submission));
@@ -258,6 +276,9 @@
   call->server = servers_.at(start.server->host.name).get();
   call->attempt = start.attempt;
   call->bytes = start.input.size();
+  if (start.stage().streams) {
+    call->prefix = daemon.coordinator.Find(start.request)->submission.prefix;
+  }
   daemon.calls[start.attempt] = call;
   daemon.coordinator.OnWritten(start.attempt);
   ++outcome_.calls;
@@ -296,7 +317,15 @@
   const double spread = std::exponential_distribution<double>(1)(rng_);
   const double mean =
       Seconds(server.plan.mean) * (server.slow ? server.plan.slowness : 1);
-  const double took = mean * (0.5 + 0.5 * std::min(spread, 5.0));
+  double took = mean * (0.5 + 0.5 * std::min(spread, 5.0));
+  if (call->prefix != 0) {
+    const double prefill = kPrefillShare * mean;
+    const bool hit = TouchPrefix(server, call->prefix);
+    took += hit ? -std::min(prefill, took) : 0;
+    const double first = hit ? 0 : std::min(prefill, took);
+    At(now_ + Duration(static_cast<std::int64_t>(first * 1e6)),
+       [this, call] { SendFirstToken(call); });
+  }
   At(now_ + Duration(static_cast<std::int64_t>(took * 1e6)), [this, call] {
     if (call->over) {
       return;
@@ -307,6 +336,53 @@
   });
 }
 
+bool LoadModel::TouchPrefix(FakeServer& server, std::uint64_t prefix) {
+  const auto found = std::ranges::find(server.cache, prefix);
+  const bool hit = found != server.cache.end();
+  ++outcome_.prefix_served;
+  outcome_.prefix_hits += hit ? 1 : 0;
+  if (hit) {
+    server.cache.erase(found);
+  }
+  server.cache.push_front(prefix);
+  std::vector<std::uint64_t> removed;
+  if (server.cache.size() > plan_.cached) {
+    removed.push_back(server.cache.back());
+    server.cache.pop_back();
+  }
+  if (!hit) {
+    Publish(server, prefix, std::move(removed));
+  }
+  return hit;
+}
+
+void LoadModel::Publish(FakeServer& server,
+                        std::uint64_t added,
+                        std::vector<std::uint64_t> removed) {
+  ++server.sequence;
+  if (std::uniform_real_distribution<double>(0, 1)(rng_) < plan_.events_lost) {
+    return;
+  }
+  At(now_ + kEventsLate,
+     [this, name = server.record.name, added, removed = std::move(removed),
+      sequence = server.sequence] {
+       for (const auto& daemon : daemons_) {
+         daemon->caches.OnEvent({name, 1, sequence, {&added, 1}, removed});
+       }
+     });
+}
+
+void LoadModel::SendFirstToken(const std::shared_ptr<Call>& call) {
+  At(now_ + Latency(*call->daemon, *call->server), [this, call] {
+    if (call->over) {
+      return;
+    }
+    call->daemon->coordinator.OnChunk(now_,
+                                      {call->attempt, call->attempt, 0, "a"});
+    Drain(*call->daemon);
+  });
+}
+
 void LoadModel::Leave(FakeServer& server) {
   --server.running;
   while (!server.line.empty()) {
@@ -388,6 +464,7 @@
   }
   if (!finish.error.has_value()) {
     outcome_.took_ms.push_back(Milliseconds(took));
+    outcome_.first_token_ms.push_back(Milliseconds(finish.first_token));
   }
 }
 
--- a/benchmarks/load_model.h
+++ b/benchmarks/load_model.h
@@ -45,11 +45,16 @@
   RoutingPolicy routing = RoutingPolicy::kPredictedCompletion;
   Coordinator::Options coordinator;
   Duration report_lag = std::chrono::milliseconds(200);
-  bool bursts = true;       ///< three times the rate in every fifth second
+  bool bursts = true;   ///< three times the rate in every fifth second
+  double at_first = 0;  ///< share of requests that all go to the first daemon
   bool share_usage = true;  ///< daemons tell each other their heaviest records
   std::uint32_t caller_resends = 0;  ///< by a caller whose request failed
   std::size_t body_bytes = 2000;
   double micros_per_byte = 0;  ///< billed between regions
+  std::size_t prefixes = 0;    ///< that prompts begin with; 0: none
+  std::size_t cached = 60;     ///< prefixes that one engine can hold
+  bool affinity = true;        ///< false: the baseline that knows no caches
+  double events_lost = 0;      ///< share of cache events
 };
 
 /// @return part per whole; zero of nothing is zero
@@ -78,12 +83,15 @@
   std::vector<double> took_ms;                     ///< of the answered
   std::uint64_t calls = 0;
   std::uint64_t billed_bytes = 0;
+  std::uint64_t prefix_served = 0;
+  std::uint64_t prefix_hits = 0;
+  std::vector<double> first_token_ms;
   double load_spread = 0;  ///< mean of (most - least loaded) per pool
 
   double CallsPerRequest() const;
   double CostPerAnswer() const;
   /// @return milliseconds
-  double Percentile(double share) const;
+  static double Percentile(std::vector<double> values, double share);
 };
 
 /// @brief Runs real coordinators, one per region, against fake servers in
@@ -123,6 +131,11 @@
   void Act(Daemon& daemon, FinishRequest& finish);
   void Arrive(const std::shared_ptr<Call>& call);
   void Serve(const std::shared_ptr<Call>& call);
+  bool TouchPrefix(FakeServer& server, std::uint64_t prefix);
+  void Publish(FakeServer& server,
+               std::uint64_t added,
+               std::vector<std::uint64_t> removed);
+  void SendFirstToken(const std::shared_ptr<Call>& call);
   void EndCall(const std::shared_ptr<Call>& call, int status);
   void Leave(FakeServer& server);
   void PublishHosts();
--- a/benchmarks/scenarios.cc
+++ b/benchmarks/scenarios.cc
@@ -50,8 +50,8 @@
   Row row;
   row["attainment"] = Rounded(outcome.all.Attainment());
   row["refused"] = Rounded(Ratio(outcome.all.refused, outcome.all.sent));
-  row["p50_ms"] = Rounded(outcome.Percentile(0.5));
-  row["p99_ms"] = Rounded(outcome.Percentile(0.99));
+  row["p50_ms"] = Rounded(Outcome::Percentile(outcome.took_ms, 0.5));
+  row["p99_ms"] = Rounded(Outcome::Percentile(outcome.took_ms, 0.99));
   row["spread"] = Rounded(outcome.load_spread);
   row["cost_per_answer"] = Rounded(outcome.CostPerAnswer());
   return row;
@@ -235,11 +235,150 @@
       "with both it recovers no later");
 }
 
-constexpr std::array<Scenario, 3> kScenarios = {{
+// --- Prefix affinity --------------------------------------------------------
+
+struct Affinity {
+  const char* name;
+  bool on;
+  double events_lost;
+};
+
+constexpr std::array<Affinity, 4> kAffinities = {
+    {{"off", false, 0},
+     {"on", true, 0},
+     {"on, 2 % of events lost", true, 0.02},
+     {"on, 20 % of events lost", true, 0.2}}};
+
+void RunPrefix(const ScenarioOptions& options, Report& report) {
+  std::vector<double> ratios;
+  for (const Affinity& affinity : kAffinities) {
+    Plan plan = BasePlan(options);
+    plan.profile.stages.back().streams = true;
+    plan.prefixes = 600;
+    plan.affinity = affinity.on;
+    plan.events_lost = affinity.events_lost;
+    plan.micros_per_byte = 1e-4;
+    AddEqualTraffic(plan, 0.7);
+    const Outcome outcome = LoadModel(plan).Run();
+    ratios.push_back(Ratio(outcome.prefix_hits, outcome.prefix_served));
+    Row row;
+    row["affinity"] = affinity.name;
+    row["hit_ratio"] = Rounded(ratios.back());
+    row["first_token_p50_ms"] =
+        Rounded(Outcome::Percentile(outcome.first_token_ms, 0.5));
+    row["first_token_p99_ms"] =
+        Rounded(Outcome::Percentile(outcome.first_token_ms, 0.99));
+    row["billed_bytes_per_answer"] =
+        Rounded(Ratio(outcome.billed_bytes, outcome.all.in_time));
+    report.rows.push_back(Joined(row, Summary(outcome)));
+  }
+  report.Expect(ratios[1] > ratios[0], "affinity finds more prefixes cached");
+  report.Expect(ratios[3] >= ratios[0] - 0.02, "gaps do no harm");
+}
+
+// --- Profiles ---------------------------------------------------------------
+
+struct Deployment {
+  const char* name;
+  std::uint32_t engines;
+  const char* last;  ///< stage whose calls may not be repeated
+  Duration deadline;
+  std::size_t body_bytes;
+  double load;
+  std::vector<std::string> regions;
+  Objective own;
+};
+
+std::vector<Deployment> Deployments() {
+  return {{"Muistolaatta",
+           20,
+           "plaque-orders",
+           seconds(6),
+           20'000,
+           0.7,
+           {"uusimaa", "pirkanmaa", "pohjanmaa"},
+           Objective::kCost},
+          {"Bhattacharya",
+           10,
+           "wallet-ledger",
+           milliseconds(1200),
+           2000,
+           0.7,
+           {"gangetic-south", "dooars-north", "rarh-west"},
+           Objective::kAttainment}};
+}
+
+Plan PlanOf(const Deployment& deployment, const ScenarioOptions& options) {
+  Plan plan = BasePlan(options);
+  plan.regions = deployment.regions;
+  plan.pools.back().servers = deployment.engines;
+  plan.pools.push_back({deployment.last, 3, 4, milliseconds(25)});
+  StageSpec last = Stage(deployment.last, milliseconds(25), 5);
+  last.repeatable = false;
+  plan.profile.stages.push_back(last);
+  plan.profile.deadline = deployment.deadline;
+  plan.body_bytes = deployment.body_bytes;
+  plan.at_first = 0.4;          // the bell, or the morning queue, of one region
+  plan.micros_per_byte = 1e-4;  // 0.10 euros a gigabyte
+  AddEqualTraffic(plan, deployment.load * deployment.engines / 12);
+  return plan;
+}
+
+struct Spread {
+  const char* name;
+  double at_first;
+};
+
+/// The bell, or the morning queue, of one region.
+constexpr std::array<Spread, 2> kSpreads = {
+    {{"even", 0}, {"one region busy", 0.4}}};
+
+void RunProfile(const ScenarioOptions& options,
+                const Deployment& deployment,
+                const Spread& spread,
+                Report& report) {
+  std::array<Outcome, 2> outcomes;
+  for (const Objective objective : {Objective::kAttainment, Objective::kCost}) {
+    Plan plan = PlanOf(deployment, options);
+    plan.at_first = spread.at_first;
+    plan.profile.objective = objective;
+    Outcome& outcome = outcomes[static_cast<std::size_t>(objective)];
+    outcome = LoadModel(plan).Run();
+    Row row;
+    row["deployment"] = deployment.name;
+    row["requests"] = spread.name;
+    row["objective"] = objective == Objective::kCost ? "cost" : "attainment";
+    row["its_own"] = objective == deployment.own;
+    row["billed_bytes_per_answer"] =
+        Rounded(Ratio(outcome.billed_bytes, outcome.all.in_time));
+    report.rows.push_back(Joined(row, Summary(outcome)));
+  }
+  const auto& [attainment, cost] = outcomes;
+  report.Expect(cost.billed_bytes <= attainment.billed_bytes,
+                "the thrifty profile moves no more between regions");
+  report.Expect(spread.at_first > 0 || deployment.own != Objective::kCost ||
+                    cost.CostPerAnswer() <= attainment.CostPerAnswer(),
+                "the thrifty profile spends no more per answer");
+  report.Expect(attainment.all.Attainment() >= cost.all.Attainment() - 0.02,
+                "the prompt profile meets no fewer deadlines");
+}
+
+void RunProfiles(const ScenarioOptions& options, Report& report) {
+  for (const Deployment& deployment : Deployments()) {
+    for (const Spread& spread : kSpreads) {
+      RunProfile({options.seed}, deployment, spread, report);
+    }
+  }
+}
+
+constexpr std::array<Scenario, 5> kScenarios = {{
     {"load", "attainment and cost by load, trouble and routing", &RunLoad},
     {"heavy", "one at 20 times its share, fair and by arrival", &RunHeavy},
     {"retries", "a stage fails for 10 s, with and without restraint",
      &RunRetries},
+    {"prefix", "cached prompt prefixes, with gaps in the events", &RunPrefix},
+    {"profiles", "thrifty and prompt profiles of both deployments",
+     &RunProfiles},
 }};
 
 }  // namespace
--- a/packages/decision/include/gentianroute/decision/server_table.h
+++ b/packages/decision/include/gentianroute/decision/server_table.h
@@ -40,6 +40,7 @@
   Objective objective = Objective::kAttainment;
   bool cross_region = true;
   Duration expected{std::chrono::milliseconds(50)};
+  Duration expected_rest{0};  ///< of this and all later stages; zero: unknown
   Duration remaining{std::chrono::seconds(6)};
   std::uint64_t prefix = 0;  ///< hash of the prompt prefix; 0: none
   std::size_t bytes = 0;     ///< estimate of what the call moves both ways
--- a/packages/decision/src/coordinator_stages.cc
+++ b/packages/decision/src/coordinator_stages.cc
@@ -124,6 +124,7 @@
   context.objective = request.profile->objective;
   context.cross_region = request.profile->cross_region;
   context.expected = Expected(stage);
+  context.expected_rest = ExpectedRest(request);
   context.remaining = request.deadline - now;
   context.prefix = stage.streams ? request.submission.prefix : 0;
   context.bytes = request.submission.body.size();
--- a/packages/decision/src/server_table.cc
+++ b/packages/decision/src/server_table.cc
@@ -16,9 +16,13 @@
 constexpr double kReportWeight = 0.1;
 /// Share of the service time that a cached prefix saves.
 constexpr double kPrefixGain = 0.4;
-/// Expected times that must be left for a thrifty call to wait for a near
-/// server instead of paying for a far one.
-constexpr double kPatience = 4;
+/// A far server is looked at only if the best near one would take more than
+/// this share of the time that is left.
+constexpr double kComfort = 0.5;
+/// Expected times, of all stages to come, that must be left for a thrifty call
+/// to wait for a near server instead of paying for a far one. Measured by the
+/// stage alone, a short first stage would wait away the time of the later ones.
+constexpr double kPatience = 12;
 /// Seconds that a micro-euro of transfer is worth, by objective.
 constexpr std::array<double, 2> kSecondsPerMicroEuro = {0.00001, 0.001};
 
@@ -181,7 +185,9 @@
   Choice best;
   ConsiderHolders(question, best);
   for (std::size_t i = 0; i < kTiers; ++i) {
-    if (i + 1 == kTiers && MayWaitForNearer(pool, question.context)) {
+    const bool far = i + 1 == kTiers;
+    if (far && (best.score < kComfort * Seconds(question.context.remaining) ||
+                MayWaitForNearer(pool, question.context))) {
       break;
     }
     ConsiderTwo(pool.tiers[i], question, rng, best);
@@ -192,8 +198,9 @@
 bool ServerTable::MayWaitForNearer(const Pool& pool,
                                    const PickContext& context) {
   const bool near = pool.tiers[0].accepting + pool.tiers[1].accepting > 0;
+  const Duration rest = std::max(context.expected, context.expected_rest);
   return near && context.objective == Objective::kCost &&
-         Seconds(context.remaining) > kPatience * Seconds(context.expected);
+         Seconds(context.remaining) > kPatience * Seconds(rest);
 }
 
 void ServerTable::ConsiderHolders(const Question& question,
