--- a/packages/decision/src/usage_ledger.cc
+++ b/packages/decision/src/usage_ledger.cc
@@ -140,8 +140,14 @@
       static_cast<double>(ranks.size()) * (1.0 - kKeepOnSweep));
   std::nth_element(ranks.begin(), ranks.begin() + drop, ranks.end());
   const double threshold = ranks[static_cast<std::size_t>(drop)];
-  std::erase_if(records_, [threshold](const auto& item) {
-    return item.second.local + item.second.remote < threshold;
+  // Many records may rank alike; leaving all of those in place would let the
+  // table grow without end and sweep it on each charge.
+  auto ties = drop - std::count_if(
+                         ranks.begin(), ranks.begin() + drop,
+                         [threshold](double rank) { return rank < threshold; });
+  std::erase_if(records_, [threshold, &ties](const auto& item) {
+    const double rank = item.second.local + item.second.remote;
+    return rank < threshold || (rank == threshold && ties-- > 0);
   });
 }
 
