--- a/benchmarks/scenarios.cc
+++ b/benchmarks/scenarios.cc
@@ -380,8 +380,11 @@
     report.rows.push_back(Joined(row, Summary(outcome)));
   }
   const auto& [attainment, cost] = outcomes;
-  report.Expect(cost.billed_bytes <= attainment.billed_bytes,
-                "the thrifty profile moves no more between regions");
+  // With a deadline that leaves no time to wait both objectives move alike.
+  const double share = deployment.own == Objective::kCost ? 0.5 : 1.1;
+  report.Expect(static_cast<double>(cost.billed_bytes) <=
+                    share * static_cast<double>(attainment.billed_bytes),
+                "the thrifty profile moves fewer bytes between regions");
   report.Expect(spread.at_first > 0 || deployment.own != Objective::kCost ||
                     cost.CostPerAnswer() <= attainment.CostPerAnswer(),
                 "the thrifty profile spends no more per answer");
