Drop unused connection pools; prove settled outcomes and true refusals

Each server that ever was kept a pool and its timer; pools without a connection are now dropped every 30 s, condemned ones too.

The drain test now lets the store be down while the daemon stops. With the store refusing, a drain that does not wait for pending claims ended before the outcomes were written, and the resend at another daemon said outcome_unknown.

--- a/packages/loop/include/gentianroute/loop/h2o_http_client.h
+++ b/packages/loop/include/gentianroute/loop/h2o_http_client.h
@@ -18,6 +18,8 @@
     Duration max_idle = std::chrono::seconds(2);
     /// Upper bound on silence; callers set tighter ones with their own timers.
     Duration io_timeout = std::chrono::seconds(60);
+    /// Between looks for pools that hold no connection any more.
+    Duration sweep_period = std::chrono::seconds(30);
   };
 
   H2oHttpClient(EventLoop& loop, Options options);
--- a/packages/loop/src/h2o_http_client.cc
+++ b/packages/loop/src/h2o_http_client.cc
@@ -64,7 +64,9 @@
     context_.loop = loop.h2o();
     context_.getaddr_receiver = &receiver_;
     context_.io_timeout = &io_timeout_;
+    sweep_ = loop.Every(options.sweep_period, [this] { DropUnusedPools(); });
   }
+  ~Impl() { loop_.Cancel(sweep_); }
 
   HttpCallId Call(const HttpCall& call,
                   std::unique_ptr<HttpCallObserver> observer) {
@@ -119,9 +121,6 @@
     // its idle ones age out, and no new call takes one of them.
     retired_.push_back(std::move(found->second));
     pools_.erase(found);
-    std::erase_if(retired_, [](const std::unique_ptr<Pool>& pool) {
-      return pool->pool._shared.count == 0;
-    });
   }
 
  private:
@@ -143,6 +142,17 @@
     bool cancelled = false;
   };
 
+  /// Hosts are replaced at any time: without this the pools of all that there
+  /// ever were would stay, each with a timer of its own.
+  void DropUnusedPools() {
+    const auto unused = [](const std::unique_ptr<Pool>& pool) {
+      return pool->pool._shared.count == 0;
+    };
+    std::erase_if(retired_, unused);
+    std::erase_if(pools_,
+                  [&](const auto& entry) { return unused(entry.second); });
+  }
+
   h2o_socketpool_t* PoolFor(const std::string& address, std::uint16_t port) {
     std::unique_ptr<Pool>& pool = pools_[{address, port}];
     if (pool == nullptr) {
@@ -284,6 +294,7 @@
   std::map<std::pair<std::string, std::uint16_t>, std::unique_ptr<Pool>> pools_;
   std::list<std::unique_ptr<Pool>> retired_;
   std::uint64_t next_call_ = 1;
+  TimerId sweep_;
 };
 
 H2oHttpClient::H2oHttpClient(EventLoop& loop, Options options)
--- a/packages/loop/tests/http_test.cc
+++ b/packages/loop/tests/http_test.cc
@@ -28,8 +28,11 @@
   using Handler =
       std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
-  explicit Loopback(Handler handler, HttpServer::Options options = {})
-      : server(loop, std::move(options), std::move(handler)), client(loop) {}
+  explicit Loopback(Handler handler,
+                    HttpServer::Options options = {},
+                    H2oHttpClient::Options client_options = {})
+      : server(loop, std::move(options), std::move(handler)),
+        client(loop, client_options) {}
 
   HttpCall CallTo(const std::string& path = "/") const {
     HttpCall call;
@@ -185,6 +188,33 @@
   cr_assert_neq(run.Fetch(run.CallTo()).body, first);
 }
 
+// Pools that hold no connection are dropped, also condemned ones, while one in
+// use stays until its call has ended.
+Test(http, pools_without_connections_are_dropped_and_calls_go_on) {
+  EventLoop* loop = nullptr;
+  H2oHttpClient::Options options;
+  options.max_idle = milliseconds(10);
+  options.sweep_period = milliseconds(5);
+  Loopback run(
+      [&loop](const HttpRequest& request,
+              const std::shared_ptr<HttpResponder>& responder) {
+        loop->After(milliseconds(30),
+                    [request, responder] { Echo(request, responder); });
+      },
+      {}, options);
+  loop = &run.loop;
+  const std::string first = run.Fetch(run.CallTo()).body;
+  run.loop.After(milliseconds(10), [&run] {
+    run.client.CondemnConnections("127.0.0.1", run.server.port());
+  });
+  cr_assert(run.Fetch(run.CallTo()).whole);
+  run.loop.After(milliseconds(2500), [&run] { run.loop.Stop(); });
+  run.loop.Run();
+  const HttpResult last = run.Fetch(run.CallTo());
+  cr_assert(last.whole);
+  cr_assert_neq(last.body, first);
+}
+
 // An attempt is given up because of what its own stream just said: the observer
 // cancels its call from inside OnBody, and must outlive that callback.
 Test(http, cancel_inside_a_callback_ends_the_call_silently) {
--- a/tests/process/backend_failure_test.cc
+++ b/tests/process/backend_failure_test.cc
@@ -177,3 +177,45 @@
     cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
   }
 }
+
+// What the caller sees: its own answer, from the other server, whatever the
+// first one sends: another attempt's answer, half of one, one that comes after
+// its time, or an error.
+Test(backend_failure, server_with_wrong_answers_caller_gets_its_own) {
+  Pipelines run(1, 2, 0);
+  for (const char* fault :
+       {R"({"crossed": true})", R"({"crossed": false, "truncate": true})",
+        R"({"truncate": false, "delay_ms": 1200})",
+        R"({"delay_ms": 0, "error_status": 500})"}) {
+    run.deployment.SetFaults(run.encoders[0], fault);
+    for (int i = 0; i < 4; ++i) {
+      const Answer answer = run.Post(0, "chat", "letter").get();
+      cr_assert_eq(answer.status, 200, "%s: %s", fault, answer.body.c_str());
+      cr_assert_eq(answer.body, R"({"by":"encoders-1","stage":"encode"})",
+                   "%s: %s", fault, answer.body.c_str());
+    }
+  }
+}
+
+// What the callers see: each order answered, or refused as not run, and the
+// word is true: the server, which takes two at a time and refuses the others
+// before it runs them, ran each answered one once and each refused one never.
+Test(backend_failure, server_refuses_orders_not_run_is_true) {
+  Pipelines run(1, 1, 0);
+  run.deployment.SetFaults(run.orders,
+                           R"({"max_in_flight": 2, "delay_ms": 100})");
+  constexpr int kOrders = 12;
+  std::vector<std::future<Answer>> answers;
+  answers.reserve(kOrders);
+  for (int i = 0; i < kOrders; ++i) {
+    answers.push_back(run.Post(0, "ordering", "plaque-" + std::to_string(i)));
+  }
+  for (int i = 0; i < kOrders; ++i) {
+    const Answer answer = answers[static_cast<std::size_t>(i)].get();
+    const bool not_run =
+        answer.body.find(R"("work":"not_run")") != std::string::npos;
+    cr_assert(answer.status == 200 || not_run, "%s", answer.body.c_str());
+    cr_assert_eq(run.deployment.Runs(run.orders, "plaque-" + std::to_string(i)),
+                 not_run ? 0 : 1, "%s", answer.body.c_str());
+  }
+}
--- a/tests/process/drain_test.cc
+++ b/tests/process/drain_test.cc
@@ -18,11 +18,12 @@
 // What the caller sees: all its requests answered, though its daemon is being
 // stopped. Streams, keyed orders and requests that wait for a slot are in
 // flight; SIGTERM comes, and a second one; readyz turns 503 at once, while
-// newcomers are served until the balancer has noticed.
+// newcomers are served until the balancer has noticed. The store is down just
+// then, so the outcomes of the orders wait to be written.
 Test(drain, stop_under_load_answers_all_and_exits_zero) {
-  Pipelines run(1, 1, 1, R"({"limits": {"drainNoticeMs": 600}})");
+  Pipelines run(2, 1, 1, R"({"limits": {"drainNoticeMs": 600}})");
   run.deployment.SetFaults(run.encoders[0], R"({"delay_ms": 300})");
-  run.deployment.SetFaults(run.orders, R"({"delay_ms": 1500})");
+  run.deployment.SetFaults(run.orders, R"({"delay_ms": 3000})");
   std::vector<std::future<Answer>> answers;
   answers.reserve(33);
   for (int i = 0; i < 24; ++i) {  // 8 slots: two thirds wait
@@ -36,6 +37,7 @@
   const std::uint16_t operators = run.deployment.operator_port(0);
   cr_assert(Eventually(
       10, [&] { return run.deployment.Runs(run.orders, "order") == 4; }));
+  run.deployment.SetPlatformFaults(R"({"error_status": 503})");
   run.deployment.daemon(0).Signal(SIGTERM);
   cr_assert(Eventually(5, [operators] {
     return Http(operators, "GET", "/readyz", "").status == 503;
@@ -47,7 +49,16 @@
     cr_assert_eq(got.status, 200, "status %d: %s", got.status,
                  got.body.c_str());
   }
+  usleep(300'000);  // a daemon that did not wait would be gone by now
+  run.deployment.SetPlatformFaults(R"({"error_status": 0})");
   cr_assert_eq(run.deployment.daemon(0).Wait(20), 0);
+  // The outcomes were written before the daemon ended: another one knows them.
+  for (int i = 0; i < 4; ++i) {
+    const Answer again =
+        run.Post(1, "ordering", "order", "key-" + std::to_string(i)).get();
+    cr_assert_eq(again.status, 200, "%s", again.body.c_str());
+    cr_assert(again.headers.find("x-replayed: 1") != std::string::npos);
+  }
   cr_assert_eq(run.deployment.Runs(run.orders, "order"), 4);
 }
 
