Prove the request side by random histories in virtual time

tests/random: four daemons' real decision code over one fake store and twelve fake backend servers, under every fault at once. Ends the process when an effect runs twice for a request or key, a request finishes twice or never, an answer, token or stage input is not its own, "not run" is untrue (also later), or one daemon loses more than four servers to one request.

What it found: - seed 1 (30000 events): a resumed daemon's hedge timer is older than the deadline's and started a call past the deadline. Mended, unit test added. - seed 8: most servers of a pool restarting refuse connections within milliseconds; three of them used up all attempts, or the budget. A call without a connection now uses up neither, and backs off within the deadline.

--- a/packages/decision/include/gentianroute/decision/coordinator.h
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -118,6 +118,7 @@
     kTooLate,
     kSilence,
     kHedge,
+    kBackOff,
   };
   struct Timer {
     TimePoint due;
@@ -154,6 +155,8 @@
   void Enqueue(TimePoint now, Request& request);
   void Dispatch(TimePoint now, std::string_view pool);
   bool MayGo(TimePoint now, const Request& request, ServerRef& server);
+  void BackOff(TimePoint now, Request& request);
+  bool MoreSuspectsMayRun(std::string_view pool) const;
   bool IsHeld(TimePoint now, const Request& request) const;
   bool IsPastHope(TimePoint now, const Request& request) const;
   void Refuse(TimePoint now, RequestId request);
@@ -199,6 +202,7 @@
   void OnTooLate(TimePoint now, std::uint64_t request);
   void OnSilence(TimePoint now, std::uint64_t attempt);
   void OnHedge(TimePoint now, std::uint64_t attempt);
+  void OnBackOff(TimePoint now, std::uint64_t request);
 
   Options options_;
   ServerTable& servers_;
--- a/packages/decision/include/gentianroute/decision/request.h
+++ b/packages/decision/include/gentianroute/decision/request.h
@@ -52,12 +52,13 @@
 
   std::size_t stage_index = 0;
   TimePoint queued_at{};
-  std::vector<AttemptId> attempts;  ///< in flight, of this stage
-  std::vector<ServerRef> tried;     ///< by this stage
-  std::uint32_t attempts_made = 0;  ///< by this stage
-  bool stage_maybe_run = false;     ///< a call of it may have run
-  std::uint64_t offset = 0;         ///< tokens received of this stage's stream
-  std::string streamed;             ///< their text
+  std::vector<AttemptId> attempts;     ///< in flight, of this stage
+  std::vector<ServerRef> tried;        ///< by this stage
+  std::uint32_t attempts_made = 0;     ///< by this stage
+  std::uint32_t connect_failures = 0;  ///< by this stage
+  bool stage_maybe_run = false;        ///< a call of it may have run
+  std::uint64_t offset = 0;  ///< tokens received of this stage's stream
+  std::string streamed;      ///< their text
   TimePoint first_token_at{};
 
   std::uint32_t calls_maybe_run = 0;  ///< calls that some server may have seen
--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -15,8 +15,8 @@
 /// @brief Finds the request that crashes each backend server that runs it.
 ///
 /// A crash makes a suspect of everything that ran there. The coordinator never
-/// puts two suspects on one server, nor one suspect on two, so the next crash
-/// names one: an innocent neighbour is answered and cleared, the guilty one is
+/// puts two suspects on one server, nor one suspect on two, and prefers an idle
+/// one: an innocent neighbour is answered and cleared, the guilty one is
 /// quarantined at its second crash if it ran alone, else at its third. Peers
 /// are told, so that its resends crash no server of theirs.
 class SuspectTable {
@@ -33,9 +33,10 @@
   explicit SuspectTable(Options options) : options_(options) {}
 
   /// @brief A server went down. Called once for each crash.
-  /// @param blamed the suspects that ran there, or everything if there was none
-  /// @param alone no other call ran there
-  void OnCrash(TimePoint now, std::span<const Fingerprint> blamed, bool alone);
+  /// @param in_flight every call whose bytes had gone out to it. Newcomers
+  /// beside a suspect too: blaming the suspect alone lets a guilty newcomer
+  /// crash on.
+  void OnCrash(TimePoint now, std::span<const Fingerprint> in_flight);
 
   /// @brief The request was answered by a server that lived on.
   void OnAnswered(Fingerprint fingerprint);
--- a/packages/decision/src/coordinator.cc
+++ b/packages/decision/src/coordinator.cc
@@ -206,9 +206,9 @@
 }
 
 void Coordinator::Advance(TimePoint now) {
-  static constexpr std::array<TimerHandler, 4> kHandlers = {
+  static constexpr std::array<TimerHandler, 5> kHandlers = {
       &Coordinator::OnDeadline, &Coordinator::OnTooLate,
-      &Coordinator::OnSilence, &Coordinator::OnHedge};
+      &Coordinator::OnSilence, &Coordinator::OnHedge, &Coordinator::OnBackOff};
   while (!timers_.empty() && timers_.top().due <= now) {
     const Timer timer = timers_.top();
     timers_.pop();
--- a/packages/decision/src/coordinator_dispatch.cc
+++ b/packages/decision/src/coordinator_dispatch.cc
@@ -120,34 +120,50 @@
     context.avoid = {};
     return server != nullptr;
   };
-  // Best: a server that this stage has not tried and that no call which could
-  // crash it, or be hit by the crash, shares.
-  std::vector<ServerRef> best = suspect ? BusyServers() : suspect_servers_;
+  if (suspect) {
+    // Never two suspects on one server, or its crash would name neither. Best
+    // is an idle one, where the crash hits nobody else.
+    std::vector<ServerRef> busy = BusyServers();
+    Append(busy, request.tried);
+    return MoreSuspectsMayRun(stage.pool) &&
+           (pick(std::move(busy)) || pick(suspect_servers_));
+  }
+  std::vector<ServerRef> best = suspect_servers_;
   Append(best, request.tried);
-  if (pick(std::move(best)) || pick(suspect_servers_)) {
+  if (pick(std::move(best))) {
     return true;
   }
-  // Never two suspects on one server, or its crash would name neither; and no
-  // call that must not repeat beside one, since it could not be tried again.
-  return !suspect && stage.MayRepeat() && pick({});
+  if (!stage.MayRepeat()) {
+    // Beside a suspect it could be cut off, and not tried again.
+    return pick(suspect_servers_);
+  }
+  return pick(request.tried) || pick({});
+}
+
+bool Coordinator::MoreSuspectsMayRun(std::string_view pool) const {
+  // After a crash of a large batch its neighbours would else take all servers,
+  // one each, and every newcomer would run beside some suspect.
+  constexpr std::ptrdiff_t kServersPerSuspect = 4;
+  const auto running = std::ranges::count_if(
+      suspect_servers_,
+      [pool](const ServerRef& server) { return server->host.pool == pool; });
+  const auto live =
+      std::ranges::count_if(servers_.servers(), [pool](const auto& item) {
+        return item.second->host.pool == pool && item.second->Accepts();
+      });
+  return running < std::max<std::ptrdiff_t>(1, live / kServersPerSuspect);
 }
 
 void Coordinator::OnCrash(TimePoint now, const Server& server) {
-  std::vector<Fingerprint> suspects;
-  std::vector<Fingerprint> everyone;
+  std::vector<Fingerprint> in_flight;
   for (Attempt& other : at_server_.at(&server)) {
     // One crash resets every connection: those that follow are no new crash.
     other.crash_counted = true;
-    if (!other.written) {
-      continue;
-    }
-    everyone.push_back(other.fingerprint);
-    if (suspects_.IsSuspect(now, other.fingerprint)) {
-      suspects.push_back(other.fingerprint);
+    if (other.written) {
+      in_flight.push_back(other.fingerprint);
     }
   }
-  const bool alone = everyone.size() == 1;
-  suspects_.OnCrash(now, suspects.empty() ? everyone : suspects, alone);
+  suspects_.OnCrash(now, in_flight);
 }
 
 }  // namespace gentianroute
--- a/packages/decision/src/coordinator_stages.cc
+++ b/packages/decision/src/coordinator_stages.cc
@@ -37,6 +37,7 @@
   request.tried.clear();
   request.stage_maybe_run = false;
   request.attempts_made = 0;
+  request.connect_failures = 0;
   request.offset = 0;
   request.streamed.clear();
   request.reports.push_back({request.stage().name});
@@ -57,6 +58,34 @@
   Dispatch(now, stage.pool);
 }
 
+void Coordinator::BackOff(TimePoint now, Request& request) {
+  // Nothing ran, so a call without a connection uses up no attempt. While all
+  // servers of a pool restart they refuse within milliseconds; giving up then
+  // would lose a request whose deadline is seconds away.
+  constexpr Duration kFirst = std::chrono::milliseconds(20);
+  constexpr std::uint32_t kMaxDoublings = 4;
+  --request.attempts_made;
+  const std::uint32_t failures = ++request.connect_failures;
+  if (failures < request.stage().max_attempts) {
+    Enqueue(now, request);
+    return;
+  }
+  const std::uint32_t doublings =
+      std::min(failures - request.stage().max_attempts, kMaxDoublings);
+  request.phase = RequestPhase::kQueued;
+  request.tried.clear();
+  Arm(now + kFirst * (1 << doublings), TimerKind::kBackOff, request.id.value);
+}
+
+void Coordinator::OnBackOff(TimePoint now, std::uint64_t id) {
+  const auto found = requests_.find(RequestId{id});
+  if (found == requests_.end()) {
+    return;
+  }
+  GR_INVARIANT(found->second.phase == RequestPhase::kQueued);
+  Enqueue(now, found->second);
+}
+
 void Coordinator::Start(TimePoint now, Request& request, ServerRef server) {
   const StageSpec& stage = request.stage();
   // At most once: a stage that must not repeat leaves the daemon only while no
@@ -346,13 +375,22 @@
       suspects_.IsQuarantined(now, request.submission.fingerprint);
   bool again = harmless && meaning.worth_repeating && !quarantined &&
                request.attempts_made < stage.max_attempts;
-  // A crash hits a whole batch at once. Its innocent neighbours must not be
-  // lost to an empty budget; isolation bounds the extra calls instead.
-  const bool crashed = failure == AttemptFailure::kReset;
-  if (again && !crashed && !budgets_[stage.pool].TryTake()) {
+  // A crash hits a whole batch at once, and until health notices, the server
+  // that is down refuses connections faster than the live ones answer. Innocent
+  // requests must not be lost to an empty budget for either: isolation bounds
+  // the calls after a crash, and a call without a connection loads no server.
+  const bool free = failure == AttemptFailure::kReset ||
+                    failure == AttemptFailure::kConnect ||
+                    failure == AttemptFailure::kLeaving;
+  if (again && !free && !budgets_[stage.pool].TryTake()) {
     ++counters_.retries_denied;
     again = false;
   }
+  if (failure == AttemptFailure::kConnect && !quarantined) {
+    ++counters_.retries;
+    BackOff(now, request);
+    return;
+  }
   if (again) {
     ++counters_.retries;
     counters_.resumed_streams += request.offset > 0 ? 1 : 0;
@@ -398,8 +436,9 @@
     return;
   }
   ServerRef server;
-  if (IsHeld(now, request) || !MayGo(now, request, server) ||
-      server == found->second.server) {
+  // After a pause this timer may run before the deadline's.
+  if (IsPastHope(now, request) || IsHeld(now, request) ||
+      !MayGo(now, request, server) || server == found->second.server) {
     return;
   }
   if (!budgets_[request.stage().pool].TryTake()) {
--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -5,16 +5,16 @@
 namespace gentianroute {
 
 void SuspectTable::OnCrash(TimePoint now,
-                           std::span<const Fingerprint> blamed,
-                           bool alone) {
+                           std::span<const Fingerprint> in_flight) {
   if (entries_.size() >= options_.max_entries) {
     Sweep(now);
   }
-  // A crash with others in flight is weaker evidence: a newcomer beside the
-  // suspect may be to blame, and the suspect is then answered at its next run.
-  const std::uint32_t enough =
-      alone ? options_.crashes_alone : options_.crashes_together;
-  for (const Fingerprint fingerprint : blamed) {
+  // A crash with others in flight is weaker evidence: any of them may be to
+  // blame, and an innocent one is answered and cleared at its next run.
+  const std::uint32_t enough = in_flight.size() == 1
+                                   ? options_.crashes_alone
+                                   : options_.crashes_together;
+  for (const Fingerprint fingerprint : in_flight) {
     Entry& entry = entries_[fingerprint];
     if (now >= entry.suspect_until) {
       entry.crashes = 0;
--- a/packages/decision/tests/coordinator_test.cc
+++ b/packages/decision/tests/coordinator_test.cc
@@ -164,3 +164,43 @@
   cr_assert_eq(bench.finishes.size(), 1U);
   cr_assert_eq(bench.starts.size(), 2U);
 }
+
+// --- Regressions of random runs
+// -----------------------------------------------
+
+// random_requests --seed 1: a frozen daemon resumes with a hedge timer and a
+// deadline both past. The hedge's timer is the older one and runs first; it
+// must not start a call that nobody waits for.
+Test(coordinator, frozen_daemon_starts_no_hedge_past_the_deadline) {
+  Bench bench({HostOf("e1", "encode"), HostOf("e2", "encode")});
+  auto catalogue = std::make_shared<Catalogue>(*ThreeServices());
+  StageSpec encode = StageOf("encode");
+  encode.hedge_after = milliseconds(50);
+  AddService(*catalogue, "lookups", {encode});
+  bench.coordinator().SetCatalogue(catalogue);
+  const RequestId id = bench.Submit(SubmissionOf("lookups", "a"));
+  bench.Write(bench.starts.at(0).attempt);
+  bench.Advance(seconds(30));
+  cr_assert_eq(bench.starts.size(), 1U);
+  cr_assert(bench.FinishOf(id)->error == ErrorKind::kDeadlineExceeded);
+}
+
+// random_requests --seed 8, where most servers of a pool restart at once: they
+// refuse connections within milliseconds and used up all attempts. Nothing ran
+// and seconds are left, so the request waits and is answered.
+Test(coordinator, request_outlasts_a_restart_of_its_whole_pool) {
+  Bench bench({HostOf("e1", "encode"), HostOf("e2", "encode")});
+  const RequestId id = bench.Submit(SubmissionOf("lookups", "a"));
+  for (std::size_t next = 0; bench.now < TimePoint{} + seconds(2);) {
+    if (next < bench.starts.size()) {
+      bench.Fail(bench.starts.at(next++).attempt, AttemptFailure::kConnect);
+    }
+    bench.Advance(milliseconds(10));
+  }
+  cr_assert(bench.FinishOf(id) == nullptr);
+  cr_assert_lt(bench.starts.size(), 20U);
+  bench.Advance(milliseconds(400));
+  bench.Write(bench.starts.back().attempt);
+  bench.Answer(bench.starts.back().attempt, "1");
+  cr_assert(!bench.FinishOf(id)->error.has_value());
+}
--- /dev/null
+++ b/tests/random/fake_store.h
@@ -0,0 +1,34 @@
+#ifndef GENTIANROUTE_TESTS_RANDOM_FAKE_STORE_H_
+#define GENTIANROUTE_TESTS_RANDOM_FAKE_STORE_H_
+
+#include <functional>
+#include <vector>
+
+#include "decision_fixture.h"
+#include "event_queue.h"
+
+namespace gentianroute::testing {
+
+/// @brief The table service behind a network that loses answers. A write may
+/// take effect at once, never, or seconds after its answer was lost.
+class FakeStore {
+ public:
+  FakeStore(EventQueue& events, Dice& dice) : events_(events), dice_(dice) {}
+
+  void Transact(TableTransaction transaction,
+                std::function<void(TransactResult)> done);
+  void Read(std::vector<TableKey> keys, std::function<void(ReadResult)> done);
+  void FailFor(Duration duration) { down_until_ = events_.now() + duration; }
+
+ private:
+  bool Down() const { return events_.now() < down_until_; }
+
+  EventQueue& events_;
+  Dice& dice_;
+  FakeTable table_;
+  TimePoint down_until_{};
+};
+
+}  // namespace gentianroute::testing
+
+#endif  // GENTIANROUTE_TESTS_RANDOM_FAKE_STORE_H_
--- /dev/null
+++ b/tests/random/world.h
@@ -0,0 +1,131 @@
+#ifndef GENTIANROUTE_TESTS_RANDOM_WORLD_H_
+#define GENTIANROUTE_TESTS_RANDOM_WORLD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fake_backends.h"
+#include "fake_store.h"
+
+namespace gentianroute::testing {
+
+/// @brief What one run has seen; printed, so that a run that tested nothing
+/// shows.
+struct WorldReport {
+  std::uint64_t events = 0;
+  std::uint64_t submitted = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t lost_with_daemon = 0;
+  std::uint64_t effects = 0;
+  std::uint64_t replayed = 0;
+  std::uint64_t kills = 0;
+  std::uint64_t freezes = 0;
+  std::uint64_t poison_crashes = 0;
+  std::uint64_t worst_poison = 0;  ///< servers lost to one request
+  std::uint64_t poisons = 0;
+  std::uint64_t innocent_quarantined = 0;
+  std::uint64_t late = 0;
+  std::uint64_t crossed = 0;
+  std::uint64_t resumed = 0;
+};
+
+/// @brief Several daemons' decisions over one store and one set of backend
+/// servers, under every fault at once. Ends the process when an invariant
+/// breaks.
+class World : private BackendObserver {
+ public:
+  World(std::uint64_t seed, std::uint64_t events);
+
+  /// @brief Runs until the events are used up and everything has ended.
+  WorldReport Run();
+
+ private:
+  struct Daemon {
+    DaemonId id;
+    std::unique_ptr<DecisionCore> core;
+    TimePoint frozen_until{};
+    TimePoint wake_at = kNever;
+    std::map<JoinId, std::function<void(JoinOutcome)>> joins;
+  };
+  /// One request as its caller sent it.
+  struct Arrival {
+    std::string marker;
+    std::string key;
+    std::string service;
+    std::string body_marker;  ///< differs from `marker` on a reused key
+    TimePoint deadline{};
+    int resends = 0;
+    std::uint64_t runs = 0;
+    std::uint64_t effects = 0;
+    std::string streamed;
+    std::uint64_t stream_offset = 0;
+    std::optional<WorkKnown> failed_as;
+    bool finished = false;
+
+    bool IsPoison() const { return marker.starts_with("poison"); }
+    bool HasEffect() const {
+      return service == "orders" || service == "topups";
+    }
+  };
+  using ArrivalKey = std::pair<DaemonId, RequestId>;
+
+  void OnRun(const BackendCall& call) override;
+  void OnPoisonCrash(const BackendCall& call) override;
+  void Deliver(DaemonId to, Event event) override;
+
+  void Receive(DaemonId to, const Event& event);
+  void Pump(Daemon& daemon);
+  bool StepStore(Daemon& daemon);
+  void PlanWake(Daemon& daemon);
+  void Kill(Daemon& daemon);
+  void StartCore(Daemon& daemon);
+
+  void Do(Daemon& daemon, const StartAttempt& start);
+  void Do(Daemon& daemon, const CancelAttempt& cancel);
+  void Do(Daemon& daemon, const DeliverChunk& chunk);
+  void Do(Daemon& daemon, const FinishRequest& finish);
+  void Do(Daemon& daemon, const AskClaimer& ask);
+  void Do(Daemon& daemon, const AnswerJoin& answer);
+  void Write(const BackendCall& call);
+  void CheckAnswer(const Arrival& arrival, const FinishRequest& finish);
+  void CheckError(Arrival& arrival, const FinishRequest& finish);
+
+  void PlanSubmission();
+  void Submit(Arrival arrival);
+  void Resend(const Arrival& arrival);
+  Arrival NewArrival();
+  void Every(Duration least, Duration most, std::function<void()> task);
+  void PlanFaults();
+  void SpreadHosts();
+  void SpreadQuarantine();
+  bool Closing() const { return events_.ran() >= limit_; }
+  Daemon& AnyDaemon() { return daemons_[dice_.Below(daemons_.size())]; }
+  void Expect(bool holds, const char* what, const Arrival& arrival) const;
+
+  std::uint64_t seed_;
+  std::uint64_t limit_;
+  EventQueue events_;
+  Dice dice_;
+  FakeStore store_;
+  FakeBackends backends_;
+  CatalogueRef catalogue_;
+  std::vector<Daemon> daemons_;
+  std::map<ArrivalKey, Arrival> arrivals_;
+  std::map<std::string, std::uint64_t> effects_;  ///< by idempotency key
+  std::map<std::string, std::uint64_t> poison_crashes_;
+  std::map<std::pair<DaemonId, std::string>, std::uint64_t> crashes_by_daemon_;
+  std::set<std::pair<DaemonId, AttemptId>> cancelled_;
+  std::uint64_t next_marker_ = 0;
+  TimePoint closed_at_ = kNever;
+  WorldReport report_;
+};
+
+}  // namespace gentianroute::testing
+
+#endif  // GENTIANROUTE_TESTS_RANDOM_WORLD_H_
