Count a crash only when the server is seen to be down

Change: a crash counts once the server refuses a connection, breaks all calls at once, or is listed with a new incarnation; a neighbour call that goes on clears it. Until then a request that would be quarantined is accused: it waits (up to 3 s, within its deadline); a resend is told "not run" with Retry-After. Also: calls sent to a restarted server under the old record die with it, so crashes and isolation go by name; suspects take a quarter of a pool at most.

--- a/packages/decision/include/gentianroute/decision/attempt.h
+++ b/packages/decision/include/gentianroute/decision/attempt.h
@@ -50,7 +50,7 @@
   TimePoint silent_at{};  ///< given up if no byte comes before
   bool written = false;   ///< the far end may have seen it
   bool suspect = false;
-  bool crash_counted = false;  ///< the crash of its server was reported
+  TimePoint crash_at{};  ///< when a crash of its server was supposed; zero: no
   std::uint64_t billed_bytes = 0;
 };
 
--- a/packages/decision/include/gentianroute/decision/coordinator.h
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -160,7 +160,10 @@
   bool IsHeld(TimePoint now, const Request& request) const;
   bool IsPastHope(TimePoint now, const Request& request) const;
   void Refuse(TimePoint now, RequestId request);
+  /// The record in force of a server that may have been restarted since.
+  ServerRef Listed(const ServerRef& server) const;
   std::vector<ServerRef> BusyServers() const;
+  std::vector<ServerRef> SuspectServers() const;
   void CancelOthers(Request& request, AttemptId winner);
   void DispatchFreed(TimePoint now);
   void Start(TimePoint now, Request& request, ServerRef server);
@@ -174,7 +177,9 @@
              AttemptFailure failure,
              std::string_view detail);
   ErrorKind KindOfFailure(const Request& request, AttemptFailure failure) const;
+  void OnReset(TimePoint now, const Attempt& attempt);
   void OnCrash(TimePoint now, const Server& server);
+  void OnSignOfLife(TimePoint now, Attempt& attempt);
   Attempt Detach(AttemptId attempt);
   void CancelAll(Request& request);
   std::string StageInput(const Request& request) const;
--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -2,7 +2,11 @@
 #define GENTIANROUTE_DECISION_SUSPECT_TABLE_H_
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <span>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,11 +23,18 @@
 /// one: an innocent neighbour is answered and cleared, the guilty one is
 /// quarantined at its second crash if it ran alone, else at its third. Peers
 /// are told, so that its resends crash no server of theirs.
+///
+/// A broken connection alone is no crash: something between the two ends may
+/// have cut it. It counts once the server is seen to be down or restarted.
+/// Until then, or until the server is seen to live on, a request that would be
+/// quarantined is accused: it waits, neither run nor refused for good.
 class SuspectTable {
  public:
   struct Options {
     std::uint32_t crashes_alone = 2;     ///< if the last one ran alone
-    std::uint32_t crashes_together = 3;  ///< if others ran beside it
+    std::uint32_t crashes_together = 3;  ///< if others ran beside each
+    /// Longer than the list of hosts lags; an unconfirmed crash then lapses.
+    Duration confirm_within = std::chrono::seconds(3);
     Duration suspicion = std::chrono::minutes(10);
     Duration quarantine = std::chrono::minutes(30);
     std::size_t max_entries = 10'000;
@@ -32,11 +43,23 @@
   SuspectTable() : SuspectTable(Options{}) {}
   explicit SuspectTable(Options options) : options_(options) {}
 
-  /// @brief A server went down. Called once for each crash.
-  /// @param in_flight every call whose bytes had gone out to it. Newcomers
-  /// beside a suspect too: blaming the suspect alone lets a guilty newcomer
-  /// crash on.
-  void OnCrash(TimePoint now, std::span<const Fingerprint> in_flight);
+  /// @brief A connection with a call in flight broke. Called once per crash.
+  /// @param in_flight every call whose bytes had gone out to the server.
+  /// Newcomers beside a suspect too: blaming the suspect alone lets a guilty
+  /// newcomer crash on.
+  void OnCrash(TimePoint now,
+               std::string_view server,
+               std::uint64_t incarnation,
+               std::span<const Fingerprint> in_flight);
+
+  /// @brief The server refuses connections, or broke all of them at once.
+  void OnServerDown(TimePoint now, std::string_view server);
+  /// @brief The server is listed with this incarnation.
+  void OnIncarnation(TimePoint now,
+                     std::string_view server,
+                     std::uint64_t incarnation);
+  /// @brief A call that was in flight at the supposed crash has gone on.
+  void OnServerAlive(TimePoint now, std::string_view server);
 
   /// @brief The request was answered by a server that lived on.
   void OnAnswered(Fingerprint fingerprint);
@@ -49,6 +72,7 @@
   bool HasSuspects() const { return !entries_.empty(); }
   bool IsSuspect(TimePoint now, Fingerprint fingerprint) const;
   bool IsQuarantined(TimePoint now, Fingerprint fingerprint) const;
+  bool IsAccused(TimePoint now, Fingerprint fingerprint) const;
 
   /// @brief What peers must know, with the time that is left of it.
   std::vector<std::pair<Fingerprint, Duration>> Quarantined(
@@ -58,14 +82,31 @@
   void Sweep(TimePoint now);
 
  private:
+  struct Crash {
+    std::string server;
+    std::uint64_t incarnation = 0;
+    TimePoint at{};
+    bool alone = false;
+    bool confirmed = false;
+  };
   struct Entry {
-    std::uint32_t crashes = 0;
+    std::vector<Crash> crashes;
     TimePoint suspect_until{};
     TimePoint quarantined_until{};
   };
 
+  void Confirm(TimePoint now,
+               std::string_view server,
+               std::uint64_t before_incarnation);
+  bool Enough(TimePoint now, const Entry& entry, bool confirmed_only) const;
+  bool IsOpen(TimePoint now, const Crash& crash) const {
+    return !crash.confirmed && now < crash.at + options_.confirm_within;
+  }
+
   Options options_;
   std::unordered_map<Fingerprint, Entry> entries_;
+  /// Who has an unconfirmed crash at a server.
+  std::map<std::string, std::set<Fingerprint>, std::less<>> open_;
 };
 
 }  // namespace gentianroute
--- a/packages/decision/src/coordinator.cc
+++ b/packages/decision/src/coordinator.cc
@@ -80,6 +80,10 @@
     detail = "this request crashed the backend servers that ran it";
     return ErrorKind::kQuarantined;
   }
+  if (suspects_.IsAccused(now, request.submission.fingerprint)) {
+    detail = "a server that ran this request has just failed";
+    return ErrorKind::kNoServer;
+  }
   for (const StageSpec& stage : request.profile->stages) {
     if (!servers_.HasServer(stage.pool)) {
       detail = "pool '" + stage.pool + "' has no live server";
--- a/packages/decision/src/coordinator_claims.cc
+++ b/packages/decision/src/coordinator_claims.cc
@@ -24,7 +24,6 @@
   for (const ClaimVerdict& verdict : claims_.TakeVerdicts()) {
     OnVerdict(now, verdict);
   }
-  DispatchFreed(now);
 }
 
 void Coordinator::OnVerdict(TimePoint now, const ClaimVerdict& verdict) {
--- a/packages/decision/src/coordinator_dispatch.cc
+++ b/packages/decision/src/coordinator_dispatch.cc
@@ -86,21 +86,38 @@
 }
 
 bool Coordinator::IsHeld(TimePoint now, const Request& request) const {
-  // Twins of a suspect go one at a time: side by side they would crash several
-  // servers before the first crash is known.
+  // An accused request waits for the proof. Twins of a suspect go one at a
+  // time: side by side they would crash several servers before the first crash
+  // is known.
   const Fingerprint fingerprint = request.submission.fingerprint;
-  return running_.contains(fingerprint) &&
-         suspects_.IsSuspect(now, fingerprint);
+  return suspects_.IsAccused(now, fingerprint) ||
+         (running_.contains(fingerprint) &&
+          suspects_.IsSuspect(now, fingerprint));
+}
+
+ServerRef Coordinator::Listed(const ServerRef& server) const {
+  const auto found = servers_.servers().find(server->host.name);
+  return found == servers_.servers().end() ? server : found->second;
 }
 
 std::vector<ServerRef> Coordinator::BusyServers() const {
   std::vector<ServerRef> busy;
+  busy.reserve(at_server_.size());
   for (const auto& [server, attempts] : at_server_) {
-    busy.push_back(attempts.front().server);
+    busy.push_back(Listed(attempts.front().server));
   }
   return busy;
 }
 
+std::vector<ServerRef> Coordinator::SuspectServers() const {
+  std::vector<ServerRef> servers;
+  servers.reserve(suspect_servers_.size());
+  for (const ServerRef& server : suspect_servers_) {
+    servers.push_back(Listed(server));
+  }
+  return servers;
+}
+
 bool Coordinator::MayGo(TimePoint now,
                         const Request& request,
                         ServerRef& server) {
@@ -126,16 +143,16 @@
     std::vector<ServerRef> busy = BusyServers();
     Append(busy, request.tried);
     return MoreSuspectsMayRun(stage.pool) &&
-           (pick(std::move(busy)) || pick(suspect_servers_));
+           (pick(std::move(busy)) || pick(SuspectServers()));
   }
-  std::vector<ServerRef> best = suspect_servers_;
+  std::vector<ServerRef> best = SuspectServers();
   Append(best, request.tried);
   if (pick(std::move(best))) {
     return true;
   }
   if (!stage.MayRepeat()) {
     // Beside a suspect it could be cut off, and not tried again.
-    return pick(suspect_servers_);
+    return pick(SuspectServers());
   }
   return pick(request.tried) || pick({});
 }
@@ -154,16 +171,47 @@
   return running < std::max<std::ptrdiff_t>(1, live / kServersPerSuspect);
 }
 
+void Coordinator::OnReset(TimePoint now, const Attempt& attempt) {
+  // One crash breaks every connection at once: the second that breaks confirms
+  // it, and those that follow are no new crash.
+  constexpr Duration kAtOnce = std::chrono::milliseconds(200);
+  const bool follows =
+      attempt.crash_at != TimePoint{} && now < attempt.crash_at + kAtOnce;
+  if (follows) {
+    suspects_.OnServerDown(now, attempt.server->host.name);
+  } else {
+    OnCrash(now, *attempt.server);
+  }
+}
+
 void Coordinator::OnCrash(TimePoint now, const Server& server) {
+  // By name: a process that restarted before the list said so has calls under
+  // the record of its last incarnation too, and dies with all of them.
   std::vector<Fingerprint> in_flight;
-  for (Attempt& other : at_server_.at(&server)) {
-    // One crash resets every connection: those that follow are no new crash.
-    other.crash_counted = true;
-    if (other.written) {
-      in_flight.push_back(other.fingerprint);
+  for (auto& [record, attempts] : at_server_) {
+    if (record->host.name != server.host.name) {
+      continue;
+    }
+    for (Attempt& other : attempts) {
+      other.crash_at = now;
+      if (other.written) {
+        in_flight.push_back(other.fingerprint);
+      }
     }
   }
-  suspects_.OnCrash(now, in_flight);
+  const auto listed = servers_.servers().find(server.host.name);
+  const std::uint64_t incarnation = listed == servers_.servers().end()
+                                        ? server.host.incarnation
+                                        : listed->second->host.incarnation;
+  suspects_.OnCrash(now, server.host.name, incarnation, in_flight);
+}
+
+void Coordinator::OnSignOfLife(TimePoint now, Attempt& attempt) {
+  // Had the server crashed, this call would have broken with the other one.
+  if (attempt.crash_at != TimePoint{} && now > attempt.crash_at) {
+    suspects_.OnServerAlive(now, attempt.server->host.name);
+    attempt.crash_at = {};
+  }
 }
 
 }  // namespace gentianroute
--- a/packages/decision/src/coordinator_stages.cc
+++ b/packages/decision/src/coordinator_stages.cc
@@ -14,6 +14,8 @@
 constexpr int kStatusOk = 200;
 constexpr int kFirstServerError = 500;
 constexpr double kMeasureWeight = 0.1;
+/// How often a request that waits for proof of a crash is looked at again.
+constexpr Duration kAccusedRetry = std::chrono::milliseconds(200);
 
 std::string QuoteText(const std::string& text) {
   return nlohmann::json(text).dump(-1, ' ', false,
@@ -82,8 +84,13 @@
   if (found == requests_.end()) {
     return;
   }
-  GR_INVARIANT(found->second.phase == RequestPhase::kQueued);
-  Enqueue(now, found->second);
+  Request& request = found->second;
+  GR_INVARIANT(request.phase == RequestPhase::kQueued);
+  if (suspects_.IsAccused(now, request.submission.fingerprint)) {
+    Arm(now + kAccusedRetry, TimerKind::kBackOff, id);
+    return;
+  }
+  Enqueue(now, request);
 }
 
 void Coordinator::Start(TimePoint now, Request& request, ServerRef server) {
@@ -224,6 +231,7 @@
               "the answer names another attempt");
     return;
   }
+  OnSignOfLife(now, found->second);
   Server& server = *found->second.server;
   if (answer.has_load) {
     servers_.OnLoadReport(now, server, answer.load);
@@ -291,6 +299,7 @@
     return;
   }
   Attempt& attempt = found->second;
+  OnSignOfLife(now, attempt);
   Request& request = requests_.at(attempt.request);
   attempt.silent_at = now + request.stage().first_byte_timeout;
   Arm(attempt.silent_at, TimerKind::kSilence, attempt.id.value);
@@ -334,9 +343,11 @@
     failure = AttemptFailure::kReset;
   }
   const FailureMeaning& meaning = MeaningOf(failure);
-  if (failure == AttemptFailure::kReset && found->second.written &&
-      !found->second.crash_counted) {
-    OnCrash(now, *found->second.server);
+  if (failure == AttemptFailure::kReset && found->second.written) {
+    OnReset(now, found->second);
+  }
+  if (failure == AttemptFailure::kConnect) {
+    suspects_.OnServerDown(now, found->second.server->host.name);
   }
   const Attempt attempt = Detach(id);
   Server& server = *attempt.server;
@@ -391,6 +402,12 @@
     BackOff(now, request);
     return;
   }
+  if (again && suspects_.IsAccused(now, request.submission.fingerprint)) {
+    ++counters_.retries;
+    request.phase = RequestPhase::kQueued;
+    Arm(now + kAccusedRetry, TimerKind::kBackOff, request.id.value);
+    return;
+  }
   if (again) {
     ++counters_.retries;
     counters_.resumed_streams += request.offset > 0 ? 1 : 0;
@@ -449,6 +466,11 @@
 }
 
 void Coordinator::OnServersChanged(TimePoint now) {
+  if (suspects_.HasSuspects()) {
+    for (const auto& [name, server] : servers_.servers()) {
+      suspects_.OnIncarnation(now, name, server->host.incarnation);
+    }
+  }
   std::vector<std::string> pools;
   for (const auto& [pool, queue] : queues_) {
     pools.push_back(pool);
--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -1,30 +1,106 @@
 #include "gentianroute/decision/suspect_table.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace gentianroute {
 
 void SuspectTable::OnCrash(TimePoint now,
+                           std::string_view server,
+                           std::uint64_t incarnation,
                            std::span<const Fingerprint> in_flight) {
   if (entries_.size() >= options_.max_entries) {
     Sweep(now);
   }
-  // A crash with others in flight is weaker evidence: any of them may be to
-  // blame, and an innocent one is answered and cleared at its next run.
-  const std::uint32_t enough = in_flight.size() == 1
-                                   ? options_.crashes_alone
-                                   : options_.crashes_together;
+  const bool alone = in_flight.size() == 1;
+  std::set<Fingerprint>& open =
+      open_.try_emplace(std::string(server)).first->second;
   for (const Fingerprint fingerprint : in_flight) {
     Entry& entry = entries_[fingerprint];
     if (now >= entry.suspect_until) {
-      entry.crashes = 0;
+      entry.crashes.clear();
     }
-    ++entry.crashes;
+    entry.crashes.push_back({std::string(server), incarnation, now, alone});
     entry.suspect_until = now + options_.suspicion;
-    if (entry.crashes >= enough) {
+    open.insert(fingerprint);
+  }
+}
+
+void SuspectTable::OnServerDown(TimePoint now, std::string_view server) {
+  Confirm(now, server, std::numeric_limits<std::uint64_t>::max());
+}
+
+void SuspectTable::OnIncarnation(TimePoint now,
+                                 std::string_view server,
+                                 std::uint64_t incarnation) {
+  Confirm(now, server, incarnation);
+}
+
+void SuspectTable::Confirm(TimePoint now,
+                           std::string_view server,
+                           std::uint64_t before_incarnation) {
+  const auto open = open_.find(server);
+  if (open == open_.end()) {
+    return;
+  }
+  for (const Fingerprint fingerprint : open->second) {
+    Entry& entry = entries_[fingerprint];
+    for (Crash& crash : entry.crashes) {
+      crash.confirmed |= crash.server == server && IsOpen(now, crash) &&
+                         crash.incarnation < before_incarnation;
+    }
+    if (Enough(now, entry, true)) {
       entry.quarantined_until = now + options_.quarantine;
     }
   }
+  std::erase_if(open->second, [&](Fingerprint fingerprint) {
+    return std::ranges::none_of(
+        entries_[fingerprint].crashes, [&](const Crash& crash) {
+          return crash.server == server && IsOpen(now, crash);
+        });
+  });
+  if (open->second.empty()) {
+    open_.erase(open);
+  }
+}
+
+void SuspectTable::OnServerAlive(TimePoint now, std::string_view server) {
+  const auto open = open_.find(server);
+  if (open == open_.end()) {
+    return;
+  }
+  for (const Fingerprint fingerprint : open->second) {
+    Entry& entry = entries_[fingerprint];
+    std::erase_if(entry.crashes, [&](const Crash& crash) {
+      return crash.server == server && IsOpen(now, crash);
+    });
+    if (entry.crashes.empty() && entry.quarantined_until == TimePoint{}) {
+      entries_.erase(fingerprint);
+    }
+  }
+  open_.erase(open);
+}
+
+bool SuspectTable::Enough(TimePoint now,
+                          const Entry& entry,
+                          bool confirmed_only) const {
+  // A crash with others in flight is weaker evidence: any of them may be to
+  // blame, and an innocent one is answered and cleared at its next run.
+  std::uint32_t count = 0;
+  bool alone = false;
+  for (const Crash& crash : entry.crashes) {
+    if (crash.confirmed || (!confirmed_only && IsOpen(now, crash))) {
+      ++count;
+      alone = crash.alone;  // of the last one that counts
+    }
+  }
+  return count >= (alone ? options_.crashes_alone : options_.crashes_together);
+}
+
+bool SuspectTable::IsAccused(TimePoint now, Fingerprint fingerprint) const {
+  const auto found = entries_.find(fingerprint);
+  return found != entries_.end() && Enough(now, found->second, false) &&
+         !Enough(now, found->second, true);
 }
 
 void SuspectTable::OnAnswered(Fingerprint fingerprint) {
