--- a/packages/decision/include/gentianroute/decision/fair_queue.h
+++ b/packages/decision/include/gentianroute/decision/fair_queue.h
@@ -52,13 +52,15 @@
   /// @param now present time, for the decay of use
   /// @param may_go asked in order; a false leaves that waiter where it is
   /// @param max_asked waiters asked before giving up
+  /// @param held passed over without being asked; not counted
   /// @return nothing if no waiter may go
   /// @complexity logarithmic in organisations and in the subscribers of one,
   /// plus the waiters that may not go; linear in organisations once a second
   std::optional<Waiter> Pop(
       TimePoint now,
       const std::function<bool(const Waiter&)>& may_go = nullptr,
-      std::size_t max_asked = std::numeric_limits<std::size_t>::max());
+      std::size_t max_asked = std::numeric_limits<std::size_t>::max(),
+      const std::function<bool(const Waiter&)>& held = nullptr);
 
   /// @brief The one to drop when all can't be served: the last to come of the
   /// heaviest subscriber of the heaviest organisation. Nothing is charged.
@@ -117,7 +119,10 @@
   SubscriberLine& PartOf(OrganisationLine& line, const std::string& name);
   void RankAgainIfDue(TimePoint now);
   void RankAgain(OrganisationLine& line);
-  Found FindIn(OrganisationLine& line, const Ask& may_go, std::size_t& asked);
+  Found FindIn(OrganisationLine& line,
+               const Ask& may_go,
+               const Ask& held,
+               std::size_t& asked_left);
   Waiter Take(std::list<Waiter>::iterator waiter);
 
   UsageLedger& ledger_;
--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -2,6 +2,7 @@
 #define GENTIANROUTE_DECISION_SUSPECT_TABLE_H_
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <span>
 #include <string>
@@ -17,15 +18,23 @@
 
 /// @brief Finds the request that crashes each backend server that runs it.
 ///
-/// A crash makes a suspect of everything that ran there. A suspect runs again
-/// only while no other suspect runs (see Coordinator), so the next crash names
+/// A crash makes a suspect of everything that ran there. The coordinator never
+/// puts two suspects on one server, nor one suspect on two, and prefers an idle
 /// one: an innocent neighbour is answered and cleared, the guilty one is
-/// quarantined at its second crash. At most two servers are lost per daemon
-/// that meets it, and one in all once peers are told.
+/// quarantined at its second crash if it ran alone, else at its third. Peers
+/// are told, so that its resends crash no server of theirs.
+///
+/// A broken connection alone is no crash: something between the two ends may
+/// have cut it. It counts once the server is seen to be down or restarted.
+/// Until then, or until the server is seen to live on, a request that would be
+/// quarantined is accused: it waits, neither run nor refused for good.
 class SuspectTable {
  public:
   struct Options {
-    std::uint32_t crashes_to_quarantine = 2;
+    std::uint32_t crashes_alone = 2;     ///< if the last one ran alone
+    std::uint32_t crashes_together = 3;  ///< if others ran beside each
+    /// Longer than the list of hosts lags; an unconfirmed crash then lapses.
+    Duration confirm_within = std::chrono::seconds(3);
     Duration suspicion = std::chrono::minutes(10);
     Duration quarantine = std::chrono::minutes(30);
     std::size_t max_entries = 10'000;
@@ -34,13 +43,24 @@
   SuspectTable() : SuspectTable(Options{}) {}
   explicit SuspectTable(Options options) : options_(options) {}
 
-  /// @brief A server went down with these requests in flight. A second report
-  /// of the same crash changes nothing.
+  /// @brief A connection with a call in flight broke. Called once per crash.
+  /// @param in_flight every call whose bytes had gone out to the server.
+  /// Newcomers beside a suspect too: blaming the suspect alone lets a guilty
+  /// newcomer crash on.
   void OnCrash(TimePoint now,
                std::string_view server,
                std::uint64_t incarnation,
                std::span<const Fingerprint> in_flight);
 
+  /// @brief The server refuses connections, or broke all of them at once.
+  void OnServerDown(TimePoint now, std::string_view server);
+  /// @brief The server is listed with this incarnation.
+  void OnIncarnation(TimePoint now,
+                     std::string_view server,
+                     std::uint64_t incarnation);
+  /// @brief A call that was in flight at the supposed crash has gone on.
+  void OnServerAlive(TimePoint now, std::string_view server);
+
   /// @brief The request was answered by a server that lived on.
   void OnAnswered(Fingerprint fingerprint);
 
@@ -49,8 +69,10 @@
                         Fingerprint fingerprint,
                         Duration remaining);
 
+  bool HasSuspects() const { return !entries_.empty(); }
   bool IsSuspect(TimePoint now, Fingerprint fingerprint) const;
   bool IsQuarantined(TimePoint now, Fingerprint fingerprint) const;
+  bool IsAccused(TimePoint now, Fingerprint fingerprint) const;
 
   /// @brief What peers must know, with the time that is left of it.
   std::vector<std::pair<Fingerprint, Duration>> Quarantined(
@@ -60,14 +82,31 @@
   void Sweep(TimePoint now);
 
  private:
+  struct Crash {
+    std::string server;
+    std::uint64_t incarnation = 0;
+    TimePoint at{};
+    bool alone = false;
+    bool confirmed = false;
+  };
   struct Entry {
-    std::set<std::pair<std::string, std::uint64_t>> crashes;
+    std::vector<Crash> crashes;
     TimePoint suspect_until{};
     TimePoint quarantined_until{};
   };
 
+  void Confirm(TimePoint now,
+               std::string_view server,
+               std::uint64_t before_incarnation);
+  bool Enough(TimePoint now, const Entry& entry, bool confirmed_only) const;
+  bool IsOpen(TimePoint now, const Crash& crash) const {
+    return !crash.confirmed && now < crash.at + options_.confirm_within;
+  }
+
   Options options_;
   std::unordered_map<Fingerprint, Entry> entries_;
+  /// Who has an unconfirmed crash at a server.
+  std::map<std::string, std::set<Fingerprint>, std::less<>> open_;
 };
 
 }  // namespace gentianroute
--- a/packages/decision/src/coordinator_stages.cc
+++ b/packages/decision/src/coordinator_stages.cc
@@ -14,8 +14,8 @@
 constexpr int kStatusOk = 200;
 constexpr int kFirstServerError = 500;
 constexpr double kMeasureWeight = 0.1;
-/// Waiters asked per dispatch before the pool counts as busy.
-constexpr std::size_t kMaxAsked = 16;
+/// How often a request that waits for proof of a crash is looked at again.
+constexpr Duration kAccusedRetry = std::chrono::milliseconds(200);
 
 std::string QuoteText(const std::string& text) {
   return nlohmann::json(text).dump(-1, ' ', false,
@@ -39,6 +39,7 @@
   request.tried.clear();
   request.stage_maybe_run = false;
   request.attempts_made = 0;
+  request.connect_failures = 0;
   request.offset = 0;
   request.streamed.clear();
   request.reports.push_back({request.stage().name});
@@ -91,52 +92,37 @@
   }
 }
 
-void Coordinator::Dispatch(TimePoint now, std::string_view pool) {
-  const auto found = queues_.find(pool);
-  if (found == queues_.end()) {
+void Coordinator::BackOff(TimePoint now, Request& request) {
+  // Nothing ran, so a call without a connection uses up no attempt. While all
+  // servers of a pool restart they refuse within milliseconds; giving up then
+  // would lose a request whose deadline is seconds away.
+  constexpr Duration kFirst = std::chrono::milliseconds(20);
+  constexpr std::uint32_t kMaxDoublings = 4;
+  --request.attempts_made;
+  const std::uint32_t failures = ++request.connect_failures;
+  if (failures < request.stage().max_attempts) {
+    Enqueue(now, request);
     return;
   }
-  while (!found->second.empty()) {
-    ServerRef server;
-    const auto waiter = found->second.Pop(
-        now,
-        [&](const FairQueue::Waiter& candidate) {
-          return MayGo(now, candidate.request, server);
-        },
-        kMaxAsked);
-    if (!waiter.has_value()) {
-      return;
-    }
-    paces_[std::string(pool)].OnStart(now, !found->second.empty());
-    Start(now, requests_.at(waiter->request), std::move(server));
-  }
+  const std::uint32_t doublings =
+      std::min(failures - request.stage().max_attempts, kMaxDoublings);
+  request.phase = RequestPhase::kQueued;
+  request.tried.clear();
+  Arm(now + kFirst * (1 << doublings), TimerKind::kBackOff, request.id.value);
 }
 
-bool Coordinator::MayGo(TimePoint now, RequestId id, ServerRef& server) {
-  const Request& request = requests_.at(id);
-  const Fingerprint fingerprint = request.submission.fingerprint;
-  if (suspects_.IsSuspect(now, fingerprint) && suspects_running_ > 0) {
-    return false;
+void Coordinator::OnBackOff(TimePoint now, std::uint64_t id) {
+  const auto found = requests_.find(RequestId{id});
+  if (found == requests_.end()) {
+    return;
   }
-  const StageSpec& stage = request.stage();
-  PickContext context;
-  context.pool = stage.pool;
-  context.objective = request.profile->objective;
-  context.cross_region = request.profile->cross_region;
-  context.expected = Expected(stage);
-  context.expected_rest = ExpectedRest(request);
-  context.line = paces_[stage.pool].WaitFor(queues_.at(stage.pool).size());
-  context.remaining = request.deadline - now;
-  context.prefix = stage.streams ? request.submission.prefix : 0;
-  context.bytes = request.submission.body.size();
-  context.avoid = request.tried;
-  server = servers_.Pick(now, context, rng_);
-  if (server == nullptr && !request.tried.empty()) {
-    // All others are busy or gone: the same server is better than none.
-    context.avoid = {};
-    server = servers_.Pick(now, context, rng_);
-  }
-  return server != nullptr;
+  Request& request = found->second;
+  GR_INVARIANT(request.phase == RequestPhase::kQueued);
+  if (suspects_.IsAccused(now, request.submission.fingerprint)) {
+    Arm(now + kAccusedRetry, TimerKind::kBackOff, id);
+    return;
+  }
+  Enqueue(now, request);
 }
 
 void Coordinator::Start(TimePoint now, Request& request, ServerRef server) {
@@ -147,6 +133,7 @@
   GR_INVARIANT(stage.MayRepeat() || !request.stage_maybe_run);
   GR_INVARIANT(request.claim_token.empty() || request.claim_stands);
   GR_INVARIANT(server->Accepts());
+  GR_INVARIANT(now < request.deadline);
 
   const AttemptId id{next_attempt_++};
   Attempt& attempt = attempts_[id];
@@ -158,7 +145,10 @@
   attempt.started = now;
   attempt.silent_at = now + stage.first_byte_timeout;
   attempt.suspect = suspects_.IsSuspect(now, attempt.fingerprint);
-  suspects_running_ += attempt.suspect ? 1 : 0;
+  ++running_[attempt.fingerprint];
+  if (attempt.suspect) {
+    suspect_servers_.push_back(server);
+  }
   at_server_[server.get()].push_back(attempt);
   servers_.OnStart(*server);
   ++counters_.attempts;
@@ -218,17 +208,42 @@
   GR_INVARIANT(found != attempts_.end());
   Attempt& attempt = found->second;
   attempt.unlink();
+  const auto at_server = at_server_.find(attempt.server.get());
+  if (at_server->second.empty()) {
+    at_server_.erase(at_server);
+  }
   Request& request = requests_.at(attempt.request);
   std::erase(request.attempts, id);
-  suspects_running_ -= attempt.suspect ? 1 : 0;
+  const auto running = running_.find(attempt.fingerprint);
+  if (--running->second == 0) {
+    running_.erase(running);
+  }
+  freed_pools_.insert(request.profile->stages[attempt.stage_index].pool);
+  if (attempt.suspect) {
+    suspect_servers_.erase(std::ranges::find(suspect_servers_, attempt.server));
+  }
+  if (suspects_.HasSuspects()) {
+    // Suspects of any pool may have waited for this one.
+    for (const auto& [pool, queue] : queues_) {
+      freed_pools_.insert(pool);
+    }
+  }
   Attempt detached = attempt;
   attempts_.erase(found);
   return detached;
 }
 
 void Coordinator::CancelAll(Request& request) {
-  while (!request.attempts.empty()) {
-    const Attempt attempt = Detach(request.attempts.back());
+  CancelOthers(request, AttemptId{});
+}
+
+void Coordinator::CancelOthers(Request& request, AttemptId winner) {
+  const std::vector<AttemptId> attempts = request.attempts;
+  for (const AttemptId id : attempts) {
+    if (id == winner) {
+      continue;
+    }
+    const Attempt attempt = Detach(id);
     servers_.OnCancelled(*attempt.server);
     actions_.push_back(CancelAttempt{attempt.id, attempt.server, false, {}});
   }
@@ -248,6 +263,7 @@
               "the answer names another attempt");
     return;
   }
+  OnSignOfLife(now, found->second);
   Server& server = *found->second.server;
   if (answer.has_load) {
     servers_.OnLoadReport(now, server, answer.load);
@@ -264,12 +280,10 @@
   servers_.OnSuccess(now, server, now - attempt.started);
   Request& request = requests_.at(attempt.request);
   BudgetOf(request.stage().pool).OnSuccess();
-  suspects_.OnAnswered(attempt.fingerprint);
   std::string result = request.stage().streams ? QuoteText(request.streamed)
                                                : std::move(answer.body);
-  const std::string pool = request.stage().pool;
   CompleteStage(now, request, std::move(result), answer, attempt);
-  Dispatch(now, pool);
+  DispatchFreed(now);
 }
 
 void Coordinator::CompleteStage(TimePoint now,
@@ -293,6 +307,9 @@
                 Seconds(took) - Seconds(measured));
   request.results.push_back(std::move(result));
   if (request.OnLastStage()) {
+    // Only the whole request clears it: an answered first stage says nothing of
+    // the stage at which servers crash.
+    suspects_.OnAnswered(attempt.fingerprint);
     std::string body = std::move(request.results.back());
     Finish(now, request, std::nullopt, {}, std::move(body), false);
     return;
@@ -314,6 +331,7 @@
     return;
   }
   Attempt& attempt = found->second;
+  OnSignOfLife(now, attempt);
   Request& request = requests_.at(attempt.request);
   attempt.silent_at = now + request.stage().first_byte_timeout;
   Arm(attempt.silent_at, TimerKind::kSilence, attempt.id.value);
@@ -328,6 +346,10 @@
   }
   ++request.offset;
   request.streamed += chunk.text;
+  // One text comes from one engine: the other side of a hedge may word it
+  // differently, and its tokens would be mixed in.
+  CancelOthers(request, chunk.attempt);
+  DispatchFreed(now);
   if (!request.OnLastStage()) {
     return;
   }
@@ -348,9 +370,16 @@
   if (found == attempts_.end()) {
     return;
   }
+  if (failure == AttemptFailure::kConnect && found->second.written) {
+    // Bytes went out, so "no connection" can't mean that nothing ran.
+    failure = AttemptFailure::kReset;
+  }
   const FailureMeaning& meaning = MeaningOf(failure);
   if (failure == AttemptFailure::kReset && found->second.written) {
-    OnCrash(now, found->second);
+    OnReset(now, found->second);
+  }
+  if (failure == AttemptFailure::kConnect) {
+    suspects_.OnServerDown(now, found->second.server->host.name);
   }
   const Attempt attempt = Detach(id);
   Server& server = *attempt.server;
@@ -372,11 +401,10 @@
     request.effects_maybe_run -= request.stage().repeatable ? 0 : 1;
     request.stage_maybe_run = request.stage().MayRepeat();
   }
-  const std::string pool = request.stage().pool;
   if (request.attempts.empty()) {  // otherwise the hedge goes on
     Retry(now, request, failure, detail);
   }
-  Dispatch(now, pool);
+  DispatchFreed(now);
 }
 
 RetryBudget& Coordinator::BudgetOf(const std::string& pool) {
@@ -394,10 +422,28 @@
       suspects_.IsQuarantined(now, request.submission.fingerprint);
   bool again = harmless && meaning.worth_repeating && !quarantined &&
                request.attempts_made < stage.max_attempts;
-  if (again && !BudgetOf(stage.pool).TryTake()) {
+  // A crash hits a whole batch at once, and until health notices, the server
+  // that is down refuses connections faster than the live ones answer. Innocent
+  // requests must not be lost to an empty budget for either: isolation bounds
+  // the calls after a crash, and a call without a connection loads no server.
+  const bool free = failure == AttemptFailure::kReset ||
+                    failure == AttemptFailure::kConnect ||
+                    failure == AttemptFailure::kLeaving;
+  if (again && !free && !BudgetOf(stage.pool).TryTake()) {
     ++counters_.retries_denied;
     again = false;
   }
+  if (failure == AttemptFailure::kConnect && !quarantined) {
+    ++counters_.retries;
+    BackOff(now, request);
+    return;
+  }
+  if (again && suspects_.IsAccused(now, request.submission.fingerprint)) {
+    ++counters_.retries;
+    request.phase = RequestPhase::kQueued;
+    Arm(now + kAccusedRetry, TimerKind::kBackOff, request.id.value);
+    return;
+  }
   if (again) {
     ++counters_.retries;
     counters_.resumed_streams += request.offset > 0 ? 1 : 0;
@@ -423,20 +469,6 @@
                             : ErrorKind::kStageFailed;
 }
 
-void Coordinator::OnCrash(TimePoint now, const Attempt& attempt) {
-  std::vector<Fingerprint> suspects;
-  std::vector<Fingerprint> everyone;
-  for (const Attempt& other : at_server_[attempt.server.get()]) {
-    everyone.push_back(other.fingerprint);
-    if (other.suspect) {
-      suspects.push_back(other.fingerprint);
-    }
-  }
-  const HostRecord& host = attempt.server->host;
-  suspects_.OnCrash(now, host.name, host.incarnation,
-                    suspects.empty() ? everyone : suspects);
-}
-
 void Coordinator::OnSilence(TimePoint now, std::uint64_t id) {
   const auto found = attempts_.find(AttemptId{id});
   if (found == attempts_.end() || found->second.silent_at > now) {
@@ -457,7 +489,9 @@
     return;
   }
   ServerRef server;
-  if (!MayGo(now, request.id, server) || server == found->second.server) {
+  // After a pause this timer may run before the deadline's.
+  if (IsPastHope(now, request) || IsHeld(now, request) ||
+      !MayGo(now, request, server) || server == found->second.server) {
     return;
   }
   if (!BudgetOf(request.stage().pool).TryTake()) {
@@ -468,6 +502,11 @@
 }
 
 void Coordinator::OnServersChanged(TimePoint now) {
+  if (suspects_.HasSuspects()) {
+    for (const auto& [name, server] : servers_.servers()) {
+      suspects_.OnIncarnation(now, name, server->host.incarnation);
+    }
+  }
   std::vector<std::string> pools;
   for (const auto& [pool, queue] : queues_) {
     pools.push_back(pool);
--- a/packages/decision/src/fair_queue.cc
+++ b/packages/decision/src/fair_queue.cc
@@ -118,7 +118,8 @@
 
 std::optional<FairQueue::Waiter> FairQueue::Pop(TimePoint now,
                                                 const Ask& may_go,
-                                                std::size_t max_asked) {
+                                                std::size_t max_asked,
+                                                const Ask& held) {
   RankAgainIfDue(now);
   std::size_t asked_left = max_asked;
   Found found;
@@ -126,7 +127,7 @@
     return RankOf(line);
   };
   ForEachRanked(ranking_, rank, [&](OrganisationLine& line) {
-    found = FindIn(line, may_go, asked_left);
+    found = FindIn(line, may_go, held, asked_left);
     return found.has_value() || asked_left == 0;
   });
   if (!found.has_value()) {
@@ -139,6 +140,7 @@
 
 FairQueue::Found FairQueue::FindIn(OrganisationLine& line,
                                    const Ask& may_go,
+                                   const Ask& held,
                                    std::size_t& asked_left) {
   Found found;
   const auto rank = [&](const SubscriberLine& part) {
@@ -147,6 +149,9 @@
   ForEachRanked(line.ranking, rank, [&](SubscriberLine& part) {
     auto waiter = part.waiters.begin();
     for (; waiter != part.waiters.end() && asked_left > 0; ++waiter) {
+      if (held && held(*waiter)) {
+        continue;
+      }
       --asked_left;
       if (!may_go || may_go(*waiter)) {
         found = waiter;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -167,7 +167,7 @@
   while (std::exchange(touched_, false)) {
     const TimePoint now = loop_.Now();
     coordinator_.Advance(now);
-    coordinator_.PumpClaims(now, loop_.Wall());
+    coordinator_.PumpClaims(now);
     claim_sync_.Pump();
     for (Action& action : coordinator_.TakeActions()) {
       touched_ = true;
@@ -229,8 +229,9 @@
 
 void Daemon::Ask(const AskClaimer& ask) {
   constexpr Duration kAskTimeout = std::chrono::seconds(2);
-  const auto done = [this, id = ask.request](const JoinOutcome& outcome) {
-    coordinator_.OnClaimerAnswered(loop_.Now(), loop_.Wall(), id, outcome);
+  const auto done = [this, id = ask.request,
+                     token = ask.claim.token](const JoinOutcome& outcome) {
+    coordinator_.OnClaimerAnswered(loop_.Now(), id, token, outcome);
     Touch();
   };
   if (ask.claim.daemon != settings_.get().getName().cStr()) {
