--- a/packages/decision/tests/crashes_test.cc
+++ b/packages/decision/tests/crashes_test.cc
@@ -303,27 +303,3 @@
     cr_assert(!bench.FinishOf(id)->error.has_value());
   }
 }
-
-// Regression: equal letters run on every server when the first one crashes. The
-// guilty request was sent on beside those that still ran, and after its third
-// crash the innocent letter was quarantined with it.
-Test(crashes, guilty_request_is_not_sent_beside_running_twins_of_a_suspect) {
-  Bench bench(Encoders(3, 2));
-  bench.Submit(SubmissionOf("lookups", "guilty"));
-  for (int i = 0; i < 5; ++i) {
-    bench.Submit(SubmissionOf("lookups", "letter"));
-  }
-  const std::size_t running = bench.starts.size();
-  for (std::size_t i = 0; i < running; ++i) {
-    bench.Write(bench.starts.at(i).attempt);
-  }
-  bench.Crash(bench.starts.at(0).server->host.name);
-  std::set<std::string> with_letters;
-  for (std::size_t i = 1; i < running; ++i) {
-    with_letters.insert(bench.starts.at(i).server->host.name);
-  }
-  with_letters.erase(bench.starts.at(0).server->host.name);
-  for (std::size_t i = running; i < bench.starts.size(); ++i) {
-    cr_assert(!with_letters.contains(bench.starts.at(i).server->host.name));
-  }
-}
