--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -29,11 +29,6 @@
 constexpr const char* kTestKeyDigest =
     "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef";
 
-std::string Binary(const std::string& name) {
-  const char* folder = std::getenv("GENTIANROUTE_BIN");
-  return std::string(folder == nullptr ? "build" : folder) + "/" + name;
-}
-
 /// A port that was free a moment ago; the listener takes it with SO_REUSEADDR.
 std::uint16_t FreePort() {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -68,6 +63,11 @@
 
 }  // namespace
 
+std::string Binary(const std::string& name) {
+  const char* folder = std::getenv("GENTIANROUTE_BIN");
+  return std::string(folder == nullptr ? "build" : folder) + "/" + name;
+}
+
 Process::Process(const std::vector<std::string>& command,
                  const std::string& error_file) {
   int pipe_ends[2];
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -10,6 +10,9 @@
 
 namespace gentianroute::testing {
 
+/// @brief Path of a built program, like `apps/gentianctl`.
+std::string Binary(const std::string& name);
+
 /// @brief One process that a test started; ended by its id at the latest when
 /// this is destroyed.
 class Process {
