Show one burn bar for each service in the page

Cause: looked at in Chromium at 1200 and 500 pixels wide, the page opened with twenty bars, four for each of five services, and most of the first screen was text scaled to 20 pixels. Ruled out: dropping windows; the table below has all. Change: one bar for the window that burns fastest, drawn at most 28rem wide.

--- a/apps/gentianctl/report_page.cc
+++ b/apps/gentianctl/report_page.cc
@@ -23,7 +23,7 @@
 table { border-collapse: collapse; }
 th, td { padding: .3rem .8rem .3rem 0; border-bottom: 1px solid var(--line);
   text-align: left; white-space: nowrap; }
-svg { width: 100%; max-width: 44rem; height: auto; }
+svg { width: 100%; max-width: 28rem; height: auto; }
 svg text { fill: var(--text); font: 13px system-ui, sans-serif; }
 .good { fill: var(--good); } .bad { fill: var(--bad); }
 .limit { stroke: var(--text); stroke-dasharray: 3 3; }
@@ -100,17 +100,24 @@
   return svg + "</svg>\n";
 }
 
+/// One bar for each service, of the window that burns fastest; the table below
+/// has all windows.
 std::string BurnPlot(const json& merged) {
   std::vector<Bar> bars;
   for (const json& service : merged.at("services")) {
+    Bar worst{service.at("service").get<std::string>()};
     for (const json& window : service.at("windows")) {
       const double burn = window.at("burn_rate");
-      bars.push_back({service.at("service").get<std::string>() + ", " +
-                          WindowName(window.at("seconds")),
-                      burn, TwoDecimals(burn), burn > 1});
+      if (worst.label.empty() || burn > worst.value) {
+        worst.value = burn;
+        worst.label =
+            TwoDecimals(burn) + " over " + WindowName(window.at("seconds"));
+      }
     }
+    worst.bad = worst.value > 1;
+    bars.push_back(std::move(worst));
   }
-  return BarPlot("Burn rate by service and window; the line is 1", bars, 1);
+  return BarPlot("Fastest burn rate by service; the line is 1", bars, 1);
 }
 
 std::string CostPlot(const json& merged) {
