Keep the load tool at the rate it was asked for

Cause: each gap was counted from the moment the last request went, and the loop wakes up to a millisecond late: at 1,200 a second over nine daemons it sent 910. Change: gaps are counted from the moment that was due.

--- a/loadtool/load_run.cc
+++ b/loadtool/load_run.cc
@@ -93,7 +93,8 @@
       gap_(options_.rate) {}
 
 LoadResult LoadRun::Run() {
-  end_ = loop_.Now() + options_.length;
+  next_send_ = loop_.Now();
+  end_ = next_send_ + options_.length;
   ScheduleNext();
   loop_.At(end_ + options_.deadline + kPatience, [this] { loop_.Stop(); });
   loop_.Run();
@@ -107,8 +108,10 @@
 
 void LoadRun::ScheduleNext() {
   constexpr double kMicros = 1e6;
-  const Duration gap(static_cast<std::int64_t>(gap_(rng_) * kMicros));
-  loop_.After(gap, [this] {
+  // From the moment that was due, not from now: the loop wakes up to a
+  // millisecond late, and the load would fall short of its rate by that much.
+  next_send_ += Duration(static_cast<std::int64_t>(gap_(rng_) * kMicros));
+  loop_.At(next_send_, [this] {
     if (loop_.Now() >= end_) {
       sending_ = false;
       if (open_ == 0) {
--- a/loadtool/load_run.h
+++ b/loadtool/load_run.h
@@ -53,6 +53,7 @@
   std::mt19937_64 rng_;
   std::exponential_distribution<double> gap_;
   TimePoint end_{};
+  TimePoint next_send_{};
   LoadResult result_;
   std::uint64_t sent_ = 0;
   std::uint64_t open_ = 0;
