--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -23,6 +23,7 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  pid_t pid() const { return pid_; }
   void Signal(int number) const;
   /// @brief Waits for the end.
   /// @return exit status, or 128 + signal; -1 if it goes on for `seconds`
