Bound what gossip tells of leaving servers and what it costs

Cause: the digest carried every server that ever left, and three exchanges a second each way carried it. Change: LeavingNews keeps an entry while the own list names the incarnation and ten minutes after it first lacks it, tells the newest and the others in turn (8 in a digest), and passes on nothing that the own list never named, or entries would circle between daemons that forget at different times. One exchange a period, rumours to two peers at most once a period. The join answer goes through a shared record, since g++ 12 reports a false maybe-uninitialized in kj::Maybe<JoinOutcome>.

--- a/packages/decision/include/gentianroute/decision/server_table.h
+++ b/packages/decision/include/gentianroute/decision/server_table.h
@@ -65,6 +65,9 @@
   /// @brief Heard from the server itself, or from a peer.
   void MarkLeaving(std::string_view server, std::uint64_t incarnation);
 
+  /// @brief Drops what is known of an incarnation that no list names any more.
+  void ForgetLeaving(std::string_view server, std::uint64_t incarnation);
+
   /// @brief A load report that came back with an answer.
   void OnLoadReport(TimePoint now, Server& server, std::uint32_t load);
 
--- /dev/null
+++ b/packages/decision/src/leaving_news.cc
@@ -0,0 +1,73 @@
+#include "gentianroute/decision/leaving_news.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace gentianroute {
+
+bool LeavingNews::Add(const LeavingServer& server) {
+  const auto [place, added] = entries_.try_emplace(server);
+  if (added) {
+    place->second.order = next_order_++;
+  }
+  return added;
+}
+
+std::vector<LeavingServer> LeavingNews::OnHostList(
+    TimePoint now,
+    std::span<const HostRecord> hosts) {
+  std::set<LeavingServer> listed;
+  for (const HostRecord& host : hosts) {
+    listed.insert({host.name, host.incarnation});
+  }
+  std::vector<LeavingServer> forgotten;
+  for (auto& [server, entry] : entries_) {
+    if (listed.contains(server)) {
+      entry.ever_listed = true;
+      entry.absent_since = kNever;  // a list that flaps starts the time anew
+    } else if (entry.absent_since == kNever) {
+      entry.absent_since = now;
+    } else if (now - entry.absent_since >= options_.forget_absent) {
+      forgotten.push_back(server);
+    }
+  }
+  for (const LeavingServer& server : forgotten) {
+    entries_.erase(server);
+  }
+  return forgotten;
+}
+
+bool LeavingNews::Tells(TimePoint now, const Entry& entry) const {
+  if (entry.absent_since == kNever) {
+    return true;
+  }
+  // What was never in the own list may be an entry that this daemon has
+  // forgotten and a slower peer has not. Passed on, it would go round between
+  // daemons that forget at different times and never end.
+  return entry.ever_listed && now - entry.absent_since < options_.tell_absent;
+}
+
+std::vector<LeavingServer> LeavingNews::ForDigest(TimePoint now) {
+  std::vector<std::pair<std::uint64_t, const LeavingServer*>> told;
+  for (const auto& [server, entry] : entries_) {
+    if (Tells(now, entry)) {
+      told.emplace_back(entry.order, &server);
+    }
+  }
+  std::ranges::sort(told, std::greater{});
+  std::vector<LeavingServer> chosen;
+  const std::size_t newest = std::min(options_.per_digest / 2, told.size());
+  for (std::size_t i = 0; i < newest; ++i) {
+    chosen.push_back(*told[i].second);
+  }
+  const std::size_t others = told.size() - newest;
+  const std::size_t room = std::min(options_.per_digest - newest, others);
+  for (std::size_t i = 0; i < room; ++i) {
+    chosen.push_back(*told[newest + (turn_ + i) % others].second);
+  }
+  turn_ += room;
+  return chosen;
+}
+
+}  // namespace gentianroute
--- a/packages/decision/src/server_table.cc
+++ b/packages/decision/src/server_table.cc
@@ -71,6 +71,11 @@
   }
 }
 
+void ServerTable::ForgetLeaving(std::string_view server,
+                                std::uint64_t incarnation) {
+  leaving_.erase({std::string(server), incarnation});
+}
+
 void ServerTable::OnLoadReport(TimePoint /*now*/,
                                Server& server,
                                std::uint32_t load) {
--- /dev/null
+++ b/packages/decision/tests/leaving_news_test.cc
@@ -0,0 +1,70 @@
+#include "gentianroute/decision/leaving_news.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute;
+using std::chrono::minutes;
+
+namespace {
+
+HostRecord Listed(const std::string& name, std::uint64_t incarnation) {
+  HostRecord host;
+  host.name = name;
+  host.incarnation = incarnation;
+  return host;
+}
+
+TimePoint At(int minute) {
+  return TimePoint{} + minutes(minute);
+}
+
+}  // namespace
+
+// Hundreds of servers leave in one roll-out. The digest stays small, and a
+// daemon that was cut off meanwhile still hears of each within some rounds.
+Test(leaving_news, many_leaving_servers_are_told_in_turn) {
+  LeavingNews news;
+  for (int i = 0; i < 200; ++i) {
+    cr_assert(news.Add({"s" + std::to_string(i), 1}));
+    cr_assert(!news.Add({"s" + std::to_string(i), 1}));
+  }
+  std::set<LeavingServer> heard;
+  for (int round = 0; round < 50; ++round) {
+    const auto digest = news.ForDigest(At(0));
+    cr_assert_eq(digest.size(), 8);
+    heard.insert(digest.begin(), digest.end());
+  }
+  cr_assert_eq(heard.size(), 200);
+}
+
+// The list drops a leaving server, names it again (it flaps), then drops it for
+// good. Forgotten at the first gap, the server would get new work at the flap.
+Test(leaving_news, flapping_list_starts_the_time_anew) {
+  LeavingNews news;
+  const std::vector<HostRecord> listed = {Listed("s", 1)};
+  const std::vector<HostRecord> replaced = {Listed("s", 2)};
+  news.Add({"s", 1});
+  news.OnHostList(At(0), listed);
+  news.OnHostList(At(1), replaced);
+  news.OnHostList(At(9), listed);
+  cr_assert(news.OnHostList(At(12), replaced).empty());
+  cr_assert(news.OnHostList(At(21), replaced).empty());
+  cr_assert_eq(news.OnHostList(At(22), replaced).size(), 1);
+  cr_assert_eq(news.size(), 0);
+}
+
+// Two daemons forget an entry at different times. The slower one tells the
+// other again; passed on from there it would go round for ever.
+Test(leaving_news, entry_that_own_list_never_named_is_not_passed_on) {
+  LeavingNews news;
+  news.OnHostList(At(0), {});
+  news.Add({"s", 1});
+  news.OnHostList(At(1), {});
+  cr_assert(news.ForDigest(At(1)).empty());
+  cr_assert_eq(news.size(), 1);
+  cr_assert_eq(news.OnHostList(At(11), {}).size(), 1);
+}
--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -8,6 +8,7 @@
 
 #include "gentianroute/decision/config_follower.h"
 #include "gentianroute/decision/coordinator.h"
+#include "gentianroute/decision/leaving_news.h"
 #include "gentianroute/decision/poll_schedule.h"
 #include "gentianroute/entry/backend_calls.h"
 #include "gentianroute/entry/caller_api.h"
@@ -70,6 +71,7 @@
   void PollConfig();
   void ApplyHosts(const std::vector<HostRecord>& hosts);
   void OnConfigChanged();
+  void NoteLeaving();
   void CheckDrained();
 
   EventLoop& loop_;
@@ -80,6 +82,7 @@
   H2oHttpClient client_;
   HttpPlatform platform_;
   ServerTable servers_;
+  LeavingNews leaving_news_;
   UsageLedger usage_;
   SuspectTable suspects_;
   ClaimLedger claims_;
@@ -97,6 +100,7 @@
   std::unordered_map<JoinId, std::function<void(JoinOutcome)>> joins_;
   std::vector<PeerAddress> seeds_;
   TimerId wake_;
+  std::size_t quarantine_turn_ = 0;
   bool pumping_ = false;
   bool touched_ = false;
   bool draining_ = false;
--- a/packages/entry/include/gentianroute/entry/peer_links.h
+++ b/packages/entry/include/gentianroute/entry/peer_links.h
@@ -53,7 +53,9 @@
     std::string name;
     std::string address;
     std::uint16_t port = 0;
-    std::size_t fanout = 3;
+    std::size_t fanout = 1;         ///< peers in a round
+    std::size_t rumour_fanout = 2;  ///< peers that hear news at once
+    std::uint32_t rumours = 1;      ///< extra rounds in a period
     Duration call_timeout = std::chrono::seconds(1);
     std::uint64_t seed = 1;
   };
@@ -66,8 +68,11 @@
   void SetPeers(std::vector<PeerAddress> peers);
   std::size_t peer_count() const { return peers_.size(); }
 
-  /// @brief One round with a few peers; also right after something new.
+  /// @brief One round with a few peers; called once a period.
   void Gossip();
+  /// @brief A round at once, for news; only a few in each period, so that a
+  /// burst of news costs no more than the period's rounds do.
+  void Rumour();
 
   /// @brief Asks a peer for what follows a revision; OnRevisions() hears it.
   /// A peer that no longer keeps all of it is asked for a snapshot instead.
@@ -88,6 +93,7 @@
 
   Link* LinkTo(const PeerAddress& peer);
   const PeerAddress* Find(std::string_view name) const;
+  void Round(std::size_t fanout);
   void Exchange(const PeerAddress& peer);
   void ExchangeNow(Link& link);
   void FetchNow(Link& link, std::uint64_t after);
@@ -109,6 +115,7 @@
   std::vector<PeerAddress> peers_;
   std::map<std::string, std::unique_ptr<Link>, std::less<>> links_;
   std::uint64_t round_ = 0;
+  std::uint32_t rumours_left_ = 0;
   std::unique_ptr<RpcServer> server_;
   struct Tasks;
   std::unique_ptr<Tasks> tasks_;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -13,6 +13,10 @@
 
 constexpr Duration kGossipPeriod = std::chrono::seconds(1);
 constexpr std::size_t kHeavyRecords = 16;
+/// Bounds of a digest: at one exchange a second each way, and the rumours of
+/// 28,000 changes a day, gossip stays under 4 KB/s for each daemon.
+constexpr std::size_t kHeavyInDigest = 8;
+constexpr std::size_t kQuarantinedInDigest = 8;
 constexpr Duration kShortestWake = std::chrono::microseconds(100);
 
 std::map<std::string, PathCost> PathsOf(schema::Settings::Reader settings) {
@@ -147,6 +151,7 @@
     PollConfig();
   });
   loop.Every(kGossipPeriod, [this] {
+    NoteLeaving();
     peers_->Gossip();
     suspects_.Sweep(loop_.Now());
   });
@@ -280,6 +285,10 @@
   peers_->SetPeers(std::move(peers));
   poll_schedule_.SetPeers(neighbours);
   servers_.ApplyHostList(loop_.Now(), backends);
+  for (const auto& gone : leaving_news_.OnHostList(loop_.Now(), backends)) {
+    servers_.ForgetLeaving(gone.server, gone.incarnation);
+  }
+  NoteLeaving();
   coordinator_.OnServersChanged(loop_.Now());
   Touch();
 }
@@ -287,7 +296,17 @@
 void Daemon::OnConfigChanged() {
   coordinator_.SetCatalogue(follower_.catalogue());
   LogEvent("configuration").Field("revision", follower_.revision());
-  peers_->Gossip();  // a rumour: peers hear of it now, not at the next round
+  peers_->Rumour();
+}
+
+void Daemon::NoteLeaving() {
+  bool added = false;
+  for (const auto& [server, incarnation] : servers_.leaving()) {
+    added = leaving_news_.Add({server, incarnation}) || added;
+  }
+  if (added) {
+    peers_->Rumour();
+  }
 }
 
 void Daemon::Apply(ConfigRevision change, const ConfigSync::Done& done) {
@@ -305,28 +324,29 @@
   digest.setRevision(follower_.revision());
   digest.setDraining(draining_);
   digest.setStoreAgeMs(StoreAgeMs(poll_schedule_.Age(now)));
-  const std::vector<UseRecord> heavy = usage_.Heaviest(now, kHeavyRecords);
+  const std::vector<UseRecord> heavy = usage_.Heaviest(now, kHeavyInDigest);
   auto heavy_list = digest.initHeavy(static_cast<unsigned>(heavy.size()));
   for (unsigned i = 0; i < heavy_list.size(); ++i) {
     heavy_list[i].setOrganisation(heavy[i].who.organisation);
     heavy_list[i].setSubscriber(heavy[i].who.subscriber);
     heavy_list[i].setCost(heavy[i].cost);
   }
-  auto leaving =
-      digest.initLeaving(static_cast<unsigned>(servers_.leaving().size()));
-  unsigned index = 0;
-  for (const auto& [server, incarnation] : servers_.leaving()) {
-    leaving[index].setServer(server);
-    leaving[index].setIncarnation(incarnation);
-    ++index;
+  const std::vector<LeavingServer> news = leaving_news_.ForDigest(now);
+  auto leaving = digest.initLeaving(static_cast<unsigned>(news.size()));
+  for (unsigned i = 0; i < leaving.size(); ++i) {
+    leaving[i].setServer(news[i].server);
+    leaving[i].setIncarnation(news[i].incarnation);
   }
   const auto quarantined = suspects_.Quarantined(now);
-  auto quarantine_list =
-      digest.initQuarantined(static_cast<unsigned>(quarantined.size()));
+  const std::size_t count = std::min(quarantined.size(), kQuarantinedInDigest);
+  auto quarantine_list = digest.initQuarantined(static_cast<unsigned>(count));
   for (unsigned i = 0; i < quarantine_list.size(); ++i) {
-    quarantine_list[i].setFingerprint(quarantined[i].first.value);
+    // In turn, so that peers hear of all in a few rounds.
+    const auto& [fingerprint, remaining] =
+        quarantined[quarantine_turn_++ % quarantined.size()];
+    quarantine_list[i].setFingerprint(fingerprint.value);
     quarantine_list[i].setRemainingMs(
-        static_cast<std::uint32_t>(Milliseconds(quarantined[i].second)));
+        static_cast<std::uint32_t>(Milliseconds(remaining)));
   }
 }
 
@@ -342,6 +362,7 @@
   for (const auto server : digest.getLeaving()) {
     servers_.MarkLeaving(server.getServer().cStr(), server.getIncarnation());
   }
+  NoteLeaving();
   for (const auto quarantine : digest.getQuarantined()) {
     suspects_.OnPeerQuarantine(now, Fingerprint{quarantine.getFingerprint()},
                                milliseconds(quarantine.getRemainingMs()));
--- a/packages/entry/src/peer_links.cc
+++ b/packages/entry/src/peer_links.cc
@@ -70,16 +70,20 @@
   }
 
   kj::Promise<void> join(JoinContext context) override {
-    auto answer = kj::newPromiseAndFulfiller<JoinOutcome>();
-    auto fulfiller =
-        std::make_shared<kj::Own<kj::PromiseFulfiller<JoinOutcome>>>(
-            kj::mv(answer.fulfiller));
+    struct Pending {
+      JoinOutcome outcome;
+      kj::Own<kj::PromiseFulfiller<void>> fulfiller;
+    };
+    auto answer = kj::newPromiseAndFulfiller<void>();
+    auto pending = std::make_shared<Pending>();
+    pending->fulfiller = kj::mv(answer.fulfiller);
     handler_.OnJoin(context.getParams().getToken().cStr(),
-                    [fulfiller](JoinOutcome outcome) {
-                      (*fulfiller)->fulfill(std::move(outcome));
+                    [pending](JoinOutcome outcome) {
+                      pending->outcome = std::move(outcome);
+                      pending->fulfiller->fulfill();
                     });
-    return answer.promise.then([context](const JoinOutcome& outcome) mutable {
-      WriteOutcome(outcome, context.getResults().initOutcome());
+    return answer.promise.then([context, pending]() mutable {
+      WriteOutcome(pending->outcome, context.getResults().initOutcome());
     });
   }
 
@@ -213,10 +217,22 @@
 
 void PeerLinks::Gossip() {
   ++round_;
+  rumours_left_ = options_.rumours;
   DropIdle();
+  Round(options_.fanout);
+}
+
+void PeerLinks::Rumour() {
+  if (rumours_left_ > 0) {
+    --rumours_left_;
+    Round(options_.rumour_fanout);
+  }
+}
+
+void PeerLinks::Round(std::size_t fanout) {
   std::vector<PeerAddress> chosen;
   std::ranges::sample(peers_, std::back_inserter(chosen),
-                      static_cast<std::ptrdiff_t>(options_.fanout), rng_);
+                      static_cast<std::ptrdiff_t>(fanout), rng_);
   for (const PeerAddress& peer : chosen) {
     Exchange(peer);
   }
