Hold a lease per pool before ordering engines

Change: LeaseKeeper (acquire, renew, lapse, give back) compares no two clocks: the holder counts from before its write was sent, others from after they read it. OrderIssuer assigns declared engine groups, reads back, and orders what differs, one order at a time for each engine. Pools declare their engines. LeaseRow lost its wall-clock expiry: nothing may decide by it. Not wired into the daemon yet.

--- /dev/null
+++ b/packages/decision/include/gentianroute/decision/order_issuer.h
@@ -0,0 +1,79 @@
+#ifndef GENTIANROUTE_DECISION_ORDER_ISSUER_H_
+#define GENTIANROUTE_DECISION_ORDER_ISSUER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "gentianroute/decision/lease.h"
+#include "gentianroute/decision/profile.h"
+
+namespace gentianroute {
+
+/// @brief Which engine should run what.
+///
+/// Servers that a group names come first; then each group is filled up to its
+/// count, first with engines that run it already, so that nothing is loaded
+/// again when an engine comes or goes.
+/// @param engines those that take work, with what is known of their state
+/// @complexity groups times engines
+std::map<std::string, EngineState> AssignEngines(
+    std::span<const EngineGroup> groups,
+    const std::map<std::string, std::optional<EngineState>>& engines);
+
+/// @brief The whole desired state of one engine, under a fencing number.
+struct EngineOrder {
+  std::string engine;
+  std::uint64_t fencing = 0;
+  EngineState desired;
+};
+
+/// @brief Brings the engines of a pool to their declared state, if this daemon
+/// holds the pool's lease: reads back what they run and orders what differs.
+class OrderIssuer {
+ public:
+  struct Options {
+    Duration read_every = std::chrono::seconds(5);
+    Duration longest_order = std::chrono::seconds(2);
+  };
+  struct Steps {
+    std::vector<std::string> reads;  ///< engines whose state is asked for
+    std::vector<EngineOrder> orders;
+  };
+
+  explicit OrderIssuer(Options options) : options_(options) {}
+
+  void SetGroups(std::vector<EngineGroup> groups);
+  /// @param engines of the pool that take work
+  void SetEngines(std::span<const std::string> engines);
+
+  /// @brief What to send now; each order once more only if MaySend still holds
+  /// as its bytes are written.
+  Steps Advance(TimePoint now, const LeaseKeeper& lease);
+  void OnState(std::string_view engine, std::optional<EngineState> state);
+  /// @brief The engine took or refused the order; what it runs is read again.
+  void OnOrderAnswered(std::string_view engine);
+
+  /// @brief Whether an order may still take effect; a lease is given back only
+  /// when none may.
+  bool InFlight(TimePoint now) const;
+
+ private:
+  struct Engine {
+    std::optional<EngineState> state;
+    TimePoint next_read{};
+    TimePoint order_until{};  ///< an order in flight may arrive until then
+  };
+
+  Options options_;
+  std::vector<EngineGroup> groups_;
+  std::map<std::string, Engine, std::less<>> engines_;
+  std::uint64_t fencing_ = 0;
+};
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_DECISION_ORDER_ISSUER_H_
--- a/packages/decision/include/gentianroute/decision/profile.h
+++ b/packages/decision/include/gentianroute/decision/profile.h
@@ -60,10 +60,29 @@
 
 enum class PoolKind : std::uint8_t { kService, kEngine };
 
+/// @brief What an engine runs, or should run: its whole state, so that an order
+/// that states it can be repeated.
+struct EngineState {
+  std::string model;
+  std::string version;
+  std::vector<std::string> adapters;
+  std::string role;
+
+  friend bool operator==(const EngineState&, const EngineState&) = default;
+};
+
+/// @brief Engines that should run the same: those named, and `count` others.
+struct EngineGroup {
+  EngineState state;
+  std::uint32_t count = 0;
+  std::vector<std::string> servers;
+};
+
 struct PoolSpec {
   std::string name;
   PoolKind kind = PoolKind::kService;
   bool fenced = false;  ///< its engines refuse an order with an old number
+  std::vector<EngineGroup> engines;
 };
 
 }  // namespace gentianroute
--- /dev/null
+++ b/packages/decision/src/lease.cc
@@ -0,0 +1,130 @@
+#include "gentianroute/decision/lease.h"
+
+#include <utility>
+
+#include "gentianroute/base/check.h"
+
+namespace gentianroute {
+
+LeaseKeeper::LeaseKeeper(Options options, const LeaseCodec& codec)
+    : options_(std::move(options)),
+      codec_(codec),
+      key_{std::string(kLeaseTable), options_.pool} {}
+
+LeaseKeeper::Step LeaseKeeper::Advance(TimePoint now, bool wanted) {
+  if (held_ && now >= valid_until_) {
+    // Paused or cut off: another daemon may be the holder by now.
+    held_ = false;
+    known_ = false;
+  }
+  if (waiting_) {
+    return Step::kNone;
+  }
+  if (held_) {
+    return AdvanceHolder(now, wanted);
+  }
+  if (!wanted) {
+    return Step::kNone;
+  }
+  if (known_ && MayAcquire(now)) {
+    return Begin(now, Write::kAcquire);
+  }
+  if (now < next_) {
+    return Step::kNone;
+  }
+  next_ = now + options_.renew_every;
+  waiting_ = true;
+  return Step::kRead;
+}
+
+LeaseKeeper::Step LeaseKeeper::AdvanceHolder(TimePoint now, bool wanted) {
+  if (!known_) {  // a renewal whose answer was lost
+    waiting_ = true;
+    return Step::kRead;
+  }
+  if (!wanted) {
+    return Begin(now, Write::kRelease);
+  }
+  if (now < next_) {
+    return Step::kNone;
+  }
+  next_ = now + options_.renew_every;
+  return Begin(now, Write::kRenew);
+}
+
+bool LeaseKeeper::MayAcquire(TimePoint now) const {
+  const bool nobodys = row_version_ == 0 || row_.holder.empty();
+  // A row of its own that it does not hold: an acquisition whose answer was
+  // lost, under which it has sent nothing, or a lease that it let lapse.
+  const bool own = row_.holder == options_.holder;
+  return nobodys || own ||
+         now - row_seen_ >= options_.duration + options_.longest_order;
+}
+
+LeaseKeeper::Step LeaseKeeper::Begin(TimePoint now, Write write) {
+  Lease next{options_.pool, options_.holder, row_.fencing};
+  if (write == Write::kAcquire) {
+    ++next.fencing;
+  }
+  if (write == Write::kRelease) {
+    next.holder.clear();
+    held_ = false;  // whatever becomes of the write, nothing is sent any more
+  }
+  transaction_ = {{{key_, row_version_}}, {{key_, codec_.Encode(next)}}};
+  write_ = write;
+  sent_at_ = now;
+  waiting_ = true;
+  return Step::kTransact;
+}
+
+void LeaseKeeper::OnTransacted(TimePoint now, const TransactResult& result) {
+  waiting_ = false;
+  const Write write = std::exchange(write_, Write::kNone);
+  known_ = false;
+  if (result.status == TableStatus::kConditionFailed) {
+    held_ = false;
+    return;
+  }
+  if (result.status != TableStatus::kCommitted || write == Write::kRelease) {
+    return;
+  }
+  if (write == Write::kRenew && !held_) {
+    return;  // lapsed while the answer was on its way
+  }
+  known_ = true;
+  row_.holder = options_.holder;
+  row_version_ = result.versions.at(0);
+  row_seen_ = now;
+  if (write == Write::kAcquire) {
+    GR_INVARIANT(!held_);
+    ++row_.fencing;
+    GR_INVARIANT(row_.fencing > fencing_);
+    fencing_ = row_.fencing;
+    held_ = true;
+  }
+  valid_until_ = sent_at_ + options_.duration;
+  next_ = sent_at_ + options_.renew_every;
+}
+
+void LeaseKeeper::OnRead(TimePoint now, const ReadResult& result) {
+  waiting_ = false;
+  if (!result.answered || result.rows.size() != 1) {
+    return;
+  }
+  const TableRow& row = result.rows[0];
+  const auto lease = codec_.Decode(row.value);
+  if (row.version != 0 && !lease.has_value()) {
+    return;
+  }
+  if (!known_ || row.version != row_version_) {
+    row_seen_ = row.version == row_version_ ? row_seen_ : now;
+    row_ = lease.value_or(Lease{});
+    row_version_ = row.version;
+    known_ = true;
+  }
+  if (held_ && (row_.holder != options_.holder || row_.fencing != fencing_)) {
+    held_ = false;
+  }
+}
+
+}  // namespace gentianroute
--- a/packages/schema/include/gentianroute/schema/rows.h
+++ b/packages/schema/include/gentianroute/schema/rows.h
@@ -5,6 +5,7 @@
 
 #include "gentianroute/decision/claim_ledger.h"
 #include "gentianroute/decision/config.h"
+#include "gentianroute/decision/lease.h"
 
 namespace gentianroute {
 
@@ -15,6 +16,13 @@
   std::optional<Claim> Decode(std::string_view text) const override;
 };
 
+/// @brief Lease rows as JSON by the schema.
+class JsonLeaseCodec final : public LeaseCodec {
+ public:
+  std::string Encode(const Lease& lease) const override;
+  std::optional<Lease> Decode(std::string_view text) const override;
+};
+
 /// @brief Between the schema's revisions (rows, peers) and the plain ones.
 void WriteRevision(const ConfigRevision& revision,
                    schema::ConfigRevision::Builder output);
--- a/packages/schema/schema/platform.capnp
+++ b/packages/schema/schema/platform.capnp
@@ -60,6 +60,5 @@
 struct LeaseRow {
   pool @0 :Text;
   holder @1 :Text;
-  fencing @2 :UInt64;
-  expiresUnixMicros @3 :UInt64;
+  fencing @2 :UInt64;                 # grows with every holder
 }
--- a/packages/schema/schema/profile.capnp
+++ b/packages/schema/schema/profile.capnp
@@ -37,10 +37,21 @@
   profile @1 :Text $Constraint.required;
 }
 
+struct EngineGroup {
+  # Engines of a pool that run the same: those named, and any `count` others.
+  model @0 :Text $Constraint.required;
+  version @1 :Text;
+  adapters @2 :List(Text);
+  role @3 :Text;                      # as the engines call it, such as prefill
+  count @4 :UInt32 = 0 $Constraint.min(0) $Constraint.max(100000);
+  servers @5 :List(Text);
+}
+
 struct Pool {
   name @0 :Text $Constraint.required;
   kind @1 :Kind = service;
   fenced @2 :Bool = false;            # engines that refuse an old fencing number
+  engines @3 :List(EngineGroup);      # what they should run; none: no orders are sent
 
   enum Kind {
     service @0;
--- a/packages/schema/src/declarations.cc
+++ b/packages/schema/src/declarations.cc
@@ -61,6 +61,24 @@
   return spec;
 }
 
+std::vector<std::string> TextsOf(capnp::List<capnp::Text>::Reader list) {
+  std::vector<std::string> texts;
+  texts.reserve(list.size());
+  for (const auto text : list) {
+    texts.emplace_back(text.cStr());
+  }
+  return texts;
+}
+
+EngineGroup GroupOf(schema::EngineGroup::Reader reader) {
+  EngineGroup group;
+  group.state = {reader.getModel().cStr(), reader.getVersion().cStr(),
+                 TextsOf(reader.getAdapters()), reader.getRole().cStr()};
+  group.count = reader.getCount();
+  group.servers = TextsOf(reader.getServers());
+  return group;
+}
+
 Profile ProfileOf(schema::Profile::Reader reader, std::uint64_t revision) {
   Profile profile;
   profile.name = reader.getName().cStr();
@@ -122,8 +140,12 @@
   }
   const auto pool = message.getRoot<schema::Pool>().asReader();
   const bool engine = pool.getKind() == schema::Pool::Kind::ENGINE;
-  catalogue.pools[name] = {
-      name, engine ? PoolKind::kEngine : PoolKind::kService, pool.getFenced()};
+  PoolSpec& spec = catalogue.pools[name];
+  spec = {name, engine ? PoolKind::kEngine : PoolKind::kService,
+          pool.getFenced()};
+  for (const auto group : pool.getEngines()) {
+    spec.engines.push_back(GroupOf(group));
+  }
   return true;
 }
 
--- a/packages/schema/src/rows.cc
+++ b/packages/schema/src/rows.cc
@@ -62,6 +62,24 @@
   return claim;
 }
 
+std::string JsonLeaseCodec::Encode(const Lease& lease) const {
+  capnp::MallocMessageBuilder message;
+  auto row = message.initRoot<schema::LeaseRow>();
+  row.setPool(lease.pool);
+  row.setHolder(lease.holder);
+  row.setFencing(lease.fencing);
+  return EncodeRoot<schema::LeaseRow>(message);
+}
+
+std::optional<Lease> JsonLeaseCodec::Decode(std::string_view text) const {
+  capnp::MallocMessageBuilder message;
+  if (!DecodeRoot<schema::LeaseRow>(text, message)) {
+    return std::nullopt;
+  }
+  const auto row = message.getRoot<schema::LeaseRow>().asReader();
+  return Lease{row.getPool().cStr(), row.getHolder().cStr(), row.getFencing()};
+}
+
 void WriteRevision(const ConfigRevision& revision,
                    schema::ConfigRevision::Builder output) {
   output.setRevision(revision.revision);
--- a/tests/random/random_config.cc
+++ b/tests/random/random_config.cc
@@ -13,6 +13,7 @@
 #include "gentianroute/decision/config_follower.h"
 #include "gentianroute/decision/poll_schedule.h"
 #include "gentianroute/entry/config_sync.h"
+#include "order_run.h"
 
 namespace gentianroute::random_config {
 namespace {
@@ -481,6 +482,13 @@
         static_cast<unsigned long long>(run.invalid),
         static_cast<unsigned long long>(run.asked_again),
         static_cast<unsigned long long>(run.snapshots_taken));
+    const auto orders =
+        gentianroute::random_config::RunOrders(seed + i, events / 4);
+    std::printf("  orders: events=%llu terms=%llu sent=%llu refused=%llu\n",
+                static_cast<unsigned long long>(orders.events),
+                static_cast<unsigned long long>(orders.terms),
+                static_cast<unsigned long long>(orders.orders),
+                static_cast<unsigned long long>(orders.refused));
   }
   return 0;
 }
