--- a/packages/decision/src/poll_schedule.cc
+++ b/packages/decision/src/poll_schedule.cc
@@ -1,27 +1,16 @@
 #include "gentianroute/decision/poll_schedule.h"
 
-#include <xxhash.h>
-
-#include <algorithm>
+#include <functional>
 #include <utility>
 
-namespace gentianroute {
-namespace {
+#include "gentianroute/decision/rendezvous.h"
 
-std::uint64_t WeightOf(const std::string& name) {
-  return XXH3_64bits(name.data(), name.size());
-}
-
-}  // namespace
+namespace gentianroute {
 
 PollSchedule::PollSchedule(Options options) : options_(std::move(options)) {}
 
 void PollSchedule::SetPeers(std::span<const std::string> names) {
-  const std::uint64_t own = WeightOf(options_.name);
-  const auto ahead = std::ranges::count_if(names, [&](const std::string& name) {
-    return name != options_.name && WeightOf(name) > own;
-  });
-  poller_ = static_cast<std::size_t>(ahead) < options_.pollers;
+  poller_ = RendezvousRank("", options_.name, names) < options_.pollers;
 }
 
 bool PollSchedule::Due(TimePoint now) {
@@ -34,8 +23,9 @@
   }
   // Spread by the name: when the store is out everybody hears nothing, and all
   // polls at once would meet it as it comes back.
-  const auto spread = static_cast<Duration::rep>(
-      WeightOf(options_.name) % static_cast<std::uint64_t>(silence.count()));
+  const auto spread =
+      static_cast<Duration::rep>(std::hash<std::string>{}(options_.name) %
+                                 static_cast<std::uint64_t>(silence.count()));
   next_own_ = now + silence + Duration(spread);
   return true;
 }
--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -15,6 +15,7 @@
 #include "gentianroute/entry/claim_sync.h"
 #include "gentianroute/entry/config_sync.h"
 #include "gentianroute/entry/operator_api.h"
+#include "gentianroute/entry/order_sync.h"
 #include "gentianroute/entry/peer_links.h"
 #include "gentianroute/loop/h2o_http_client.h"
 #include "gentianroute/loop/http_server.h"
@@ -92,6 +93,7 @@
   ClaimSync claim_sync_;
   ConfigSync config_sync_;
   PollSchedule poll_schedule_;
+  OrderSync order_sync_;
   CallerApi caller_api_;
   OperatorApi operator_api_;
   std::unique_ptr<HttpServer> callers_;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -11,6 +11,7 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+constexpr Duration kOrderPeriod = milliseconds(250);
 constexpr Duration kGossipPeriod = std::chrono::seconds(1);
 constexpr std::size_t kHeavyRecords = 16;
 /// Bounds of a digest: at one exchange a second each way, and the rumours of
@@ -116,6 +117,10 @@
                    config_codec_,
                    [this] { OnConfigChanged(); }),
       poll_schedule_(PollOptions(settings.get())),
+      order_sync_(loop,
+                  platform_,
+                  client_,
+                  {settings.get().getName().cStr(), incarnation_}),
       caller_api_(loop,
                   coordinator_,
                   MakeCallerTable(settings.get()),
@@ -150,6 +155,10 @@
     PollHosts();
     PollConfig();
   });
+  loop.Every(kOrderPeriod, [this] {
+    order_sync_.Tick();
+    CheckDrained();
+  });
   loop.Every(kGossipPeriod, [this] {
     NoteLeaving();
     peers_->Gossip();
@@ -268,11 +277,15 @@
   std::vector<HostRecord> backends;
   std::vector<PeerAddress> peers = seeds_;
   std::vector<std::string> neighbours;
+  std::vector<std::string> daemons;
   for (const HostRecord& host : hosts) {
     if (host.pool != kEntryPool) {
       backends.push_back(host);
       continue;
     }
+    if (!host.leaving) {
+      daemons.push_back(host.name);
+    }
     if (!host.leaving &&
         host.data_centre == settings_.get().getDataCentre().cStr()) {
       neighbours.push_back(host.name);
@@ -284,6 +297,8 @@
   }
   peers_->SetPeers(std::move(peers));
   poll_schedule_.SetPeers(neighbours);
+  order_sync_.SetDaemons(std::move(daemons));
+  order_sync_.SetHosts(backends);
   servers_.ApplyHostList(loop_.Now(), backends);
   for (const auto& gone : leaving_news_.OnHostList(loop_.Now(), backends)) {
     servers_.ForgetLeaving(gone.server, gone.incarnation);
@@ -295,6 +310,7 @@
 
 void Daemon::OnConfigChanged() {
   coordinator_.SetCatalogue(follower_.catalogue());
+  order_sync_.SetCatalogue(*follower_.catalogue());
   LogEvent("configuration").Field("revision", follower_.revision());
   peers_->Rumour();
 }
@@ -497,6 +513,7 @@
   if (std::exchange(draining_, true)) {
     return;  // a second signal cuts off nothing
   }
+  order_sync_.StartDrain();
   const auto limits = settings_.get().getLimits();
   LogEvent("drain_begun").Field("active", coordinator_.active());
   // The balancer needs a moment to see that this daemon is not ready; what it
@@ -518,7 +535,7 @@
 
 void Daemon::CheckDrained() {
   const bool idle = coordinator_.active() == 0 && caller_api_.active() == 0 &&
-                    claims_.pending() == 0;
+                    claims_.pending() == 0 && order_sync_.held() == 0;
   if (!draining_ || !drained_ || !idle) {
     return;
   }
--- a/standins/backend.cc
+++ b/standins/backend.cc
@@ -45,6 +45,14 @@
   if (faults_.silent) {
     return;
   }
+  if (request.path == "/v1/state") {
+    responder->Send({200, {}, state_.dump()});
+    return;
+  }
+  if (request.path == "/v1/orders") {
+    Order(request, *responder);
+    return;
+  }
   if (faults_.refuse) {
     HttpHeaders headers = AnswerHeaders(request);
     headers.push_back({"x-not-run", "1"});
@@ -68,6 +76,18 @@
   }
 }
 
+void Backend::Order(const HttpRequest& request, HttpResponder& responder) {
+  const json order = json::parse(request.body);
+  const std::uint64_t fencing = order.at("fencing");
+  if (options_.checks_fencing && fencing < fencing_) {
+    responder.Send({409, {}, json{{"fencing", fencing_}}.dump()});
+    return;
+  }
+  fencing_ = fencing;
+  state_ = order.at("desired");
+  responder.Send({200, {}, "{}"});
+}
+
 void Backend::Control(const HttpRequest& request, HttpResponder& responder) {
   if (request.path == "/control/faults") {
     faults_.Update(json::parse(request.body));
--- a/standins/backend.h
+++ b/standins/backend.h
@@ -23,6 +23,7 @@
     std::uint32_t service_ms = 5;  ///< of one call of /v1/run
     std::uint32_t token_ms = 2;    ///< between tokens of /v1/generate
     std::uint32_t tokens = 16;     ///< of one answer
+    bool checks_fencing = false;   ///< refuses an order with an old number
   };
 
   Backend(EventLoop& loop, Options options);
@@ -33,6 +34,7 @@
 
   void OnRequest(const HttpRequest& request,
                  const std::shared_ptr<HttpResponder>& responder);
+  void Order(const HttpRequest& request, HttpResponder& responder);
   void Control(const HttpRequest& request, HttpResponder& responder);
   void Run(const HttpRequest& request,
            const std::shared_ptr<HttpResponder>& responder);
@@ -47,6 +49,11 @@
   std::uint32_t in_flight_ = 0;
   std::uint64_t runs_ = 0;
   std::map<std::string, std::uint64_t> runs_by_key_;
+  nlohmann::json state_ = {{"model", ""},
+                           {"version", ""},
+                           {"adapters", nlohmann::json::array()},
+                           {"role", ""}};
+  std::uint64_t fencing_ = 0;
   HttpServer server_;
 };
 
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -27,6 +27,8 @@
   backend->add_option("--service-ms", options.service_ms, "time of one call");
   backend->add_option("--token-ms", options.token_ms, "time between tokens");
   backend->add_option("--tokens", options.tokens, "tokens of one answer");
+  backend->add_flag("--checks-fencing", options.checks_fencing,
+                    "refuse orders with an old number");
   CLI11_PARSE(app, argc, argv);
 
   EventLoop loop;
--- /dev/null
+++ b/tests/process/engine_orders_test.cc
@@ -0,0 +1,61 @@
+#include <signal.h>
+#include <unistd.h>
+
+#include <memory>
+#include <string>
+
+#include "harness.h"
+
+#include <criterion/criterion.h>
+
+using gentianroute::testing::Deployment;
+using gentianroute::testing::Http;
+
+namespace {
+
+constexpr const char* kDeclarations = R"({
+  "pools": [{"name": "llm", "kind": "engine", "engines": [
+    {"model": "letters", "version": "2", "adapters": ["plaques"],
+     "role": "decode", "count": 2}]}]
+})";
+constexpr const char* kWrong = R"({"fencing": 1, "desired":
+  {"model": "old", "version": "1", "adapters": [], "role": "decode"}})";
+
+bool Reaches(const Deployment& deployment,
+             std::size_t engine,
+             const std::string& model) {
+  constexpr int kTries = 400;
+  for (int i = 0; i < kTries; ++i) {
+    const auto answer =
+        Http(deployment.backend_port(engine), "GET", "/v1/state", "");
+    if (answer.body.find("\"" + model + "\"") != std::string::npos) {
+      return true;
+    }
+    usleep(100'000);
+  }
+  return false;
+}
+
+}  // namespace
+
+// Two daemons, of which one holds the pool's lease; one dies without a word,
+// and an engine runs the wrong model afterwards. Whoever is left must hold the
+// lease in the end, find the difference by reading back, and repair it; its
+// planned stop then gives the lease back and ends with 0.
+Test(engine_orders, survivor_repairs_an_engine_after_a_daemon_died) {
+  Deployment deployment;
+  deployment.AddBackend("llm", {"--checks-fencing"});
+  deployment.AddBackend("llm");
+  deployment.AddDaemon();
+  deployment.AddDaemon();
+  deployment.Apply(kDeclarations);
+  cr_assert(Reaches(deployment, 0, "letters"));
+  cr_assert(Reaches(deployment, 1, "letters"));
+  deployment.daemon(0).Signal(SIGKILL);
+  cr_assert_eq(
+      Http(deployment.backend_port(1), "POST", "/v1/orders", kWrong).status,
+      200);
+  cr_assert(Reaches(deployment, 1, "letters"));
+  deployment.daemon(1).Signal(SIGTERM);
+  cr_assert_eq(deployment.daemon(1).Wait(10), 0);
+}
