--- a/packages/decision/tests/leaving_news_test.cc
+++ b/packages/decision/tests/leaving_news_test.cc
@@ -1,5 +1,8 @@
 #include "gentianroute/decision/leaving_news.h"
 
+#include <algorithm>
+#include <cstdio>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,8 +25,68 @@
   return TimePoint{} + minutes(minute);
 }
 
+/// Daemons that exchange digests as PeerLinks does: one exchange each a round,
+/// and for news one more round at once, with two peers.
+class Spread {
+ public:
+  Spread(std::size_t daemons, std::uint64_t seed)
+      : rng_(seed), news_(daemons), rumours_(daemons, 1) {}
+
+  void Learn(std::size_t daemon, const LeavingServer& server) {
+    if (news_[daemon].Add(server) && rumours_[daemon]-- > 0) {
+      Exchange(daemon);
+      Exchange(daemon);
+    }
+  }
+  void Round() {
+    rumours_.assign(rumours_.size(), 1);
+    for (std::size_t i = 0; i < news_.size(); ++i) {
+      Exchange(i);
+    }
+  }
+  std::size_t Without(std::size_t entries) const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        news_,
+        [entries](const LeavingNews& news) { return news.size() < entries; }));
+  }
+
+ private:
+  void Exchange(std::size_t daemon) {
+    const std::size_t peer = rng_() % news_.size();
+    const auto mine = news_[daemon].ForDigest(At(0));
+    const auto yours = news_[peer].ForDigest(At(0));
+    for (const LeavingServer& server : mine) {
+      Learn(peer, server);
+    }
+    for (const LeavingServer& server : yours) {
+      Learn(daemon, server);
+    }
+  }
+
+  std::mt19937_64 rng_;
+  std::vector<LeavingNews> news_;
+  std::vector<int> rumours_;
+};
+
 }  // namespace
 
+// One of 810 daemons hears that a server leaves, while everybody's list still
+// names it. Until the last daemon has heard, the server gets new work.
+Test(leaving_news, one_leaving_server_is_known_to_810_daemons_in_three_rounds) {
+  int most = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Spread spread(810, seed);
+    spread.Learn(0, {"s", 1});
+    int rounds = 0;
+    for (; spread.Without(1) > 0; ++rounds) {
+      spread.Round();
+    }
+    most = std::max(most, rounds);
+  }
+  std::fprintf(stderr, "most rounds: %d\n", most);
+  cr_assert(most <= 3);
+}
+
 // Hundreds of servers leave in one roll-out. The digest stays small, and a
 // daemon that was cut off meanwhile still hears of each within some rounds.
 Test(leaving_news, many_leaving_servers_are_told_in_turn) {
--- /dev/null
+++ b/packages/schema/tests/config_history_test.cc
@@ -0,0 +1,99 @@
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "gentianroute/decision/config_follower.h"
+#include "gentianroute/schema/declarations.h"
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute;
+
+namespace {
+
+/// What some source tells at one time: a part of the log, or a snapshot.
+struct Delivery {
+  bool snapshot = false;
+  std::uint64_t after = 0;
+  std::uint64_t count = 0;
+};
+
+constexpr std::uint64_t kRevisions = 12;
+
+ConfigRevision RevisionOf(std::uint64_t revision) {
+  ConfigRevision change;
+  change.revision = revision;
+  const std::string name = std::to_string(revision % 3);
+  const bool deletes = revision % 4 == 3;
+  change.changes.push_back({DocumentKind::kPool, name,
+                            deletes ? "" : R"({"name":")" + name + R"("})", 0});
+  return change;
+}
+
+Documents TruthAt(std::uint64_t revision) {
+  const JsonConfigCodec codec;
+  ConfigFollower follower(codec);
+  for (std::uint64_t i = 1; i <= revision; ++i) {
+    const ConfigRevision next = RevisionOf(i);
+    follower.Apply(std::span(&next, 1));
+  }
+  return follower.documents();
+}
+
+std::vector<std::string> NamesOf(const ConfigFollower& follower) {
+  std::vector<std::string> names;
+  for (const auto& [name, pool] : follower.catalogue()->pools) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+rc::Gen<Delivery> AnyDelivery() {
+  return rc::gen::build<Delivery>(
+      rc::gen::set(&Delivery::snapshot),
+      rc::gen::set(&Delivery::after,
+                   rc::gen::inRange<std::uint64_t>(0, kRevisions)),
+      rc::gen::set(&Delivery::count, rc::gen::inRange<std::uint64_t>(0, 5)));
+}
+
+void Deliver(ConfigFollower& follower, const Delivery& delivery) {
+  if (delivery.snapshot) {
+    follower.Apply(ConfigSnapshot{delivery.after, TruthAt(delivery.after)});
+    return;
+  }
+  std::vector<ConfigRevision> revisions;
+  for (std::uint64_t i = 1; i <= delivery.count; ++i) {
+    revisions.push_back(RevisionOf(std::min(delivery.after + i, kRevisions)));
+  }
+  follower.Apply(revisions);
+}
+
+}  // namespace
+
+// Store and peers tell parts of the log and snapshots late, twice and out of
+// order. Whatever comes, a daemon moves forward only, and holds exactly what
+// the log says at its revision, in documents and in catalogue.
+Test(config_follower, any_history_holds_the_log_at_its_revision) {
+  const bool holds = rc::check([] {
+    const auto history =
+        *rc::gen::container<std::vector<Delivery>>(AnyDelivery());
+    const JsonConfigCodec codec;
+    ConfigFollower follower({4}, codec);
+    std::uint64_t before = 0;
+    for (const Delivery& delivery : history) {
+      Deliver(follower, delivery);
+      RC_ASSERT(follower.revision() >= before);
+      before = follower.revision();
+      const Documents truth = TruthAt(before);
+      RC_ASSERT(follower.documents().size() == truth.size());
+      std::vector<std::string> names;
+      for (const auto& [name, document] : truth) {
+        RC_ASSERT(follower.documents().at(name).revision == document.revision);
+        names.push_back(name.second);
+      }
+      RC_ASSERT(NamesOf(follower) == names);
+    }
+  });
+  cr_assert(holds);
+}
--- a/packages/schema/tests/lease_test.cc
+++ b/packages/schema/tests/lease_test.cc
@@ -163,6 +163,11 @@
   cr_assert(issuer.InFlight(At(2)));
   cr_assert(!issuer.InFlight(At(3)));
   cr_assert(!issuer.MayWrite(At(4), fixture.first, orders[0]));
+  issuer.OnState("e", EngineState{});
+  const auto next = issuer.Advance(At(4), fixture.first).orders;
+  cr_assert_eq(next.size(), 1);
+  cr_assert(!issuer.MayWrite(At(4), fixture.first, orders[0]));
+  cr_assert(issuer.MayWrite(At(4), fixture.first, next[0]));
 }
 
 Test(order_issuer, engine_that_runs_a_group_already_is_kept) {
