Show both sides of a conflict, start a host while the store is out

New process test store_outage_test: a host that no peer helps stays not ready, one beside a host that knows gets the configuration from it. The harness lists the daemons started earlier as seeds.

--- a/packages/entry/src/operator_api.cc
+++ b/packages/entry/src/operator_api.cc
@@ -58,6 +58,19 @@
   return change;
 }
 
+/// What an operator needs to merge by hand: what stands there, and the own
+/// text.
+std::string BothSides(const ConfigApply& apply) {
+  const auto text = [](const std::string& body) {
+    return body.empty() ? std::string("deleted") : body;
+  };
+  return std::string(DocumentKindName(apply.conflicting().first)) + " '" +
+         apply.conflicting().second +
+         "' was changed meanwhile; in force since revision " +
+         std::to_string(apply.theirs().revision) + ": " +
+         text(apply.theirs().body) + "; yours: " + text(apply.ours());
+}
+
 }  // namespace
 
 struct OperatorApi::RouteRow {
@@ -145,11 +158,8 @@
                  {{"revision", apply.revision()}, {"change_id", id}});
         return;
       case ConfigApply::State::kConflict:
-        responder->Send(ProblemResponse(
-            ErrorKind::kRevisionConflict,
-            std::string(DocumentKindName(apply.conflicting().first)) + " '" +
-                apply.conflicting().second + "' was changed meanwhile",
-            id));
+        responder->Send(ProblemResponse(ErrorKind::kRevisionConflict,
+                                        BothSides(apply), id));
         return;
       case ConfigApply::State::kInvalid:
         responder->Send(
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -238,8 +238,15 @@
   daemon.callers = FreePort();
   daemon.operators = FreePort();
   daemon.peers = FreePort();
+  json seeds = json::array();
+  for (const Daemon& other : daemons_) {
+    seeds.push_back({{"name", other.name},
+                     {"dataCentre", other.data_centre},
+                     {"port", other.peers}});
+  }
   const json settings = {
       {"name", daemon.name},
+      {"seeds", std::move(seeds)},
       {"dataCentre", data_centre},
       {"region", region},
       {"callers", {{"port", daemon.callers}}},
--- /dev/null
+++ b/tests/process/store_outage_test.cc
@@ -0,0 +1,53 @@
+#include <unistd.h>
+
+#include <string>
+
+#include "harness.h"
+#include "harness_inl.h"
+
+#include <criterion/criterion.h>
+
+using gentianroute::testing::Deployment;
+using gentianroute::testing::Eventually;
+using gentianroute::testing::Http;
+
+namespace {
+
+constexpr const char* kDeclarations = R"({"pools": [{"name": "encoders"}]})";
+
+void SetSilent(const Deployment& deployment, bool silent) {
+  Http(deployment.platform_port(), "PUT", "/control/faults",
+       silent ? R"({"silent": true})" : R"({"silent": false})");
+}
+
+int Readiness(const Deployment& deployment, std::size_t daemon) {
+  return Http(deployment.operator_port(daemon), "GET", "/readyz", "").status;
+}
+
+bool BecomesReady(const Deployment& deployment, std::size_t daemon) {
+  return Eventually(10, [&] { return Readiness(deployment, daemon) == 200; });
+}
+
+}  // namespace
+
+// The platform answers nobody. A host that starts then knows no peer that knows
+// anything: it must not say that it is ready, or the balancer sends it requests
+// of services that it has never heard of. A host that starts beside one that
+// knows the configuration gets it from there, though the store is still out.
+Test(store_outage, new_host_is_ready_only_by_a_peer_that_knows) {
+  Deployment deployment;
+  deployment.AddBackend("encoders");
+  SetSilent(deployment, true);
+  deployment.AddDaemon();
+  usleep(2'000'000);
+  cr_assert_eq(Readiness(deployment, 0), 503);
+  SetSilent(deployment, false);
+  cr_assert(BecomesReady(deployment, 0));
+  deployment.Apply(kDeclarations);
+  SetSilent(deployment, true);
+  deployment.AddDaemon();
+  cr_assert(BecomesReady(deployment, 1));
+  const auto documents =
+      Http(deployment.operator_port(1), "GET", "/v1/documents", "");
+  cr_assert(documents.body.find("encoders") != std::string::npos);
+}
