Read three rows in a poll that finds nothing new

Cause: each poll read 34 rows; 27 pollers would take 918 of the store's two thousand reads a second.

--- a/packages/decision/src/config_apply.cc
+++ b/packages/decision/src/config_apply.cc
@@ -43,7 +43,10 @@
   if (!change_.change_id.empty()) {
     reads_.push_back(Row(ConfigChangeKey(change_.change_id)));
   }
-  for (std::size_t i = 1; i <= kRevisionsPerRead; ++i) {
+  // Most polls find nothing new; they must not cost the store a batch of rows.
+  const bool behind = read_after_ < head_revision_;
+  const std::size_t count = behind ? kRevisionsPerRead : 1;
+  for (std::size_t i = 1; i <= count; ++i) {
     reads_.push_back(RevisionRow(read_after_ + i));
   }
 }
--- a/packages/entry/src/peer_links.cc
+++ b/packages/entry/src/peer_links.cc
@@ -11,7 +11,7 @@
 namespace gentianroute {
 namespace {
 
-constexpr std::uint32_t kRevisionsPerCall = 64;
+constexpr std::uint32_t kRevisionsPerCall = 256;  // all that is kept
 constexpr Duration kConnectCheck = std::chrono::milliseconds(20);
 constexpr std::uint32_t kConnectChecks = 20;
 constexpr std::uint64_t kIdleRounds = 16;
--- a/packages/schema/tests/config_log_test.cc
+++ b/packages/schema/tests/config_log_test.cc
@@ -211,6 +211,18 @@
   cr_assert(slow.problem().find("'p'") != std::string::npos);
 }
 
+// Pollers read the log once a second for ever, and the store has two thousand
+// reads a second for everything.
+Test(config_apply, poll_that_finds_nothing_new_reads_three_rows) {
+  Platform platform;
+  ConfigFollower follower(platform.codec);
+  AddRevisions(platform, follower, 2);
+  ConfigApply poll(Options(), {}, follower, platform.codec);
+  cr_assert_eq(poll.reads().size(), 3);
+  poll.OnRead(platform.Read(poll.reads()));
+  cr_assert(poll.state() == State::kCaughtUp);
+}
+
 // The rows of old revisions are gone. A new host must get everything from the
 // snapshot and the rows after it.
 Test(config_snapshotter, new_host_reads_snapshot_and_rows_behind_are_deleted) {
