--- /dev/null
+++ b/benchmarks/scenarios.cc
@@ -0,0 +1,420 @@
+#include "scenarios.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+#include "load_model.h"
+
+namespace gentianroute::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kCapacity = 240;  ///< requests a second, by the engines
+
+StageSpec Stage(const char* name, Duration expected, std::int64_t cost) {
+  StageSpec stage;
+  stage.name = name;
+  stage.pool = name;
+  stage.expected = expected;
+  stage.cost_per_call = cost;
+  return stage;
+}
+
+Plan BasePlan(const ScenarioOptions& options) {
+  Plan plan;
+  plan.seed = options.seed;
+  plan.length = options.quick ? seconds(12) : seconds(40);
+  plan.profile.deadline = seconds(2);
+  plan.profile.stages = {Stage("encode", milliseconds(20), 10),
+                         Stage("retrieve", milliseconds(25), 15),
+                         Stage("rerank", milliseconds(25), 20),
+                         Stage("generate", milliseconds(200), 400)};
+  plan.pools = {{"encode", 3, 4, milliseconds(20)},
+                {"retrieve", 3, 4, milliseconds(25)},
+                {"rerank", 3, 4, milliseconds(25)},
+                {"generate", 12, 4, milliseconds(200)}};
+  return plan;
+}
+
+void AddEqualTraffic(Plan& plan, double load) {
+  for (int i = 0; i < 5; ++i) {
+    plan.traffic.push_back(
+        {"org" + std::to_string(i), "s", load * kCapacity / 5});
+  }
+}
+
+Row Summary(const Outcome& outcome) {
+  Row row;
+  row["attainment"] = Rounded(outcome.all.Attainment());
+  row["refused"] = Rounded(Ratio(outcome.all.refused, outcome.all.sent));
+  row["p50_ms"] = Rounded(Outcome::Percentile(outcome.took_ms, 0.5));
+  row["p99_ms"] = Rounded(Outcome::Percentile(outcome.took_ms, 0.99));
+  row["spread"] = Rounded(outcome.load_spread);
+  row["cost_per_answer"] = Rounded(outcome.CostPerAnswer());
+  return row;
+}
+
+Row Joined(Row row, const Row& more) {
+  row.update(more);
+  return row;
+}
+
+// --- Load and routing -------------------------------------------------------
+
+struct Trouble {
+  const char* name;
+  void (*apply)(Plan& plan);
+};
+
+constexpr std::array<Trouble, 4> kTroubles = {{
+    {"bursts", [](Plan& /*plan*/) {}},
+    {"one slow engine", [](Plan& plan) { plan.pools.back().slowness = 8; }},
+    {"rerank fails 5 s",
+     [](Plan& plan) {
+       plan.pools[2].fails_from = seconds(5);
+       plan.pools[2].fails_until = seconds(10);
+     }},
+    {"reports 3 s late", [](Plan& plan) { plan.report_lag = seconds(3); }},
+}};
+
+struct Routing {
+  const char* name;
+  RoutingPolicy policy;
+};
+
+constexpr std::array<Routing, 3> kRoutings = {
+    {{"predicted", RoutingPolicy::kPredictedCompletion},
+     {"random", RoutingPolicy::kRandom},
+     {"least reported", RoutingPolicy::kLeastReportedLoad}}};
+
+void RunLoad(const ScenarioOptions& options, Report& report) {
+  const std::vector<double> loads = options.quick
+                                        ? std::vector<double>{0.8, 1.5}
+                                        : std::vector<double>{0.5, 0.8, 1, 1.5};
+  for (const double load : loads) {
+    std::array<double, 3> attained{};  // mean over the troubles
+    for (const Trouble& trouble : kTroubles) {
+      for (std::size_t i = 0; i < kRoutings.size(); ++i) {
+        Plan plan = BasePlan({options.seed});
+        plan.routing = kRoutings[i].policy;
+        AddEqualTraffic(plan, load);
+        trouble.apply(plan);
+        const Outcome outcome = LoadModel(plan).Run();
+        attained[i] += outcome.all.Attainment() / kTroubles.size();
+        Row row;
+        row["load"] = load;
+        row["trouble"] = trouble.name;
+        row["routing"] = kRoutings[i].name;
+        report.rows.push_back(Joined(row, Summary(outcome)));
+        for (const auto& [stage, cost] : outcome.stage_cost) {
+          report.rows.back()["cost_" + stage] =
+              Rounded(static_cast<double>(cost) /
+                      static_cast<double>(
+                          std::max<std::uint64_t>(1, outcome.all.in_time)));
+        }
+      }
+    }
+    report.Expect(attained[0] >= std::max(attained[1], attained[2]) - 0.01,
+                  "predicted routing is no worse at " + std::to_string(load));
+  }
+}
+
+// --- Heavy subscribers ------------------------------------------------------
+
+/// Others send 60 % of the capacity; the heavy one sends 20 times its share.
+void RunHeavy(const ScenarioOptions& options, Report& report) {
+  constexpr double kShare = 0.6 / 5 * kCapacity;
+  for (const bool inside : {false, true}) {
+    double baseline = 0;
+    for (const bool fair : {false, true}) {
+      Plan plan = BasePlan(options);
+      plan.coordinator.queue_order =
+          fair ? QueueOrder::kFair : QueueOrder::kArrival;
+      for (int i = 0; i < 5; ++i) {
+        const std::string name = inside ? "one" : "org" + std::to_string(i);
+        plan.traffic.push_back(
+            {name, "s" + std::to_string(i), kShare * (i == 0 ? 20 : 1)});
+      }
+      const Outcome outcome = LoadModel(plan).Run();
+      Tally others;
+      Tally heavy;
+      for (const auto& [name, tally] : outcome.subscribers) {
+        Tally& sum = name.ends_with("s0") ? heavy : others;
+        sum.sent += tally.sent;
+        sum.in_time += tally.in_time;
+      }
+      const double measured = Seconds(plan.length - plan.warm_up);
+      const auto per_second = [measured](const Tally& tally) {
+        return static_cast<double>(tally.in_time) / measured;
+      };
+      Row row;
+      row["heavy"] = inside ? "subscriber" : "organisation";
+      row["order"] = fair ? "fair" : "arrival";
+      row["others_attainment"] = Rounded(others.Attainment());
+      row["heavy_attainment"] = Rounded(heavy.Attainment());
+      row["others_per_s"] = Rounded(per_second(others));
+      row["heavy_per_s"] = Rounded(per_second(heavy));
+      row["total_of_capacity"] = Rounded(per_second(outcome.all) / kCapacity);
+      report.rows.push_back(row);
+      if (fair) {
+        report.Expect(others.Attainment() >= baseline,
+                      "fair queueing is no worse for the others");
+        report.Expect(others.Attainment() >= 0.9,
+                      "the others meet nine deadlines of ten");
+        report.Expect(heavy.in_time > 0, "the heavy one gets what is idle");
+      }
+      baseline = others.Attainment();
+    }
+  }
+}
+
+/// Two organisations send as much as each other at the first daemon; one of
+/// them sends six times that at each of the other two. Only what those daemons
+/// tell shows the first one who is heavy.
+void RunShared(const ScenarioOptions& options, Report& report) {
+  double baseline = 0;
+  for (const bool share : {false, true}) {
+    Plan plan = BasePlan(options);
+    plan.share_usage = share;
+    plan.traffic = {{"light", "s", 0.3 * kCapacity, 0},
+                    {"heavy", "s", 0.3 * kCapacity, 0},
+                    {"heavy", "s", 1.8 * kCapacity, 1},
+                    {"heavy", "s", 1.8 * kCapacity, 2}};
+    const Outcome outcome = LoadModel(plan).Run();
+    const Tally& light = outcome.organisations.at("light");
+    Row row;
+    row["records"] = share ? "shared" : "own only";
+    row["light_attainment"] = Rounded(light.Attainment());
+    row["heavy_attainment"] =
+        Rounded(outcome.organisations.at("heavy").Attainment());
+    report.rows.push_back(Joined(row, Summary(outcome)));
+    report.Expect(light.Attainment() >= baseline,
+                  "shared records are no worse for the light one");
+    baseline = light.Attainment();
+  }
+}
+
+// --- Retries ----------------------------------------------------------------
+
+/// Seconds after the fault until three seconds in a row are as good as before.
+double SecondsToRecover(const Outcome& outcome, std::size_t from) {
+  constexpr double kGood = 0.9;
+  for (std::size_t i = from; i + 3 < outcome.seconds.size(); ++i) {
+    const bool good = std::all_of(
+        outcome.seconds.begin() + static_cast<std::ptrdiff_t>(i),
+        outcome.seconds.begin() + static_cast<std::ptrdiff_t>(i + 3),
+        [](const Tally& tally) { return tally.Attainment() >= kGood; });
+    if (good) {
+      return static_cast<double>(i - from);
+    }
+  }
+  return -1;
+}
+
+struct Restraint {
+  const char* name;
+  bool budget;
+  bool refuse_early;
+};
+
+constexpr std::array<Restraint, 4> kRestraints = {
+    {{"neither", false, false},
+     {"budget", true, false},
+     {"early refusal", false, true},
+     {"both", true, true}}};
+
+void RunRetries(const ScenarioOptions& options, Report& report) {
+  constexpr std::size_t kFaultEnd = 15;
+  std::vector<double> recovered;
+  std::vector<double> calls;
+  for (const Restraint& restraint : kRestraints) {
+    Plan plan = BasePlan(options);
+    plan.length = seconds(40);
+    plan.bursts = false;
+    plan.caller_resends = 3;
+    plan.pools[2].fails_from = seconds(5);
+    plan.pools[2].fails_until = seconds(kFaultEnd);
+    plan.coordinator.refuse_early = restraint.refuse_early;
+    if (!restraint.budget) {
+      plan.coordinator.retry_budget = {1e9, 1e9};
+    }
+    AddEqualTraffic(plan, 0.9);
+    const Outcome outcome = LoadModel(plan).Run();
+    recovered.push_back(SecondsToRecover(outcome, kFaultEnd));
+    calls.push_back(outcome.CallsPerRequest());
+    Row row;
+    row["restraint"] = restraint.name;
+    row["calls_per_request"] = Rounded(calls.back());
+    row["rerank_calls_per_request"] =
+        Rounded(static_cast<double>(outcome.stage_cost.at("rerank")) /
+                static_cast<double>(plan.profile.stages[2].cost_per_call) /
+                static_cast<double>(outcome.all.sent));
+    row["recovers_after_s"] = recovered.back();
+    report.rows.push_back(Joined(row, Summary(outcome)));
+  }
+  report.Expect(calls[3] <= calls[0], "both restraints make no more calls");
+  report.Expect(
+      recovered[3] >= 0 && (recovered[0] < 0 || recovered[3] <= recovered[0]),
+      "with both it recovers no later");
+}
+
+// --- Prefix affinity --------------------------------------------------------
+
+struct Affinity {
+  const char* name;
+  bool on;
+  double events_lost;
+};
+
+constexpr std::array<Affinity, 4> kAffinities = {
+    {{"off", false, 0},
+     {"on", true, 0},
+     {"on, 2 % of events lost", true, 0.02},
+     {"on, 20 % of events lost", true, 0.2}}};
+
+void RunPrefix(const ScenarioOptions& options, Report& report) {
+  std::vector<double> ratios;
+  for (const Affinity& affinity : kAffinities) {
+    Plan plan = BasePlan(options);
+    plan.profile.stages.back().streams = true;
+    plan.prefixes = 600;
+    plan.affinity = affinity.on;
+    plan.events_lost = affinity.events_lost;
+    plan.micros_per_byte = 1e-4;
+    AddEqualTraffic(plan, 0.7);
+    const Outcome outcome = LoadModel(plan).Run();
+    ratios.push_back(Ratio(outcome.prefix_hits, outcome.prefix_served));
+    Row row;
+    row["affinity"] = affinity.name;
+    row["hit_ratio"] = Rounded(ratios.back());
+    row["first_token_p50_ms"] =
+        Rounded(Outcome::Percentile(outcome.first_token_ms, 0.5));
+    row["first_token_p99_ms"] =
+        Rounded(Outcome::Percentile(outcome.first_token_ms, 0.99));
+    row["billed_bytes_per_answer"] =
+        Rounded(Ratio(outcome.billed_bytes, outcome.all.in_time));
+    report.rows.push_back(Joined(row, Summary(outcome)));
+  }
+  report.Expect(ratios[1] > ratios[0], "affinity finds more prefixes cached");
+  report.Expect(ratios[3] >= ratios[0] - 0.02, "gaps do no harm");
+}
+
+// --- Profiles ---------------------------------------------------------------
+
+struct Deployment {
+  const char* name;
+  std::uint32_t engines;
+  const char* last;  ///< stage whose calls may not be repeated
+  Duration deadline;
+  std::size_t body_bytes;
+  double load;
+  std::vector<std::string> regions;
+  Objective own;
+};
+
+std::vector<Deployment> Deployments() {
+  return {{"Muistolaatta",
+           20,
+           "plaque-orders",
+           seconds(6),
+           20'000,
+           0.7,
+           {"uusimaa", "pirkanmaa", "pohjanmaa"},
+           Objective::kCost},
+          {"Bhattacharya",
+           10,
+           "wallet-ledger",
+           milliseconds(1200),
+           2000,
+           0.7,
+           {"gangetic-south", "dooars-north", "rarh-west"},
+           Objective::kAttainment}};
+}
+
+Plan PlanOf(const Deployment& deployment, const ScenarioOptions& options) {
+  Plan plan = BasePlan(options);
+  plan.regions = deployment.regions;
+  plan.pools.back().servers = deployment.engines;
+  plan.pools.push_back({deployment.last, 3, 4, milliseconds(25)});
+  StageSpec last = Stage(deployment.last, milliseconds(25), 5);
+  last.repeatable = false;
+  plan.profile.stages.push_back(last);
+  plan.profile.deadline = deployment.deadline;
+  plan.body_bytes = deployment.body_bytes;
+  plan.at_first = 0.4;          // the bell, or the morning queue, of one region
+  plan.micros_per_byte = 1e-4;  // 0.10 euros a gigabyte
+  AddEqualTraffic(plan, deployment.load * deployment.engines / 12);
+  return plan;
+}
+
+struct Spread {
+  const char* name;
+  double at_first;
+};
+
+/// The bell, or the morning queue, of one region.
+constexpr std::array<Spread, 2> kSpreads = {
+    {{"even", 0}, {"one region busy", 0.4}}};
+
+void RunProfile(const ScenarioOptions& options,
+                const Deployment& deployment,
+                const Spread& spread,
+                Report& report) {
+  std::array<Outcome, 2> outcomes;
+  for (const Objective objective : {Objective::kAttainment, Objective::kCost}) {
+    Plan plan = PlanOf(deployment, options);
+    plan.at_first = spread.at_first;
+    plan.profile.objective = objective;
+    Outcome& outcome = outcomes[static_cast<std::size_t>(objective)];
+    outcome = LoadModel(plan).Run();
+    Row row;
+    row["deployment"] = deployment.name;
+    row["requests"] = spread.name;
+    row["objective"] = objective == Objective::kCost ? "cost" : "attainment";
+    row["its_own"] = objective == deployment.own;
+    row["billed_bytes_per_answer"] =
+        Rounded(Ratio(outcome.billed_bytes, outcome.all.in_time));
+    report.rows.push_back(Joined(row, Summary(outcome)));
+  }
+  const auto& [attainment, cost] = outcomes;
+  // With a deadline that leaves no time to wait both objectives move alike.
+  const double share = deployment.own == Objective::kCost ? 0.5 : 1.1;
+  report.Expect(static_cast<double>(cost.billed_bytes) <=
+                    share * static_cast<double>(attainment.billed_bytes),
+                "the thrifty profile moves fewer bytes between regions");
+  report.Expect(deployment.own != Objective::kCost ||
+                    cost.CostPerAnswer() <= attainment.CostPerAnswer(),
+                "the thrifty profile spends no more per answer");
+  report.Expect(attainment.all.Attainment() >= cost.all.Attainment() - 0.02,
+                "the prompt profile meets no fewer deadlines");
+}
+
+void RunProfiles(const ScenarioOptions& options, Report& report) {
+  for (const Deployment& deployment : Deployments()) {
+    for (const Spread& spread : kSpreads) {
+      RunProfile({options.seed}, deployment, spread, report);
+    }
+  }
+}
+
+constexpr std::array<Scenario, 6> kScenarios = {{
+    {"load", "attainment and cost by load, trouble and routing", &RunLoad},
+    {"heavy", "one at 20 times its share, fair and by arrival", &RunHeavy},
+    {"shared", "heavy at other daemons, records shared or not", &RunShared},
+    {"retries", "a stage fails for 10 s, with and without restraint",
+     &RunRetries},
+    {"prefix", "cached prompt prefixes, with gaps in the events", &RunPrefix},
+    {"profiles", "thrifty and prompt profiles of both deployments",
+     &RunProfiles},
+}};
+
+}  // namespace
+
+std::span<const Scenario> AllScenarios() {
+  return kScenarios;
+}
+
+}  // namespace gentianroute::bench
--- a/packages/decision/include/gentianroute/decision/coordinator.h
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <queue>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -14,6 +15,7 @@
 #include "gentianroute/decision/attempt.h"
 #include "gentianroute/decision/catalogue.h"
 #include "gentianroute/decision/claim_ledger.h"
+#include "gentianroute/decision/dispatch_pace.h"
 #include "gentianroute/decision/fair_queue.h"
 #include "gentianroute/decision/request.h"
 #include "gentianroute/decision/retry_budget.h"
@@ -55,6 +57,7 @@
     double least_time = 0.5;
     std::uint64_t seed = 1;
     RetryBudget::Options retry_budget;
+    QueueOrder queue_order = QueueOrder::kFair;
     bool refuse_early = true;  ///< false: the baseline without early refusals
   };
 
@@ -77,10 +80,13 @@
   void OnCallerGone(TimePoint now, RequestId request);
 
   /// @brief Call after the claim ledger was fed.
-  void PumpClaims(TimePoint now, UnixMicros wall);
+  void PumpClaims(TimePoint now);
+
+  /// @brief The daemon asked by AskClaimer has answered, or can't be reached.
+  /// @param token that was asked about
   void OnClaimerAnswered(TimePoint now,
-                         UnixMicros wall,
                          RequestId request,
+                         std::string_view token,
                          const JoinOutcome& outcome);
   /// @brief A peer asks about a token of this daemon; AnswerJoin follows.
   JoinId Join(TimePoint now, std::string_view token);
@@ -114,6 +120,7 @@
     kTooLate,
     kSilence,
     kHedge,
+    kBackOff,
   };
   struct Timer {
     TimePoint due;
@@ -132,13 +139,18 @@
   using TimerHandler = void (Coordinator::*)(TimePoint, std::uint64_t);
 
   // Submission and claims.
-  void Admit(TimePoint now, UnixMicros wall, Request& request);
+  void Admit(TimePoint now, Request& request);
   std::optional<ErrorKind> RefusalOf(TimePoint now,
                                      const Request& request,
-                                     std::string& detail) const;
-  void OnVerdict(TimePoint now, UnixMicros wall, const ClaimVerdict& verdict);
+                                     std::string& detail);
+  bool WouldWaitTooLong(TimePoint now, const Request& request);
+  void Shed(TimePoint now, std::string_view pool);
+  FairQueue::Waiter WaiterOf(const Request& request,
+                             const StageSpec& stage) const;
+  void BeginClaim(TimePoint now, Request& request, std::uint64_t replaces);
+  void OnVerdict(TimePoint now, const ClaimVerdict& verdict);
+  void AbandonToken(TimePoint now, Request& request);
   void OnKeyTaken(TimePoint now, Request& request, const ClaimVerdict& verdict);
-  void JoinLocal(TimePoint now, Request& request, std::string_view token);
   void FinishJoined(TimePoint now,
                     Request& request,
                     const JoinOutcome& outcome);
@@ -148,7 +160,18 @@
   void EnterStage(TimePoint now, Request& request);
   void Enqueue(TimePoint now, Request& request);
   void Dispatch(TimePoint now, std::string_view pool);
-  bool MayGo(TimePoint now, RequestId request, ServerRef& server);
+  bool MayGo(TimePoint now, const Request& request, ServerRef& server);
+  void BackOff(TimePoint now, Request& request);
+  bool MoreSuspectsMayRun(std::string_view pool) const;
+  bool IsHeld(TimePoint now, const Request& request) const;
+  bool IsPastHope(TimePoint now, const Request& request) const;
+  void Refuse(TimePoint now, RequestId request);
+  /// The record in force of a server that may have been restarted since.
+  ServerRef Listed(const ServerRef& server) const;
+  std::vector<ServerRef> BusyServers() const;
+  std::vector<ServerRef> SuspectServers() const;
+  void CancelOthers(Request& request, AttemptId winner);
+  void DispatchFreed(TimePoint now);
   void Start(TimePoint now, Request& request, ServerRef server);
   void CompleteStage(TimePoint now,
                      Request& request,
@@ -159,8 +182,12 @@
              Request& request,
              AttemptFailure failure,
              std::string_view detail);
+  RetryBudget& BudgetOf(const std::string& pool);
   ErrorKind KindOfFailure(const Request& request, AttemptFailure failure) const;
-  void OnCrash(TimePoint now, const Attempt& attempt);
+  void OnReset(TimePoint now, const Attempt& attempt);
+  void OnCrash(TimePoint now, const Server& server);
+  void MarkRunningTwins(const std::set<Fingerprint>& suspects);
+  void OnSignOfLife(TimePoint now, Attempt& attempt);
   Attempt Detach(AttemptId attempt);
   void CancelAll(Request& request);
   std::string StageInput(const Request& request) const;
@@ -188,6 +215,7 @@
   void OnTooLate(TimePoint now, std::uint64_t request);
   void OnSilence(TimePoint now, std::uint64_t attempt);
   void OnHedge(TimePoint now, std::uint64_t attempt);
+  void OnBackOff(TimePoint now, std::uint64_t request);
 
   Options options_;
   ServerTable& servers_;
@@ -201,8 +229,10 @@
   std::unordered_map<const Server*, AttemptList> at_server_;
   std::map<std::string, FairQueue, std::less<>> queues_;
   std::map<std::string, RetryBudget, std::less<>> budgets_;
+  std::map<std::string, DispatchPace, std::less<>> paces_;
   std::unordered_map<std::string, Duration> measured_;
-  std::map<std::string, RequestId, std::less<>> running_tokens_;
+  /// Tokens of requests in progress, standing or still being claimed.
+  std::map<std::string, RequestId, std::less<>> live_tokens_;
   std::map<std::string, JoinWaiters, std::less<>> joins_;
   std::deque<Remembered> remembered_;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
@@ -211,7 +241,9 @@
   std::uint64_t next_request_ = 1;
   std::uint64_t next_attempt_ = 1;
   std::uint64_t next_join_ = 1;
-  std::uint32_t suspects_running_ = 0;
+  std::vector<ServerRef> suspect_servers_;  ///< one per suspect in flight
+  std::unordered_map<Fingerprint, std::uint32_t> running_;  ///< calls in flight
+  std::set<std::string> freed_pools_;  ///< a slot came free; not yet offered
 };
 
 }  // namespace gentianroute
--- a/packages/decision/include/gentianroute/decision/request.h
+++ b/packages/decision/include/gentianroute/decision/request.h
@@ -43,18 +43,22 @@
   RequestPhase phase = RequestPhase::kQueued;
   TimePoint arrived{};
   TimePoint deadline{};
-  std::string claim_token;    ///< empty: no claim
-  bool claim_stands = false;  ///< the store confirmed the token
+  UnixMicros arrived_wall = 0;
+  std::string claim_token;           ///< empty: no claim
+  bool claim_stands = false;         ///< the store confirmed the token
+  std::string holder_token;          ///< whose key it is, while joining
+  std::uint64_t holder_version = 0;  ///< of the row as read
   bool caller_gone = false;
 
   std::size_t stage_index = 0;
   TimePoint queued_at{};
-  std::vector<AttemptId> attempts;  ///< in flight, of this stage
-  std::vector<ServerRef> tried;     ///< by this stage
-  std::uint32_t attempts_made = 0;  ///< by this stage
-  bool stage_maybe_run = false;     ///< a call of it may have run
-  std::uint64_t offset = 0;         ///< tokens received of this stage's stream
-  std::string streamed;             ///< their text
+  std::vector<AttemptId> attempts;     ///< in flight, of this stage
+  std::vector<ServerRef> tried;        ///< by this stage
+  std::uint32_t attempts_made = 0;     ///< by this stage
+  std::uint32_t connect_failures = 0;  ///< by this stage
+  bool stage_maybe_run = false;        ///< a call of it may have run
+  std::uint64_t offset = 0;  ///< tokens received of this stage's stream
+  std::string streamed;      ///< their text
   TimePoint first_token_at{};
 
   std::uint32_t calls_maybe_run = 0;  ///< calls that some server may have seen
--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -17,8 +17,11 @@
 #include "gentianroute/entry/operator_api.h"
 #include "gentianroute/entry/order_sync.h"
 #include "gentianroute/entry/peer_links.h"
+#include "gentianroute/entry/peer_revisions.h"
 #include "gentianroute/loop/h2o_http_client.h"
 #include "gentianroute/loop/http_server.h"
+#include "gentianroute/observe/request_metrics.h"
+#include "gentianroute/observe/service_level.h"
 #include "gentianroute/platform/http_platform.h"
 #include "gentianroute/schema/declarations.h"
 #include "gentianroute/schema/rows.h"
@@ -39,6 +42,9 @@
   /// @brief Stops in a planned way; `done` is called once nothing runs.
   void Drain(std::function<void()> done);
 
+  /// @brief What ends the process once an operator's drain is through.
+  void SetStop(std::function<void()> stop) { stop_ = std::move(stop); }
+
   std::uint16_t caller_port() const { return callers_->port(); }
   std::uint16_t operator_port() const { return operators_->port(); }
   std::uint16_t peer_port() const { return peers_->port(); }
@@ -59,7 +65,11 @@
   bool Ready() const override;
   nlohmann::json Status() const override;
   nlohmann::json DocumentsInForce() const override;
+  const gentianroute::Documents& PresentDocuments() const override {
+    return follower_.documents();
+  }
   nlohmann::json History() const override;
+  nlohmann::json Report() const override;
   std::string Metrics() const override;
   void Apply(ConfigRevision change, const ConfigSync::Done& done) override;
   void StartDrain() override;
@@ -67,13 +77,16 @@
   void Touch();
   void Pump();
   void Execute(Action& action);
+  void Ask(const AskClaimer& ask);
   void Rearm();
   void PollHosts();
   void PollConfig();
   void ApplyHosts(const std::vector<HostRecord>& hosts);
   void OnConfigChanged();
   void NoteLeaving();
+  void BeginDrain();
   void CheckDrained();
+  void EndDrain();
 
   EventLoop& loop_;
   const Settings& settings_;
@@ -101,6 +114,10 @@
   std::unique_ptr<PeerLinks> peers_;
   std::unordered_map<JoinId, std::function<void(JoinOutcome)>> joins_;
   std::vector<PeerAddress> seeds_;
+  PeerRevisions peer_revisions_;
+  RequestMetrics metrics_;
+  ServiceLevels levels_;
+  std::function<void()> stop_ = [] {};
   TimerId wake_;
   std::size_t quarantine_turn_ = 0;
   bool pumping_ = false;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -3,6 +3,9 @@
 #include <random>
 #include <utility>
 
+#include "gentianroute/entry/config_report.h"
+#include "gentianroute/entry/problem.h"
+#include "gentianroute/entry/report.h"
 #include "gentianroute/observe/log.h"
 
 namespace gentianroute {
@@ -49,6 +52,7 @@
   options.key_file = listener.getKeyFile().cStr();
   options.max_body = limits.getMaxBodyBytes();
   options.max_connections = limits.getMaxConnections();
+  options.turned_down = &ProblemForStatus;
   return options;
 }
 
@@ -128,7 +132,8 @@
                       std::to_string(incarnation_),
                   [this] { Touch(); }),
       operator_api_(loop, *this),
-      seeds_(SeedsOf(settings.get())) {
+      seeds_(SeedsOf(settings.get())),
+      peer_revisions_(loop.Now()) {
   const auto root = settings.get();
   callers_ = std::make_unique<HttpServer>(
       loop, ServerOptions(root.getCallers(), root.getLimits()),
@@ -149,16 +154,16 @@
   PeerHandler& handler = *this;
   peers_ = std::make_unique<PeerLinks>(loop, peer_options, handler);
   peers_->SetPeers(seeds_);
+  for (const PeerAddress& seed : seeds_) {
+    peer_revisions_.Know(seed.name, seed.data_centre);
+  }
 
   const Duration poll = milliseconds(root.getPlatform().getPollMs());
   loop.Every(poll, [this] {
     PollHosts();
     PollConfig();
   });
-  loop.Every(kOrderPeriod, [this] {
-    order_sync_.Tick();
-    CheckDrained();
-  });
+  loop.Every(kOrderPeriod, [this] { order_sync_.Tick(); });
   loop.Every(kGossipPeriod, [this] {
     NoteLeaving();
     peers_->Gossip();
@@ -190,7 +195,7 @@
   while (std::exchange(touched_, false)) {
     const TimePoint now = loop_.Now();
     coordinator_.Advance(now);
-    coordinator_.PumpClaims(now, loop_.Wall());
+    coordinator_.PumpClaims(now);
     claim_sync_.Pump();
     for (Action& action : coordinator_.TakeActions()) {
       touched_ = true;
@@ -199,7 +204,6 @@
   }
   pumping_ = false;
   Rearm();
-  CheckDrained();
 }
 
 void Daemon::Rearm() {
@@ -230,18 +234,15 @@
       daemon.caller_api_.Deliver(chunk);
     }
     void operator()(const FinishRequest& finish) const {
+      daemon.metrics_.Observe(finish);
+      if (CountsForServiceLevel(finish.error)) {
+        daemon.levels_.Observe(daemon.loop_.Now(),
+                               daemon.metrics_.ServiceLabel(finish.service),
+                               !finish.error.has_value());
+      }
       daemon.caller_api_.Finish(finish);
     }
-    void operator()(const AskClaimer& ask) const {
-      constexpr Duration kAskTimeout = std::chrono::seconds(2);
-      daemon.peers_->AskOutcome(
-          ask.claim.daemon, ask.claim, kAskTimeout,
-          [daemon = &daemon, id = ask.request](const JoinOutcome& outcome) {
-            daemon->coordinator_.OnClaimerAnswered(
-                daemon->loop_.Now(), daemon->loop_.Wall(), id, outcome);
-            daemon->Touch();
-          });
-    }
+    void operator()(const AskClaimer& ask) const { daemon.Ask(ask); }
     void operator()(const AnswerJoin& answer) const {
       const auto found = daemon.joins_.find(answer.join);
       if (found != daemon.joins_.end()) {
@@ -254,12 +255,28 @@
   std::visit(Visitor{*this}, action);
 }
 
+void Daemon::Ask(const AskClaimer& ask) {
+  constexpr Duration kAskTimeout = std::chrono::seconds(2);
+  const auto done = [this, id = ask.request,
+                     token = ask.claim.token](const JoinOutcome& outcome) {
+    coordinator_.OnClaimerAnswered(loop_.Now(), id, token, outcome);
+    Touch();
+  };
+  if (ask.claim.daemon != settings_.get().getName().cStr()) {
+    peers_->AskOutcome(ask.claim.daemon, ask.claim, kAskTimeout, done);
+    return;
+  }
+  // A row of this daemon's own: a write that it had given up took effect late,
+  // or an earlier process of this name made it, whose token nobody here knows.
+  OnJoin(ask.claim.token, done);
+}
+
 // --- Hosts and configuration ------------------------------------------------
 
 void Daemon::PollHosts() {
-  platform_.List([this](const std::optional<std::vector<HostRecord>>& hosts) {
-    if (hosts.has_value()) {
-      ApplyHosts(*hosts);
+  platform_.List([this](const HostListing& listing) {
+    if (listing.changed) {
+      ApplyHosts(listing.hosts);
     }
   });
 }
@@ -295,6 +312,12 @@
     });
     peers.push_back({host.name, host.data_centre, host.address, host.port});
   }
+  for (const PeerAddress& peer : peers) {
+    if (peer.name != settings_.get().getName().cStr()) {
+      peer_revisions_.Know(peer.name, peer.data_centre);
+    }
+  }
+  peer_revisions_.ForgetOthers();
   peers_->SetPeers(std::move(peers));
   poll_schedule_.SetPeers(neighbours);
   order_sync_.SetDaemons(std::move(daemons));
@@ -311,6 +334,7 @@
 void Daemon::OnConfigChanged() {
   coordinator_.SetCatalogue(follower_.catalogue());
   order_sync_.SetCatalogue(*follower_.catalogue());
+  metrics_.SetCatalogue(follower_.catalogue());
   LogEvent("configuration").Field("revision", follower_.revision());
   peers_->Rumour();
 }
@@ -375,6 +399,7 @@
   }
   const std::string peer = digest.getDaemon().cStr();
   usage_.SetRemote(now, peer, heavy);
+  peer_revisions_.Heard(now, peer, digest.getRevision());
   for (const auto server : digest.getLeaving()) {
     servers_.MarkLeaving(server.getServer().cStr(), server.getIncarnation());
   }
@@ -437,116 +462,118 @@
          {"calls", server->calls},
          {"failures", server->failures}});
   }
-  json heavy = json::array();
-  for (const UseRecord& use : usage_.Heaviest(loop_.Now(), kHeavyRecords)) {
-    heavy.push_back({{"organisation", use.who.organisation},
-                     {"subscriber", use.who.subscriber},
-                     {"cost", use.cost}});
-  }
   const CoordinatorCounters& counters = coordinator_.counters();
-  return {{"name", settings_.get().getName().cStr()},
-          {"data_centre", settings_.get().getDataCentre().cStr()},
-          {"region", settings_.get().getRegion().cStr()},
-          {"incarnation", incarnation_},
-          {"ready", Ready()},
-          {"draining", draining_},
-          {"revision", follower_.revision()},
-          {"highest_heard", follower_.highest_heard()},
-          {"active", coordinator_.active()},
-          {"queued", coordinator_.queued()},
-          {"peers", peers_->peer_count()},
-          {"submitted", counters.submitted},
-          {"answered", counters.answered},
-          {"failed", counters.failed},
-          {"retries", counters.retries},
-          {"late_answers", counters.late_answers},
-          {"crossed_answers", counters.crossed_answers},
-          {"heaviest", std::move(heavy)},
-          {"servers", std::move(servers)}};
+  return {
+      {"name", settings_.get().getName().cStr()},
+      {"data_centre", settings_.get().getDataCentre().cStr()},
+      {"region", settings_.get().getRegion().cStr()},
+      {"incarnation", incarnation_},
+      {"ready", Ready()},
+      {"draining", draining_},
+      {"revision", follower_.revision()},
+      {"highest_heard", follower_.highest_heard()},
+      {"active", coordinator_.active()},
+      {"queued", coordinator_.queued()},
+      {"peers", peers_->peer_count()},
+      {"peer_revisions", peer_revisions_.ToJson(loop_.Now())},
+      {"submitted", counters.submitted},
+      {"answered", counters.answered},
+      {"failed", counters.failed},
+      {"retries", counters.retries},
+      {"late_answers", counters.late_answers},
+      {"crossed_answers", counters.crossed_answers},
+      {"heaviest", HeaviestReport(usage_.Heaviest(loop_.Now(), kHeavyRecords))},
+      {"servers", std::move(servers)}};
 }
 
 json Daemon::DocumentsInForce() const {
-  json documents = json::array();
-  for (const auto& [name, document] : follower_.documents()) {
-    documents.push_back({{"kind", DocumentKindName(name.first)},
-                         {"name", name.second},
-                         {"revision", document.revision},
-                         {"body", json::parse(document.body)}});
-  }
-  return {{"revision", follower_.revision()},
-          {"documents", std::move(documents)}};
+  return DocumentsReport(follower_);
 }
 
 json Daemon::History() const {
-  json revisions = json::array();
-  for (const ConfigRevision& revision : follower_.kept()) {
-    json changes = json::array();
-    for (const DocumentChange& change : revision.changes) {
-      changes.push_back({{"kind", DocumentKindName(change.kind)},
-                         {"name", change.name},
-                         {"deleted", change.body.empty()},
-                         {"body", change.body}});
-    }
-    revisions.push_back({{"revision", revision.revision},
-                         {"change_id", revision.change_id},
-                         {"author", revision.author},
-                         {"unix_micros", revision.applied_at},
-                         {"changes", std::move(changes)}});
-  }
-  return {{"revisions", std::move(revisions)}};
+  return HistoryReport(follower_);
+}
+
+json Daemon::Report() const {
+  const TimePoint now = loop_.Now();
+  return {{"name", settings_.get().getName().cStr()},
+          {"data_centre", settings_.get().getDataCentre().cStr()},
+          {"revision", follower_.revision()},
+          {"peer_revisions", peer_revisions_.ToJson(now)},
+          {"counting_since_unix_micros", incarnation_},
+          {"at_unix_micros", loop_.Wall()},
+          {"attainment_target", settings_.get().getSlo().getAttainmentTarget()},
+          {"services", ServicesReport(levels_, now)},
+          {"stages", StagesReport(metrics_)},
+          {"heaviest", HeaviestReport(usage_.Heaviest(now, kHeavyRecords))},
+          {"out_of_favour", OutOfFavourReport(servers_, now)}};
 }
 
 std::string Daemon::Metrics() const {
-  const CoordinatorCounters& counters = coordinator_.counters();
-  return "gentianroute_requests_total " + std::to_string(counters.submitted) +
-         "\n";
+  MetricWriter writer;
+  WriteCounters(writer, coordinator_.counters());
+  metrics_.Write(writer);
+  return writer.text();
 }
 
 // --- Stop -------------------------------------------------------------------
 
 void Daemon::StartDrain() {
-  Drain([] {});
+  Drain(stop_);
 }
 
-void Daemon::Drain(std::function<void()> done) {
-  drained_ = std::move(done);
+void Daemon::BeginDrain() {
   if (std::exchange(draining_, true)) {
-    return;  // a second signal cuts off nothing
+    return;
   }
   order_sync_.StartDrain();
-  const auto limits = settings_.get().getLimits();
   LogEvent("drain_begun").Field("active", coordinator_.active());
   // The balancer needs a moment to see that this daemon is not ready; what it
   // sends until then is served.
-  loop_.After(milliseconds(limits.getDrainNoticeMs()), [this] {
+  const auto notice =
+      milliseconds(settings_.get().getLimits().getDrainNoticeMs());
+  loop_.After(notice, [this] {
     callers_->StopAccepting();
     callers_->BeginShutdown();
-    caller_api_.Refuse();
-    CheckDrained();
+    constexpr Duration kCheckPeriod = milliseconds(20);
+    loop_.Every(kCheckPeriod, [this] { CheckDrained(); });
   });
+}
+
+void Daemon::Drain(std::function<void()> done) {
+  BeginDrain();
+  if (drained_) {
+    return;  // a second signal cuts off nothing
+  }
+  drained_ = std::move(done);
+  const auto limits = settings_.get().getLimits();
   loop_.After(milliseconds(limits.getDrainDeadlineMs()), [this] {
     LogEvent("drain_deadline", LogLevel::kWarning)
-        .Field("cut_off", coordinator_.active());
-    if (drained_) {
-      std::exchange(drained_, nullptr)();
-    }
+        .Field("cut_off", coordinator_.active())
+        .Field("unsettled_claims", claims_.pending())
+        .Field("connections", callers_->connections());
+    EndDrain();
   });
 }
 
 void Daemon::CheckDrained() {
+  // A connection that is still open may carry a request that is on its way: if
+  // the process ended now, its caller would see a reset and not know whether it
+  // ran. Each answer closes its connection and idle ones time out, so waiting
+  // for the last connection leaves no such request, and ends.
   const bool idle = coordinator_.active() == 0 && caller_api_.active() == 0 &&
-                    claims_.pending() == 0 && order_sync_.held() == 0;
-  if (!draining_ || !drained_ || !idle) {
-    return;
+                    claims_.pending() == 0 && order_sync_.held() == 0 &&
+                    callers_->connections() == 0;
+  if (idle && drained_) {
+    LogEvent("drained");
+    EndDrain();
+  }
+}
+
+void Daemon::EndDrain() {
+  if (drained_) {
+    std::exchange(drained_, nullptr)();
   }
-  // Let the last answer leave the socket.
-  constexpr Duration kFlush = std::chrono::milliseconds(50);
-  loop_.After(kFlush, [this] {
-    if (drained_ && coordinator_.active() == 0) {
-      LogEvent("drained");
-      std::exchange(drained_, nullptr)();
-    }
-  });
 }
 
 }  // namespace gentianroute
--- a/packages/loop/src/h2o_http_client.cc
+++ b/packages/loop/src/h2o_http_client.cc
@@ -64,7 +64,9 @@
     context_.loop = loop.h2o();
     context_.getaddr_receiver = &receiver_;
     context_.io_timeout = &io_timeout_;
+    sweep_ = loop.Every(options.sweep_period, [this] { DropUnusedPools(); });
   }
+  ~Impl() { loop_.Cancel(sweep_); }
 
   HttpCallId Call(const HttpCall& call,
                   std::unique_ptr<HttpCallObserver> observer) {
@@ -97,9 +99,11 @@
       return;
     }
     Exchange& exchange = *found->second;
-    exchange.observer.reset();
+    exchange.cancelled = true;
     if (exchange.in_callback) {
-      return;  // the callback sees that the observer is gone, and closes
+      // The observer's own method is running, so it is destroyed only once
+      // that has returned; it hears nothing more.
+      return;
     }
     h2o_http1client_t* client = exchange.client;
     calls_.erase(found);
@@ -117,9 +121,6 @@
     // its idle ones age out, and no new call takes one of them.
     retired_.push_back(std::move(found->second));
     pools_.erase(found);
-    std::erase_if(retired_, [](const std::unique_ptr<Pool>& pool) {
-      return pool->pool._shared.count == 0;
-    });
   }
 
  private:
@@ -136,9 +137,22 @@
     std::string text;
     h2o_iovec_t buffer{};
     bool framed = false;
+    bool chunked = false;
     bool in_callback = false;
+    bool cancelled = false;
   };
 
+  /// Hosts are replaced at any time: without this the pools of all that there
+  /// ever were would stay, each with a timer of its own.
+  void DropUnusedPools() {
+    const auto unused = [](const std::unique_ptr<Pool>& pool) {
+      return pool->pool._shared.count == 0;
+    };
+    std::erase_if(retired_, unused);
+    std::erase_if(pools_,
+                  [&](const auto& entry) { return unused(entry.second); });
+  }
+
   h2o_socketpool_t* PoolFor(const std::string& address, std::uint16_t port) {
     std::unique_ptr<Pool>& pool = pools_[{address, port}];
     if (pool == nullptr) {
@@ -169,18 +183,14 @@
     const std::unique_ptr<HttpCallObserver> observer =
         std::move(exchange.observer);
     Drop(exchange);
-    if (observer != nullptr) {
-      observer->OnError(error, detail == nullptr ? "" : detail);
-    }
+    observer->OnError(error, detail == nullptr ? "" : detail);
   }
 
   static void Complete(Exchange& exchange) {
     const std::unique_ptr<HttpCallObserver> observer =
         std::move(exchange.observer);
     Drop(exchange);
-    if (observer != nullptr) {
-      observer->OnDone();
-    }
+    observer->OnDone();
   }
 
   static h2o_http1client_head_cb OnConnect(h2o_http1client_t* client,
@@ -196,7 +206,7 @@
     exchange.in_callback = true;
     exchange.observer->OnWriting();
     exchange.in_callback = false;
-    if (exchange.observer == nullptr) {
+    if (exchange.cancelled) {
       Drop(exchange);
       return nullptr;
     }
@@ -222,10 +232,11 @@
     }
     const HttpHeaders copy = CopyHeaders(headers, header_count);
     exchange.framed = HasFraming(copy);
+    exchange.chunked = FindHeader(copy, "transfer-encoding") == "chunked";
     exchange.in_callback = true;
     exchange.observer->OnHead(status, copy);
     exchange.in_callback = false;
-    if (exchange.observer == nullptr) {
+    if (exchange.cancelled) {
       Drop(exchange);
       return nullptr;
     }
@@ -251,7 +262,7 @@
       exchange.in_callback = true;
       exchange.observer->OnBody(part);
       exchange.in_callback = false;
-      if (exchange.observer == nullptr) {
+      if (exchange.cancelled) {
         Drop(exchange);
         return kClose;
       }
@@ -259,7 +270,13 @@
     if (!ended) {
       return 0;
     }
-    if (exchange.framed) {
+    // h2o takes a connection that closes between two chunks for the end of the
+    // body, so a cut answer would pass as a whole one. Its last chunk always
+    // comes with bytes; an end without any is the close.
+    const bool cut = exchange.chunked && client->sock->bytes_read == 0;
+    if (cut) {
+      Fail(exchange, HttpCallError::kTruncated, "closed before the last chunk");
+    } else if (exchange.framed) {
       Complete(exchange);
     } else {
       Fail(exchange, HttpCallError::kTruncated, "the answer has no framing");
@@ -277,6 +294,7 @@
   std::map<std::pair<std::string, std::uint16_t>, std::unique_ptr<Pool>> pools_;
   std::list<std::unique_ptr<Pool>> retired_;
   std::uint64_t next_call_ = 1;
+  TimerId sweep_;
 };
 
 H2oHttpClient::H2oHttpClient(EventLoop& loop, Options options)
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -13,6 +13,7 @@
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -131,6 +132,16 @@
   return static_cast<std::uint16_t>(std::stoi(text.substr(equals + 1)));
 }
 
+std::string Process::ReadAll() {
+  std::string text;
+  char buffer[4096];
+  ssize_t got = 0;
+  while ((got = read(output_, buffer, sizeof(buffer))) > 0) {
+    text.append(buffer, static_cast<std::size_t>(got));
+  }
+  return text;
+}
+
 Answer Http(std::uint16_t port,
             const std::string& method,
             const std::string& path,
@@ -200,11 +211,44 @@
   command.insert(command.end(), options.begin(), options.end());
   host.process = std::make_unique<Process>(command, File(host.name + ".err"));
   host.port = host.process->ReadPort();
+  host.command = std::move(command);
+  host.command.insert(host.command.end(),
+                      {"--port", std::to_string(host.port)});
   backends_.push_back(std::move(host));
   PublishHosts();
   return backends_.size() - 1;
 }
 
+void Deployment::RestartBackend(std::size_t index) {
+  Host& host = backends_[index];
+  host.process =
+      std::make_unique<Process>(host.command, File(host.name + ".err"));
+  host.process->ReadPort();
+  ++host.incarnation;
+  PublishHosts();
+}
+
+void Deployment::SetFaults(std::size_t backend,
+                           const std::string& faults) const {
+  Http(backend_port(backend), "PUT", "/control/faults", faults);
+}
+
+void Deployment::SetPlatformFaults(const std::string& faults) const {
+  Http(platform_port_, "PUT", "/control/faults", faults);
+}
+
+std::uint64_t Deployment::Runs(std::size_t backend,
+                               const std::string& marker) const {
+  const Answer answer =
+      Http(backend_port(backend), "GET", "/control/counts", "");
+  return json::parse(answer.body).at("by_marker").value(marker, 0U);
+}
+
+std::string Deployment::Log(std::size_t daemon) const {
+  std::ifstream file(File(daemons_[daemon].name + ".err"));
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
 void Deployment::PublishHosts() {
   json hosts = json::array();
   for (const Host& host : backends_) {
@@ -214,7 +258,7 @@
                      {"pool", host.pool},
                      {"data_centre", host.data_centre},
                      {"region", host.region},
-                     {"incarnation", 1},
+                     {"incarnation", host.incarnation},
                      {"slots", 8}});
   }
   for (const Daemon& daemon : daemons_) {
@@ -244,7 +288,7 @@
                      {"dataCentre", other.data_centre},
                      {"port", other.peers}});
   }
-  const json settings = {
+  json settings = {
       {"name", daemon.name},
       {"seeds", std::move(seeds)},
       {"dataCentre", data_centre},
@@ -258,6 +302,7 @@
        {{{"name", "test"},
          {"keys", {{{"subscriber", "tester"}, {"sha256", kTestKeyDigest}}}}}}},
   };
+  settings.merge_patch(json::parse(settings_));
   const std::string file = File(daemon.name + ".json");
   std::ofstream(file) << settings.dump(2);
   daemon.process = std::make_unique<Process>(
