--- /dev/null
+++ b/packages/decision/src/poll_schedule.cc
@@ -0,0 +1,51 @@
+#include "gentianroute/decision/poll_schedule.h"
+
+#include <functional>
+#include <utility>
+
+#include "gentianroute/decision/rendezvous.h"
+
+namespace gentianroute {
+
+PollSchedule::PollSchedule(Options options) : options_(std::move(options)) {}
+
+void PollSchedule::SetPeers(std::span<const std::string> names) {
+  poller_ = RendezvousRank("", options_.name, names) < options_.pollers;
+}
+
+bool PollSchedule::Due(TimePoint now) {
+  if (poller_) {
+    return true;
+  }
+  const Duration silence = options_.silent_periods * options_.period;
+  if (Age(now) < silence || now < next_own_) {
+    return false;
+  }
+  // Spread by the name: when the store is out everybody hears nothing, and all
+  // polls at once would meet it as it comes back.
+  const auto spread =
+      static_cast<Duration::rep>(std::hash<std::string>{}(options_.name) %
+                                 static_cast<std::uint64_t>(silence.count()));
+  next_own_ = now + silence + Duration(spread);
+  return true;
+}
+
+void PollSchedule::OnPolled(TimePoint now, bool answered) {
+  if (answered) {
+    read_at_ = now;
+    ever_read_ = true;
+  }
+}
+
+void PollSchedule::OnHeard(TimePoint now, Duration age) {
+  if (!ever_read_ || now - age > read_at_) {
+    read_at_ = now - age;
+    ever_read_ = true;
+  }
+}
+
+Duration PollSchedule::Age(TimePoint now) const {
+  return ever_read_ ? now - read_at_ : Duration::max();
+}
+
+}  // namespace gentianroute
--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -8,11 +8,14 @@
 
 #include "gentianroute/decision/config_follower.h"
 #include "gentianroute/decision/coordinator.h"
+#include "gentianroute/decision/leaving_news.h"
+#include "gentianroute/decision/poll_schedule.h"
 #include "gentianroute/entry/backend_calls.h"
 #include "gentianroute/entry/caller_api.h"
 #include "gentianroute/entry/claim_sync.h"
 #include "gentianroute/entry/config_sync.h"
 #include "gentianroute/entry/operator_api.h"
+#include "gentianroute/entry/order_sync.h"
 #include "gentianroute/entry/peer_links.h"
 #include "gentianroute/entry/peer_revisions.h"
 #include "gentianroute/loop/h2o_http_client.h"
@@ -53,6 +56,8 @@
   std::vector<ConfigRevision> RevisionsAfter(std::uint64_t revision,
                                              std::size_t limit) override;
   void OnRevisions(const std::vector<ConfigRevision>& revisions) override;
+  ConfigSnapshot Snapshot() override { return follower_.Snapshot(); }
+  void OnSnapshot(const ConfigSnapshot& snapshot) override;
   void OnJoin(std::string_view token,
               std::function<void(JoinOutcome)> done) override;
 
@@ -75,8 +80,10 @@
   void Ask(const AskClaimer& ask);
   void Rearm();
   void PollHosts();
+  void PollConfig();
   void ApplyHosts(const std::vector<HostRecord>& hosts);
   void OnConfigChanged();
+  void NoteLeaving();
   void BeginDrain();
   void CheckDrained();
   void EndDrain();
@@ -89,6 +96,7 @@
   H2oHttpClient client_;
   HttpPlatform platform_;
   ServerTable servers_;
+  LeavingNews leaving_news_;
   UsageLedger usage_;
   SuspectTable suspects_;
   ClaimLedger claims_;
@@ -97,6 +105,8 @@
   BackendCalls backend_calls_;
   ClaimSync claim_sync_;
   ConfigSync config_sync_;
+  PollSchedule poll_schedule_;
+  OrderSync order_sync_;
   CallerApi caller_api_;
   OperatorApi operator_api_;
   std::unique_ptr<HttpServer> callers_;
@@ -109,6 +119,7 @@
   ServiceLevels levels_;
   std::function<void()> stop_ = [] {};
   TimerId wake_;
+  std::size_t quarantine_turn_ = 0;
   bool pumping_ = false;
   bool touched_ = false;
   bool draining_ = false;
--- a/packages/entry/include/gentianroute/entry/peer_links.h
+++ b/packages/entry/include/gentianroute/entry/peer_links.h
@@ -36,6 +36,8 @@
   virtual std::vector<ConfigRevision> RevisionsAfter(std::uint64_t revision,
                                                      std::size_t limit) = 0;
   virtual void OnRevisions(const std::vector<ConfigRevision>& revisions) = 0;
+  virtual ConfigSnapshot Snapshot() = 0;
+  virtual void OnSnapshot(const ConfigSnapshot& snapshot) = 0;
   virtual void OnJoin(std::string_view token,
                       std::function<void(JoinOutcome)> done) = 0;
 };
@@ -51,7 +53,9 @@
     std::string name;
     std::string address;
     std::uint16_t port = 0;
-    std::size_t fanout = 3;
+    std::size_t fanout = 1;         ///< peers in a round
+    std::size_t rumour_fanout = 2;  ///< peers that hear news at once
+    std::uint32_t rumours = 1;      ///< extra rounds in a period
     Duration call_timeout = std::chrono::seconds(1);
     std::uint64_t seed = 1;
   };
@@ -64,10 +68,14 @@
   void SetPeers(std::vector<PeerAddress> peers);
   std::size_t peer_count() const { return peers_.size(); }
 
-  /// @brief One round with a few peers; also right after something new.
+  /// @brief One round with a few peers; called once a period.
   void Gossip();
+  /// @brief A round at once, for news; only a few in each period, so that a
+  /// burst of news costs no more than the period's rounds do.
+  void Rumour();
 
   /// @brief Asks a peer for what follows a revision; OnRevisions() hears it.
+  /// A peer that no longer keeps all of it is asked for a snapshot instead.
   void FetchRevisions(const std::string& peer, std::uint64_t after);
 
   /// @brief Asks a daemon for the outcome of a claim.
@@ -85,7 +93,16 @@
 
   Link* LinkTo(const PeerAddress& peer);
   const PeerAddress* Find(std::string_view name) const;
+  void Round(std::size_t fanout);
   void Exchange(const PeerAddress& peer);
+  void ExchangeNow(Link& link);
+  void FetchNow(Link& link, std::uint64_t after);
+  void FetchSnapshot(Link& link);
+  /// Calls back once the link is connected; never if it does not come up.
+  void WhenConnected(const std::string& peer,
+                     std::uint32_t checks,
+                     const std::function<void(Link&)>& done);
+  void DropIdle();
   void DropLink(const std::string& peer);
   kj::Promise<void> Guard(kj::Promise<void> call,
                           const std::string& peer,
@@ -97,6 +114,8 @@
   Rng rng_;
   std::vector<PeerAddress> peers_;
   std::map<std::string, std::unique_ptr<Link>, std::less<>> links_;
+  std::uint64_t round_ = 0;
+  std::uint32_t rumours_left_ = 0;
   std::unique_ptr<RpcServer> server_;
   struct Tasks;
   std::unique_ptr<Tasks> tasks_;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -14,8 +14,13 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+constexpr Duration kOrderPeriod = milliseconds(250);
 constexpr Duration kGossipPeriod = std::chrono::seconds(1);
 constexpr std::size_t kHeavyRecords = 16;
+/// Bounds of a digest: at one exchange a second each way, and the rumours of
+/// 28,000 changes a day, gossip stays under 4 KB/s for each daemon.
+constexpr std::size_t kHeavyInDigest = 6;
+constexpr std::size_t kQuarantinedInDigest = 8;
 constexpr Duration kShortestWake = std::chrono::microseconds(100);
 
 std::map<std::string, PathCost> PathsOf(schema::Settings::Reader settings) {
@@ -73,6 +78,21 @@
   return options;
 }
 
+constexpr std::uint32_t kNeverRead = 0xffffffff;
+
+std::uint32_t StoreAgeMs(Duration age) {
+  const double milliseconds = Milliseconds(age);
+  return milliseconds < kNeverRead ? static_cast<std::uint32_t>(milliseconds)
+                                   : kNeverRead;
+}
+
+PollSchedule::Options PollOptions(schema::Settings::Reader settings) {
+  PollSchedule::Options options;
+  options.name = settings.getName().cStr();
+  options.period = milliseconds(settings.getPlatform().getPollMs());
+  return options;
+}
+
 }  // namespace
 
 Daemon::Daemon(EventLoop& loop, const Settings& settings)
@@ -96,9 +116,15 @@
       backend_calls_(loop, client_, coordinator_, [this] { Touch(); }),
       claim_sync_(loop, platform_, claims_, [this] { Touch(); }),
       config_sync_(platform_,
+                   platform_,
                    follower_,
                    config_codec_,
                    [this] { OnConfigChanged(); }),
+      poll_schedule_(PollOptions(settings.get())),
+      order_sync_(loop,
+                  platform_,
+                  client_,
+                  {settings.get().getName().cStr(), incarnation_}),
       caller_api_(loop,
                   coordinator_,
                   MakeCallerTable(settings.get()),
@@ -135,14 +161,16 @@
   const Duration poll = milliseconds(root.getPlatform().getPollMs());
   loop.Every(poll, [this] {
     PollHosts();
-    config_sync_.Poll();
+    PollConfig();
   });
+  loop.Every(kOrderPeriod, [this] { order_sync_.Tick(); });
   loop.Every(kGossipPeriod, [this] {
+    NoteLeaving();
     peers_->Gossip();
     suspects_.Sweep(loop_.Now());
   });
   PollHosts();
-  config_sync_.Poll();
+  PollConfig();
   LogEvent("started")
       .Field("name", root.getName().cStr())
       .Field("data_centre", root.getDataCentre().cStr())
@@ -253,14 +281,32 @@
   });
 }
 
+void Daemon::PollConfig() {
+  if (!poll_schedule_.Due(loop_.Now())) {
+    return;
+  }
+  config_sync_.Poll([this](bool answered) {
+    poll_schedule_.OnPolled(loop_.Now(), answered);
+  });
+}
+
 void Daemon::ApplyHosts(const std::vector<HostRecord>& hosts) {
   std::vector<HostRecord> backends;
   std::vector<PeerAddress> peers = seeds_;
+  std::vector<std::string> neighbours;
+  std::vector<std::string> daemons;
   for (const HostRecord& host : hosts) {
     if (host.pool != kEntryPool) {
       backends.push_back(host);
       continue;
     }
+    if (!host.leaving) {
+      daemons.push_back(host.name);
+    }
+    if (!host.leaving &&
+        host.data_centre == settings_.get().getDataCentre().cStr()) {
+      neighbours.push_back(host.name);
+    }
     std::erase_if(peers, [&host](const PeerAddress& peer) {
       return peer.name == host.name;
     });
@@ -273,16 +319,34 @@
   }
   peer_revisions_.ForgetOthers();
   peers_->SetPeers(std::move(peers));
+  poll_schedule_.SetPeers(neighbours);
+  order_sync_.SetDaemons(std::move(daemons));
+  order_sync_.SetHosts(backends);
   servers_.ApplyHostList(loop_.Now(), backends);
+  for (const auto& gone : leaving_news_.OnHostList(loop_.Now(), backends)) {
+    servers_.ForgetLeaving(gone.server, gone.incarnation);
+  }
+  NoteLeaving();
   coordinator_.OnServersChanged(loop_.Now());
   Touch();
 }
 
 void Daemon::OnConfigChanged() {
   coordinator_.SetCatalogue(follower_.catalogue());
+  order_sync_.SetCatalogue(*follower_.catalogue());
   metrics_.SetCatalogue(follower_.catalogue());
   LogEvent("configuration").Field("revision", follower_.revision());
-  peers_->Gossip();  // a rumour: peers hear of it now, not at the next round
+  peers_->Rumour();
+}
+
+void Daemon::NoteLeaving() {
+  bool added = false;
+  for (const auto& [server, incarnation] : servers_.leaving()) {
+    added = leaving_news_.Add({server, incarnation}) || added;
+  }
+  if (added) {
+    peers_->Rumour();
+  }
 }
 
 void Daemon::Apply(ConfigRevision change, const ConfigSync::Done& done) {
@@ -299,28 +363,30 @@
   digest.setIncarnation(incarnation_);
   digest.setRevision(follower_.revision());
   digest.setDraining(draining_);
-  const std::vector<UseRecord> heavy = usage_.Heaviest(now, kHeavyRecords);
+  digest.setStoreAgeMs(StoreAgeMs(poll_schedule_.Age(now)));
+  const std::vector<UseRecord> heavy = usage_.Heaviest(now, kHeavyInDigest);
   auto heavy_list = digest.initHeavy(static_cast<unsigned>(heavy.size()));
   for (unsigned i = 0; i < heavy_list.size(); ++i) {
     heavy_list[i].setOrganisation(heavy[i].who.organisation);
     heavy_list[i].setSubscriber(heavy[i].who.subscriber);
     heavy_list[i].setCost(heavy[i].cost);
   }
-  auto leaving =
-      digest.initLeaving(static_cast<unsigned>(servers_.leaving().size()));
-  unsigned index = 0;
-  for (const auto& [server, incarnation] : servers_.leaving()) {
-    leaving[index].setServer(server);
-    leaving[index].setIncarnation(incarnation);
-    ++index;
+  const std::vector<LeavingServer> news = leaving_news_.ForDigest(now);
+  auto leaving = digest.initLeaving(static_cast<unsigned>(news.size()));
+  for (unsigned i = 0; i < leaving.size(); ++i) {
+    leaving[i].setServer(news[i].server);
+    leaving[i].setIncarnation(news[i].incarnation);
   }
   const auto quarantined = suspects_.Quarantined(now);
-  auto quarantine_list =
-      digest.initQuarantined(static_cast<unsigned>(quarantined.size()));
+  const std::size_t count = std::min(quarantined.size(), kQuarantinedInDigest);
+  auto quarantine_list = digest.initQuarantined(static_cast<unsigned>(count));
   for (unsigned i = 0; i < quarantine_list.size(); ++i) {
-    quarantine_list[i].setFingerprint(quarantined[i].first.value);
+    // In turn, so that peers hear of all in a few rounds.
+    const auto& [fingerprint, remaining] =
+        quarantined[quarantine_turn_++ % quarantined.size()];
+    quarantine_list[i].setFingerprint(fingerprint.value);
     quarantine_list[i].setRemainingMs(
-        static_cast<std::uint32_t>(Milliseconds(quarantined[i].second)));
+        static_cast<std::uint32_t>(Milliseconds(remaining)));
   }
 }
 
@@ -337,10 +403,14 @@
   for (const auto server : digest.getLeaving()) {
     servers_.MarkLeaving(server.getServer().cStr(), server.getIncarnation());
   }
+  NoteLeaving();
   for (const auto quarantine : digest.getQuarantined()) {
     suspects_.OnPeerQuarantine(now, Fingerprint{quarantine.getFingerprint()},
                                milliseconds(quarantine.getRemainingMs()));
   }
+  if (digest.getStoreAgeMs() != kNeverRead) {
+    poll_schedule_.OnHeard(now, milliseconds(digest.getStoreAgeMs()));
+  }
   follower_.Heard(digest.getRevision());
   if (digest.getRevision() > follower_.revision()) {
     peers_->FetchRevisions(peer, follower_.revision());
@@ -358,6 +428,12 @@
   }
 }
 
+void Daemon::OnSnapshot(const ConfigSnapshot& snapshot) {
+  if (follower_.Apply(snapshot)) {
+    OnConfigChanged();
+  }
+}
+
 void Daemon::OnJoin(std::string_view token,
                     std::function<void(JoinOutcome)> done) {
   const JoinId join = coordinator_.Join(loop_.Now(), token);
@@ -450,6 +526,7 @@
   if (std::exchange(draining_, true)) {
     return;
   }
+  order_sync_.StartDrain();
   LogEvent("drain_begun").Field("active", coordinator_.active());
   // The balancer needs a moment to see that this daemon is not ready; what it
   // sends until then is served.
@@ -485,7 +562,8 @@
   // ran. Each answer closes its connection and idle ones time out, so waiting
   // for the last connection leaves no such request, and ends.
   const bool idle = coordinator_.active() == 0 && caller_api_.active() == 0 &&
-                    claims_.pending() == 0 && callers_->connections() == 0;
+                    claims_.pending() == 0 && order_sync_.held() == 0 &&
+                    callers_->connections() == 0;
   if (idle && drained_) {
     LogEvent("drained");
     EndDrain();
--- a/packages/schema/schema/profile.capnp
+++ b/packages/schema/schema/profile.capnp
@@ -75,6 +75,25 @@
       $Constraint.about("Profile that it runs under.");
 }
 
+struct EngineGroup {
+  # Engines of a pool that run the same: those named, and any `count` others.
+  model @0 :Text
+      $Constraint.required
+      $Constraint.about("Model that they load.");
+  version @1 :Text
+      $Constraint.about("Version of the model.");
+  adapters @2 :List(Text)
+      $Constraint.about("Adapters that they load beside it.");
+  role @3 :Text
+      $Constraint.about("Role, as the engines call it, such as prefill.");
+  count @4 :UInt32 = 0
+      $Constraint.min(0)
+      $Constraint.max(100000)
+      $Constraint.about("How many engines of the pool, beside those that are named.");
+  servers @5 :List(Text)
+      $Constraint.about("Engines that are in the group by name.");
+}
+
 struct Pool {
   name @0 :Text
       $Constraint.required
@@ -83,6 +102,8 @@
       $Constraint.about("Plain services, or model engines that take orders.");
   fenced @2 :Bool = false
       $Constraint.about("Whether its engines refuse an order with an old fencing number.");
+  engines @3 :List(EngineGroup)
+      $Constraint.about("What its engines should run; none: no orders are sent.");
 
   enum Kind {
     service @0;
--- a/packages/schema/src/declarations.cc
+++ b/packages/schema/src/declarations.cc
@@ -66,6 +66,24 @@
   return spec;
 }
 
+std::vector<std::string> TextsOf(capnp::List<capnp::Text>::Reader list) {
+  std::vector<std::string> texts;
+  texts.reserve(list.size());
+  for (const auto text : list) {
+    texts.emplace_back(text.cStr());
+  }
+  return texts;
+}
+
+EngineGroup GroupOf(schema::EngineGroup::Reader reader) {
+  EngineGroup group;
+  group.state = {reader.getModel().cStr(), reader.getVersion().cStr(),
+                 TextsOf(reader.getAdapters()), reader.getRole().cStr()};
+  group.count = reader.getCount();
+  group.servers = TextsOf(reader.getServers());
+  return group;
+}
+
 Profile ProfileOf(schema::Profile::Reader reader, std::uint64_t revision) {
   Profile profile;
   profile.name = reader.getName().cStr();
@@ -127,8 +145,12 @@
   }
   const auto pool = message.getRoot<schema::Pool>().asReader();
   const bool engine = pool.getKind() == schema::Pool::Kind::ENGINE;
-  catalogue.pools[name] = {
-      name, engine ? PoolKind::kEngine : PoolKind::kService, pool.getFenced()};
+  PoolSpec& spec = catalogue.pools[name];
+  spec = {name, engine ? PoolKind::kEngine : PoolKind::kService,
+          pool.getFenced()};
+  for (const auto group : pool.getEngines()) {
+    spec.engines.push_back(GroupOf(group));
+  }
   return true;
 }
 
@@ -172,6 +194,30 @@
   return {};
 }
 
+leaf::result<void> CheckCatalogue(std::string_view file,
+                                  const Catalogue& catalogue,
+                                  const Origins& origins) {
+  for (const auto& [name, profile] : catalogue.profiles) {
+    const Origin origin =
+        OriginOf(file, {DocumentKind::kProfile, name}, origins);
+    if (profile->stages.empty()) {
+      return leaf::new_error(SchemaError{origin.file, origin.path + ".stages",
+                                         "no stage", "at least one stage"});
+    }
+    BOOST_LEAF_CHECK(CheckStages(origin, *profile, catalogue));
+  }
+  for (const auto& [name, service] : catalogue.services) {
+    if (!catalogue.profiles.contains(service.profile)) {
+      const Origin origin =
+          OriginOf(file, {DocumentKind::kService, name}, origins);
+      return leaf::new_error(SchemaError{origin.file, origin.path + ".profile",
+                                         "'" + service.profile + "'",
+                                         "the name of a declared profile"});
+    }
+  }
+  return {};
+}
+
 }  // namespace
 
 std::string_view DocumentKindName(DocumentKind kind) {
@@ -231,21 +277,17 @@
                                          "one that its schema allows"});
     }
   }
-  for (const auto& [name, profile] : catalogue.profiles) {
-    const Origin origin =
-        OriginOf(file, {DocumentKind::kProfile, name}, origins);
-    BOOST_LEAF_CHECK(CheckStages(origin, *profile, catalogue));
-  }
-  for (const auto& [name, service] : catalogue.services) {
-    if (!catalogue.profiles.contains(service.profile)) {
-      const Origin origin =
-          OriginOf(file, {DocumentKind::kService, name}, origins);
-      return leaf::new_error(SchemaError{origin.file, origin.path + ".profile",
-                                         "'" + service.profile + "'",
-                                         "the name of a declared profile"});
-    }
-  }
-  return {};
+  return CheckCatalogue(file, catalogue, origins);
+}
+
+std::string JsonConfigCodec::Check(const Catalogue& catalogue) const {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(CheckCatalogue("the log", catalogue, {}));
+        return std::string();
+      },
+      [](const SchemaError& error) { return error.Text(); },
+      [] { return std::string("references do not hold"); });
 }
 
 leaf::result<void> CheckDocument(const DocumentName& name,
--- a/packages/schema/src/rows.cc
+++ b/packages/schema/src/rows.cc
@@ -62,6 +62,24 @@
   return claim;
 }
 
+std::string JsonLeaseCodec::Encode(const Lease& lease) const {
+  capnp::MallocMessageBuilder message;
+  auto row = message.initRoot<schema::LeaseRow>();
+  row.setPool(lease.pool);
+  row.setHolder(lease.holder);
+  row.setFencing(lease.fencing);
+  return EncodeRoot<schema::LeaseRow>(message);
+}
+
+std::optional<Lease> JsonLeaseCodec::Decode(std::string_view text) const {
+  capnp::MallocMessageBuilder message;
+  if (!DecodeRoot<schema::LeaseRow>(text, message)) {
+    return std::nullopt;
+  }
+  const auto row = message.getRoot<schema::LeaseRow>().asReader();
+  return Lease{row.getPool().cStr(), row.getHolder().cStr(), row.getFencing()};
+}
+
 void WriteRevision(const ConfigRevision& revision,
                    schema::ConfigRevision::Builder output) {
   output.setRevision(revision.revision);
@@ -93,6 +111,48 @@
   return revision;
 }
 
+void WriteSnapshot(const ConfigSnapshot& snapshot,
+                   schema::ConfigSnapshot::Builder output) {
+  output.setRevision(snapshot.revision);
+  auto documents =
+      output.initDocuments(static_cast<unsigned>(snapshot.documents.size()));
+  unsigned index = 0;
+  for (const auto& [name, document] : snapshot.documents) {
+    auto row = documents[index++];
+    row.setKind(static_cast<schema::DocumentKind>(name.first));
+    row.setName(name.second);
+    row.setBody(document.body);
+    row.setRevision(document.revision);
+  }
+}
+
+ConfigSnapshot ReadSnapshot(schema::ConfigSnapshot::Reader input) {
+  ConfigSnapshot snapshot;
+  snapshot.revision = input.getRevision();
+  for (const auto row : input.getDocuments()) {
+    const DocumentName name{static_cast<DocumentKind>(row.getKind()),
+                            row.getName().cStr()};
+    snapshot.documents[name] = {row.getBody().cStr(), row.getRevision()};
+  }
+  return snapshot;
+}
+
+std::string JsonConfigCodec::EncodeSnapshot(
+    const ConfigSnapshot& snapshot) const {
+  capnp::MallocMessageBuilder message;
+  WriteSnapshot(snapshot, message.initRoot<schema::ConfigSnapshot>());
+  return EncodeRoot<schema::ConfigSnapshot>(message);
+}
+
+std::optional<ConfigSnapshot> JsonConfigCodec::DecodeSnapshot(
+    std::string_view text) const {
+  capnp::MallocMessageBuilder message;
+  if (!DecodeRoot<schema::ConfigSnapshot>(text, message)) {
+    return std::nullopt;
+  }
+  return ReadSnapshot(message.getRoot<schema::ConfigSnapshot>().asReader());
+}
+
 std::string JsonConfigCodec::Encode(const ConfigRevision& revision) const {
   capnp::MallocMessageBuilder message;
   WriteRevision(revision, message.initRoot<schema::ConfigRevision>());
--- a/standins/backend.cc
+++ b/standins/backend.cc
@@ -64,6 +64,17 @@
     Control(request, *responder);
     return;
   }
+  if (Unreachable(request, *responder)) {
+    return;
+  }
+  if (request.path == "/v1/state") {
+    responder->Send({200, {}, state_.dump()});
+    return;
+  }
+  if (request.path == "/v1/orders") {
+    Order(request, *responder);
+    return;
+  }
   if (Refused(request, *responder)) {
     return;
   }
@@ -79,8 +90,20 @@
   }
 }
 
-bool Backend::Refused(const HttpRequest& request,
-                      HttpResponder& responder) const {
+void Backend::Order(const HttpRequest& request, HttpResponder& responder) {
+  const json order = json::parse(request.body);
+  const std::uint64_t fencing = order.at("fencing");
+  if (options_.checks_fencing && fencing < fencing_) {
+    responder.Send({409, {}, json{{"fencing", fencing_}}.dump()});
+    return;
+  }
+  fencing_ = fencing;
+  state_ = order.at("desired");
+  responder.Send({200, {}, "{}"});
+}
+
+bool Backend::Unreachable(const HttpRequest& request,
+                          HttpResponder& responder) const {
   if (faults_.Silent(request.connection)) {
     return true;
   }
@@ -88,6 +111,11 @@
     responder.Abort();
     return true;
   }
+  return false;
+}
+
+bool Backend::Refused(const HttpRequest& request,
+                      HttpResponder& responder) const {
   const bool full =
       faults_.max_in_flight > 0 && in_flight_ >= faults_.max_in_flight;
   HttpHeaders headers = AnswerHeaders(request);
--- a/standins/backend.h
+++ b/standins/backend.h
@@ -24,6 +24,7 @@
     std::uint32_t service_ms = 5;  ///< of one call of /v1/run
     std::uint32_t token_ms = 2;    ///< between tokens of /v1/generate
     std::uint32_t tokens = 16;     ///< of one answer
+    bool checks_fencing = false;   ///< refuses an order with an old number
     std::uint32_t prefill_ms = 0;  ///< before the first token, if not cached
     std::uint32_t cache_entries = 64;  ///< prompt prefixes that are held
     std::uint32_t load_lag_ms = 0;     ///< age that reported load may have
@@ -39,12 +40,15 @@
 
   void OnRequest(const HttpRequest& request,
                  const std::shared_ptr<HttpResponder>& responder);
+  void Order(const HttpRequest& request, HttpResponder& responder);
   void Control(const HttpRequest& request, HttpResponder& responder);
   void Run(const HttpRequest& request,
            const std::shared_ptr<HttpResponder>& responder);
   void Generate(const HttpRequest& request,
                 const std::shared_ptr<HttpResponder>& responder);
   void NextToken(const std::shared_ptr<Stream>& stream);
+  /// @return true if the present faults leave the request without an answer
+  bool Unreachable(const HttpRequest& request, HttpResponder& responder) const;
   /// Ends the request as the present faults say, before it runs.
   /// @return false if it is to run
   bool Refused(const HttpRequest& request, HttpResponder& responder) const;
@@ -67,6 +71,11 @@
   std::uint64_t cache_hits_ = 0;
   std::uint32_t reported_load_ = 0;
   PrefixCache cache_;
+  nlohmann::json state_ = {{"model", ""},
+                           {"version", ""},
+                           {"adapters", nlohmann::json::array()},
+                           {"role", ""}};
+  std::uint64_t fencing_ = 0;
   HttpServer server_;
 };
 
