Split the load model into modules with one job each

Change: load_plan.h (what a run is), load_outcome (what it measured), load_callers, load_calls, load_servers, load_reports; load_model.cc keeps the clock and the set-up. Code was moved, not altered.

--- /dev/null
+++ b/benchmarks/load_calls.cc
@@ -0,0 +1,67 @@
+#include <utility>
+
+#include "load_parts.h"
+
+namespace gentianroute::bench {
+Duration LoadModel::Latency(const Daemon& daemon,
+                            const FakeServer& server) const {
+  return daemon.region == server.record.region ? kWithinRegion
+                                               : kBetweenRegions;
+}
+
+void LoadModel::Act(Daemon& daemon, StartAttempt& start) {
+  auto call = std::make_shared<Call>();
+  call->daemon = &daemon;
+  call->server = servers_.at(start.server->host.name).get();
+  call->attempt = start.attempt;
+  call->bytes = start.input.size();
+  if (start.stage().streams) {
+    call->prefix = daemon.coordinator.Find(start.request)->submission.prefix;
+  }
+  daemon.calls[start.attempt] = call;
+  daemon.coordinator.OnWritten(start.attempt);
+  if (now_ >= TimePoint{} + plan_.warm_up) {
+    CountCost(daemon, *call, start.stage());
+  }
+  At(now_ + Latency(daemon, *call->server), [this, call] { Arrive(call); });
+}
+
+void LoadModel::Act(Daemon& daemon, CancelAttempt& cancel) {
+  const auto found = daemon.calls.find(cancel.attempt);
+  if (found == daemon.calls.end()) {
+    return;
+  }
+  const std::shared_ptr<Call> call = found->second;
+  daemon.calls.erase(found);
+  call->over = true;
+  if (call->running) {
+    Leave(*call->server);
+  }
+}
+
+void LoadModel::CountCost(const Daemon& daemon,
+                          const Call& call,
+                          const StageSpec& stage) {
+  ++outcome_.calls;
+  outcome_.stage_cost[stage.name] += stage.cost_per_call;
+  outcome_.all.cost += stage.cost_per_call;
+  if (daemon.region == call.server->record.region) {
+    return;
+  }
+  outcome_.billed_bytes += call.bytes;
+  outcome_.all.cost += static_cast<std::int64_t>(
+      static_cast<double>(call.bytes) * plan_.micros_per_byte);
+}
+
+void LoadModel::SendFirstToken(const std::shared_ptr<Call>& call) {
+  At(now_ + Latency(*call->daemon, *call->server), [this, call] {
+    if (call->over) {
+      return;
+    }
+    call->daemon->coordinator.OnChunk(now_,
+                                      {call->attempt, call->attempt, 0, "a"});
+    Drain(*call->daemon);
+  });
+}
+
+}  // namespace gentianroute::bench
--- a/benchmarks/load_model.h
+++ b/benchmarks/load_model.h
@@ -2,100 +2,19 @@
 #define GENTIANROUTE_BENCHMARKS_LOAD_MODEL_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <queue>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "gentianroute/decision/coordinator.h"
+#include "load_outcome.h"
+#include "load_plan.h"
 
 namespace gentianroute::bench {
 
-/// @brief Servers of one pool in every region, and how they serve.
-struct PoolPlan {
-  std::string name;
-  std::uint32_t servers = 3;  ///< in all, dealt out to the regions in turn
-  std::uint32_t slots = 4;    ///< calls that one server works on at a time
-  Duration mean{std::chrono::milliseconds(10)};
-  double slowness = 1;  ///< of the first server only
-  Duration fails_from{0};
-  Duration fails_until{0};  ///< equal to `fails_from`: never fails
-};
-
-/// @brief Requests of one subscriber.
-struct Traffic {
-  std::string organisation;
-  std::string subscriber;
-  double per_second = 1;
-  std::optional<std::size_t> only_at;  ///< one daemon instead of all
-};
-
-/// @brief One run of the model.
-struct Plan {
-  std::uint64_t seed = 1;
-  Duration length = std::chrono::seconds(30);
-  Duration warm_up = std::chrono::seconds(3);
-  std::vector<std::string> regions = {"north", "middle", "south"};
-  std::vector<PoolPlan> pools;
-  Profile profile;
-  std::vector<Traffic> traffic;
-  RoutingPolicy routing = RoutingPolicy::kPredictedCompletion;
-  Coordinator::Options coordinator;
-  Duration report_lag = std::chrono::milliseconds(200);
-  bool bursts = true;   ///< three times the rate in every fifth second
-  double at_first = 0;  ///< share of requests that all go to the first daemon
-  bool share_usage = true;  ///< daemons tell each other their heaviest records
-  std::uint32_t caller_resends = 0;  ///< by a caller whose request failed
-  std::size_t body_bytes = 2000;
-  double micros_per_byte = 0;  ///< billed between regions
-  std::size_t prefixes = 0;    ///< that prompts begin with; 0: none
-  std::size_t cached = 60;     ///< prefixes that one engine can hold
-  bool affinity = true;        ///< false: the baseline that knows no caches
-  double events_lost = 0;      ///< share of cache events
-};
-
-/// @return part per whole; zero of nothing is zero
-inline double Ratio(std::uint64_t part, std::uint64_t whole) {
-  return whole == 0 ? 0
-                    : static_cast<double>(part) / static_cast<double>(whole);
-}
-
-/// @brief What became of the requests of one organisation or subscriber.
-struct Tally {
-  std::uint64_t sent = 0;
-  std::uint64_t in_time = 0;
-  std::uint64_t refused = 0;  ///< before anything ran
-  std::int64_t cost = 0;      ///< micro-euros, with billed bytes
-
-  double Attainment() const { return sent == 0 ? 1 : Ratio(in_time, sent); }
-};
-
-/// @brief What one run measured, after the warm-up.
-struct Outcome {
-  Tally all;
-  std::map<std::string, Tally> organisations;
-  std::map<std::string, Tally> subscribers;
-  std::map<std::string, std::int64_t> stage_cost;  ///< micro-euros
-  std::vector<Tally> seconds;                      ///< by second of arrival
-  std::vector<double> took_ms;                     ///< of the answered
-  std::uint64_t calls = 0;
-  std::uint64_t billed_bytes = 0;
-  std::uint64_t prefix_served = 0;
-  std::uint64_t prefix_hits = 0;
-  std::vector<double> first_token_ms;
-  double load_spread = 0;  ///< mean of (most - least loaded) per pool
-
-  double CallsPerRequest() const;
-  double CostPerAnswer() const;
-  /// @return milliseconds
-  static double Percentile(std::vector<double> values, double share);
-};
-
 /// @brief Runs real coordinators, one per region, against fake servers in
 /// virtual time. The same plan gives the same outcome.
 class LoadModel {
--- /dev/null
+++ b/benchmarks/load_reports.cc
@@ -0,0 +1,84 @@
+#include <algorithm>
+#include <utility>
+
+#include "load_parts.h"
+
+namespace gentianroute::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kHostListEvery = seconds(1);
+constexpr Duration kObserveEvery = milliseconds(100);
+constexpr std::size_t kSharedRecords = 64;
+
+}  // namespace
+
+std::uint32_t LoadModel::LaggingLoad(const FakeServer& server) const {
+  const TimePoint seen = now_ - plan_.report_lag;
+  std::uint32_t load = 0;
+  for (const auto& [at, value] : server.history) {
+    if (at > seen) {
+      break;
+    }
+    load = value;
+  }
+  return load;
+}
+
+void LoadModel::PublishHosts() {
+  std::vector<HostRecord> hosts;
+  for (const auto& [name, server] : servers_) {
+    hosts.push_back(server->record);
+    hosts.back().load = LaggingLoad(*server);
+    hosts.back().load_age = plan_.report_lag;
+  }
+  for (const auto& daemon : daemons_) {
+    daemon->servers.ApplyHostList(now_, hosts);
+    daemon->coordinator.OnServersChanged(now_);
+    Drain(*daemon);
+  }
+  if (now_ < TimePoint{} + plan_.length) {
+    At(now_ + kHostListEvery, [this] { PublishHosts(); });
+  }
+}
+
+void LoadModel::ShareUsage() {
+  for (const auto& from : daemons_) {
+    const auto heaviest = from->usage.Heaviest(now_, kSharedRecords);
+    for (const auto& to : daemons_) {
+      if (to != from && plan_.share_usage) {
+        to->usage.SetRemote(now_, from->region, heaviest);
+      }
+    }
+  }
+  if (now_ < TimePoint{} + plan_.length) {
+    At(now_ + seconds(1), [this] { ShareUsage(); });
+  }
+}
+
+void LoadModel::Observe() {
+  std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> extremes;
+  for (const auto& [name, server] : servers_) {
+    const std::uint32_t load = server->Load();
+    server->history.emplace_back(now_, load);
+    while (server->history.size() > 2 &&
+           server->history[1].first <= now_ - plan_.report_lag) {
+      server->history.pop_front();
+    }
+    auto& [least, most] =
+        extremes.try_emplace(server->record.pool, load, load).first->second;
+    least = std::min(least, load);
+    most = std::max(most, load);
+  }
+  for (const auto& [pool, range] : extremes) {
+    outcome_.load_spread += range.second - range.first;
+  }
+  ++observations_;
+  if (now_ < TimePoint{} + plan_.length) {
+    At(now_ + kObserveEvery, [this] { Observe(); });
+  }
+}
+
+}  // namespace gentianroute::bench
