Bill bytes between regions to their stage

Cause: StageReport::billed_bytes had a metric and a report column, and nothing filled it. Change: the coordinator adds the body of each call once it is written to a server of another region, and what comes back: whole answers, failed ones with a body, and chunks of streams. Headers and the bytes of an answer that broke off between chunks are not counted. Server-Timing shows billed_bytes.

--- a/packages/decision/include/gentianroute/decision/action.h
+++ b/packages/decision/include/gentianroute/decision/action.h
@@ -21,9 +21,11 @@
   Duration queued{0};
   Duration took{0};
   std::uint32_t attempts = 0;
-  std::uint64_t units = 0;         ///< as the backend server counts them
-  std::uint64_t billed_bytes = 0;  ///< moved between regions
-  std::int64_t cost = 0;           ///< micro-euros
+  std::uint64_t units = 0;  ///< as the backend server counts them
+  /// Bodies sent to and received from servers of other regions, by all
+  /// attempts.
+  std::uint64_t billed_bytes = 0;
+  std::int64_t cost = 0;  ///< micro-euros
 };
 
 /// @brief Sends one call of one stage to one backend server.
--- a/packages/decision/include/gentianroute/decision/attempt.h
+++ b/packages/decision/include/gentianroute/decision/attempt.h
@@ -51,7 +51,7 @@
   bool written = false;   ///< the far end may have seen it
   bool suspect = false;
   TimePoint crash_at{};  ///< when a crash of its server was supposed; zero: no
-  std::uint64_t billed_bytes = 0;
+  std::uint64_t billed_bytes = 0;  ///< that sending it moves between regions
 };
 
 /// @brief The calls in flight at one server; a crash ends them all.
@@ -66,6 +66,7 @@
   int status = 0;
   std::string body;
   std::uint64_t units = 0;
+  std::uint64_t received = 0;  ///< bytes of body that no chunk counted
   std::uint32_t load = 0;
   bool has_load = false;
   bool not_run = false;  ///< the server says that it refused before running
@@ -76,8 +77,9 @@
 struct AttemptChunk {
   AttemptId attempt;
   AttemptId echoed;
-  std::uint64_t offset = 0;  ///< tokens before this part
-  std::string text;          ///< one token
+  std::uint64_t offset = 0;    ///< tokens before this part
+  std::string text;            ///< one token
+  std::uint64_t received = 0;  ///< bytes of body that brought it
 };
 
 }  // namespace gentianroute
--- a/packages/decision/include/gentianroute/decision/coordinator.h
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -188,6 +188,8 @@
   void OnCrash(TimePoint now, const Server& server);
   void MarkRunningTwins(const std::set<Fingerprint>& suspects);
   void OnSignOfLife(TimePoint now, Attempt& attempt);
+  /// Adds what came back of a call to what its stage is billed for.
+  void CountReceived(const Attempt& attempt, std::uint64_t bytes);
   Attempt Detach(AttemptId attempt);
   void CancelAll(Request& request);
   std::string StageInput(const Request& request) const;
--- a/packages/decision/include/gentianroute/decision/server_table.h
+++ b/packages/decision/include/gentianroute/decision/server_table.h
@@ -82,6 +82,11 @@
   /// @brief Whether any server of the pool accepts work, busy or not.
   bool HasServer(std::string_view pool) const;
 
+  /// @brief Whether bytes to and from this server are billed by volume.
+  bool CrossesRegions(const Server& server) const {
+    return server.host.region != options_.region;
+  }
+
   /// @brief Lets engines that hold a prompt's prefix be preferred.
   /// @param caches outlives the table; null: no preference
   void SetPrefixAffinity(const PrefixAffinity* caches) { caches_ = caches; }
--- a/packages/decision/src/coordinator_stages.cc
+++ b/packages/decision/src/coordinator_stages.cc
@@ -172,6 +172,8 @@
   start.profile = request.profile;
   start.stage_index = request.stage_index;
   start.input = StageInput(request);
+  attempt.billed_bytes =
+      servers_.CrossesRegions(*start.server) ? start.input.size() : 0;
   start.key = request.submission.key;
   start.trace_parent = request.submission.trace_parent;
   start.remaining = request.deadline - now;
@@ -201,6 +203,13 @@
   ++request.calls_maybe_run;
   request.stage_maybe_run = true;
   request.effects_maybe_run += request.stage().repeatable ? 0 : 1;
+  request.reports.back().billed_bytes += attempt.billed_bytes;
+}
+
+void Coordinator::CountReceived(const Attempt& attempt, std::uint64_t bytes) {
+  if (servers_.CrossesRegions(*attempt.server)) {
+    requests_.at(attempt.request).reports.back().billed_bytes += bytes;
+  }
 }
 
 Attempt Coordinator::Detach(AttemptId id) {
@@ -255,6 +264,7 @@
     ++counters_.late_answers;
     return;
   }
+  CountReceived(found->second, answer.received);
   if (answer.echoed != answer.attempt) {
     // Another request's answer: handing it on would show one family's letter
     // to another. The connection is closed, since its order is lost.
@@ -324,6 +334,7 @@
     ++counters_.late_answers;
     return;
   }
+  CountReceived(found->second, chunk.received);
   if (chunk.echoed != chunk.attempt) {
     ++counters_.crossed_answers;
     OnFailure(now, chunk.attempt, AttemptFailure::kCrossed,
--- a/packages/entry/src/backend_calls.cc
+++ b/packages/entry/src/backend_calls.cc
@@ -80,6 +80,7 @@
 
  protected:
   void Deliver() {
+    answer_.received = std::exchange(unreported_, 0);
     owner_.calls_.erase(attempt_);
     owner_.coordinator_.OnAnswer(owner_.loop_.Now(), std::move(answer_));
     owner_.touched_();
@@ -88,6 +89,7 @@
   BackendCalls& owner_;
   AttemptId attempt_;
   AttemptAnswer answer_;
+  std::uint64_t unreported_ = 0;  ///< bytes of body not yet handed on
 };
 
 /// A whole JSON answer of a plain service.
@@ -95,7 +97,10 @@
  public:
   using Observer::Observer;
 
-  void OnBody(std::string_view part) override { answer_.body += part; }
+  void OnBody(std::string_view part) override {
+    unreported_ += part.size();
+    answer_.body += part;
+  }
   void OnDone() override {
     if (answer_.status == kOk && !json::accept(answer_.body)) {
       OnError(HttpCallError::kTruncated, "the answer is not JSON");
@@ -111,6 +116,7 @@
   using Observer::Observer;
 
   void OnBody(std::string_view part) override {
+    unreported_ += part.size();
     if (answer_.status != kOk) {
       return;
     }
@@ -151,6 +157,7 @@
     chunk.echoed = AttemptId{event.value("attempt", std::uint64_t{0})};
     chunk.offset = event.value("offset", std::uint64_t{0});
     chunk.text = event.value("text", "");
+    chunk.received = std::exchange(unreported_, 0);
     owner_.coordinator_.OnChunk(owner_.loop_.Now(), std::move(chunk));
   }
 
--- a/packages/entry/src/caller_api.cc
+++ b/packages/entry/src/caller_api.cc
@@ -173,7 +173,8 @@
               ";desc=\"cost_micros=" + std::to_string(stage.cost) +
               " queued_ms=" + std::to_string(Milliseconds(stage.queued)) +
               " attempts=" + std::to_string(stage.attempts) +
-              " units=" + std::to_string(stage.units) + "\"";
+              " units=" + std::to_string(stage.units) +
+              " billed_bytes=" + std::to_string(stage.billed_bytes) + "\"";
   }
   return timing;
 }
