--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -3,7 +3,6 @@
 
 #include <functional>
 #include <memory>
-#include <unordered_map>
 #include <vector>
 
 #include "gentianroute/decision/config_follower.h"
@@ -18,6 +17,7 @@
 #include "gentianroute/entry/order_sync.h"
 #include "gentianroute/entry/peer_links.h"
 #include "gentianroute/entry/peer_revisions.h"
+#include "gentianroute/entry/peer_service.h"
 #include "gentianroute/loop/h2o_http_client.h"
 #include "gentianroute/loop/http_server.h"
 #include "gentianroute/observe/request_metrics.h"
@@ -33,7 +33,7 @@
 inline constexpr std::string_view kEntryPool = "gentianroute";
 
 /// @brief One daemon: the decisions, and everything that feeds them.
-class Daemon final : private PeerHandler, private OperatorHandler {
+class Daemon final : private OperatorHandler {
  public:
   /// @throws std::runtime_error if an address can't be used
   Daemon(EventLoop& loop, const Settings& settings);
@@ -50,17 +50,6 @@
   std::uint16_t peer_port() const { return peers_->port(); }
 
  private:
-  // PeerHandler.
-  void FillDigest(schema::Digest::Builder digest) override;
-  void OnDigest(schema::Digest::Reader digest) override;
-  std::vector<ConfigRevision> RevisionsAfter(std::uint64_t revision,
-                                             std::size_t limit) override;
-  void OnRevisions(const std::vector<ConfigRevision>& revisions) override;
-  ConfigSnapshot Snapshot() override { return follower_.Snapshot(); }
-  void OnSnapshot(const ConfigSnapshot& snapshot) override;
-  void OnJoin(std::string_view token,
-              std::function<void(JoinOutcome)> done) override;
-
   // OperatorHandler.
   bool Ready() const override;
   nlohmann::json Status() const override;
@@ -83,7 +72,6 @@
   void PollConfig();
   void ApplyHosts(const std::vector<HostRecord>& hosts);
   void OnConfigChanged();
-  void NoteLeaving();
   void BeginDrain();
   void CheckDrained();
   void EndDrain();
@@ -111,15 +99,14 @@
   OperatorApi operator_api_;
   std::unique_ptr<HttpServer> callers_;
   std::unique_ptr<HttpServer> operators_;
-  std::unique_ptr<PeerLinks> peers_;
-  std::unordered_map<JoinId, std::function<void(JoinOutcome)>> joins_;
   std::vector<PeerAddress> seeds_;
   PeerRevisions peer_revisions_;
+  PeerService peer_service_;
+  std::unique_ptr<PeerLinks> peers_;
   RequestMetrics metrics_;
   ServiceLevels levels_;
   std::function<void()> stop_ = [] {};
   TimerId wake_;
-  std::size_t quarantine_turn_ = 0;
   bool pumping_ = false;
   bool touched_ = false;
   bool draining_ = false;
--- /dev/null
+++ b/packages/entry/include/gentianroute/entry/daemon_options.h
@@ -0,0 +1,40 @@
+#ifndef GENTIANROUTE_ENTRY_DAEMON_OPTIONS_H_
+#define GENTIANROUTE_ENTRY_DAEMON_OPTIONS_H_
+
+#include <settings.capnp.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gentianroute/decision/claim_ledger.h"
+#include "gentianroute/decision/coordinator.h"
+#include "gentianroute/decision/poll_schedule.h"
+#include "gentianroute/decision/server_table.h"
+#include "gentianroute/entry/peer_links.h"
+#include "gentianroute/loop/http_server.h"
+
+namespace gentianroute {
+
+// The settings as options of the daemon's parts.
+
+std::map<std::string, PathCost> PathsOf(schema::Settings::Reader settings);
+
+std::vector<PeerAddress> SeedsOf(schema::Settings::Reader settings);
+
+HttpServer::Options ServerOptions(schema::Listener::Reader listener,
+                                  schema::Limits::Reader limits);
+
+ServerTable::Options TableOptions(schema::Settings::Reader settings);
+
+ClaimLedger::Options ClaimOptions(schema::Settings::Reader settings,
+                                  std::uint64_t incarnation);
+
+Coordinator::Options CoordinatorOptions(schema::Settings::Reader settings);
+
+PollSchedule::Options PollOptions(schema::Settings::Reader settings);
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_ENTRY_DAEMON_OPTIONS_H_
--- /dev/null
+++ b/packages/entry/include/gentianroute/entry/peer_service.h
@@ -0,0 +1,78 @@
+#ifndef GENTIANROUTE_ENTRY_PEER_SERVICE_H_
+#define GENTIANROUTE_ENTRY_PEER_SERVICE_H_
+
+#include <settings.capnp.h>
+
+#include <cstdint>
+#include <functional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "gentianroute/decision/config_follower.h"
+#include "gentianroute/decision/coordinator.h"
+#include "gentianroute/decision/leaving_news.h"
+#include "gentianroute/decision/poll_schedule.h"
+#include "gentianroute/entry/peer_links.h"
+#include "gentianroute/entry/peer_revisions.h"
+#include "gentianroute/loop/event_loop.h"
+
+namespace gentianroute {
+
+/// @brief What the daemon tells peers, and what it takes over from them.
+class PeerService final : public PeerHandler {
+ public:
+  /// @brief The state that peers share; outlives the service.
+  struct Parts {
+    schema::Settings::Reader settings;
+    std::uint64_t incarnation;
+    ServerTable& servers;
+    LeavingNews& leaving_news;
+    UsageLedger& usage;
+    SuspectTable& suspects;
+    ConfigFollower& follower;
+    PollSchedule& poll_schedule;
+    PeerRevisions& peer_revisions;
+    Coordinator& coordinator;
+  };
+
+  /// @param changed called when a peer brought a newer revision
+  /// @param touch called when the coordinator has something to do
+  PeerService(EventLoop& loop,
+              const Parts& parts,
+              std::function<void()> changed,
+              std::function<void()> touch);
+
+  /// @brief The links over which news goes out; set once, before any call.
+  void SetLinks(PeerLinks& links) { links_ = &links; }
+  void BeginDrain() { draining_ = true; }
+  /// @brief Tells peers at once of servers that are found to be leaving.
+  void NoteLeaving();
+  /// @brief Answers a peer that joined a request here.
+  void Answer(const AnswerJoin& answer);
+
+  // PeerHandler.
+  void FillDigest(schema::Digest::Builder digest) override;
+  void OnDigest(schema::Digest::Reader digest) override;
+  std::vector<ConfigRevision> RevisionsAfter(std::uint64_t revision,
+                                             std::size_t limit) override;
+  void OnRevisions(const std::vector<ConfigRevision>& revisions) override;
+  ConfigSnapshot Snapshot() override { return parts_.follower.Snapshot(); }
+  void OnSnapshot(const ConfigSnapshot& snapshot) override;
+  void OnJoin(std::string_view token,
+              std::function<void(JoinOutcome)> done) override;
+
+ private:
+  EventLoop& loop_;
+  Parts parts_;
+  std::function<void()> changed_;
+  std::function<void()> touch_;
+  PeerLinks* links_ = nullptr;
+  std::unordered_map<JoinId, std::function<void(JoinOutcome)>> joins_;
+  std::size_t quarantine_turn_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_ENTRY_PEER_SERVICE_H_
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -1,10 +1,9 @@
 #include "gentianroute/entry/daemon.h"
 
-#include <random>
 #include <utility>
 
 #include "gentianroute/entry/config_report.h"
-#include "gentianroute/entry/problem.h"
+#include "gentianroute/entry/daemon_options.h"
 #include "gentianroute/entry/report.h"
 #include "gentianroute/observe/log.h"
 
@@ -17,82 +16,8 @@
 constexpr Duration kOrderPeriod = milliseconds(250);
 constexpr Duration kGossipPeriod = std::chrono::seconds(1);
 constexpr std::size_t kHeavyRecords = 16;
-/// Bounds of a digest: at one exchange a second each way, and the rumours of
-/// 28,000 changes a day, gossip stays under 4 KB/s for each daemon.
-constexpr std::size_t kHeavyInDigest = 6;
-constexpr std::size_t kQuarantinedInDigest = 8;
 constexpr Duration kShortestWake = std::chrono::microseconds(100);
 
-std::map<std::string, PathCost> PathsOf(schema::Settings::Reader settings) {
-  constexpr double kBytesPerMegabyte = 1e6;
-  std::map<std::string, PathCost> paths;
-  for (const auto link : settings.getLinks()) {
-    paths[link.getDataCentre().cStr()] = {
-        Duration(link.getOneWayMicros()),
-        link.getMicrosPerMegabyte() / kBytesPerMegabyte};
-  }
-  return paths;
-}
-
-std::vector<PeerAddress> SeedsOf(schema::Settings::Reader settings) {
-  std::vector<PeerAddress> seeds;
-  for (const auto seed : settings.getSeeds()) {
-    seeds.push_back({seed.getName().cStr(), seed.getDataCentre().cStr(),
-                     seed.getAddress().cStr(), seed.getPort()});
-  }
-  return seeds;
-}
-
-HttpServer::Options ServerOptions(schema::Listener::Reader listener,
-                                  schema::Limits::Reader limits) {
-  HttpServer::Options options;
-  options.address = listener.getAddress().cStr();
-  options.port = listener.getPort();
-  options.certificate_file = listener.getCertificateFile().cStr();
-  options.key_file = listener.getKeyFile().cStr();
-  options.max_body = limits.getMaxBodyBytes();
-  options.max_connections = limits.getMaxConnections();
-  options.turned_down = &ProblemForStatus;
-  return options;
-}
-
-ServerTable::Options TableOptions(schema::Settings::Reader settings) {
-  ServerTable::Options options;
-  options.data_centre = settings.getDataCentre().cStr();
-  options.region = settings.getRegion().cStr();
-  return options;
-}
-
-ClaimLedger::Options ClaimOptions(schema::Settings::Reader settings,
-                                  std::uint64_t incarnation) {
-  ClaimLedger::Options options;
-  options.daemon = settings.getName().cStr();
-  options.incarnation = incarnation;
-  return options;
-}
-
-Coordinator::Options CoordinatorOptions(schema::Settings::Reader settings) {
-  Coordinator::Options options;
-  options.max_queued = settings.getLimits().getMaxQueued();
-  options.seed = std::random_device{}();
-  return options;
-}
-
-constexpr std::uint32_t kNeverRead = 0xffffffff;
-
-std::uint32_t StoreAgeMs(Duration age) {
-  const double milliseconds = Milliseconds(age);
-  return milliseconds < kNeverRead ? static_cast<std::uint32_t>(milliseconds)
-                                   : kNeverRead;
-}
-
-PollSchedule::Options PollOptions(schema::Settings::Reader settings) {
-  PollSchedule::Options options;
-  options.name = settings.getName().cStr();
-  options.period = milliseconds(settings.getPlatform().getPollMs());
-  return options;
-}
-
 }  // namespace
 
 Daemon::Daemon(EventLoop& loop, const Settings& settings)
@@ -133,7 +58,13 @@
                   [this] { Touch(); }),
       operator_api_(loop, *this),
       seeds_(SeedsOf(settings.get())),
-      peer_revisions_(loop.Now()) {
+      peer_revisions_(loop.Now()),
+      peer_service_(
+          loop,
+          {settings.get(), incarnation_, servers_, leaving_news_, usage_,
+           suspects_, follower_, poll_schedule_, peer_revisions_, coordinator_},
+          [this] { OnConfigChanged(); },
+          [this] { Touch(); }) {
   const auto root = settings.get();
   callers_ = std::make_unique<HttpServer>(
       loop, ServerOptions(root.getCallers(), root.getLimits()),
@@ -151,8 +82,8 @@
   peer_options.address = root.getPeers().getAddress().cStr();
   peer_options.port = root.getPeers().getPort();
   peer_options.seed = incarnation_;
-  PeerHandler& handler = *this;
-  peers_ = std::make_unique<PeerLinks>(loop, peer_options, handler);
+  peers_ = std::make_unique<PeerLinks>(loop, peer_options, peer_service_);
+  peer_service_.SetLinks(*peers_);
   peers_->SetPeers(seeds_);
   for (const PeerAddress& seed : seeds_) {
     peer_revisions_.Know(seed.name, seed.data_centre);
@@ -165,7 +96,7 @@
   });
   loop.Every(kOrderPeriod, [this] { order_sync_.Tick(); });
   loop.Every(kGossipPeriod, [this] {
-    NoteLeaving();
+    peer_service_.NoteLeaving();
     peers_->Gossip();
     suspects_.Sweep(loop_.Now());
   });
@@ -244,12 +175,7 @@
     }
     void operator()(const AskClaimer& ask) const { daemon.Ask(ask); }
     void operator()(const AnswerJoin& answer) const {
-      const auto found = daemon.joins_.find(answer.join);
-      if (found != daemon.joins_.end()) {
-        const auto done = std::move(found->second);
-        daemon.joins_.erase(found);
-        done(answer.outcome);
-      }
+      daemon.peer_service_.Answer(answer);
     }
   };
   std::visit(Visitor{*this}, action);
@@ -268,7 +194,7 @@
   }
   // A row of this daemon's own: a write that it had given up took effect late,
   // or an earlier process of this name made it, whose token nobody here knows.
-  OnJoin(ask.claim.token, done);
+  peer_service_.OnJoin(ask.claim.token, done);
 }
 
 // --- Hosts and configuration ------------------------------------------------
@@ -326,7 +252,7 @@
   for (const auto& gone : leaving_news_.OnHostList(loop_.Now(), backends)) {
     servers_.ForgetLeaving(gone.server, gone.incarnation);
   }
-  NoteLeaving();
+  peer_service_.NoteLeaving();
   coordinator_.OnServersChanged(loop_.Now());
   Touch();
 }
@@ -339,108 +265,10 @@
   peers_->Rumour();
 }
 
-void Daemon::NoteLeaving() {
-  bool added = false;
-  for (const auto& [server, incarnation] : servers_.leaving()) {
-    added = leaving_news_.Add({server, incarnation}) || added;
-  }
-  if (added) {
-    peers_->Rumour();
-  }
-}
-
 void Daemon::Apply(ConfigRevision change, const ConfigSync::Done& done) {
   config_sync_.Apply(std::move(change), done);
 }
 
-// --- Peers ------------------------------------------------------------------
-
-void Daemon::FillDigest(schema::Digest::Builder digest) {
-  const TimePoint now = loop_.Now();
-  const auto settings = settings_.get();
-  digest.setDaemon(settings.getName());
-  digest.setDataCentre(settings.getDataCentre());
-  digest.setIncarnation(incarnation_);
-  digest.setRevision(follower_.revision());
-  digest.setDraining(draining_);
-  digest.setStoreAgeMs(StoreAgeMs(poll_schedule_.Age(now)));
-  const std::vector<UseRecord> heavy = usage_.Heaviest(now, kHeavyInDigest);
-  auto heavy_list = digest.initHeavy(static_cast<unsigned>(heavy.size()));
-  for (unsigned i = 0; i < heavy_list.size(); ++i) {
-    heavy_list[i].setOrganisation(heavy[i].who.organisation);
-    heavy_list[i].setSubscriber(heavy[i].who.subscriber);
-    heavy_list[i].setCost(heavy[i].cost);
-  }
-  const std::vector<LeavingServer> news = leaving_news_.ForDigest(now);
-  auto leaving = digest.initLeaving(static_cast<unsigned>(news.size()));
-  for (unsigned i = 0; i < leaving.size(); ++i) {
-    leaving[i].setServer(news[i].server);
-    leaving[i].setIncarnation(news[i].incarnation);
-  }
-  const auto quarantined = suspects_.Quarantined(now);
-  const std::size_t count = std::min(quarantined.size(), kQuarantinedInDigest);
-  auto quarantine_list = digest.initQuarantined(static_cast<unsigned>(count));
-  for (unsigned i = 0; i < quarantine_list.size(); ++i) {
-    // In turn, so that peers hear of all in a few rounds.
-    const auto& [fingerprint, remaining] =
-        quarantined[quarantine_turn_++ % quarantined.size()];
-    quarantine_list[i].setFingerprint(fingerprint.value);
-    quarantine_list[i].setRemainingMs(
-        static_cast<std::uint32_t>(Milliseconds(remaining)));
-  }
-}
-
-void Daemon::OnDigest(schema::Digest::Reader digest) {
-  const TimePoint now = loop_.Now();
-  std::vector<UseRecord> heavy;
-  for (const auto use : digest.getHeavy()) {
-    heavy.push_back({{use.getOrganisation().cStr(), use.getSubscriber().cStr()},
-                     use.getCost()});
-  }
-  const std::string peer = digest.getDaemon().cStr();
-  usage_.SetRemote(now, peer, heavy);
-  peer_revisions_.Heard(now, peer, digest.getRevision());
-  for (const auto server : digest.getLeaving()) {
-    servers_.MarkLeaving(server.getServer().cStr(), server.getIncarnation());
-  }
-  NoteLeaving();
-  for (const auto quarantine : digest.getQuarantined()) {
-    suspects_.OnPeerQuarantine(now, Fingerprint{quarantine.getFingerprint()},
-                               milliseconds(quarantine.getRemainingMs()));
-  }
-  if (digest.getStoreAgeMs() != kNeverRead) {
-    poll_schedule_.OnHeard(now, milliseconds(digest.getStoreAgeMs()));
-  }
-  follower_.Heard(digest.getRevision());
-  if (digest.getRevision() > follower_.revision()) {
-    peers_->FetchRevisions(peer, follower_.revision());
-  }
-}
-
-std::vector<ConfigRevision> Daemon::RevisionsAfter(std::uint64_t revision,
-                                                   std::size_t limit) {
-  return follower_.After(revision, limit);
-}
-
-void Daemon::OnRevisions(const std::vector<ConfigRevision>& revisions) {
-  if (follower_.Apply(revisions)) {
-    OnConfigChanged();
-  }
-}
-
-void Daemon::OnSnapshot(const ConfigSnapshot& snapshot) {
-  if (follower_.Apply(snapshot)) {
-    OnConfigChanged();
-  }
-}
-
-void Daemon::OnJoin(std::string_view token,
-                    std::function<void(JoinOutcome)> done) {
-  const JoinId join = coordinator_.Join(loop_.Now(), token);
-  joins_[join] = std::move(done);
-  Touch();
-}
-
 // --- Operators --------------------------------------------------------------
 
 bool Daemon::Ready() const {
@@ -448,20 +276,6 @@
 }
 
 json Daemon::Status() const {
-  json servers = json::array();
-  for (const auto& [name, server] : servers_.servers()) {
-    servers.push_back(
-        {{"name", name},
-         {"pool", server->host.pool},
-         {"data_centre", server->host.data_centre},
-         {"accepts", server->Accepts()},
-         {"leaving", server->leaving},
-         {"in_flight", server->in_flight},
-         {"load", server->host.load},
-         {"out_of_favour", loop_.Now() < server->out_of_favour_until},
-         {"calls", server->calls},
-         {"failures", server->failures}});
-  }
   const CoordinatorCounters& counters = coordinator_.counters();
   return {
       {"name", settings_.get().getName().cStr()},
@@ -483,7 +297,7 @@
       {"late_answers", counters.late_answers},
       {"crossed_answers", counters.crossed_answers},
       {"heaviest", HeaviestReport(usage_.Heaviest(loop_.Now(), kHeavyRecords))},
-      {"servers", std::move(servers)}};
+      {"servers", ServersReport(servers_, loop_.Now())}};
 }
 
 json Daemon::DocumentsInForce() const {
@@ -526,6 +340,7 @@
   if (std::exchange(draining_, true)) {
     return;
   }
+  peer_service_.BeginDrain();
   order_sync_.StartDrain();
   LogEvent("drain_begun").Field("active", coordinator_.active());
   // The balancer needs a moment to see that this daemon is not ready; what it
--- a/packages/entry/src/report.cc
+++ b/packages/entry/src/report.cc
@@ -89,4 +89,21 @@
   return list;
 }
 
+json ServersReport(const ServerTable& servers, TimePoint now) {
+  json rows = json::array();
+  for (const auto& [name, server] : servers.servers()) {
+    rows.push_back({{"name", name},
+                    {"pool", server->host.pool},
+                    {"data_centre", server->host.data_centre},
+                    {"accepts", server->Accepts()},
+                    {"leaving", server->leaving},
+                    {"in_flight", server->in_flight},
+                    {"load", server->host.load},
+                    {"out_of_favour", now < server->out_of_favour_until},
+                    {"calls", server->calls},
+                    {"failures", server->failures}});
+  }
+  return rows;
+}
+
 }  // namespace gentianroute
