Prefer engines that hold a prompt's prefix, by their cache events

Change: entry/cache_sync asks the engines (pools of streamed stages) of its own data centre each half second, 16 at most in one round, and feeds the module. The stand-in numbers its cache's changes, answers GET /v1/cache-events?after=N and drops each n-th event by lose_cache_events. Keys are XXH3 of the first 64 bytes, computed on both sides by themselves; an empty conversation now falls back to the prompt in the daemon as it did in the engine. Not tested by a process: lose_cache_events, a silent engine, an engine's restart.

--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -9,6 +9,7 @@
 #include "gentianroute/decision/config_follower.h"
 #include "gentianroute/decision/coordinator.h"
 #include "gentianroute/entry/backend_calls.h"
+#include "gentianroute/entry/cache_sync.h"
 #include "gentianroute/entry/caller_api.h"
 #include "gentianroute/entry/claim_sync.h"
 #include "gentianroute/entry/config_sync.h"
@@ -89,6 +90,7 @@
   H2oHttpClient client_;
   HttpPlatform platform_;
   ServerTable servers_;
+  CacheSync cache_sync_;
   UsageLedger usage_;
   SuspectTable suspects_;
   ClaimLedger claims_;
--- /dev/null
+++ b/packages/entry/src/cache_sync.cc
@@ -0,0 +1,171 @@
+#include "gentianroute/entry/cache_sync.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+namespace gentianroute {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kHexadecimal = 16;
+/// Calls in one round; with more engines each is asked less often.
+constexpr std::size_t kAskedAtOnce = 16;
+/// An answer that takes longer does not come: its connection went silent.
+constexpr Duration kAnswersWithin = std::chrono::seconds(2);
+
+std::set<std::string> EnginePools(const Catalogue& catalogue) {
+  std::set<std::string> pools;
+  for (const auto& [name, profile] : catalogue.profiles) {
+    for (const StageSpec& stage : profile->stages) {
+      if (stage.streams) {
+        pools.insert(stage.pool);
+      }
+    }
+  }
+  return pools;
+}
+
+std::vector<std::uint64_t> PrefixesOf(const json& event, const char* field) {
+  std::vector<std::uint64_t> prefixes;
+  for (const json& item : event.at(field)) {
+    const auto& text = item.get_ref<const std::string&>();
+    std::uint64_t prefix = 0;
+    std::from_chars(text.data(), text.data() + text.size(), prefix,
+                    kHexadecimal);
+    prefixes.push_back(prefix);
+  }
+  return prefixes;
+}
+
+}  // namespace
+
+CacheSync::CacheSync(EventLoop& loop,
+                     HttpClient& client,
+                     ServerTable& servers,
+                     std::string data_centre)
+    : loop_(loop),
+      client_(client),
+      servers_(servers),
+      data_centre_(std::move(data_centre)) {
+  servers_.SetPrefixAffinity(&caches_);
+}
+
+void CacheSync::Poll(const Catalogue& catalogue) {
+  ForgetGone();
+  const std::set<std::string> pools = EnginePools(catalogue);
+  std::vector<ServerRef> followed;
+  for (const auto& [name, server] : servers_.servers()) {
+    if (IsFollowed(*server, pools)) {
+      followed.push_back(server);
+    }
+  }
+  // In turn, beginning behind the last one of the round before.
+  const auto next =
+      std::ranges::find_if(followed, [this](const ServerRef& server) {
+        return server->host.name > last_asked_;
+      });
+  std::rotate(followed.begin(), next, followed.end());
+  if (followed.size() > kAskedAtOnce) {
+    followed.resize(kAskedAtOnce);
+  }
+  for (const ServerRef& server : followed) {
+    last_asked_ = server->host.name;
+    Engine& engine = engines_[server->host.name];
+    GiveUpSilent(*server, engine);
+    if (!engine.asking) {
+      Ask(*server, engine);
+    }
+  }
+}
+
+void CacheSync::ForgetGone() {
+  std::erase_if(engines_, [this](const auto& item) {
+    if (servers_.servers().contains(item.first)) {
+      return false;
+    }
+    if (item.second.asking) {
+      client_.Cancel(item.second.call);
+    }
+    caches_.Forget(item.first);
+    return true;
+  });
+}
+
+bool CacheSync::IsFollowed(const Server& server,
+                           const std::set<std::string>& pools) const {
+  return server.host.data_centre == data_centre_ && server.Accepts() &&
+         pools.contains(server.host.pool);
+}
+
+void CacheSync::GiveUpSilent(const Server& server, Engine& engine) {
+  // A connection that lost its far end stays silent for good. Without this the
+  // engine would never be asked again; a new connection works.
+  if (engine.asking && loop_.Now() >= engine.asked + kAnswersWithin) {
+    client_.Cancel(engine.call);
+    client_.CondemnConnections(server.host.address, server.host.port);
+    engine.asking = false;
+  }
+}
+
+void CacheSync::Ask(const Server& server, Engine& engine) {
+  HttpCall call;
+  call.address = server.host.address;
+  call.port = server.host.port;
+  call.path = "/v1/cache-events?after=" + std::to_string(engine.sequence);
+  engine.asking = true;
+  engine.asked = loop_.Now();
+  engine.call = client_.Call(
+      std::move(call),
+      CollectAnswer([this, name = server.host.name](const HttpResult& result) {
+        OnAnswer(name, result);
+      }));
+}
+
+void CacheSync::OnAnswer(const std::string& name, const HttpResult& result) {
+  const auto found = engines_.find(name);
+  if (found == engines_.end()) {
+    return;
+  }
+  found->second.asking = false;
+  if (!result.whole || result.status != kOk) {
+    return;
+  }
+  try {
+    TakeIn(name, found->second, result.body);
+  } catch (const json::exception&) {
+    // Not this protocol: what is believed of the cache can't be kept current.
+    caches_.Forget(name);
+    found->second = {};
+  }
+}
+
+void CacheSync::TakeIn(const std::string& name,
+                       Engine& engine,
+                       std::string_view body) {
+  const json answer = json::parse(body);
+  const auto incarnation = answer.at("incarnation").get<std::uint64_t>();
+  if (incarnation != engine.incarnation) {
+    // Restarted: its numbers begin again, and its cache is empty. Asked for
+    // what follows an old number it would leave out all that came before.
+    caches_.Forget(name);
+    const bool from_start = engine.sequence == 0;
+    engine.incarnation = incarnation;
+    engine.sequence = 0;
+    if (!from_start) {
+      return;
+    }
+  }
+  for (const json& event : answer.at("events")) {
+    const std::vector<std::uint64_t> added = PrefixesOf(event, "added");
+    const std::vector<std::uint64_t> removed = PrefixesOf(event, "removed");
+    engine.sequence = event.at("sequence").get<std::uint64_t>();
+    caches_.OnEvent({name, incarnation, engine.sequence, added, removed});
+  }
+}
+
+}  // namespace gentianroute
--- a/packages/entry/src/caller_api.cc
+++ b/packages/entry/src/caller_api.cc
@@ -99,8 +99,12 @@
 /// served it before still has in its cache.
 std::uint64_t PrefixOf(const json& body) {
   for (const char* field : {"conversation", "prompt"}) {
-    if (body.is_object() && body.contains(field) && body[field].is_string()) {
-      const auto& text = body[field].get_ref<const std::string&>();
+    if (!body.is_object() || !body.contains(field) ||
+        !body[field].is_string()) {
+      continue;
+    }
+    const auto& text = body[field].get_ref<const std::string&>();
+    if (!text.empty()) {
       return FastHash(std::string_view(text).substr(0, kPrefixCharacters));
     }
   }
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -15,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kGossipPeriod = std::chrono::seconds(1);
+constexpr Duration kCachePeriod = milliseconds(500);
 constexpr std::size_t kHeavyRecords = 16;
 constexpr Duration kShortestWake = std::chrono::microseconds(100);
 
@@ -86,6 +87,10 @@
                  settings.get().getPlatform().getPort(),
                  milliseconds(settings.get().getPlatform().getTimeoutMs())}),
       servers_(TableOptions(settings.get()), PathsOf(settings.get())),
+      cache_sync_(loop,
+                  client_,
+                  servers_,
+                  settings.get().getDataCentre().cStr()),
       claims_(ClaimOptions(settings.get(), incarnation_), claim_codec_),
       follower_(config_codec_),
       coordinator_(CoordinatorOptions(settings.get()),
@@ -141,6 +146,8 @@
     peers_->Gossip();
     suspects_.Sweep(loop_.Now());
   });
+  loop.Every(kCachePeriod,
+             [this] { cache_sync_.Poll(*follower_.catalogue()); });
   PollHosts();
   config_sync_.Poll();
   LogEvent("started")
--- a/standins/backend.cc
+++ b/standins/backend.cc
@@ -1,9 +1,12 @@
 #include "backend.h"
 
 #include <charconv>
+#include <cstdio>
 #include <cstdlib>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace gentianroute::standin {
 namespace {
 
@@ -33,6 +36,16 @@
   return body["request"][name];
 }
 
+/// The key of a prefix in cache events; see docs/BACKENDS.md.
+std::string PrefixKey(std::string_view text) {
+  const std::string_view prefix = text.substr(0, kPrefixCharacters);
+  char key[17];
+  std::snprintf(key, sizeof(key), "%016llx",
+                static_cast<unsigned long long>(
+                    XXH3_64bits(prefix.data(), prefix.size())));
+  return key;
+}
+
 }  // namespace
 
 struct Backend::Stream {
@@ -45,6 +58,7 @@
 Backend::Backend(EventLoop& loop, Options options)
     : loop_(loop),
       options_(std::move(options)),
+      incarnation_(static_cast<std::uint64_t>(loop.Wall())),
       cache_(options_.cache_entries),
       server_(loop,
               {.port = options_.port},
@@ -67,6 +81,10 @@
   if (Refused(request, *responder)) {
     return;
   }
+  if (request.path == "/v1/cache-events") {
+    CacheEvents(request, *responder);
+    return;
+  }
   CountRun(request);
   if (!faults_.crash_marker.empty() &&
       request.body.find(faults_.crash_marker) != std::string::npos) {
@@ -197,13 +215,26 @@
   if (prefix.empty()) {
     prefix = RequestField(request, "prompt");
   }
-  if (cache_.Touch(prefix.substr(0, kPrefixCharacters))) {
+  const std::uint32_t nth = faults_.lose_cache_events;
+  const bool lost = nth > 0 && (cache_.last_sequence() + 1) % nth == 0;
+  if (cache_.Touch(PrefixKey(prefix), lost)) {
     ++cache_hits_;
     return Duration{0};
   }
   return milliseconds(options_.prefill_ms);
 }
 
+void Backend::CacheEvents(const HttpRequest& request,
+                          HttpResponder& responder) const {
+  constexpr std::string_view kAfter = "after=";
+  const std::string_view query = request.query;
+  const std::uint64_t after =
+      query.starts_with(kAfter) ? NumberOf(query.substr(kAfter.size())) : 0;
+  const json body = {{"incarnation", incarnation_},
+                     {"events", cache_.EventsAfter(after)}};
+  responder.Send({200, {{"content-type", "application/json"}}, body.dump()});
+}
+
 void Backend::NextToken(const std::shared_ptr<Stream>& stream) {
   if (stream->gone) {  // the caller closed the connection: cancelled
     --in_flight_;
--- a/standins/backend.h
+++ b/standins/backend.h
@@ -44,6 +44,7 @@
            const std::shared_ptr<HttpResponder>& responder);
   void Generate(const HttpRequest& request,
                 const std::shared_ptr<HttpResponder>& responder);
+  void CacheEvents(const HttpRequest& request, HttpResponder& responder) const;
   void NextToken(const std::shared_ptr<Stream>& stream);
   /// Ends the request as the present faults say, before it runs.
   /// @return false if it is to run
@@ -59,6 +60,7 @@
   EventLoop& loop_;
   Options options_;
   Faults faults_;
+  std::uint64_t incarnation_;  ///< time of the start
   std::uint32_t in_flight_ = 0;
   std::uint64_t runs_ = 0;
   Counts runs_by_key_;
--- a/standins/faults.cc
+++ b/standins/faults.cc
@@ -10,6 +10,7 @@
   take("error_status", error_status);
   take("max_in_flight", max_in_flight);
   take("cut_at_token", cut_at_token);
+  take("lose_cache_events", lose_cache_events);
   take("silent", silent);
   take("lose_answers", lose_answers);
   take("reset_answers", reset_answers);
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -18,6 +18,8 @@
   std::uint32_t cut_at_token = 0;   ///< closes at this offset; 0: never
   /// Connections up to this number are silent; newer ones work.
   std::uint64_t silent_up_to = 0;
+  /// Each event of this many is not published; 0: all are.
+  std::uint32_t lose_cache_events = 0;
   bool silent = false;         ///< takes requests and never answers
   bool lose_answers = false;   ///< does the work and never answers
   bool reset_answers = false;  ///< does the work, then closes unanswered
--- /dev/null
+++ b/tests/process/prefix_affinity_test.cc
@@ -0,0 +1,69 @@
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "pipelines.h"
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute::testing;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr int kConversations = 8;  // on each engine
+
+std::uint64_t CacheHits(const Deployment& deployment, std::size_t engine) {
+  const Answer answer =
+      Http(deployment.backend_port(engine), "GET", "/control/counts", "");
+  return nlohmann::json::parse(answer.body).at("cache_hits");
+}
+
+std::string Body(int round, std::size_t engine, int number) {
+  return R"({"conversation": "letters )" + std::to_string(round) + "/" +
+         std::to_string(engine) + "/" + std::to_string(number) + R"("})";
+}
+
+/// Begins conversations at each engine itself, then goes on with each of them
+/// through the daemon.
+/// @return whether every engine was sent its own ones
+bool EachGoesToItsHolder(const Pipelines& pipelines, int round) {
+  const Deployment& deployment = pipelines.deployment;
+  std::vector<std::uint64_t> before;
+  for (const std::size_t engine : pipelines.engines) {
+    for (int i = 0; i < kConversations; ++i) {
+      Http(deployment.backend_port(engine), "POST", "/v1/generate",
+           R"({"request": )" + Body(round, engine, i) + "}",
+           {"x-attempt-id: 1", "x-resume-offset: 100"});
+    }
+    before.push_back(CacheHits(deployment, engine));
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(2));  // events come late
+  for (int i = 0; i < kConversations; ++i) {
+    for (const std::size_t engine : pipelines.engines) {
+      deployment.Post(0, "drafting", Body(round, engine, i));
+    }
+  }
+  bool all = true;
+  for (std::size_t i = 0; i < pipelines.engines.size(); ++i) {
+    all = all && CacheHits(deployment, pipelines.engines[i]) ==
+                     before[i] + kConversations;
+  }
+  return all;
+}
+
+}  // namespace
+
+// Families go on with conversations that one of two engines holds. Sent to the
+// other one, the whole prompt is read again and the first words come late. The
+// engines' cache events tell the daemon which one holds which. A round in which
+// the machine was too slow for the events is repeated with new conversations;
+// by chance alone a round succeeds once in 65536.
+Test(prefix_affinity, repeated_conversations_go_to_the_engine_that_holds_them) {
+  const Pipelines pipelines(1, 1, 2);
+  bool all = false;
+  for (int round = 0; round < 3 && !all; ++round) {
+    all = EachGoesToItsHolder(pipelines, round);
+  }
+  cr_assert(all, "some conversation was sent to the engine without it");
+}
