Keep what a gap in the cache events can't have evicted

Cause: with a fifth of the events lost affinity brought nothing, since each gap discarded all beliefs of that engine: at each fifth event, so about five of 60 prefixes were known. Ruled out: that affinity did harm. Change: a gap discards as many of the oldest prefixes as the missing events may have evicted (missing events times the most that one event removed). Proof: the new test fails with the old module. The earlier tests are unchanged and pass.

--- a/benchmarks/scenarios.cc
+++ b/benchmarks/scenarios.cc
@@ -226,9 +226,10 @@
      {"early refusal", false, true},
      {"both", true, true}}};
 
-void RunRetries(const ScenarioOptions& options, Report& report) {
+void RunRetriesOf(const ScenarioOptions& options, bool hangs, Report& report) {
   constexpr std::size_t kFaultEnd = 15;
   std::vector<double> recovered;
+  std::vector<double> attainment;
   std::vector<double> calls;
   for (const Restraint& restraint : kRestraints) {
     Plan plan = BasePlan(options);
@@ -237,6 +238,10 @@
     plan.caller_resends = 3;
     plan.pools[2].fails_from = seconds(5);
     plan.pools[2].fails_until = seconds(kFaultEnd);
+    plan.pools[2].hangs = hangs;
+    if (hangs) {
+      plan.profile.stages[2].first_byte_timeout = milliseconds(300);
+    }
     plan.coordinator.refuse_early = restraint.refuse_early;
     if (!restraint.budget) {
       plan.coordinator.retry_budget = {1e9, 1e9};
@@ -246,6 +251,7 @@
     recovered.push_back(SecondsToRecover(outcome, kFaultEnd));
     calls.push_back(outcome.CallsPerRequest());
     Row row;
+    row["fault"] = hangs ? "hangs" : "fails";
     row["restraint"] = restraint.name;
     row["calls_per_request"] = Rounded(calls.back());
     row["rerank_calls_per_request"] =
@@ -253,12 +259,21 @@
                 static_cast<double>(plan.profile.stages[2].cost_per_call) /
                 static_cast<double>(outcome.all.sent));
     row["recovers_after_s"] = recovered.back();
+    attainment.push_back(outcome.all.Attainment());
     report.rows.push_back(Joined(row, Summary(outcome)));
   }
   report.Expect(calls[3] <= calls[0], "both restraints make no more calls");
   report.Expect(
       recovered[3] >= 0 && (recovered[0] < 0 || recovered[3] <= recovered[0]),
       "with both it recovers no later");
+  report.Expect(attainment[3] >= attainment[0] - 0.02,
+                "with both no fewer deadlines are met");
+}
+
+void RunRetries(const ScenarioOptions& options, Report& report) {
+  for (const bool hangs : {false, true}) {
+    RunRetriesOf(options, hangs, report);
+  }
 }
 
 // --- Prefix affinity --------------------------------------------------------
@@ -300,6 +315,8 @@
   }
   report.Expect(ratios[1] > ratios[0], "affinity finds more prefixes cached");
   report.Expect(ratios[3] >= ratios[0] - 0.02, "gaps do no harm");
+  report.Expect(ratios[3] - ratios[0] >= 0.5 * (ratios[1] - ratios[0]),
+                "half of the gain is left with a fifth of the events lost");
 }
 
 // --- Profiles ---------------------------------------------------------------
--- a/packages/decision/include/gentianroute/decision/prefix_affinity.h
+++ b/packages/decision/include/gentianroute/decision/prefix_affinity.h
@@ -23,13 +23,16 @@
 
 /// @brief What is believed of the engines' prefix caches.
 ///
-/// Events come late and with gaps. After a gap an eviction may have been
-/// missed; a call sent for a prefix that is gone loads the engine for nothing,
-/// so all that was believed of that engine is discarded.
+/// Events come late and with gaps. In a gap evictions may have been missed, and
+/// a call sent for a prefix that is gone loads the engine for nothing. Engines
+/// evict what they hold longest, so as many of the oldest prefixes as the gap
+/// may have evicted are discarded. Discarding all of them would leave nearly
+/// nothing to prefer by once a fifth of the events is lost; a wrong belief that
+/// is left costs one prompt's reading, and no promise.
 class PrefixAffinity {
  public:
   /// @brief Takes an event in; an old one changes nothing.
-  /// @return false if a gap or a restart discarded what was believed
+  /// @return false if a gap or a restart discarded something
   /// @complexity logarithmic in prefixes and holders, plus what is discarded
   bool OnEvent(const CacheEvent& event);
 
@@ -45,9 +48,15 @@
   struct Cache {
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
-    std::set<std::uint64_t> prefixes;
+    std::size_t most_removed = 1;  ///< by one event
+    std::uint64_t next_age = 0;
+    std::unordered_map<std::uint64_t, std::uint64_t> ages;  ///< by prefix
+    std::map<std::uint64_t, std::uint64_t> prefixes;        ///< by age
   };
 
+  void Add(const std::string& engine, Cache& cache, std::uint64_t prefix);
+  void Drop(const std::string& engine, Cache& cache, std::uint64_t prefix);
+  void DropOldest(const std::string& engine, Cache& cache, std::size_t count);
   void Discard(const std::string& engine, Cache& cache);
   void Remove(const std::string& engine, std::uint64_t prefix);
 
--- a/packages/decision/src/prefix_affinity.cc
+++ b/packages/decision/src/prefix_affinity.cc
@@ -1,5 +1,7 @@
 #include "gentianroute/decision/prefix_affinity.h"
 
+#include <algorithm>
+
 namespace gentianroute {
 
 bool PrefixAffinity::OnEvent(const CacheEvent& event) {
@@ -10,21 +12,54 @@
                   (same && event.sequence <= cache.sequence))) {
     return true;
   }
-  const bool gap = !is_new && !(same && event.sequence == cache.sequence + 1);
-  if (gap) {
+  const std::uint64_t missed = same ? event.sequence - cache.sequence - 1 : 0;
+  if (!is_new && !same) {
     Discard(event.engine, cache);
   }
+  if (missed > 0) {
+    const std::uint64_t known = std::min(missed, cache.prefixes.size());
+    DropOldest(event.engine, cache, known * cache.most_removed);
+  }
   cache.incarnation = event.incarnation;
   cache.sequence = event.sequence;
+  cache.most_removed = std::max(cache.most_removed, event.removed.size());
   for (const std::uint64_t prefix : event.removed) {
-    cache.prefixes.erase(prefix);
-    Remove(event.engine, prefix);
+    Drop(event.engine, cache, prefix);
   }
   for (const std::uint64_t prefix : event.added) {
-    cache.prefixes.insert(prefix);
-    holders_[prefix].insert(event.engine);
+    Add(event.engine, cache, prefix);
+  }
+  return is_new || (same && missed == 0);
+}
+
+void PrefixAffinity::Add(const std::string& engine,
+                         Cache& cache,
+                         std::uint64_t prefix) {
+  Drop(engine, cache, prefix);  // added again: the youngest now
+  cache.ages[prefix] = cache.next_age;
+  cache.prefixes[cache.next_age] = prefix;
+  ++cache.next_age;
+  holders_[prefix].insert(engine);
+}
+
+void PrefixAffinity::Drop(const std::string& engine,
+                          Cache& cache,
+                          std::uint64_t prefix) {
+  const auto found = cache.ages.find(prefix);
+  if (found == cache.ages.end()) {
+    return;
+  }
+  cache.prefixes.erase(found->second);
+  cache.ages.erase(found);
+  Remove(engine, prefix);
+}
+
+void PrefixAffinity::DropOldest(const std::string& engine,
+                                Cache& cache,
+                                std::size_t count) {
+  for (; count > 0 && !cache.prefixes.empty(); --count) {
+    Drop(engine, cache, cache.prefixes.begin()->second);
   }
-  return !gap;
 }
 
 void PrefixAffinity::Forget(std::string_view engine) {
@@ -39,7 +74,7 @@
 bool PrefixAffinity::Holds(std::string_view engine,
                            std::uint64_t prefix) const {
   const auto found = caches_.find(engine);
-  return found != caches_.end() && found->second.prefixes.contains(prefix);
+  return found != caches_.end() && found->second.ages.contains(prefix);
 }
 
 const std::set<std::string, std::less<>>& PrefixAffinity::Holders(
@@ -50,10 +85,8 @@
 }
 
 void PrefixAffinity::Discard(const std::string& engine, Cache& cache) {
-  for (const std::uint64_t prefix : cache.prefixes) {
-    Remove(engine, prefix);
-  }
-  cache.prefixes.clear();
+  DropOldest(engine, cache, cache.prefixes.size());
+  cache.most_removed = 1;
 }
 
 void PrefixAffinity::Remove(const std::string& engine, std::uint64_t prefix) {
--- a/packages/decision/tests/prefix_affinity_test.cc
+++ b/packages/decision/tests/prefix_affinity_test.cc
@@ -36,6 +36,24 @@
   cr_assert(caches.Holds("f", 1));
 }
 
+// Event 4 is lost. One eviction at most went with it, so only prefix 1, the
+// oldest, is in doubt. Were 2 and 3 forgotten too, an engine whose events get
+// lost now and then would hardly ever be known to hold anything.
+Test(prefix_affinity, gap_of_one_event_keeps_all_but_the_oldest) {
+  const std::vector<std::uint64_t> three = {3};
+  PrefixAffinity caches;
+  caches.OnEvent({"e", 1, 1, kOne, {}});
+  caches.OnEvent({"e", 1, 2, kTwo, {}});
+  caches.OnEvent({"e", 1, 3, three, {}});
+  cr_assert_not(caches.OnEvent({"e", 1, 5, {}, {}}));
+  cr_assert_not(caches.Holds("e", 1));
+  cr_assert(caches.Holds("e", 2));
+  cr_assert(caches.Holds("e", 3));
+  cr_assert_not(caches.OnEvent({"e", 1, 90, {}, {}}));
+  cr_assert_not(caches.Holds("e", 3));
+  cr_assert(caches.Holders(3).empty());
+}
+
 Test(prefix_affinity, restart_discards_and_old_event_changes_nothing) {
   PrefixAffinity caches;
   caches.OnEvent({"e", 1, 5, kOne, {}});
