--- a/benchmarks/load_plan.h
+++ b/benchmarks/load_plan.h
@@ -19,6 +19,7 @@
   double slowness = 1;  ///< of the first server only
   Duration fails_from{0};
   Duration fails_until{0};  ///< equal to `fails_from`: never fails
+  bool hangs = false;       ///< when it fails it never answers
 };
 
 /// @brief Requests of one subscriber.
--- a/benchmarks/load_servers.cc
+++ b/benchmarks/load_servers.cc
@@ -26,6 +26,9 @@
   const TimePoint from = TimePoint{} + server.plan.fails_from;
   const TimePoint until = TimePoint{} + server.plan.fails_until;
   if (now_ >= from && now_ < until) {
+    if (server.plan.hangs) {
+      return;
+    }
     At(now_ + kFailsAfter, [this, call] { EndCall(call, kStatusFailed); });
     return;
   }
