--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -10,6 +10,7 @@
 #include "gentianroute/decision/leaving_news.h"
 #include "gentianroute/decision/poll_schedule.h"
 #include "gentianroute/entry/backend_calls.h"
+#include "gentianroute/entry/cache_sync.h"
 #include "gentianroute/entry/caller_api.h"
 #include "gentianroute/entry/claim_sync.h"
 #include "gentianroute/entry/config_sync.h"
@@ -85,6 +86,7 @@
   HttpPlatform platform_;
   ServerTable servers_;
   LeavingNews leaving_news_;
+  CacheSync cache_sync_;
   UsageLedger usage_;
   SuspectTable suspects_;
   ClaimLedger claims_;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -15,6 +15,7 @@
 
 constexpr Duration kOrderPeriod = milliseconds(250);
 constexpr Duration kGossipPeriod = std::chrono::seconds(1);
+constexpr Duration kCachePeriod = milliseconds(500);
 constexpr std::size_t kHeavyRecords = 16;
 constexpr Duration kShortestWake = std::chrono::microseconds(100);
 
@@ -31,6 +32,10 @@
                  settings.get().getPlatform().getPort(),
                  milliseconds(settings.get().getPlatform().getTimeoutMs())}),
       servers_(TableOptions(settings.get()), PathsOf(settings.get())),
+      cache_sync_(loop,
+                  client_,
+                  servers_,
+                  settings.get().getDataCentre().cStr()),
       claims_(ClaimOptions(settings.get(), incarnation_), claim_codec_),
       follower_(config_codec_),
       coordinator_(CoordinatorOptions(settings.get()),
@@ -100,6 +105,8 @@
     peers_->Gossip();
     suspects_.Sweep(loop_.Now());
   });
+  loop.Every(kCachePeriod,
+             [this] { cache_sync_.Poll(*follower_.catalogue()); });
   PollHosts();
   PollConfig();
   LogEvent("started")
