Keep the daemon alive on JSON that a library rejects by other exceptions

Cause: two handlers let exceptions of nlohmann/json leave the loop, which ended the daemon (its last log line: an out_of_range 406, or a type_error 302). A caller's body with a number out of range, such as [1e999], is not a parse_error, which alone was caught. An event of an engine with a field of another type, such as "text": null, was read unguarded. Ruled out: the operators' interface and the platform adapter catch json::exception; all other parses here take no exceptions. (By reading.) Change: the first is malformed_request; the second is a gap in the stream, as an event that is no JSON was. As one more fault of engine_with_broken_streams the null token showed nothing (that test passed without the change): most likely the first engine is no longer chosen after the first faults; so it has a test of its own.

The harness: a test's folder is removed when it passed; kept, and its path printed, when it failed or crashed. The runner does it, since a failed assertion leaves the test by a jump and destroys nothing. For the same reason processes of failed tests ran on for ever (a first try ended them through the Deployment, whose stack frame is gone by then, and crashed): their ids are now kept beside, and ended at exit. Seen on a test broken on purpose: folder kept and printed, no daemon left.

--- a/packages/entry/src/backend_calls.cc
+++ b/packages/entry/src/backend_calls.cc
@@ -141,6 +141,15 @@
     if (event.is_discarded() || !event.is_object()) {
       return;  // the gap it leaves is found by the next offset
     }
+    try {
+      TakeEvent(event);
+    } catch (const json::exception&) {
+      // A field of another type. The exception would leave the loop and end
+      // the daemon; left out, the event is a gap like any other.
+    }
+  }
+
+  void TakeEvent(const json& event) {
     if (event.value("done", false)) {
       done_ = true;
       answer_.units = event.value("tokens", std::uint64_t{0});
--- a/packages/entry/src/caller_api.cc
+++ b/packages/entry/src/caller_api.cc
@@ -121,7 +121,9 @@
   json body;
   try {
     body = json::parse(request.body);
-  } catch (const json::parse_error& error) {
+  } catch (const json::exception& error) {
+    // Not parse_error alone: a number out of range is another kind, and an
+    // exception that leaves the handler ends the daemon.
     return Fault{ErrorKind::kMalformedRequest,
                  std::string("the body is not JSON: ") + error.what()};
   }
--- a/standins/backend.cc
+++ b/standins/backend.cc
@@ -231,13 +231,16 @@
 }
 
 void Backend::WriteToken(const Stream& stream) const {
-  if (faults_.skip_tokens &&
-      stream.offset % kSkippedToken == kSkippedToken - 1) {
+  const bool chosen = stream.offset % kSkippedToken == kSkippedToken - 1;
+  if (faults_.skip_tokens && chosen) {
     return;
   }
-  const json token = {{"attempt", stream.attempt},
-                      {"offset", stream.offset},
-                      {"text", "w" + std::to_string(stream.offset) + " "}};
+  json token = {{"attempt", stream.attempt},
+                {"offset", stream.offset},
+                {"text", "w" + std::to_string(stream.offset) + " "}};
+  if (faults_.null_tokens && chosen) {
+    token["text"] = nullptr;
+  }
   const std::string event = "data: " + token.dump() + "\n\n";
   stream.responder->Write(event);
   if (faults_.double_tokens) {
--- a/standins/faults.cc
+++ b/standins/faults.cc
@@ -17,9 +17,11 @@
   take("crossed", crossed);
   take("double_tokens", double_tokens);
   take("skip_tokens", skip_tokens);
+  take("null_tokens", null_tokens);
   take("refuse", refuse);
   take("leaving", leaving);
   take("outage", outage);
+  take("no_entity_tag", no_entity_tag);
   take("crash_marker", crash_marker);
   if (body.contains("silence_open")) {
     silent_up_to = body["silence_open"].get<bool>() ? connection : 0;
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -25,9 +25,11 @@
   bool crossed = false;        ///< names another attempt
   bool double_tokens = false;  ///< sends each token twice
   bool skip_tokens = false;    ///< leaves out each third token
+  bool null_tokens = false;    ///< sends null as the text of each third token
   bool refuse = false;         ///< 503 with x-not-run
   bool leaving = false;        ///< 503 with x-leaving and x-not-run
   bool outage = false;         ///< closes each connection unanswered
+  bool no_entity_tag = false;  ///< the platform's host list has no ETag
   std::string crash_marker;    ///< aborts on a body that holds it
 
   /// @brief Takes over the fields that are present. `silence_open` makes the
--- a/tests/process/backend_failure_test.cc
+++ b/tests/process/backend_failure_test.cc
@@ -93,6 +93,21 @@
   }
 }
 
+// What the caller sees: the draft whole, from the second engine, when the first
+// sends null where the text of a token should be; with that engine alone, a
+// problem. The field of another type is a gap in the stream and no more.
+Test(backend_failure, engine_with_null_tokens_daemon_lives_and_answers) {
+  Pipelines run(1, 1, 2);
+  run.deployment.SetFaults(run.engines[0], R"({"null_tokens": true})");
+  for (int i = 0; i < 4; ++i) {
+    const Answer answer = run.Post(0, "drafting", "letter").get();
+    cr_assert_eq(answer.body, WholeDraft(), "%s", answer.body.c_str());
+  }
+  run.deployment.SetFaults(run.engines[1], R"({"null_tokens": true})");
+  cr_assert_neq(run.Post(0, "drafting", "letter").get().status, 0);
+  cr_assert_eq(run.Post(0, "chat", "letter").get().status, 200);
+}
+
 // What the caller sees: answers, after one short delay. The connections to the
 // only server that are open now go silent for good, while new ones work. The
 // first timeout condemns the idle ones, so that the next requests do not each
--- a/tests/process/connection.cc
+++ b/tests/process/connection.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -61,6 +62,14 @@
   return text;
 }
 
+void Connection::ReadFor(int milliseconds) const {
+  pollfd readable{fd_, POLLIN, 0};
+  char buffer[4096];
+  while (poll(&readable, 1, milliseconds) == 1 &&
+         recv(fd_, buffer, sizeof(buffer), 0) > 0) {
+  }
+}
+
 std::string Connection::ReadAnswer() const {
   std::string text = ReadTo(kHeadEnd);
   std::ranges::transform(text, text.begin(), [](unsigned char c) {
--- a/tests/process/connection.h
+++ b/tests/process/connection.h
@@ -24,6 +24,8 @@
   /// @brief Reads until `mark` came, or the end.
   /// @return all that was read
   std::string ReadTo(std::string_view mark) const;
+  /// @brief Reads what comes, until none came for that long.
+  void ReadFor(int milliseconds) const;
   /// @brief Reads one answer that states its length.
   std::string ReadAnswer() const;
 
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -15,8 +15,11 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 
+#include "test_folder.h"
+
 extern char** environ;
 
 namespace gentianroute::testing {
@@ -29,6 +32,22 @@
 constexpr const char* kTestKeyDigest =
     "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef";
 
+/// Processes that run, as far as is known. Never destroyed: tests with a
+/// deployment in a static variable end theirs last of all.
+std::set<pid_t>& Running() {
+  static auto* processes = new std::set<pid_t>;
+  return *processes;
+}
+
+/// A failed assertion leaves its test by a jump and destroys nothing: the
+/// processes that the test started would run on, a frozen one for ever. The
+/// process of a test exits after each failed assertion, and then runs this.
+void EndRunning() {
+  for (const pid_t process : Running()) {
+    kill(process, SIGKILL);
+  }
+}
+
 std::string Binary(const std::string& name) {
   const char* folder = std::getenv("GENTIANROUTE_BIN");
   return std::string(folder == nullptr ? "build" : folder) + "/" + name;
@@ -93,6 +112,10 @@
   if (failed != 0) {
     throw std::runtime_error("can't start " + command.front());
   }
+  if (Running().empty()) {
+    std::atexit(&EndRunning);
+  }
+  Running().insert(pid_);
 }
 
 Process::~Process() {
@@ -100,6 +123,7 @@
     kill(pid_, SIGKILL);
     waitpid(pid_, nullptr, 0);
   }
+  Running().erase(pid_);
   close(output_);
 }
 
@@ -113,6 +137,7 @@
     if (status_ < 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
       status_ = WIFEXITED(status) ? WEXITSTATUS(status)
                                   : kSignalBase + WTERMSIG(status);
+      Running().erase(pid_);
     }
     return status_ >= 0;
   });
@@ -180,13 +205,7 @@
   return answer;
 }
 
-Deployment::Deployment() {
-  const char* base = std::getenv("TMPDIR");
-  folder_ =
-      std::string(base == nullptr ? "/tmp" : base) + "/gentianroute-XXXXXX";
-  if (mkdtemp(folder_.data()) == nullptr) {
-    throw std::runtime_error("no folder for the test");
-  }
+Deployment::Deployment() : folder_(MakeTestFolder()) {
   platform_ = std::make_unique<Process>(
       std::vector<std::string>{Binary("standins/standin"), "platform"},
       File("platform.err"));
@@ -313,13 +332,17 @@
   return daemons_.size() - 1;
 }
 
-void Deployment::Apply(const std::string& declarations) {
+int Deployment::TryApply(const std::string& declarations) {
   const std::string file = File("declarations.json");
   std::ofstream(file) << declarations;
   Process apply({Binary("apps/gentianctl"), "--port",
                  std::to_string(operator_port(0)), "apply", file},
                 File("apply.err"));
-  if (apply.Wait(10) != 0) {
+  return apply.Wait(10);
+}
+
+void Deployment::Apply(const std::string& declarations) {
+  if (TryApply(declarations) != 0) {
     throw std::runtime_error("apply failed; see " + File("apply.err"));
   }
   for (const Daemon& daemon : daemons_) {
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -11,7 +11,7 @@
 namespace gentianroute::testing {
 
 /// @brief One process that a test started; ended by its id at the latest when
-/// this is destroyed.
+/// this is destroyed, or when the process of a failed test exits.
 class Process {
  public:
   Process(const std::vector<std::string>& command,
@@ -20,6 +20,7 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  pid_t id() const { return pid_; }
   void Signal(int number) const;
   /// @brief Waits for the end.
   /// @return exit status, or 128 + signal; -1 if it goes on for `seconds`
@@ -78,6 +79,9 @@
   /// @brief Applies declarations through a daemon, and waits until all have
   /// them in force.
   void Apply(const std::string& declarations);
+  /// @brief One try to apply declarations through a daemon.
+  /// @return the exit status of gentianctl; -1 if it goes on for long
+  int TryApply(const std::string& declarations);
   /// @brief Puts the present hosts into the platform's list.
   void PublishHosts();
 
