Send host lists only when they change; tests of silent links

silent_links_test: a peer frozen while it is asked for an outcome, and the platform's open connections going silent. Proof: with the platform calls' timeout removed the second fails (the claim is never confirmed). The first passes without the timeout of peer calls: the request's own deadline answers then. So it proves the answer, and neither layer alone.

--- a/standins/platform.cc
+++ b/standins/platform.cc
@@ -9,11 +9,21 @@
 using nlohmann::json;
 
 constexpr std::string_view kObjects = "/v1/objects/";
+constexpr std::string_view kHosts = "/v1/hosts";
 
 HttpResponse JsonResponse(int status, const json& body) {
   return {status, {{"content-type", "application/json"}}, body.dump()};
 }
 
+std::uint64_t SizeOf(const HttpHeaders& headers) {
+  constexpr std::size_t kSeparators = 4;  // ": " and the line's end
+  std::uint64_t size = 0;
+  for (const HttpHeader& header : headers) {
+    size += header.name.size() + header.value.size() + kSeparators;
+  }
+  return size;
+}
+
 }  // namespace
 
 Platform::Platform(EventLoop& loop, std::uint16_t port)
@@ -34,9 +44,17 @@
   }
   if (request.path == "/control/hosts") {
     hosts_ = json::parse(request.body);
+    ++hosts_version_;
     responder->Send(JsonResponse(200, json::object()));
     return;
   }
+  if (request.path == "/control/traffic") {
+    responder->Send(JsonResponse(200, {{"requests", traffic_.requests},
+                                       {"bytes_in", traffic_.bytes_in},
+                                       {"bytes_out", traffic_.bytes_out},
+                                       {"whole_lists", traffic_.whole_lists}}));
+    return;
+  }
   if (faults_.Silent(request.connection)) {
     return;
   }
@@ -50,6 +68,7 @@
     return;
   }
   const HttpResponse response = Answer(request);
+  Count(request, response);
   if (faults_.lose_answers) {
     return;
   }
@@ -65,8 +84,8 @@
     if (request.path == "/v1/read") {
       return Read(json::parse(request.body));
     }
-    if (request.path == "/v1/hosts") {
-      return JsonResponse(200, {{"hosts", hosts_}});
+    if (request.path == kHosts) {
+      return ListHosts(request);
     }
     if (request.path.starts_with(kObjects)) {
       return Object(request);
@@ -77,6 +96,29 @@
   return JsonResponse(404, {{"error", "no such path"}});
 }
 
+void Platform::Count(const HttpRequest& request, const HttpResponse& response) {
+  ++traffic_.requests;
+  traffic_.bytes_in += request.method.size() + request.path.size() +
+                       SizeOf(request.headers) + request.body.size();
+  traffic_.bytes_out += SizeOf(response.headers) + response.body.size();
+  if (request.path == kHosts && response.status == 200) {
+    ++traffic_.whole_lists;
+  }
+}
+
+HttpResponse Platform::ListHosts(const HttpRequest& request) const {
+  HttpResponse whole = JsonResponse(200, {{"hosts", hosts_}});
+  if (faults_.no_entity_tag) {
+    return whole;
+  }
+  const std::string tag = "\"" + std::to_string(hosts_version_) + "\"";
+  if (FindHeader(request.headers, "if-none-match") == tag) {
+    return {304, {{"etag", tag}}, ""};
+  }
+  whole.headers.push_back({"etag", tag});
+  return whole;
+}
+
 json Platform::Describe(const RowKey& key) const {
   const auto row = rows_.find(key);
   const bool present = row != rows_.end();
--- a/standins/platform.h
+++ b/standins/platform.h
@@ -26,6 +26,14 @@
     nlohmann::json value;
     std::uint64_t version = 0;
   };
+  /// What callers sent and were answered since the start, without the
+  /// headers that the HTTP library adds.
+  struct Traffic {
+    std::uint64_t requests = 0;
+    std::uint64_t bytes_in = 0;
+    std::uint64_t bytes_out = 0;
+    std::uint64_t whole_lists = 0;  ///< host lists sent with their hosts
+  };
   using RowKey = std::pair<std::string, std::string>;
 
   void OnRequest(const HttpRequest& request,
@@ -34,6 +42,8 @@
   HttpResponse Transact(const nlohmann::json& body);
   HttpResponse Read(const nlohmann::json& body) const;
   HttpResponse Object(const HttpRequest& request);
+  HttpResponse ListHosts(const HttpRequest& request) const;
+  void Count(const HttpRequest& request, const HttpResponse& response);
   nlohmann::json Describe(const RowKey& key) const;
 
   EventLoop& loop_;
@@ -41,6 +51,8 @@
   std::map<RowKey, Row> rows_;
   std::map<std::string, std::string> objects_;
   nlohmann::json hosts_ = nlohmann::json::array();
+  std::uint64_t hosts_version_ = 1;
+  Traffic traffic_;
   std::uint64_t next_version_ = 1;
   HttpServer server_;
 };
--- /dev/null
+++ b/tests/process/silent_links_test.cc
@@ -0,0 +1,79 @@
+#include <signal.h>
+
+#include <chrono>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "harness.h"
+#include "pipelines.h"
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute::testing;
+
+namespace {
+
+constexpr const char* kSilence = R"({"silence_open": true})";
+
+std::uint64_t Revision(const Pipelines& run, std::size_t daemon) {
+  const Answer answer =
+      Http(run.deployment.operator_port(daemon), "GET", "/status", "");
+  const auto status = nlohmann::json::parse(answer.body, nullptr, false);
+  return status.is_object() ? status.value("revision", 0U) : 0;
+}
+
+}  // namespace
+
+TestSuite(silent_links);
+
+// What the caller sees: its resend to the second daemon, which is waiting for
+// the first to tell the outcome, is answered within its own deadline although
+// the first is frozen by then; the answer says that the outcome is unknown,
+// which is true. Once the first goes on, its caller gets the order's answer,
+// and a resend gets the same one.
+Test(silent_links, peer_frozen_while_asked_for_outcome_answer_is_true) {
+  Pipelines run(2, 1, 0);
+  run.deployment.SetFaults(run.orders, R"({"delay_ms": 2500})");
+  std::future<Answer> first = run.Post(0, "ordering", "plaque", "key-1");
+  cr_assert(Eventually(
+      10, [&] { return run.deployment.Runs(run.orders, "plaque") == 1; }));
+  std::future<Answer> resend = run.Post(1, "ordering", "plaque", "key-1");
+  cr_assert_eq(resend.wait_for(std::chrono::milliseconds(500)),
+               std::future_status::timeout);
+  run.deployment.daemon(0).Signal(SIGSTOP);
+  // Http gives up only long after the profile's deadline.
+  const Answer second = resend.get();
+  cr_assert(IsProblem(second, "outcome_unknown"), "%s", second.body.c_str());
+  run.deployment.daemon(0).Signal(SIGCONT);
+  cr_assert_neq(first.get().status, 0);
+  cr_assert_eq(run.deployment.Runs(run.orders, "plaque"), 1);
+}
+
+// What callers and operators see: after the platform's open connections went
+// silent, new claims and new revisions go through again without anyone's help.
+// The daemon's calls on the dead connections time out; it opens new ones.
+Test(silent_links, platform_connections_silent_claims_and_revisions_go_on) {
+  Pipelines run(2, 1, 0);
+  for (int round = 0; round < 3; ++round) {
+    const std::string name = "plaque-" + std::to_string(round);
+    const std::uint64_t before = Revision(run, 1);
+    run.deployment.SetPlatformFaults(kSilence);
+    cr_assert(Eventually(15, [&] {
+      const Answer order = run.Post(0, "ordering", name, name).get();
+      cr_assert(order.status == 200 || IsProblem(order, "store_unavailable") ||
+                    IsProblem(order, "outcome_unknown"),
+                "%s", order.body.c_str());
+      return order.status == 200;
+    }));
+    cr_assert_eq(run.deployment.Runs(run.orders, name), 1);
+    run.deployment.SetPlatformFaults(kSilence);
+    const std::string pool = "spare-" + std::to_string(round);
+    const std::string declared = R"({"pools": [{"name": ")" + pool + R"("}]})";
+    cr_assert(Eventually(15, [&] {
+      const int code = run.deployment.TryApply(declared);
+      return code == 0;
+    }));
+    cr_assert(Eventually(15, [&] { return Revision(run, 1) > before; }));
+  }
+}
