--- a/tests/demo/measure.cc
+++ b/tests/demo/measure.cc
@@ -56,8 +56,8 @@
 Use MeanUse(const Example& example) {
   Use use;
   for (const Entry& entry : example.entries()) {
-    use.processor_ms += ProcessorMs(entry.process->pid());
-    use.memory_kb += MemoryKb(entry.process->pid());
+    use.processor_ms += ProcessorMs(entry.process->id());
+    use.memory_kb += MemoryKb(entry.process->id());
   }
   const auto count = static_cast<double>(example.entries().size());
   return {use.processor_ms / count, use.memory_kb / count};
