Run a suspect alone on a server that was drained for it

Cause: when no idle server was left, a suspect was sent beside innocent calls at once. One neighbour could then meet all the crashes of the guilty request and use up its attempts on them.

Change: - A suspect without an idle server in favour reserves the accepting server with the fewest calls. Others leave it alone, it drains, and the suspect runs there first, before its turn in the line. - It waits for that for at most half of its time, and keeps two expected times of its rest. After that it runs beside others, as before, but never beside a call that must not be repeated. - Innocent calls go beside a suspect only if no other server works or their own time presses; a hedge never does. - A crash met beside another suspect uses up no attempt. Quarantine, which counts every crash of everyone, bounds what a guilty neighbour can do. - A refused connection puts a server out of favour at once, not after three: a dead server has nothing in flight and looks idle.

Proof, each safeguard removed alone: no reservation fails suspect_without_idle_server_waits_for_one_to_drain; no end of the wait fails suspect_runs_beside_others_when_its_time_presses; no look at effects fails suspect_never_runs_beside_a_call_that_must_not_repeat; no serving out of turn fails drained_server_goes_to_the_suspect_before_a_long_line; no excuse fails crash_beside_a_suspect_uses_up_no_attempt; three refusals again fails one_refused_connection_puts_server_out_of_favour.

--- a/packages/decision/include/gentianroute/decision/attempt.h
+++ b/packages/decision/include/gentianroute/decision/attempt.h
@@ -51,6 +51,7 @@
   bool written = false;   ///< the far end may have seen it
   bool suspect = false;
   TimePoint crash_at{};  ///< when a crash of its server was supposed; zero: no
+  bool crashed_beside_suspect = false;  ///< another suspect ran there as well
   std::uint64_t billed_bytes = 0;
 };
 
--- a/packages/decision/include/gentianroute/decision/coordinator.h
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -121,6 +121,7 @@
     kSilence,
     kHedge,
     kBackOff,
+    kIsolation,
   };
   struct Timer {
     TimePoint due;
@@ -132,6 +133,11 @@
     std::string token;
     JoinOutcome outcome;
   };
+  /// A server that others leave alone until a suspect can run there by itself.
+  struct Reservation {
+    ServerRef server;
+    RequestId holder;
+  };
   struct JoinWaiters {
     std::vector<RequestId> requests;
     std::vector<JoinId> peers;
@@ -160,7 +166,19 @@
   void EnterStage(TimePoint now, Request& request);
   void Enqueue(TimePoint now, Request& request);
   void Dispatch(TimePoint now, std::string_view pool);
-  bool MayGo(TimePoint now, const Request& request, ServerRef& server);
+  bool MayGo(TimePoint now, Request& request, ServerRef& server);
+  bool MayGoSuspect(TimePoint now,
+                    Request& request,
+                    PickContext& context,
+                    ServerRef& server);
+  bool Pick(TimePoint now,
+            PickContext& context,
+            const std::vector<ServerRef>& avoid,
+            ServerRef& server);
+  const Reservation* ReservationAt(TimePoint now, std::string_view pool) const;
+  void StartReserved(TimePoint now, std::string_view pool, FairQueue& queue);
+  void WaitForIsolation(Request& request);
+  PickContext ContextOf(TimePoint now, const Request& request);
   void BackOff(TimePoint now, Request& request);
   bool MoreSuspectsMayRun(std::string_view pool) const;
   bool IsHeld(TimePoint now, const Request& request) const;
@@ -170,6 +188,11 @@
   ServerRef Listed(const ServerRef& server) const;
   std::vector<ServerRef> BusyServers() const;
   std::vector<ServerRef> SuspectServers() const;
+  /// Those where a suspect runs, or is about to run, by itself.
+  std::vector<ServerRef> IsolatedServers(TimePoint now,
+                                         std::string_view pool) const;
+  /// Those with a call that could not be made again.
+  std::vector<ServerRef> ServersWithEffects() const;
   void CancelOthers(Request& request, AttemptId winner);
   void DispatchFreed(TimePoint now);
   void Start(TimePoint now, Request& request, ServerRef server);
@@ -216,6 +239,7 @@
   void OnSilence(TimePoint now, std::uint64_t attempt);
   void OnHedge(TimePoint now, std::uint64_t attempt);
   void OnBackOff(TimePoint now, std::uint64_t request);
+  void OnIsolationOver(TimePoint now, std::uint64_t request);
 
   Options options_;
   ServerTable& servers_;
@@ -241,6 +265,7 @@
   std::uint64_t next_request_ = 1;
   std::uint64_t next_attempt_ = 1;
   std::uint64_t next_join_ = 1;
+  std::map<std::string, Reservation, std::less<>> reservations_;  ///< by pool
   std::vector<ServerRef> suspect_servers_;  ///< one per suspect in flight
   std::unordered_map<Fingerprint, std::uint32_t> running_;  ///< calls in flight
   std::set<std::string> freed_pools_;  ///< a slot came free; not yet offered
--- a/packages/decision/include/gentianroute/decision/request.h
+++ b/packages/decision/include/gentianroute/decision/request.h
@@ -52,9 +52,12 @@
 
   std::size_t stage_index = 0;
   TimePoint queued_at{};
+  TimePoint isolate_until{};     ///< how long it may wait to keep crashes apart
+  bool isolation_timed = false;  ///< a timer of that is armed
   std::vector<AttemptId> attempts;     ///< in flight, of this stage
   std::vector<ServerRef> tried;        ///< by this stage
   std::uint32_t attempts_made = 0;     ///< by this stage
+  std::uint32_t attempts_excused = 0;  ///< of them, ended by another's crash
   std::uint32_t connect_failures = 0;  ///< by this stage
   bool stage_maybe_run = false;        ///< a call of it may have run
   std::uint64_t offset = 0;  ///< tokens received of this stage's stream
--- a/packages/decision/include/gentianroute/decision/server_table.h
+++ b/packages/decision/include/gentianroute/decision/server_table.h
@@ -46,6 +46,7 @@
   std::uint64_t prefix = 0;  ///< hash of the prompt prefix; 0: none
   std::size_t bytes = 0;     ///< estimate of what the call moves both ways
   std::span<const ServerRef> avoid;  ///< servers that this stage tried already
+  bool in_favour_only = false;       ///< none at all rather than a failing one
 };
 
 /// @brief All backend servers, which of them may get work, and how they fare.
@@ -79,6 +80,12 @@
   /// tier; the baselines may look at all
   ServerRef Pick(TimePoint now, const PickContext& context, Rng& rng);
 
+  /// @brief The accepting server in favour, free slot or not, with the fewest
+  /// calls of this daemon.
+  /// @return null if there is none
+  /// @complexity linear in servers
+  ServerRef LeastBusy(TimePoint now, const PickContext& context) const;
+
   /// @brief Whether any server of the pool accepts work, busy or not.
   bool HasServer(std::string_view pool) const;
 
@@ -88,7 +95,8 @@
 
   void OnStart(Server& server);
   void OnSuccess(TimePoint now, Server& server, Duration took);
-  void OnFailure(TimePoint now, Server& server);
+  /// @param unreachable no connection: out of favour at once
+  void OnFailure(TimePoint now, Server& server, bool unreachable = false);
   /// @brief Ends a call that says nothing about the server's health.
   void OnCancelled(Server& server);
 
--- a/packages/decision/src/coordinator.cc
+++ b/packages/decision/src/coordinator.cc
@@ -172,6 +172,9 @@
     const auto queue = queues_.find(request.stage().pool);
     if (queue != queues_.end()) {
       queue->second.Remove(request.id);
+      if (reservations_.contains(request.stage().pool)) {
+        freed_pools_.insert(request.stage().pool);
+      }
     }
   }
   if (error.has_value()) {
@@ -230,9 +233,10 @@
 }
 
 void Coordinator::Advance(TimePoint now) {
-  static constexpr std::array<TimerHandler, 5> kHandlers = {
+  static constexpr std::array<TimerHandler, 6> kHandlers = {
       &Coordinator::OnDeadline, &Coordinator::OnTooLate,
-      &Coordinator::OnSilence, &Coordinator::OnHedge, &Coordinator::OnBackOff};
+      &Coordinator::OnSilence,  &Coordinator::OnHedge,
+      &Coordinator::OnBackOff,  &Coordinator::OnIsolationOver};
   while (!timers_.empty() && timers_.top().due <= now) {
     const Timer timer = timers_.top();
     timers_.pop();
--- a/packages/decision/src/coordinator_dispatch.cc
+++ b/packages/decision/src/coordinator_dispatch.cc
@@ -26,11 +26,12 @@
   if (found == queues_.end()) {
     return;
   }
+  StartReserved(now, pool, found->second);
   while (!found->second.empty()) {
     ServerRef server;
     std::vector<RequestId> refused;
     const auto may_go = [&](const FairQueue::Waiter& candidate) {
-      const Request& request = requests_.at(candidate.request);
+      Request& request = requests_.at(candidate.request);
       if (IsPastHope(now, request)) {
         refused.push_back(request.id);
         return false;
@@ -123,11 +124,29 @@
   return servers;
 }
 
-bool Coordinator::MayGo(TimePoint now,
-                        const Request& request,
-                        ServerRef& server) {
+std::vector<ServerRef> Coordinator::IsolatedServers(
+    TimePoint now,
+    std::string_view pool) const {
+  std::vector<ServerRef> servers = SuspectServers();
+  if (const Reservation* reservation = ReservationAt(now, pool)) {
+    servers.push_back(reservation->server);
+  }
+  return servers;
+}
+
+std::vector<ServerRef> Coordinator::ServersWithEffects() const {
+  std::vector<ServerRef> servers;
+  for (const auto& [id, attempt] : attempts_) {
+    const Request& request = requests_.at(attempt.request);
+    if (!request.profile->stages[attempt.stage_index].MayRepeat()) {
+      servers.push_back(Listed(attempt.server));
+    }
+  }
+  return servers;
+}
+
+PickContext Coordinator::ContextOf(TimePoint now, const Request& request) {
   const StageSpec& stage = request.stage();
-  const bool suspect = suspects_.IsSuspect(now, request.submission.fingerprint);
   PickContext context;
   context.pool = stage.pool;
   context.objective = request.profile->objective;
@@ -138,30 +157,144 @@
   context.remaining = request.deadline - now;
   context.prefix = stage.streams ? request.submission.prefix : 0;
   context.bytes = request.submission.body.size();
-  const auto pick = [&](std::vector<ServerRef> avoid) {
-    context.avoid = avoid;
-    server = servers_.Pick(now, context, rng_);
-    context.avoid = {};
-    return server != nullptr;
-  };
-  if (suspect) {
-    // Never two suspects on one server, or its crash would name neither. Best
-    // is an idle one, where the crash hits nobody else.
-    std::vector<ServerRef> busy = BusyServers();
-    Append(busy, request.tried);
-    return MoreSuspectsMayRun(stage.pool) &&
-           (pick(std::move(busy)) || pick(SuspectServers()));
-  }
-  std::vector<ServerRef> best = SuspectServers();
+  return context;
+}
+
+bool Coordinator::Pick(TimePoint now,
+                       PickContext& context,
+                       const std::vector<ServerRef>& avoid,
+                       ServerRef& server) {
+  context.avoid = avoid;
+  server = servers_.Pick(now, context, rng_);
+  context.avoid = {};
+  return server != nullptr;
+}
+
+bool Coordinator::MayGo(TimePoint now, Request& request, ServerRef& server) {
+  const StageSpec& stage = request.stage();
+  PickContext context = ContextOf(now, request);
+  if (suspects_.IsSuspect(now, request.submission.fingerprint)) {
+    return MayGoSuspect(now, request, context, server);
+  }
+  const std::vector<ServerRef> isolated = IsolatedServers(now, stage.pool);
+  std::vector<ServerRef> best = isolated;
   Append(best, request.tried);
-  if (pick(std::move(best))) {
+  if (Pick(now, context, best, server) ||
+      Pick(now, context, isolated, server)) {
     return true;
   }
-  if (!stage.MayRepeat()) {
-    // Beside a suspect it could be cut off, and not tried again.
-    return pick(SuspectServers());
+  if (isolated.empty() || !stage.MayRepeat() ||
+      request.phase != RequestPhase::kQueued) {
+    // Beside a suspect a call could be cut off: one that can't be made again,
+    // or a hedge, gains nothing there.
+    return false;
+  }
+  if (now >= request.isolate_until) {
+    return Pick(now, context, request.tried, server) ||
+           Pick(now, context, {}, server);
+  }
+  WaitForIsolation(request);
+  context.avoid = isolated;
+  const bool others_work = servers_.LeastBusy(now, context) != nullptr;
+  return !others_work && ReservationAt(now, stage.pool) == nullptr &&
+         Pick(now, context, {}, server);
+}
+
+bool Coordinator::MayGoSuspect(TimePoint now,
+                               Request& request,
+                               PickContext& context,
+                               ServerRef& server) {
+  const std::string& pool = request.stage().pool;
+  if (!MoreSuspectsMayRun(pool)) {
+    return false;
+  }
+  // Best is an idle server, where the crash hits nobody else. One that has just
+  // died looks idle too, hence only one in favour at first.
+  const std::vector<ServerRef> busy = BusyServers();
+  std::vector<ServerRef> best = busy;
+  Append(best, request.tried);
+  context.in_favour_only = true;
+  if (Pick(now, context, best, server)) {
+    return true;
+  }
+  if (now < request.isolate_until) {
+    WaitForIsolation(request);
+    if (ReservationAt(now, pool) != nullptr) {
+      return false;
+    }
+    std::vector<ServerRef> avoid = SuspectServers();
+    Append(avoid, request.tried);
+    context.avoid = avoid;
+    const ServerRef quiet = servers_.LeastBusy(now, context);
+    if (quiet != nullptr) {
+      reservations_[pool] = {quiet, request.id};
+      return false;
+    }
+  }
+  // Never two suspects on one server, or its crash would name neither, and
+  // never beside a call whose outcome a crash would leave unknown.
+  std::vector<ServerRef> last = IsolatedServers(now, pool);
+  Append(last, ServersWithEffects());
+  context.in_favour_only = false;
+  return Pick(now, context, busy, server) || Pick(now, context, last, server);
+}
+
+const Coordinator::Reservation* Coordinator::ReservationAt(
+    TimePoint now,
+    std::string_view pool) const {
+  const auto found = reservations_.find(pool);
+  if (found == reservations_.end()) {
+    return nullptr;
+  }
+  const auto& [server, holder] = found->second;
+  const auto request = requests_.find(holder);
+  const bool lasts =
+      request != requests_.end() &&
+      request->second.phase == RequestPhase::kQueued &&
+      now < request->second.isolate_until && !IsHeld(now, request->second) &&
+      suspects_.IsSuspect(now, request->second.submission.fingerprint) &&
+      server->Accepts() && now >= server->out_of_favour_until;
+  return lasts ? &found->second : nullptr;
+}
+
+void Coordinator::StartReserved(TimePoint now,
+                                std::string_view pool,
+                                FairQueue& queue) {
+  const Reservation* reservation = ReservationAt(now, pool);
+  if (reservation == nullptr || reservation->server->in_flight > 0) {
+    return;
+  }
+  // In its turn it could come after more waiters than are asked, and the server
+  // would stand idle.
+  const RequestId holder = reservation->holder;
+  ServerRef server = reservation->server;
+  const auto may_go = [&](const FairQueue::Waiter& candidate) {
+    Request& request = requests_.at(candidate.request);
+    return !IsPastHope(now, request) && MayGo(now, request, server);
+  };
+  const auto others = [holder](const FairQueue::Waiter& candidate) {
+    return candidate.request != holder;
+  };
+  if (queue.Pop(now, may_go, 1, others).has_value()) {
+    paces_[std::string(pool)].OnStart(now, !queue.empty());
+    Start(now, requests_.at(holder), std::move(server));
+  }
+}
+
+void Coordinator::WaitForIsolation(Request& request) {
+  if (!request.isolation_timed && request.phase == RequestPhase::kQueued) {
+    request.isolation_timed = true;
+    Arm(request.isolate_until, TimerKind::kIsolation, request.id.value);
+  }
+}
+
+void Coordinator::OnIsolationOver(TimePoint now, std::uint64_t id) {
+  const auto found = requests_.find(RequestId{id});
+  if (found != requests_.end() &&
+      found->second.phase == RequestPhase::kQueued) {
+    const std::string pool = found->second.stage().pool;
+    Dispatch(now, pool);
   }
-  return pick(request.tried) || pick({});
 }
 
 bool Coordinator::MoreSuspectsMayRun(std::string_view pool) const {
@@ -197,12 +330,25 @@
   // Twins share a fingerprint and count once: else one crash of a batch with
   // three equal letters in it would be three crashes of that letter.
   std::set<Fingerprint> in_flight;
+  std::set<Fingerprint> suspects;
+  for (auto& [record, attempts] : at_server_) {
+    if (record->host.name != server.host.name) {
+      continue;
+    }
+    for (const Attempt& other : attempts) {
+      if (other.suspect && other.written) {
+        suspects.insert(other.fingerprint);
+      }
+    }
+  }
   for (auto& [record, attempts] : at_server_) {
     if (record->host.name != server.host.name) {
       continue;
     }
     for (Attempt& other : attempts) {
       other.crash_at = now;
+      other.crashed_beside_suspect =
+          suspects.size() > suspects.count(other.fingerprint);
       if (other.written) {
         in_flight.insert(other.fingerprint);
       }
--- a/packages/decision/src/coordinator_stages.cc
+++ b/packages/decision/src/coordinator_stages.cc
@@ -16,6 +16,9 @@
 constexpr double kMeasureWeight = 0.1;
 /// How often a request that waits for proof of a crash is looked at again.
 constexpr Duration kAccusedRetry = std::chrono::milliseconds(200);
+/// Expected times that must be left when a request stops waiting for a server
+/// by itself, or for one without a suspect.
+constexpr int kRestKept = 2;
 
 std::string QuoteText(const std::string& text) {
   return nlohmann::json(text).dump(-1, ' ', false,
@@ -39,6 +42,7 @@
   request.tried.clear();
   request.stage_maybe_run = false;
   request.attempts_made = 0;
+  request.attempts_excused = 0;
   request.connect_failures = 0;
   request.offset = 0;
   request.streamed.clear();
@@ -50,6 +54,10 @@
   const StageSpec& stage = request.stage();
   request.phase = RequestPhase::kQueued;
   request.queued_at = now;
+  request.isolate_until =
+      std::min(now + (request.deadline - now) / 2,
+               request.deadline - kRestKept * ExpectedRest(request));
+  request.isolation_timed = false;
   FairQueue& queue =
       queues_.try_emplace(stage.pool, usage_, options_.queue_order)
           .first->second;
@@ -148,6 +156,7 @@
   ++running_[attempt.fingerprint];
   if (attempt.suspect) {
     suspect_servers_.push_back(server);
+    reservations_.erase(stage.pool);
   }
   at_server_[server.get()].push_back(attempt);
   servers_.OnStart(*server);
@@ -384,7 +393,7 @@
   const Attempt attempt = Detach(id);
   Server& server = *attempt.server;
   if (meaning.blames_server) {
-    servers_.OnFailure(now, server);
+    servers_.OnFailure(now, server, failure == AttemptFailure::kConnect);
   } else {
     servers_.OnCancelled(server);
   }
@@ -401,6 +410,12 @@
     request.effects_maybe_run -= request.stage().repeatable ? 0 : 1;
     request.stage_maybe_run = request.stage().MayRepeat();
   }
+  if (attempt.crashed_beside_suspect && failure == AttemptFailure::kReset) {
+    // The other one's crash. Counted here, a neighbour that meets all crashes
+    // of the guilty one would be lost with it. What keeps a guilty neighbour
+    // from crashing on is quarantine, which counts each crash of everyone.
+    ++request.attempts_excused;
+  }
   if (request.attempts.empty()) {  // otherwise the hedge goes on
     Retry(now, request, failure, detail);
   }
@@ -420,8 +435,9 @@
   const bool harmless = !meaning.may_have_run || stage.MayRepeat();
   const bool quarantined =
       suspects_.IsQuarantined(now, request.submission.fingerprint);
-  bool again = harmless && meaning.worth_repeating && !quarantined &&
-               request.attempts_made < stage.max_attempts;
+  bool again =
+      harmless && meaning.worth_repeating && !quarantined &&
+      request.attempts_made - request.attempts_excused < stage.max_attempts;
   // A crash hits a whole batch at once, and until health notices, the server
   // that is down refuses connections faster than the live ones answer. Innocent
   // requests must not be lost to an empty budget for either: isolation bounds
--- a/packages/decision/src/server_table.cc
+++ b/packages/decision/src/server_table.cc
@@ -174,13 +174,27 @@
   for (const bool in_favour_only : {true, false}) {
     ServerRef server =
         (this->*choose)(pool->second, {now, context, in_favour_only}, rng);
-    if (server != nullptr) {
+    if (server != nullptr || context.in_favour_only) {
       return server;
     }
   }
   return nullptr;
 }
 
+ServerRef ServerTable::LeastBusy(TimePoint now,
+                                 const PickContext& context) const {
+  const Question question{now, context, true};
+  ServerRef best;
+  for (const auto& [name, server] : servers_) {
+    if (server->host.pool == context.pool && server->Accepts() &&
+        MayTake(*server, question) &&
+        (best == nullptr || server->in_flight < best->in_flight)) {
+      best = server;
+    }
+  }
+  return best;
+}
+
 ServerRef ServerTable::ChoosePredicted(const Pool& pool,
                                        const Question& question,
                                        Rng& rng) const {
@@ -331,10 +345,15 @@
                 kAverageWeight * (seconds - server.service_seconds);
 }
 
-void ServerTable::OnFailure(TimePoint now, Server& server) {
+void ServerTable::OnFailure(TimePoint now, Server& server, bool unreachable) {
   OnCancelled(server);
   ++server.failures;
   ++server.consecutive_failures;
+  if (unreachable) {
+    // A dead server has nothing in flight and so draws call after call.
+    server.consecutive_failures =
+        std::max(server.consecutive_failures, options_.failures_out_of_favour);
+  }
   if (server.consecutive_failures < options_.failures_out_of_favour) {
     return;
   }
--- a/packages/decision/tests/crashes_test.cc
+++ b/packages/decision/tests/crashes_test.cc
@@ -17,6 +17,14 @@
   return hosts;
 }
 
+/// @brief Adds a service of one stage, whose calls may be silent for long.
+void AddSingle(Bench& bench, const std::string& name, StageSpec stage) {
+  auto catalogue = std::make_shared<Catalogue>(*ThreeServices());
+  stage.first_byte_timeout = seconds(60);
+  AddService(*catalogue, name, {std::move(stage)});
+  bench.coordinator().SetCatalogue(catalogue);
+}
+
 /// @brief Runs everything to its end: a server that holds one of the guilty
 /// crashes, else its calls are answered.
 /// @return servers lost
@@ -284,6 +292,128 @@
   cr_assert_eq(bench.starts.size(), 13U);
 }
 
+// Every server is busy when the suspect's turn comes. One of them is left alone
+// until its calls are answered; newcomers go to the other one or wait, and the
+// second crash hits nobody else and names the guilty one.
+Test(crashes, suspect_without_idle_server_waits_for_one_to_drain) {
+  Bench bench(Encoders(3, 2));
+  bench.List(Encoders(1, 2));
+  const RequestId guilty = bench.Submit(SubmissionOf("lookups", "guilty"));
+  bench.Write(bench.starts.at(0).attempt);
+  bench.List({HostOf("e2", "encode", 2), HostOf("e3", "encode", 2)});
+  bench.Submit(SubmissionOf("lookups", "a"));
+  bench.Submit(SubmissionOf("lookups", "b"));
+  cr_assert_neq(bench.starts.at(1).server, bench.starts.at(2).server);
+  bench.Fail(bench.starts.at(0).attempt, AttemptFailure::kReset);
+  bench.core.suspects.OnServerDown(bench.now, "e1");
+  bench.Submit(SubmissionOf("lookups", "c"));
+  bench.Submit(SubmissionOf("lookups", "d"));
+  cr_assert_eq(bench.starts.size(), 4U);
+  const StartAttempt shared = bench.starts.at(3);
+  cr_assert_neq(shared.request, guilty);
+  const std::size_t drained = bench.starts.at(1).server == shared.server;
+  bench.Answer(bench.starts.at(1 + drained).attempt, "1");
+  cr_assert_eq(bench.starts.size(), 5U);
+  cr_assert_eq(bench.starts.at(4).request, guilty);
+  cr_assert_eq(bench.starts.at(4).server, bench.starts.at(1 + drained).server);
+  bench.Write(bench.starts.at(4).attempt);
+  bench.Crash(bench.starts.at(4).server->host.name);
+  cr_assert(bench.FinishOf(guilty)->error == ErrorKind::kStageFailed);
+  cr_assert_eq(bench.core.suspects.Quarantined(bench.now).size(), 1U);
+}
+
+// While the server drains, more requests of a lighter organisation come than
+// are asked at a time, and all rank before the suspect. They are kept off that
+// server; were the suspect not asked first, it would stand idle.
+Test(crashes, drained_server_goes_to_the_suspect_before_a_long_line) {
+  Bench bench(Encoders(1, 1));
+  const RequestId suspect = bench.Submit(SubmissionOf("lookups", "suspect"));
+  bench.Write(bench.starts.at(0).attempt);
+  bench.List({HostOf("e2", "encode", 1), HostOf("e3", "encode", 1)});
+  bench.Submit(SubmissionOf("lookups", "a"));
+  bench.Submit(SubmissionOf("lookups", "b"));
+  bench.Fail(bench.starts.at(0).attempt, AttemptFailure::kReset);
+  bench.core.suspects.OnServerDown(bench.now, "e1");
+  for (int i = 0; i < 20; ++i) {
+    Submission light = SubmissionOf("lookups", "light" + std::to_string(i));
+    light.organisation = "light";
+    bench.Submit(std::move(light));
+  }
+  cr_assert_eq(bench.starts.size(), 3U);
+  const std::size_t e2 = bench.starts.at(1).server->host.name == "e2" ? 1 : 2;
+  bench.Answer(bench.starts.at(e2).attempt, "1");
+  cr_assert_eq(bench.starts.size(), 4U);
+  cr_assert_eq(bench.starts.at(3).request, suspect);
+}
+
+// The server that it waits for doesn't drain. Half its time goes by; then the
+// suspect runs beside the others, since it may well be innocent.
+Test(crashes, suspect_runs_beside_others_when_its_time_presses) {
+  Bench bench(Encoders(1, 1));
+  AddSingle(bench, "patient", StageOf("encode"));
+  const RequestId suspect = bench.Submit(SubmissionOf("lookups", "suspect"));
+  bench.Write(bench.starts.at(0).attempt);
+  bench.List({HostOf("e2", "encode", 3)});
+  bench.Submit(SubmissionOf("patient", "long"));
+  bench.Fail(bench.starts.at(0).attempt, AttemptFailure::kReset);
+  bench.core.suspects.OnServerDown(bench.now, "e1");
+  const RequestId newcomer = bench.Submit(SubmissionOf("lookups", "newcomer"));
+  const Duration left = bench.coordinator().Find(suspect)->deadline - bench.now;
+  bench.Advance(left / 4);
+  cr_assert_eq(bench.starts.size(), 2U);
+  bench.Advance(left / 2);
+  cr_assert_eq(bench.starts.size(), 4U);
+  cr_assert(bench.coordinator().Find(suspect)->attempts.size() == 1);
+  cr_assert(bench.coordinator().Find(newcomer)->attempts.size() == 1);
+}
+
+// The only other server works on an order, which must not be made twice. A
+// crash would leave it unknown, so a suspect never runs beside it.
+Test(crashes, suspect_never_runs_beside_a_call_that_must_not_repeat) {
+  Bench bench({HostOf("e1", "encode", 2)});
+  StageSpec order = StageOf("encode");
+  order.repeatable = false;
+  AddSingle(bench, "plaques", order);
+  const RequestId suspect = bench.Submit(SubmissionOf("lookups", "suspect"));
+  bench.Write(bench.starts.at(0).attempt);
+  bench.List({HostOf("e2", "encode", 2)});
+  bench.Submit(SubmissionOf("plaques", "plaque"));
+  bench.Write(bench.starts.at(1).attempt);
+  bench.Fail(bench.starts.at(0).attempt, AttemptFailure::kReset);
+  bench.core.suspects.OnServerDown(bench.now, "e1");
+  const Duration left = bench.coordinator().Find(suspect)->deadline - bench.now;
+  for (int i = 0; i < 15; ++i) {
+    bench.Advance(left / 16);
+    cr_assert_eq(bench.starts.size(), 2U);
+  }
+}
+
+// A newcomer runs beside a suspect, for want of another server, and is cut off
+// by its crash. It has one attempt; that one was the other's, so it runs again.
+Test(crashes, crash_beside_a_suspect_uses_up_no_attempt) {
+  Bench bench(Encoders(1, 2));
+  StageSpec once = StageOf("encode");
+  once.max_attempts = 1;
+  AddSingle(bench, "single", once);
+  bench.Submit(SubmissionOf("lookups", "guilty"));
+  bench.Write(bench.starts.at(0).attempt);
+  bench.Crash("e1");
+  const RequestId newcomer = bench.Submit(SubmissionOf("single", "newcomer"));
+  cr_assert_eq(bench.starts.size(), 3U);
+  bench.Write(bench.starts.at(1).attempt);
+  bench.Write(bench.starts.at(2).attempt);
+  bench.Crash("e1");
+  cr_assert(bench.FinishOf(newcomer) == nullptr);
+  bench.Write(bench.starts.at(3).attempt);
+  bench.Crash("e1");
+  const auto again = std::ranges::find_if(
+      bench.starts.begin() + 3, bench.starts.end(),
+      [&](const StartAttempt& start) { return start.request == newcomer; });
+  cr_assert(again != bench.starts.end());
+  bench.Answer(again->attempt, "1");
+  cr_assert(!bench.FinishOf(newcomer)->error.has_value());
+}
+
 // Regression: nine families send the same letter, and one request that crashes
 // servers runs beside some of them. Equal letters in one batch were counted
 // once each, so a single crash quarantined the letter and all nine were
--- a/packages/decision/tests/server_table_test.cc
+++ b/packages/decision/tests/server_table_test.cc
@@ -162,3 +162,18 @@
   bench.table.OnStart(bench.At("e23"));
   cr_assert_neq(bench.Pick(), "e23", "a full engine holds nobody up");
 }
+
+// A dead server answers at once, by refusing, and has nothing in flight. Were
+// it kept in favour for three refusals it would look like the best one to all
+// that come meanwhile.
+Test(server_table, one_refused_connection_puts_server_out_of_favour) {
+  Bench bench({Host("a", "near"), Host("b", "near")});
+  bench.table.OnStart(bench.At("a"));
+  bench.table.OnFailure(kStart, bench.At("a"), true);
+  bench.table.OnStart(bench.At("b"));
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(bench.Pick(), "b");
+  }
+  bench.table.OnStart(bench.At("b"));
+  cr_assert_eq(bench.Pick(), "a", "better than none");
+}
