Say when a keyed request was refused before its key was looked up

Cause: no_server, deadline_too_short, overloaded and store_unavailable may end a request with an idempotency key before the store has told of its row. Their work=not_run is true of this arrival, but an earlier arrival of the key may have run, and a caller that reads "nothing ran" would send the order again under a new key.

Change: FinishRequest has key_checked, and the problem carries "key_checked": false where a request with a key and an effect (or of a service not known) was refused unread. A claim write that was not confirmed counts as unread.

--- a/packages/decision/include/gentianroute/decision/action.h
+++ b/packages/decision/include/gentianroute/decision/action.h
@@ -68,6 +68,9 @@
   std::string detail;     ///< with an error
   std::string body;       ///< without one: JSON of the last stage's result
   bool replayed = false;  ///< a stored or joined outcome of an earlier arrival
+  /// False: the error speaks of this arrival only. The row of its key was not
+  /// read, so an earlier arrival may have run.
+  bool key_checked = true;
   std::string service;
   std::string profile;
   std::string organisation;
--- a/packages/decision/include/gentianroute/decision/request.h
+++ b/packages/decision/include/gentianroute/decision/request.h
@@ -46,6 +46,7 @@
   UnixMicros arrived_wall = 0;
   std::string claim_token;           ///< empty: no claim
   bool claim_stands = false;         ///< the store confirmed the token
+  bool key_read = false;             ///< the store told of the key's row
   std::string holder_token;          ///< whose key it is, while joining
   std::uint64_t holder_version = 0;  ///< of the row as read
   bool caller_gone = false;
@@ -71,6 +72,11 @@
 
   bool MayHaveRun() const { return calls_maybe_run > 0; }
   bool EffectMayHaveRun() const { return effects_maybe_run > 0; }
+  /// @brief Whether no earlier arrival of its key can be hidden from it.
+  bool KeyChecked() const {
+    const bool has_effect = profile == nullptr || profile->HasEffect();
+    return submission.key.empty() || !has_effect || key_read;
+  }
   const StageSpec& stage() const { return profile->stages[stage_index]; }
   bool OnLastStage() const { return stage_index + 1 == profile->stages.size(); }
 };
--- a/packages/decision/src/coordinator.cc
+++ b/packages/decision/src/coordinator.cc
@@ -191,6 +191,7 @@
   finish.detail = std::move(detail);
   finish.body = std::move(body);
   finish.replayed = replayed;
+  finish.key_checked = request.KeyChecked();
   finish.service = request.submission.service;
   finish.organisation = request.submission.organisation;
   finish.subscriber = request.submission.subscriber;
--- a/packages/decision/src/coordinator_claims.cc
+++ b/packages/decision/src/coordinator_claims.cc
@@ -39,6 +39,7 @@
   Request& request = found->second;
   GR_INVARIANT(request.phase == RequestPhase::kClaiming);
   GR_INVARIANT(request.claim_token == verdict.token);
+  request.key_read |= verdict.outcome != ClaimOutcome::kUnavailable;
   switch (verdict.outcome) {
     case ClaimOutcome::kStands:
       request.claim_stands = true;
--- a/packages/decision/tests/claims_test.cc
+++ b/packages/decision/tests/claims_test.cc
@@ -185,3 +185,32 @@
   cr_assert(bench.FinishOf(resend)->error == ErrorKind::kOutcomeUnknown);
   cr_assert_eq(bench.starts.size(), 1U);
 }
+
+// An earlier arrival of the key ran, at another daemon. Its resend is refused
+// before the row was read: "not run" is true of this arrival alone, and the
+// answer says that the key was not looked at. Once the row was read it doesn't.
+Test(claims, refusal_before_the_row_is_read_says_key_not_checked) {
+  Bench bench(Orders());
+  bench.List({});
+  const RequestId unread = bench.Submit(Order());
+  cr_assert(bench.FinishOf(unread)->error == ErrorKind::kNoServer);
+  cr_assert_not(bench.FinishOf(unread)->key_checked);
+  Submission unkeyed = Order();
+  unkeyed.key.clear();
+  const RequestId without = bench.Submit(std::move(unkeyed));
+  cr_assert(bench.FinishOf(without)->key_checked);
+  const RequestId lookup = bench.Submit(SubmissionOf("lookups", "x", "key-1"));
+  cr_assert(bench.FinishOf(lookup)->key_checked, "it has no effect");
+
+  bench.List(Orders());
+  const RequestId lost = bench.Submit(Order());
+  LoseClaimWrite(bench);
+  cr_assert(bench.FinishOf(lost)->error == ErrorKind::kStoreUnavailable);
+  cr_assert_not(bench.FinishOf(lost)->key_checked);
+  bench.Submit(Order());
+  bench.Settle();
+  const RequestId other = bench.Submit(Order("other"));
+  bench.Settle();
+  cr_assert(bench.FinishOf(other)->error == ErrorKind::kKeyConflict);
+  cr_assert(bench.FinishOf(other)->key_checked);
+}
--- a/packages/entry/include/gentianroute/entry/problem.h
+++ b/packages/entry/include/gentianroute/entry/problem.h
@@ -10,15 +10,18 @@
 namespace gentianroute {
 
 /// @brief The problem+json body of an error.
+/// @param key_checked false: an earlier arrival of its key may have run
 std::string ProblemBody(ErrorKind kind,
                         std::string_view detail,
-                        std::string_view request_id);
+                        std::string_view request_id,
+                        bool key_checked = true);
 
 /// @brief The whole answer to an error, with Retry-After where the table has
 /// one.
 HttpResponse ProblemResponse(ErrorKind kind,
                              std::string_view detail,
-                             std::string_view request_id);
+                             std::string_view request_id,
+                             bool key_checked = true);
 
 /// @brief The answer to a request that the HTTP library turned down with a
 /// status of its own, before any of it was handed on.
--- a/packages/entry/src/caller_api.cc
+++ b/packages/entry/src/caller_api.cc
@@ -237,7 +237,8 @@
                        const HttpRequest& request,
                        HttpResponder& responder) {
   const std::string id = id_prefix_ + "-refused-" + std::to_string(++refused_);
-  HttpResponse response = ProblemResponse(kind, detail, id);
+  const bool has_key = !FindHeader(request.headers, "idempotency-key").empty();
+  HttpResponse response = ProblemResponse(kind, detail, id, !has_key);
   if (kind == ErrorKind::kMethodNotAllowed) {
     response.headers.push_back({"allow", "POST"});
   }
@@ -331,8 +332,8 @@
   }
   HttpResponse response;
   if (finish.error.has_value()) {
-    response =
-        ProblemResponse(*finish.error, finish.detail, exchange.request_id);
+    response = ProblemResponse(*finish.error, finish.detail,
+                               exchange.request_id, finish.key_checked);
   } else {
     response.headers = {{"content-type", "application/json"}};
     response.body = finish.body;
@@ -349,10 +350,11 @@
 void CallerApi::SendStreamEnd(const Exchange& exchange,
                               const FinishRequest& finish) {
   if (finish.error.has_value()) {
-    exchange.responder->Write(
-        "event: error\ndata: " +
-        ProblemBody(*finish.error, finish.detail, exchange.request_id) +
-        "\n\n");
+    exchange.responder->Write("event: error\ndata: " +
+                              ProblemBody(*finish.error, finish.detail,
+                                          exchange.request_id,
+                                          finish.key_checked) +
+                              "\n\n");
     exchange.responder->End();
     return;
   }
--- a/packages/entry/src/problem.cc
+++ b/packages/entry/src/problem.cc
@@ -6,7 +6,8 @@
 
 std::string ProblemBody(ErrorKind kind,
                         std::string_view detail,
-                        std::string_view request_id) {
+                        std::string_view request_id,
+                        bool key_checked) {
   const ErrorAnswer answer = AnswerFor(kind);
   nlohmann::json body = {
       {"type", "about:blank"},
@@ -20,12 +21,16 @@
   if (!request_id.empty()) {
     body["request_id"] = request_id;
   }
+  if (!key_checked) {
+    body["key_checked"] = false;
+  }
   return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 HttpResponse ProblemResponse(ErrorKind kind,
                              std::string_view detail,
-                             std::string_view request_id) {
+                             std::string_view request_id,
+                             bool key_checked) {
   const ErrorAnswer answer = AnswerFor(kind);
   HttpResponse response;
   response.status = answer.http_status;
@@ -38,7 +43,7 @@
         std::chrono::ceil<std::chrono::seconds>(answer.retry_after).count();
     response.headers.push_back({"retry-after", std::to_string(seconds)});
   }
-  response.body = ProblemBody(kind, detail, request_id);
+  response.body = ProblemBody(kind, detail, request_id, key_checked);
   return response;
 }
 
--- a/tests/process/claim_failure_test.cc
+++ b/tests/process/claim_failure_test.cc
@@ -70,6 +70,7 @@
     cr_assert(IsProblem(order, "store_unavailable"), "%s: %s", fault,
               order.body.c_str());
     cr_assert(order.body.find(R"("work":"not_run")") != std::string::npos);
+    cr_assert(order.body.find(R"("key_checked":false)") != std::string::npos);
     cr_assert(order.headers.find("retry-after: ") != std::string::npos);
     cr_assert_eq(run.Post(0, "chat", "question").get().status, 200);
   }
