Stop the test harness from losing answers and ports

claim_failure_test failed now and then, under load.

Two causes were seen, both in the harness: - daemon_frozen_during_order_and_resumed_order_runs_once had no answer from the first daemon, though that one logged kind=answered. With the errno noted in a scratch build, recv() had ended with EINTR in that run and in no other. A recv() with a time limit is never restarted; Http() took it for the end of the answer. FreePort() gave ports of the range that outgoing connections and port 0 take from, so another process could have them before the daemon listened. They now come from below that range, at random, since several programs may pick at once.

No assertion is changed.

--- a/tests/process/connection.cc
+++ b/tests/process/connection.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 
 namespace gentianroute::testing {
 namespace {
@@ -17,6 +18,14 @@
 
 }  // namespace
 
+ssize_t Receive(int fd, void* buffer, std::size_t size) {
+  ssize_t got = 0;
+  do {
+    got = recv(fd, buffer, size, 0);
+  } while (got < 0 && errno == EINTR);
+  return got;
+}
+
 Connection::Connection(std::uint16_t port)
     : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   constexpr int kSeconds = 30;
@@ -55,7 +64,7 @@
 std::string Connection::ReadTo(std::string_view mark) const {
   std::string text;
   char c = 0;
-  while (!text.ends_with(mark) && recv(fd_, &c, 1, 0) == 1) {
+  while (!text.ends_with(mark) && Receive(fd_, &c, 1) == 1) {
     text += c;
   }
   return text;
@@ -72,7 +81,7 @@
   }
   std::size_t left = std::stoul(text.substr(at + kLength.size()));
   char c = 0;
-  while (left > 0 && recv(fd_, &c, 1, 0) == 1) {
+  while (left > 0 && Receive(fd_, &c, 1) == 1) {
     text += c;
     --left;
   }
--- a/tests/process/connection.h
+++ b/tests/process/connection.h
@@ -1,12 +1,21 @@
 #ifndef GENTIANROUTE_TESTS_PROCESS_CONNECTION_H_
 #define GENTIANROUTE_TESTS_PROCESS_CONNECTION_H_
 
+#include <sys/types.h>
+
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace gentianroute::testing {
 
+/// @brief Reads what has come, and goes on when a signal interrupts it: with a
+/// time limit set, recv() is never restarted and says EINTR, which would pass
+/// for the end of the answer.
+/// @return bytes read; 0 at the end; below 0 on an error
+ssize_t Receive(int fd, void* buffer, std::size_t size);
+
 /// @brief A connection that a test holds open, to send what it likes.
 class Connection {
  public:
--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -15,8 +15,11 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <stdexcept>
 
+#include "connection.h"
+
 extern char** environ;
 
 namespace gentianroute::testing {
@@ -35,18 +38,28 @@
 }
 
 /// A port that was free a moment ago; the listener takes it with SO_REUSEADDR.
+// Below the range that the kernel serves outgoing connections and port 0 from:
+// a port of that range may be taken again before the daemon listens on it, and
+// the daemon then ends with "address already in use".
 std::uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0) {
-    throw std::runtime_error("no free port");
+  constexpr int kTries = 100;
+  static std::random_device random;
+  std::uniform_int_distribution<int> ports(10'000, 32'000);
+  for (int i = 0; i < kTries; ++i) {
+    const auto port = static_cast<std::uint16_t>(ports(random));
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int failed =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    close(fd);
+    if (failed == 0) {
+      return port;
+    }
   }
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+  throw std::runtime_error("no free port");
 }
 
 int ConnectTo(std::uint16_t port, int seconds) {
@@ -163,7 +176,7 @@
   if (send(fd, request.data(), request.size(), MSG_NOSIGNAL) > 0) {
     char buffer[4096];
     ssize_t got = 0;
-    while ((got = recv(fd, buffer, sizeof(buffer), 0)) > 0) {
+    while ((got = Receive(fd, buffer, sizeof(buffer))) > 0) {
       text.append(buffer, static_cast<std::size_t>(got));
     }
   }
