--- a/tests/demo/example.h
+++ b/tests/demo/example.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "../process/harness.h"
+#include "process.h"
 
 namespace gentianroute::testing {
 
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -1,58 +1,14 @@
 #ifndef GENTIANROUTE_TESTS_PROCESS_HARNESS_H_
 #define GENTIANROUTE_TESTS_PROCESS_HARNESS_H_
 
-#include <sys/types.h>
-
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
-namespace gentianroute::testing {
-
-/// @brief Path of a built program, like `apps/gentianctl`.
-std::string Binary(const std::string& name);
-
-/// @brief One process that a test started; ended by its id at the latest when
-/// this is destroyed, or when the process of a failed test exits.
-class Process {
- public:
-  Process(const std::vector<std::string>& command,
-          const std::string& error_file);
-  ~Process();
-  Process(const Process&) = delete;
-  Process& operator=(const Process&) = delete;
-
-  pid_t id() const { return pid_; }
-  void Signal(int number) const;
-  /// @brief Waits for the end.
-  /// @return exit status, or 128 + signal; -1 if it goes on for `seconds`
-  int Wait(int seconds);
-  /// @brief Reads standard output up to `name=` and a number.
-  std::uint16_t ReadPort();
-  /// @brief Reads standard output to its end.
-  std::string ReadAll();
-
- private:
-  pid_t pid_ = -1;
-  int output_ = -1;
-  int status_ = -1;
-};
-
-/// @brief Answer of a blocking HTTP call.
-struct Answer {
-  int status = 0;  ///< 0: none
-  std::string headers;
-  std::string body;
-};
+#include "process.h"
 
-/// @brief Calls over a new connection and reads to the end of the answer.
-Answer Http(std::uint16_t port,
-            const std::string& method,
-            const std::string& path,
-            const std::string& body,
-            const std::vector<std::string>& headers = {},
-            int seconds = 10);
+namespace gentianroute::testing {
 
 /// @brief A platform, backend servers and daemons, all as processes.
 class Deployment {
@@ -138,13 +94,6 @@
   std::vector<Daemon> daemons_;
 };
 
-/// @brief Polls until `condition` holds.
-/// @return false if it does not within `seconds`
-template <typename Condition>
-bool Eventually(int seconds, Condition condition);
-
 }  // namespace gentianroute::testing
 
-#include "harness_inl.h"
-
 #endif  // GENTIANROUTE_TESTS_PROCESS_HARNESS_H_
--- /dev/null
+++ b/tests/process/process.cc
@@ -0,0 +1,184 @@
+#include "process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <set>
+#include <stdexcept>
+
+#include "connection.h"
+
+extern char** environ;
+
+namespace gentianroute::testing {
+namespace {
+
+constexpr int kSignalBase = 128;
+
+/// Processes that run, as far as is known. Never destroyed: tests with a
+/// deployment in a static variable end theirs last of all.
+std::set<pid_t>& Running() {
+  static auto* processes = new std::set<pid_t>;
+  return *processes;
+}
+
+/// A failed assertion leaves its test by a jump and destroys nothing: the
+/// processes that the test started would run on, a frozen one for ever. The
+/// process of a test exits after each failed assertion, and then runs this.
+void EndRunning() {
+  for (const pid_t process : Running()) {
+    kill(process, SIGKILL);
+  }
+}
+
+int ConnectTo(std::uint16_t port, int seconds) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const timeval timeout{seconds, 0};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+  setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
+  if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+      0) {
+    close(fd);
+    return -1;
+  }
+  return fd;
+}
+
+}  // namespace
+
+std::string Binary(const std::string& name) {
+  const char* folder = std::getenv("GENTIANROUTE_BIN");
+  return std::string(folder == nullptr ? "build" : folder) + "/" + name;
+}
+
+Process::Process(const std::vector<std::string>& command,
+                 const std::string& error_file) {
+  int pipe_ends[2];
+  if (pipe2(pipe_ends, O_CLOEXEC) != 0) {
+    throw std::runtime_error("no pipe");
+  }
+  output_ = pipe_ends[0];
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, error_file.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
+  for (const std::string& argument : command) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  const int failed = posix_spawn(&pid_, command.front().c_str(), &actions,
+                                 nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(pipe_ends[1]);
+  if (failed != 0) {
+    throw std::runtime_error("can't start " + command.front());
+  }
+  if (Running().empty()) {
+    std::atexit(&EndRunning);
+  }
+  Running().insert(pid_);
+}
+
+Process::~Process() {
+  if (status_ < 0 && pid_ > 0) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  Running().erase(pid_);
+  close(output_);
+}
+
+void Process::Signal(int number) const {
+  kill(pid_, number);
+}
+
+int Process::Wait(int seconds) {
+  const bool ended = Eventually(seconds, [this] {
+    int status = 0;
+    if (status_ < 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
+      status_ = WIFEXITED(status) ? WEXITSTATUS(status)
+                                  : kSignalBase + WTERMSIG(status);
+      Running().erase(pid_);
+    }
+    return status_ >= 0;
+  });
+  return ended ? status_ : -1;
+}
+
+std::uint16_t Process::ReadPort() {
+  std::string text;
+  char c = 0;
+  while (read(output_, &c, 1) == 1 && c != '\n') {
+    text += c;
+  }
+  const std::size_t equals = text.find('=');
+  if (equals == std::string::npos) {
+    throw std::runtime_error("no port in '" + text + "'");
+  }
+  return static_cast<std::uint16_t>(std::stoi(text.substr(equals + 1)));
+}
+
+std::string Process::ReadAll() {
+  std::string text;
+  char buffer[4096];
+  ssize_t got = 0;
+  while ((got = read(output_, buffer, sizeof(buffer))) > 0) {
+    text.append(buffer, static_cast<std::size_t>(got));
+  }
+  return text;
+}
+
+Answer Http(std::uint16_t port,
+            const std::string& method,
+            const std::string& path,
+            const std::string& body,
+            const std::vector<std::string>& headers,
+            int seconds) {
+  const int fd = ConnectTo(port, seconds);
+  if (fd < 0) {
+    return {};
+  }
+  std::string request = method + " " + path + " HTTP/1.1\r\nhost: test\r\n";
+  for (const std::string& header : headers) {
+    request += header + "\r\n";
+  }
+  request +=
+      "connection: close\r\ncontent-length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
+  std::string text;
+  if (send(fd, request.data(), request.size(), MSG_NOSIGNAL) > 0) {
+    char buffer[4096];
+    ssize_t got = 0;
+    while ((got = Receive(fd, buffer, sizeof(buffer))) > 0) {
+      text.append(buffer, static_cast<std::size_t>(got));
+    }
+  }
+  close(fd);
+  const std::size_t split = text.find("\r\n\r\n");
+  if (split == std::string::npos) {
+    return {};
+  }
+  constexpr std::size_t kStatusAt = 9;
+  Answer answer;
+  answer.headers = text.substr(0, split);
+  answer.body = text.substr(split + 4);
+  answer.status = std::atoi(answer.headers.substr(kStatusAt, 3).c_str());
+  return answer;
+}
+
+}  // namespace gentianroute::testing
--- a/tests/process/store_outage_test.cc
+++ b/tests/process/store_outage_test.cc
@@ -3,7 +3,6 @@
 #include <string>
 
 #include "harness.h"
-#include "harness_inl.h"
 
 #include <criterion/criterion.h>
 
