--- a/packages/entry/include/gentianroute/entry/peer_links.h
+++ b/packages/entry/include/gentianroute/entry/peer_links.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,8 @@
   virtual void OnRevisions(const std::vector<ConfigRevision>& revisions) = 0;
   virtual ConfigSnapshot Snapshot() = 0;
   virtual void OnSnapshot(const ConfigSnapshot& snapshot) = 0;
+  virtual std::span<const HostRecord> Hosts() const = 0;
+  virtual void OnHosts(const std::vector<HostRecord>& hosts) = 0;
   virtual void OnJoin(std::string_view token,
                       std::function<void(JoinOutcome)> done) = 0;
 };
@@ -78,6 +81,9 @@
   /// A peer that no longer keeps all of it is asked for a snapshot instead.
   void FetchRevisions(const std::string& peer, std::uint64_t after);
 
+  /// @brief Asks a peer for the host list that it goes by; OnHosts() hears it.
+  void FetchHosts(const std::string& peer);
+
   /// @brief Asks a daemon for the outcome of a claim.
   /// @param done called once; kUnknown if it is not reached in time
   void AskOutcome(std::string_view daemon,
@@ -98,6 +104,7 @@
   void ExchangeNow(Link& link);
   void FetchNow(Link& link, std::uint64_t after);
   void FetchSnapshot(Link& link);
+  void FetchHostsNow(Link& link);
   /// Calls back once the link is connected; never if it does not come up.
   void WhenConnected(const std::string& peer,
                      std::uint32_t checks,
--- a/packages/entry/include/gentianroute/entry/peer_service.h
+++ b/packages/entry/include/gentianroute/entry/peer_service.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -36,15 +37,23 @@
     Coordinator& coordinator;
   };
 
+  using HostsHeard = std::function<void(const std::vector<HostRecord>&)>;
+
   /// @param changed called when a peer brought a newer revision
+  /// @param hosts_heard called with a peer's host list while there is none
   /// @param touch called when the coordinator has something to do
   PeerService(EventLoop& loop,
               const Parts& parts,
               std::function<void()> changed,
+              HostsHeard hosts_heard,
               std::function<void()> touch);
 
   /// @brief The links over which news goes out; set once, before any call.
   void SetLinks(PeerLinks& links) { links_ = &links; }
+  /// @brief The host list that this daemon goes by now.
+  void SetHosts(const std::vector<HostRecord>& hosts);
+  /// @brief Whether it has a host list, of the platform's or a peer's.
+  bool knows_hosts() const { return knows_hosts_; }
   void BeginDrain() { draining_ = true; }
   /// @brief Tells peers at once of servers that are found to be leaving.
   void NoteLeaving();
@@ -59,6 +68,8 @@
   void OnRevisions(const std::vector<ConfigRevision>& revisions) override;
   ConfigSnapshot Snapshot() override { return parts_.follower.Snapshot(); }
   void OnSnapshot(const ConfigSnapshot& snapshot) override;
+  std::span<const HostRecord> Hosts() const override { return hosts_; }
+  void OnHosts(const std::vector<HostRecord>& hosts) override;
   void OnJoin(std::string_view token,
               std::function<void(JoinOutcome)> done) override;
 
@@ -66,7 +77,10 @@
   EventLoop& loop_;
   Parts parts_;
   std::function<void()> changed_;
+  HostsHeard hosts_heard_;
   std::function<void()> touch_;
+  std::vector<HostRecord> hosts_;
+  bool knows_hosts_ = false;
   PeerLinks* links_ = nullptr;
   std::unordered_map<JoinId, std::function<void(JoinOutcome)>> joins_;
   std::size_t quarantine_turn_ = 0;
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -64,6 +64,7 @@
           {settings.get(), incarnation_, servers_, leaving_news_, usage_,
            suspects_, follower_, poll_schedule_, peer_revisions_, coordinator_},
           [this] { OnConfigChanged(); },
+          [this](const std::vector<HostRecord>& hosts) { ApplyHosts(hosts); },
           [this] { Touch(); }) {
   const auto root = settings.get();
   callers_ = std::make_unique<HttpServer>(
@@ -217,6 +218,7 @@
 }
 
 void Daemon::ApplyHosts(const std::vector<HostRecord>& hosts) {
+  peer_service_.SetHosts(hosts);
   std::vector<HostRecord> backends;
   std::vector<PeerAddress> peers = seeds_;
   std::vector<std::string> neighbours;
@@ -272,7 +274,7 @@
 // --- Operators --------------------------------------------------------------
 
 bool Daemon::Ready() const {
-  return follower_.known() && !draining_;
+  return follower_.known() && peer_service_.knows_hosts() && !draining_;
 }
 
 json Daemon::Status() const {
--- a/packages/entry/src/peer_links.cc
+++ b/packages/entry/src/peer_links.cc
@@ -38,6 +38,32 @@
   return outcome;
 }
 
+void WriteHost(const HostRecord& host, schema::Host::Builder builder) {
+  builder.setName(host.name);
+  builder.setAddress(host.address);
+  builder.setPort(host.port);
+  builder.setPool(host.pool);
+  builder.setDataCentre(host.data_centre);
+  builder.setRegion(host.region);
+  builder.setIncarnation(host.incarnation);
+  builder.setSlots(host.slots);
+  builder.setLeaving(host.leaving);
+}
+
+HostRecord ReadHost(schema::Host::Reader reader) {
+  HostRecord host;
+  host.name = reader.getName().cStr();
+  host.address = reader.getAddress().cStr();
+  host.port = reader.getPort();
+  host.pool = reader.getPool().cStr();
+  host.data_centre = reader.getDataCentre().cStr();
+  host.region = reader.getRegion().cStr();
+  host.incarnation = reader.getIncarnation();
+  host.slots = reader.getSlots();
+  host.leaving = reader.getLeaving();
+  return host;
+}
+
 }  // namespace
 
 /// The capability that every connected peer gets.
@@ -69,6 +95,16 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> hosts(HostsContext context) override {
+    const std::span<const HostRecord> hosts = handler_.Hosts();
+    auto list =
+        context.getResults().initHosts(static_cast<unsigned>(hosts.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      WriteHost(hosts[i], list[i]);
+    }
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> join(JoinContext context) override {
     struct Pending {
       JoinOutcome outcome;
@@ -307,6 +343,31 @@
       Guard(kj::mv(call), link.address.name, options_.call_timeout));
 }
 
+void PeerLinks::FetchHosts(const std::string& peer) {
+  const PeerAddress* address = Find(peer);
+  if (address == nullptr) {
+    return;
+  }
+  LinkTo(*address);
+  WhenConnected(peer, kConnectChecks,
+                [this](Link& ready) { FetchHostsNow(ready); });
+}
+
+void PeerLinks::FetchHostsNow(Link& link) {
+  auto request =
+      link.connection.bootstrap().castAs<schema::Peer>().hostsRequest();
+  auto call = request.send().then(
+      [this](capnp::Response<schema::Peer::HostsResults>&& response) {
+        std::vector<HostRecord> hosts;
+        for (const auto host : response.getHosts()) {
+          hosts.push_back(ReadHost(host));
+        }
+        handler_.OnHosts(hosts);
+      });
+  tasks_->set.add(
+      Guard(kj::mv(call), link.address.name, options_.call_timeout));
+}
+
 void PeerLinks::AskOutcome(std::string_view daemon,
                            const Claim& claim,
                            Duration timeout,
--- a/packages/entry/src/peer_service.cc
+++ b/packages/entry/src/peer_service.cc
@@ -25,10 +25,12 @@
 PeerService::PeerService(EventLoop& loop,
                          const Parts& parts,
                          std::function<void()> changed,
+                         HostsHeard hosts_heard,
                          std::function<void()> touch)
     : loop_(loop),
       parts_(parts),
       changed_(std::move(changed)),
+      hosts_heard_(std::move(hosts_heard)),
       touch_(std::move(touch)) {}
 
 void PeerService::NoteLeaving() {
@@ -104,6 +106,24 @@
   if (digest.getRevision() > parts_.follower.revision()) {
     links_->FetchRevisions(peer, parts_.follower.revision());
   }
+  if (!knows_hosts_) {
+    links_->FetchHosts(peer);
+  }
+}
+
+void PeerService::SetHosts(const std::vector<HostRecord>& hosts) {
+  hosts_ = hosts;
+  knows_hosts_ = true;
+}
+
+void PeerService::OnHosts(const std::vector<HostRecord>& hosts) {
+  // A host that starts while the platform is out would refuse every request
+  // for want of servers, though its peers know them. Only a daemon without a
+  // list takes one from a peer, and the platform's replaces it, so that an old
+  // list can't come back by way of peers.
+  if (!knows_hosts_ && !hosts.empty()) {
+    hosts_heard_(hosts);
+  }
 }
 
 std::vector<ConfigRevision> PeerService::RevisionsAfter(std::uint64_t revision,
--- a/packages/schema/schema/peer.capnp
+++ b/packages/schema/schema/peer.capnp
@@ -21,6 +21,19 @@
   remainingMs @1 :UInt32;
 }
 
+struct Host {
+  # As the platform's list has it; the load is left out, it would be too old.
+  name @0 :Text;
+  address @1 :Text;
+  port @2 :UInt16;
+  pool @3 :Text;
+  dataCentre @4 :Text;
+  region @5 :Text;
+  incarnation @6 :UInt64;
+  slots @7 :UInt32;
+  leaving @8 :Bool;
+}
+
 struct Digest {
   # Exchanged at each heartbeat; soft state only.
   daemon @0 :Text;
@@ -47,4 +60,5 @@
   revisions @1 (after :UInt64, limit :UInt32) -> (revisions :List(Platform.ConfigRevision));
   join @2 (organisation :Text, key :Text, token :Text) -> (outcome :Outcome);
   snapshot @3 () -> (snapshot :Platform.ConfigSnapshot);
+  hosts @4 () -> (hosts :List(Host));
 }
