Name a failure while running as such in the log

Cause: an exception after the start was logged as start_failed, which sent a reader to the settings. Change: run_failed once the loop runs. Measured: builds; seen by reading, no run showed it.

--- a/apps/gentianroute/main.cc
+++ b/apps/gentianroute/main.cc
@@ -25,17 +25,19 @@
 constexpr int kExitFailed = 1;
 
 int Serve(const Settings& settings) {
+  const char* event = "start_failed";
   try {
     EventLoop loop;
     Daemon daemon(loop, settings);
     daemon.SetStop([&loop] { loop.Stop(); });
     loop.OnSignal(SIGTERM, [&] { daemon.Drain([&loop] { loop.Stop(); }); });
     loop.OnSignal(SIGINT, [&] { daemon.Drain([&loop] { loop.Stop(); }); });
+    event = "run_failed";
     loop.Run();
     LogEvent("stopped");
     return 0;
   } catch (const std::exception& error) {
-    LogEvent("start_failed", LogLevel::kError).Field("error", error.what());
+    LogEvent(event, LogLevel::kError).Field("error", error.what());
     return kExitFailed;
   }
 }
--- a/tests/process/outage_start_test.cc
+++ b/tests/process/outage_start_test.cc
@@ -1,7 +1,6 @@
 #include <string>
 
 #include "harness.h"
-#include "harness_inl.h"
 #include "pipelines.h"
 
 #include <criterion/criterion.h>
