--- a/packages/decision/include/gentianroute/decision/coordinator.h
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -115,6 +115,9 @@
   const Request* Find(RequestId request) const;
 
  private:
+  /// How often a request that waits for proof of a crash is looked at again.
+  static constexpr Duration kAccusedRetry = std::chrono::milliseconds(200);
+
   enum class TimerKind : std::uint8_t {
     kDeadline,
     kTooLate,
