--- a/benchmarks/capacity/capacity_bench.cc
+++ b/benchmarks/capacity/capacity_bench.cc
@@ -1,6 +1,7 @@
 // Measures how the work and the state of one daemon grow; docs/CAPACITY.md
 // takes its figures from here.
 
+#include <algorithm>
 #include <cstdio>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -18,6 +19,7 @@
 #include "gentianroute/schema/declarations.h"
 #include "gentianroute/schema/rows.h"
 #include "slope.h"
+#include "spread.h"
 
 #include <peer.capnp.h>
 
@@ -251,6 +253,22 @@
              kThousand);
 }
 
+/// The slowest of some seeds, since "everywhere" is as late as the last one.
+Slope TimeInForce(const std::string& name, std::uint32_t rumours) {
+  constexpr std::uint64_t kSeeds = 20;
+  constexpr double kDaemons = 810;
+  std::vector<Point> points;
+  for (const std::size_t daemons : {9U, 90U, 270U, 810U}) {
+    double slowest = 0;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      slowest =
+          std::max(slowest, SecondsUntilInForce({daemons, rumours, seed}));
+    }
+    points.push_back({static_cast<double>(daemons), slowest});
+  }
+  return Fit(name, "daemons", "virtual s", std::move(points), kDaemons);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -259,8 +277,16 @@
   app.add_option("--output", output)->check(CLI::IsMember({"text", "json"}));
   CLI11_PARSE(app, argc, argv);
   const std::vector<Slope> slopes = {
-      HostListTime(), HostListMemory(), HostListBytes(), HeaviestTime(),
-      UsageMemory(),  DigestBytes(),    RevisionTime(),  ClaimTime()};
+      HostListTime(),
+      HostListMemory(),
+      HostListBytes(),
+      HeaviestTime(),
+      UsageMemory(),
+      DigestBytes(),
+      RevisionTime(),
+      ClaimTime(),
+      TimeInForce("revision in force everywhere, with rumours", 1),
+      TimeInForce("revision in force everywhere, without rumours", 0)};
   std::printf("%s\n", output == "json" ? ToJson(slopes).c_str()
                                        : ToText(slopes).c_str());
   return 0;
--- /dev/null
+++ b/benchmarks/capacity/spread.cc
@@ -0,0 +1,135 @@
+#include "spread.h"
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "gentianroute/base/check.h"
+#include "gentianroute/decision/config_follower.h"
+#include "gentianroute/schema/declarations.h"
+
+namespace gentianroute::capacity {
+namespace {
+
+constexpr Duration kOneWay = std::chrono::milliseconds(20);
+constexpr Duration kPeriod = std::chrono::seconds(1);
+constexpr std::size_t kPeersInRound = 1;
+constexpr std::size_t kPeersInRumour = 2;
+constexpr std::size_t kRevisionsPerCall = 64;
+
+/// Daemons with real followers; messages are events in virtual time.
+class Spread {
+ public:
+  explicit Spread(const SpreadOptions& options)
+      : options_(options), rng_(options.seed) {
+    for (std::size_t i = 0; i < options.daemons; ++i) {
+      followers_.push_back(std::make_unique<ConfigFollower>(codec_));
+    }
+    rumours_left_.assign(options.daemons, options.rumours);
+  }
+
+  double Run() {
+    std::uniform_int_distribution<Duration::rep> phase(0, kPeriod.count() - 1);
+    for (std::size_t i = 0; i < followers_.size(); ++i) {
+      At(TimePoint{Duration(phase(rng_))}, [this, i] { Period(i); });
+    }
+    ConfigRevision first;
+    first.revision = 1;
+    first.changes = {{DocumentKind::kPool, "llm", R"({"name":"llm"})", 0}};
+    Apply(0, {first});
+    while (informed_ < followers_.size()) {
+      Event event = events_.top();
+      events_.pop();
+      now_ = event.due;
+      event.run();
+    }
+    return Seconds(now_ - TimePoint{});
+  }
+
+ private:
+  struct Event {
+    TimePoint due;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator>(const Event& other) const {
+      return std::pair(due, order) > std::pair(other.due, other.order);
+    }
+  };
+
+  void At(TimePoint due, std::function<void()> run) {
+    events_.push({due, next_order_++, std::move(run)});
+  }
+  void After(int paths, std::function<void()> run) {
+    At(now_ + paths * kOneWay, std::move(run));
+  }
+
+  void Period(std::size_t daemon) {
+    rumours_left_[daemon] = options_.rumours;
+    Round(daemon, kPeersInRound);
+    At(now_ + kPeriod, [this, daemon] { Period(daemon); });
+  }
+
+  void Round(std::size_t daemon, std::size_t peers) {
+    std::uniform_int_distribution<std::size_t> draw(0, followers_.size() - 1);
+    for (std::size_t i = 0; i < peers; ++i) {
+      Exchange(daemon, draw(rng_));
+    }
+  }
+
+  /// Digests cross; who is behind asks the other for what follows.
+  void Exchange(std::size_t from, std::size_t to) {
+    const std::uint64_t sent = followers_[from]->revision();
+    After(1, [this, from, to, sent] {
+      const std::uint64_t answered = followers_[to]->revision();
+      if (sent > answered) {
+        Fetch(to, from);
+      }
+      After(1, [this, from, to, answered] {
+        if (answered > followers_[from]->revision()) {
+          Fetch(from, to);
+        }
+      });
+    });
+  }
+
+  void Fetch(std::size_t daemon, std::size_t from) {
+    const std::uint64_t after = followers_[daemon]->revision();
+    After(1, [this, daemon, from, after] {
+      auto revisions = followers_[from]->After(after, kRevisionsPerCall);
+      After(1, [this, daemon, revisions] { Apply(daemon, revisions); });
+    });
+  }
+
+  void Apply(std::size_t daemon, const std::vector<ConfigRevision>& revisions) {
+    if (!followers_[daemon]->Apply(revisions)) {
+      return;
+    }
+    ++informed_;
+    if (rumours_left_[daemon] > 0) {
+      --rumours_left_[daemon];
+      Round(daemon, kPeersInRumour);
+    }
+  }
+
+  SpreadOptions options_;
+  std::mt19937_64 rng_;
+  JsonConfigCodec codec_;
+  std::vector<std::unique_ptr<ConfigFollower>> followers_;
+  std::vector<std::uint32_t> rumours_left_;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  TimePoint now_{};
+  std::uint64_t next_order_ = 0;
+  std::size_t informed_ = 0;
+};
+
+}  // namespace
+
+double SecondsUntilInForce(const SpreadOptions& options) {
+  GR_INVARIANT(options.daemons > 1);
+  return Spread(options).Run();
+}
+
+}  // namespace gentianroute::capacity
