Split the daemon's start and its host list into short functions

Change: Listen, Schedule and ApplyEntryHosts; the peers' options come from daemon_options. No behaviour was meant to change.

--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -64,6 +64,8 @@
   void Apply(ConfigRevision change, const ConfigSync::Done& done) override;
   void StartDrain() override;
 
+  void Listen();
+  void Schedule();
   void Touch();
   void Pump();
   void Execute(Action& action);
@@ -72,6 +74,7 @@
   void PollHosts();
   void PollConfig();
   void ApplyHosts(const std::vector<HostRecord>& hosts);
+  void ApplyEntryHosts(const std::vector<HostRecord>& entries);
   void OnConfigChanged();
   void BeginDrain();
   void CheckDrained();
--- a/packages/entry/include/gentianroute/entry/daemon_options.h
+++ b/packages/entry/include/gentianroute/entry/daemon_options.h
@@ -33,6 +33,9 @@
 
 Coordinator::Options CoordinatorOptions(schema::Settings::Reader settings);
 
+PeerLinks::Options PeerOptions(schema::Settings::Reader settings,
+                               std::uint64_t incarnation);
+
 PollSchedule::Options PollOptions(schema::Settings::Reader settings);
 
 }  // namespace gentianroute
--- a/packages/entry/src/daemon.cc
+++ b/packages/entry/src/daemon.cc
@@ -71,51 +71,54 @@
           [this] { OnConfigChanged(); },
           [this](const std::vector<HostRecord>& hosts) { ApplyHosts(hosts); },
           [this] { Touch(); }) {
-  const auto root = settings.get();
+  Listen();
+  Schedule();
+  PollHosts();
+  PollConfig();
+  LogEvent("started")
+      .Field("name", settings.get().getName().cStr())
+      .Field("data_centre", settings.get().getDataCentre().cStr())
+      .Field("callers", callers_->port())
+      .Field("operators", operators_->port())
+      .Field("peers", peers_->port());
+}
+
+void Daemon::Listen() {
+  const auto root = settings_.get();
   callers_ = std::make_unique<HttpServer>(
-      loop, ServerOptions(root.getCallers(), root.getLimits()),
+      loop_, ServerOptions(root.getCallers(), root.getLimits()),
       [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
         caller_api_.OnRequest(std::move(request), std::move(responder));
       });
   operators_ = std::make_unique<HttpServer>(
-      loop, ServerOptions(root.getOperators(), root.getLimits()),
+      loop_, ServerOptions(root.getOperators(), root.getLimits()),
       [this](const HttpRequest& request,
              const std::shared_ptr<HttpResponder>& responder) {
         operator_api_.OnRequest(request, responder);
       });
-  PeerLinks::Options peer_options;
-  peer_options.name = root.getName().cStr();
-  peer_options.address = root.getPeers().getAddress().cStr();
-  peer_options.port = root.getPeers().getPort();
-  peer_options.seed = incarnation_;
-  peers_ = std::make_unique<PeerLinks>(loop, peer_options, peer_service_);
+  peers_ = std::make_unique<PeerLinks>(loop_, PeerOptions(root, incarnation_),
+                                       peer_service_);
   peer_service_.SetLinks(*peers_);
   peers_->SetPeers(seeds_);
   for (const PeerAddress& seed : seeds_) {
     peer_revisions_.Know(seed.name, seed.data_centre);
   }
+}
 
-  const Duration poll = milliseconds(root.getPlatform().getPollMs());
-  loop.Every(poll, [this] {
+void Daemon::Schedule() {
+  const auto platform = settings_.get().getPlatform();
+  loop_.Every(milliseconds(platform.getPollMs()), [this] {
     PollHosts();
     PollConfig();
   });
-  loop.Every(kOrderPeriod, [this] { order_sync_.Tick(); });
-  loop.Every(kGossipPeriod, [this] {
+  loop_.Every(kOrderPeriod, [this] { order_sync_.Tick(); });
+  loop_.Every(kGossipPeriod, [this] {
     peer_service_.NoteLeaving();
     peers_->Gossip();
     suspects_.Sweep(loop_.Now());
   });
-  loop.Every(kCachePeriod,
-             [this] { cache_sync_.Poll(*follower_.catalogue()); });
-  PollHosts();
-  PollConfig();
-  LogEvent("started")
-      .Field("name", root.getName().cStr())
-      .Field("data_centre", root.getDataCentre().cStr())
-      .Field("callers", callers_->port())
-      .Field("operators", operators_->port())
-      .Field("peers", peers_->port());
+  loop_.Every(kCachePeriod,
+              [this] { cache_sync_.Poll(*follower_.catalogue()); });
 }
 
 Daemon::~Daemon() = default;
@@ -227,19 +230,33 @@
 void Daemon::ApplyHosts(const std::vector<HostRecord>& hosts) {
   peer_service_.SetHosts(hosts);
   std::vector<HostRecord> backends;
+  std::vector<HostRecord> entries;
+  for (const HostRecord& host : hosts) {
+    (host.pool == kEntryPool ? entries : backends).push_back(host);
+  }
+  ApplyEntryHosts(entries);
+  order_sync_.SetHosts(backends);
+  servers_.ApplyHostList(loop_.Now(), backends);
+  for (const auto& gone : leaving_news_.OnHostList(loop_.Now(), backends)) {
+    servers_.ForgetLeaving(gone.server, gone.incarnation);
+  }
+  peer_service_.NoteLeaving();
+  coordinator_.OnServersChanged(loop_.Now());
+  Touch();
+}
+
+void Daemon::ApplyEntryHosts(const std::vector<HostRecord>& entries) {
+  const std::string_view own_name = settings_.get().getName().cStr();
+  const std::string_view own_data_centre =
+      settings_.get().getDataCentre().cStr();
   std::vector<PeerAddress> peers = seeds_;
   std::vector<std::string> neighbours;
   std::vector<std::string> daemons;
-  for (const HostRecord& host : hosts) {
-    if (host.pool != kEntryPool) {
-      backends.push_back(host);
-      continue;
-    }
+  for (const HostRecord& host : entries) {
     if (!host.leaving) {
       daemons.push_back(host.name);
     }
-    if (!host.leaving &&
-        host.data_centre == settings_.get().getDataCentre().cStr()) {
+    if (!host.leaving && host.data_centre == own_data_centre) {
       neighbours.push_back(host.name);
     }
     std::erase_if(peers, [&host](const PeerAddress& peer) {
@@ -248,7 +265,7 @@
     peers.push_back({host.name, host.data_centre, host.address, host.port});
   }
   for (const PeerAddress& peer : peers) {
-    if (peer.name != settings_.get().getName().cStr()) {
+    if (peer.name != own_name) {
       peer_revisions_.Know(peer.name, peer.data_centre);
     }
   }
@@ -256,14 +273,6 @@
   peers_->SetPeers(std::move(peers));
   poll_schedule_.SetPeers(neighbours);
   order_sync_.SetDaemons(std::move(daemons));
-  order_sync_.SetHosts(backends);
-  servers_.ApplyHostList(loop_.Now(), backends);
-  for (const auto& gone : leaving_news_.OnHostList(loop_.Now(), backends)) {
-    servers_.ForgetLeaving(gone.server, gone.incarnation);
-  }
-  peer_service_.NoteLeaving();
-  coordinator_.OnServersChanged(loop_.Now());
-  Touch();
 }
 
 void Daemon::OnConfigChanged() {
--- a/packages/entry/src/daemon_options.cc
+++ b/packages/entry/src/daemon_options.cc
@@ -63,6 +63,16 @@
   return options;
 }
 
+PeerLinks::Options PeerOptions(schema::Settings::Reader settings,
+                               std::uint64_t incarnation) {
+  PeerLinks::Options options;
+  options.name = settings.getName().cStr();
+  options.address = settings.getPeers().getAddress().cStr();
+  options.port = settings.getPeers().getPort();
+  options.seed = incarnation;
+  return options;
+}
+
 PollSchedule::Options PollOptions(schema::Settings::Reader settings) {
   PollSchedule::Options options;
   options.name = settings.getName().cStr();
