Refuse newcomers to a pool that answers nobody, if cost goes first

Cause: with all ten engines of an example killed, 230 of 369 requests to them waited out their 6 s after three stages had run, and were paid for. Ruled out: refusing while the list names no live server, which is there, but a list lags. Proof: with the check taken out, pool_health_test's first test fails.

--- a/packages/decision/include/gentianroute/decision/coordinator.h
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -17,6 +17,7 @@
 #include "gentianroute/decision/claim_ledger.h"
 #include "gentianroute/decision/dispatch_pace.h"
 #include "gentianroute/decision/fair_queue.h"
+#include "gentianroute/decision/pool_health.h"
 #include "gentianroute/decision/request.h"
 #include "gentianroute/decision/retry_budget.h"
 #include "gentianroute/decision/server_table.h"
@@ -153,6 +154,9 @@
                                      const Request& request,
                                      std::string& detail);
   bool WouldWaitTooLong(TimePoint now, const Request& request);
+  /// @brief Enters the first stage, unless some stage's pool answers nobody.
+  void Begin(TimePoint now, Request& request);
+  const StageSpec* DarkStage(TimePoint now, const Request& request);
   void Shed(TimePoint now, std::string_view pool);
   FairQueue::Waiter WaiterOf(const Request& request,
                              const StageSpec& stage) const;
@@ -259,6 +263,7 @@
   std::map<std::string, FairQueue, std::less<>> queues_;
   std::map<std::string, RetryBudget, std::less<>> budgets_;
   std::map<std::string, DispatchPace, std::less<>> paces_;
+  std::map<std::string, PoolHealth, std::less<>> pool_health_;
   std::unordered_map<std::string, Duration> measured_;
   /// Tokens of requests in progress, standing or still being claimed.
   std::map<std::string, RequestId, std::less<>> live_tokens_;
--- a/packages/decision/src/coordinator.cc
+++ b/packages/decision/src/coordinator.cc
@@ -70,7 +70,41 @@
     BeginClaim(now, request, 0);
     return;
   }
-  EnterStage(now, request);
+  Begin(now, request);
+}
+
+void Coordinator::Begin(TimePoint now, Request& request) {
+  const StageSpec* dark = DarkStage(now, request);
+  if (dark == nullptr) {
+    EnterStage(now, request);
+    return;
+  }
+  const Duration failing = pool_health_[dark->pool].FailingFor(now);
+  Finish(now, request, ErrorKind::kNoServer,
+         "no server of pool '" + dark->pool + "' has answered for " +
+             std::to_string(failing.count() / 1000) + " ms",
+         {}, false);
+}
+
+const StageSpec* Coordinator::DarkStage(TimePoint now, const Request& request) {
+  if (!options_.refuse_early) {
+    return nullptr;
+  }
+  // Who weighs cost more is told soon, since the first stages would be paid for
+  // in vain. Who weighs attainment more goes on waiting: while an outage is
+  // short those that arrive at its end are still answered in time.
+  constexpr int kDeadlinesWaited = 10;
+  const bool thrifty = request.profile->objective == Objective::kCost;
+  const Duration patience =
+      thrifty ? Duration{0} : kDeadlinesWaited * (request.deadline - now);
+  for (const StageSpec& stage : request.profile->stages) {
+    const auto health = pool_health_.find(stage.pool);
+    if (health != pool_health_.end() && health->second.IsDark(now, patience) &&
+        !health->second.TryProbe(now)) {
+      return &stage;
+    }
+  }
+  return nullptr;
 }
 
 std::optional<ErrorKind> Coordinator::RefusalOf(TimePoint now,
--- a/packages/decision/src/coordinator_answers.cc
+++ b/packages/decision/src/coordinator_answers.cc
@@ -59,6 +59,7 @@
   servers_.OnSuccess(now, server, now - attempt.started);
   Request& request = requests_.at(attempt.request);
   BudgetOf(request.stage().pool).OnSuccess();
+  pool_health_[request.stage().pool].OnAnswer();
   std::string result = request.stage().streams
                            ? detail::QuoteText(request.streamed)
                            : std::move(answer.body);
@@ -125,6 +126,9 @@
               "the stream skipped tokens");
     return;
   }
+  if (request.offset == 0) {
+    pool_health_[request.stage().pool].OnAnswer();
+  }
   ++request.offset;
   request.streamed += chunk.text;
   // One text comes from one engine: the other side of a hedge may word it
@@ -164,10 +168,13 @@
   }
   const Attempt attempt = Detach(id);
   Server& server = *attempt.server;
+  PoolHealth& health = pool_health_[server.host.pool];
   if (meaning.blames_server) {
     servers_.OnFailure(now, server, failure == AttemptFailure::kConnect);
+    health.OnFailure(now);
   } else {
     servers_.OnCancelled(server);
+    health.OnAnswer();
   }
   if (failure == AttemptFailure::kLeaving) {
     servers_.MarkLeaving(server.host.name, server.host.incarnation);
--- a/packages/decision/src/coordinator_claims.cc
+++ b/packages/decision/src/coordinator_claims.cc
@@ -43,7 +43,7 @@
   switch (verdict.outcome) {
     case ClaimOutcome::kStands:
       request.claim_stands = true;
-      EnterStage(now, request);
+      Begin(now, request);
       break;
     case ClaimOutcome::kUnavailable:
       AbandonToken(now, request);
--- a/packages/decision/tests/decision_fixture.h
+++ b/packages/decision/tests/decision_fixture.h
@@ -94,10 +94,12 @@
 /// @brief One profile `name` served under its own name.
 inline void AddService(Catalogue& catalogue,
                        const std::string& name,
-                       std::vector<StageSpec> stages) {
+                       std::vector<StageSpec> stages,
+                       Objective objective = Objective::kAttainment) {
   auto profile = std::make_shared<Profile>();
   profile->name = name;
   profile->deadline = seconds(6);
+  profile->objective = objective;
   profile->stages = std::move(stages);
   catalogue.profiles[name] = std::move(profile);
   catalogue.services[name] = {name, name};
@@ -111,7 +113,8 @@
 }
 
 /// @brief `letters`: encode, then generate, streamed. `orders`: one call that
-/// must not repeat. `lookups`: one repeatable call.
+/// must not repeat. `lookups`: one repeatable call; `thrifty`: the
+/// same, cost first.
 inline CatalogueRef ThreeServices() {
   auto catalogue = std::make_shared<Catalogue>();
   catalogue->revision = 1;
@@ -122,6 +125,7 @@
   AddService(*catalogue, "letters", {StageOf("encode"), generate});
   AddService(*catalogue, "orders", {order});
   AddService(*catalogue, "lookups", {StageOf("encode")});
+  AddService(*catalogue, "thrifty", {StageOf("encode")}, Objective::kCost);
   return catalogue;
 }
 
--- /dev/null
+++ b/packages/decision/tests/pool_health_test.cc
@@ -0,0 +1,59 @@
+#include "gentianroute/decision/pool_health.h"
+
+#include "decision_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute;           // NOLINT(google-build-using-namespace)
+using namespace gentianroute::testing;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+/// Fails every call in flight as a refused connection, for as long as said.
+void Refuse(Bench& bench, Duration length) {
+  constexpr Duration kStep = milliseconds(50);
+  std::size_t next = 0;
+  for (Duration passed{0}; passed < length; passed += kStep) {
+    for (; next < bench.starts.size(); ++next) {
+      bench.Fail(bench.starts[next].attempt, AttemptFailure::kConnect);
+    }
+    bench.Advance(kStep);
+  }
+}
+
+}  // namespace
+
+// What the callers see: while every server of the second stage's pool refuses
+// connections, the first request waits out its time; one that comes later is
+// told "not run" at once if its profile puts cost first, and no stage of it
+// runs in vain. Now and then one is let through, and when the pool is back all
+// are.
+Test(pool_health, newcomer_to_a_pool_that_answers_nobody_is_refused_at_once) {
+  Bench bench({HostOf("e1", "encode"), HostOf("e2", "encode")});
+  bench.Submit(SubmissionOf("lookups", "first"));
+  Refuse(bench, seconds(3));
+  const RequestId probe = bench.Submit(SubmissionOf("thrifty", "probe"));
+  const std::size_t before = bench.starts.size();
+  const RequestId newcomer = bench.Submit(SubmissionOf("thrifty", "second"));
+  cr_assert(bench.FinishOf(probe) == nullptr);
+  cr_assert(bench.FinishOf(newcomer)->error == ErrorKind::kNoServer);
+  cr_assert_eq(bench.starts.size(), before);
+  const RequestId patient = bench.Submit(SubmissionOf("lookups", "fourth"));
+  cr_assert(bench.FinishOf(patient) == nullptr);  // attainment goes first
+  bench.Write(bench.starts.back().attempt);
+  bench.Answer(bench.starts.back().attempt, "1");
+  const RequestId later = bench.Submit(SubmissionOf("thrifty", "third"));
+  cr_assert(bench.FinishOf(later) == nullptr);
+}
+
+// A rolling restart takes all servers of a pool away for a second. Newcomers
+// wait for it as those do that were there before.
+Test(pool_health, pool_away_for_a_second_is_waited_for) {
+  Bench bench({HostOf("e1", "encode"), HostOf("e2", "encode")});
+  bench.Submit(SubmissionOf("lookups", "first"));
+  Refuse(bench, seconds(1));
+  const RequestId one = bench.Submit(SubmissionOf("lookups", "second"));
+  const RequestId two = bench.Submit(SubmissionOf("lookups", "third"));
+  cr_assert(bench.FinishOf(one) == nullptr);
+  cr_assert(bench.FinishOf(two) == nullptr);
+}
