--- a/tests/demo/example.cc
+++ b/tests/demo/example.cc
@@ -84,6 +84,7 @@
     host["port"] = backends_.back()->ReadPort();
   }
   Http(platform_port_, "PUT", "/control/hosts", hosts.dump());
+  std::ofstream(logs_ / "hosts.json") << hosts.dump(2) << "\n";
   std::printf("%zu backend servers and the platform's stand-in are up\n",
               backends_.size());
 }
--- a/tests/demo/main.cc
+++ b/tests/demo/main.cc
@@ -2,6 +2,8 @@
 // answered request of each service with its cost by stage, and stops it in the
 // planned way. Test-only.
 
+#include <unistd.h>
+
 #include <cstdio>
 #include <string>
 #include <vector>
@@ -78,11 +80,16 @@
   std::string logs;
   app.add_option("folder", folder, "a folder of examples/")->required();
   app.add_option("--logs", logs, "folder for the processes' logs")->required();
+  int hold = 0;
+  app.add_option("--hold", hold, "seconds to stay up before the report")
+      ->check(CLI::Range(0, 3600));
   CLI11_PARSE(app, argc, argv);
   try {
     Example example(folder, logs);
     example.Start();
     const int failed = ShowRequests(example);
+    std::fflush(stdout);
+    sleep(static_cast<unsigned>(hold));
     ShowReport(example);
     return failed + example.Stop() == 0 ? 0 : 1;
   } catch (const std::exception& error) {
