Tell a stage's retries from its hedges; measure a token

Change: a stage reports its hedges; gentianroute_stage_repeats_total becomes _retries_total and _hedges_total; measure sets the tokens of an answer. Test changed: the reader of the metrics expects both new numbers, with a hedge in its request, in place of their sum; that is stricter.

--- a/packages/decision/include/gentianroute/decision/action.h
+++ b/packages/decision/include/gentianroute/decision/action.h
@@ -21,7 +21,8 @@
   Duration queued{0};
   Duration took{0};
   std::uint32_t attempts = 0;
-  std::uint64_t units = 0;  ///< as the backend server counts them
+  std::uint32_t hedges = 0;  ///< of them, beside a call that was slow
+  std::uint64_t units = 0;   ///< as the backend server counts them
   /// Bodies sent to and received from servers of other regions, by all
   /// attempts.
   std::uint64_t billed_bytes = 0;
--- a/packages/decision/src/coordinator_answers.cc
+++ b/packages/decision/src/coordinator_answers.cc
@@ -293,6 +293,7 @@
     return;
   }
   ++counters_.hedges;
+  ++request.reports.back().hedges;
   Start(now, request, std::move(server));
 }
 
--- a/packages/observe/include/gentianroute/observe/request_metrics.h
+++ b/packages/observe/include/gentianroute/observe/request_metrics.h
@@ -40,7 +40,8 @@
   DurationHistogram queueing;
   DurationHistogram latency;
   std::uint64_t attempts = 0;
-  std::uint64_t repeats = 0;  ///< retries and hedges
+  std::uint64_t retries = 0;
+  std::uint64_t hedges = 0;
   std::uint64_t units = 0;
   std::uint64_t billed_bytes = 0;
   std::int64_t cost_micros = 0;
--- a/packages/observe/src/request_metrics.cc
+++ b/packages/observe/src/request_metrics.cc
@@ -54,9 +54,12 @@
 constexpr auto kStageNumbers = std::to_array<NumberMetric<StageSeries>>({
     {"gentianroute_stage_attempts_total", "Calls to backend servers.",
      [](const StageSeries& s) { return s.attempts; }},
-    {"gentianroute_stage_repeats_total",
-     "Calls after the first one of a stage: retries and hedges.",
-     [](const StageSeries& s) { return s.repeats; }},
+    {"gentianroute_stage_retries_total",
+     "Calls of a stage after an earlier one failed.",
+     [](const StageSeries& s) { return s.retries; }},
+    {"gentianroute_stage_hedges_total",
+     "Calls of a stage beside one that was slow.",
+     [](const StageSeries& s) { return s.hedges; }},
     {"gentianroute_stage_units_total",
      "Units (tokens, for engines) that backend servers reported.",
      [](const StageSeries& s) { return s.units; }},
@@ -199,7 +202,9 @@
     stage.queueing.Add(report.queued);
     stage.latency.Add(report.took);
     stage.attempts += report.attempts;
-    stage.repeats += report.attempts > 1 ? report.attempts - 1 : 0;
+    stage.hedges += report.hedges;
+    const std::uint32_t needed = 1 + report.hedges;
+    stage.retries += report.attempts > needed ? report.attempts - needed : 0;
     stage.units += report.units;
     stage.billed_bytes += report.billed_bytes;
     stage.cost_micros += report.cost;
--- a/packages/observe/tests/request_metrics_test.cc
+++ b/packages/observe/tests/request_metrics_test.cc
@@ -195,7 +195,8 @@
   finish.stages = {{.stage = "generate",
                     .queued = milliseconds(3),
                     .took = milliseconds(80),
-                    .attempts = 3,
+                    .attempts = 4,
+                    .hedges = 1,
                     .units = 40,
                     .billed_bytes = 1000,
                     .cost = 12}};
@@ -238,8 +239,9 @@
                1);
   LabelMap stage = request;
   stage["stage"] = "generate";
-  cr_expect_eq(read.Value("gentianroute_stage_attempts_total", stage), 3);
-  cr_expect_eq(read.Value("gentianroute_stage_repeats_total", stage), 2);
+  cr_expect_eq(read.Value("gentianroute_stage_attempts_total", stage), 4);
+  cr_expect_eq(read.Value("gentianroute_stage_retries_total", stage), 2);
+  cr_expect_eq(read.Value("gentianroute_stage_hedges_total", stage), 1);
   cr_expect_eq(read.Value("gentianroute_stage_units_total", stage), 40);
   cr_expect_eq(read.Value("gentianroute_stage_billed_bytes_total", stage),
                1000);
--- a/tests/demo/example.cc
+++ b/tests/demo/example.cc
@@ -24,8 +24,8 @@
 
 }  // namespace
 
-Example::Example(fs::path folder, fs::path logs)
-    : folder_(std::move(folder)), logs_(std::move(logs)) {
+Example::Example(fs::path folder, fs::path logs, int tokens)
+    : folder_(std::move(folder)), logs_(std::move(logs)), tokens_(tokens) {
   fs::create_directories(logs_);
 }
 
@@ -79,7 +79,8 @@
     const std::string name = host.at("name");
     backends_.push_back(std::make_unique<Process>(
         std::vector<std::string>{Binary("standins/standin"), "backend",
-                                 "--name", name},
+                                 "--name", name, "--tokens",
+                                 std::to_string(tokens_)},
         Log(name)));
     host["port"] = backends_.back()->ReadPort();
   }
--- a/tests/demo/example.h
+++ b/tests/demo/example.h
@@ -27,7 +27,10 @@
  public:
   /// @param folder with profiles.json, hosts.json, demo.json and settings/
   /// @param logs made if it is missing; one file for each process
-  Example(std::filesystem::path folder, std::filesystem::path logs);
+  /// @param tokens that each stand-in engine generates for an answer
+  Example(std::filesystem::path folder,
+          std::filesystem::path logs,
+          int tokens = 16);
 
   /// @throws std::runtime_error if a process does not come up
   void Start();
@@ -49,6 +52,7 @@
 
   std::filesystem::path folder_;
   std::filesystem::path logs_;
+  int tokens_;
   std::string key_;
   nlohmann::json requests_;
   std::uint16_t platform_port_ = 0;
--- a/tests/demo/measure.cc
+++ b/tests/demo/measure.cc
@@ -119,13 +119,16 @@
   double rate = 1000;
   app.add_option("folder", folder, "a folder of examples/")->required();
   app.add_option("--logs", logs, "folder for the processes' logs")->required();
+  int tokens = 16;
+  app.add_option("--tokens", tokens, "of each generated answer")
+      ->check(CLI::Range(1, 10000));
   app.add_option("--idle", idle, "seconds")->check(CLI::Range(1, 600));
   app.add_option("--seconds", seconds, "of load")->check(CLI::Range(1, 600));
   app.add_option("--rate", rate, "requests a second")
       ->check(CLI::Range(1.0, 5000.0));
   CLI11_PARSE(app, argc, argv);
   try {
-    Example example(folder, logs);
+    Example example(folder, logs, tokens);
     example.Start();
     const Use begin = MeanUse(example);
     sleep(static_cast<unsigned>(idle));
