Keep one silence timer a call; parse numbers in one place

Found on reading the whole change once more. Cause: each streamed token pushed a timer that stayed for the stage's whole first-byte timeout, though the call holds the moment itself; at 16,050 tokens a second and 10 s that is 160,000 entries. The same parser of a number stood in four files, and KindOfFailure took an argument that it did not use. Change: the call's one timer moves on when it is due; NumberOf is in base/number.h; the argument is gone. No behaviour was meant to change, and no test did. The timer's moving on was not switched off to see a test fail.

--- a/packages/decision/include/gentianroute/decision/coordinator.h
+++ b/packages/decision/include/gentianroute/decision/coordinator.h
@@ -213,7 +213,7 @@
              AttemptFailure failure,
              std::string_view detail);
   RetryBudget& BudgetOf(const std::string& pool);
-  ErrorKind KindOfFailure(const Request& request, AttemptFailure failure) const;
+  ErrorKind KindOfFailure(const Request& request) const;
   void OnReset(TimePoint now, const Attempt& attempt);
   void OnCrash(TimePoint now, const Server& server);
   void MarkRunningTwins(const std::set<Fingerprint>& suspects);
--- a/packages/decision/src/config_apply.cc
+++ b/packages/decision/src/config_apply.cc
@@ -1,9 +1,10 @@
 #include "gentianroute/decision/config_apply.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
+#include "gentianroute/base/number.h"
+
 namespace gentianroute {
 namespace {
 
@@ -17,12 +18,6 @@
   return Row(ConfigRevisionKey(revision));
 }
 
-std::uint64_t NumberOf(std::string_view text) {
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
 }  // namespace
 
 ConfigApply::ConfigApply(Options options,
--- a/packages/decision/src/config_snapshotter.cc
+++ b/packages/decision/src/config_snapshotter.cc
@@ -1,9 +1,10 @@
 #include "gentianroute/decision/config_snapshotter.h"
 
 #include <algorithm>
-#include <charconv>
 #include <string_view>
 
+#include "gentianroute/base/number.h"
+
 namespace gentianroute {
 namespace {
 
@@ -13,12 +14,6 @@
   return {std::string(kConfigTable), std::string(key)};
 }
 
-std::uint64_t NumberOf(std::string_view text) {
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
 TableRow Find(const ReadResult& result, const TableKey& key) {
   const auto found = std::ranges::find(result.rows, key, &TableRow::key);
   return found == result.rows.end() ? TableRow{key, "", 0} : *found;
--- a/packages/decision/src/coordinator_answers.cc
+++ b/packages/decision/src/coordinator_answers.cc
@@ -116,7 +116,6 @@
   OnSignOfLife(now, attempt);
   Request& request = requests_.at(attempt.request);
   attempt.silent_at = now + request.stage().first_byte_timeout;
-  Arm(attempt.silent_at, TimerKind::kSilence, attempt.id.value);
   if (chunk.offset < request.offset) {
     ++counters_.duplicate_tokens;  // resumed a little early, or hedged
     return;
@@ -245,15 +244,14 @@
     Enqueue(now, request);
     return;
   }
-  Finish(now, request, KindOfFailure(request, failure),
+  Finish(now, request, KindOfFailure(request),
          "stage '" + stage.name + "' failed " +
              std::to_string(request.attempts_made) + " times, last: " +
              MeaningOf(failure).name + ": " + std::string(detail),
          {}, false);
 }
 
-ErrorKind Coordinator::KindOfFailure(const Request& request,
-                                     AttemptFailure /*failure*/) const {
+ErrorKind Coordinator::KindOfFailure(const Request& request) const {
   if (request.EffectMayHaveRun()) {
     return ErrorKind::kOutcomeUnknown;
   }
@@ -266,7 +264,13 @@
 
 void Coordinator::OnSilence(TimePoint now, std::uint64_t id) {
   const auto found = attempts_.find(AttemptId{id});
-  if (found == attempts_.end() || found->second.silent_at > now) {
+  if (found == attempts_.end()) {
+    return;
+  }
+  if (found->second.silent_at > now) {
+    // Tokens have come since. Each call has one such timer, which moves on when
+    // it is due: one a token would pile up by the thousand.
+    Arm(found->second.silent_at, TimerKind::kSilence, id);
     return;
   }
   OnFailure(now, AttemptId{id}, AttemptFailure::kTimeout, "no byte in time");
--- a/packages/decision/src/coordinator_dispatch.cc
+++ b/packages/decision/src/coordinator_dispatch.cc
@@ -84,9 +84,8 @@
     OnDeadline(now, id.value);
     return;
   }
-  const ErrorKind kind = request.MayHaveRun()
-                             ? KindOfFailure(request, AttemptFailure::kReset)
-                             : ErrorKind::kQuarantined;
+  const ErrorKind kind =
+      request.MayHaveRun() ? KindOfFailure(request) : ErrorKind::kQuarantined;
   Finish(now, request, kind,
          "this request crashed the backend servers that ran it", {}, false);
 }
--- a/packages/entry/src/backend_calls.cc
+++ b/packages/entry/src/backend_calls.cc
@@ -1,9 +1,10 @@
 #include "gentianroute/entry/backend_calls.h"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "gentianroute/base/number.h"
+
 namespace gentianroute {
 namespace {
 
@@ -12,12 +13,6 @@
 constexpr int kOk = 200;
 constexpr std::string_view kDataPrefix = "data: ";
 
-std::uint64_t NumberOf(std::string_view text) {
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
 /// What the headers of an answer say, whatever its body.
 AttemptAnswer AnswerOf(AttemptId attempt,
                        int status,
--- a/standins/backend.cc
+++ b/standins/backend.cc
@@ -1,12 +1,13 @@
 #include "backend.h"
 
-#include <charconv>
 #include <cstdio>
 #include <cstdlib>
 #include <utility>
 
 #include <xxhash.h>
 
+#include "gentianroute/base/number.h"
+
 namespace gentianroute::standin {
 namespace {
 
@@ -19,12 +20,6 @@
 // Lets what was written leave the socket before it is closed.
 constexpr auto kBeforeAbort = milliseconds(20);
 
-std::uint64_t NumberOf(std::string_view text) {
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
 /// A text field of the caller's request.
 std::string RequestField(const HttpRequest& request, const char* name) {
   const json body = json::parse(request.body, nullptr, false);
