--- a/apps/gentianroute/main.cc
+++ b/apps/gentianroute/main.cc
@@ -1,6 +1,7 @@
 // The daemon: one process on each entry host.
 
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
 #include <exception>
 #include <string>
@@ -10,6 +11,7 @@
 
 #include "gentianroute/entry/daemon.h"
 #include "gentianroute/observe/log.h"
+#include "platform/serve.h"
 
 namespace {
 
@@ -23,6 +25,8 @@
 
 constexpr int kExitInvalid = 2;
 constexpr int kExitFailed = 1;
+/// The usual port of exporters that speak Prometheus' text format.
+constexpr std::uint16_t kMetricsPort = 9464;
 
 int Serve(const Settings& settings) {
   const char* event = "start_failed";
@@ -48,13 +52,27 @@
   CLI::App app{"gentianroute serves multi-stage model pipelines"};
   std::string file;
   bool check_only = false;
-  app.add_option("--settings", file, "settings file, JSON with comments")
-      ->required();
+  bool on_platform = false;
+  std::uint16_t metrics_port = kMetricsPort;
+  auto* settings =
+      app.add_option("--settings", file, "settings file, JSON with comments");
+  app.add_flag("--platform", on_platform,
+               "run on the users' platform, by the settings that it gives")
+      ->excludes(settings);
+  app.add_option("--metrics-port", metrics_port,
+                 "port of the counters, with --platform");
   app.add_flag("--check", check_only, "check the settings and exit");
   app.set_version_flag("--version", "gentianroute 0.1.0");
   CLI11_PARSE(app, argc, argv);
 
   gentianroute::InitialiseLogging(argv[0]);
+  if (on_platform) {
+    return gentianroute::platform::Serve(metrics_port, check_only);
+  }
+  if (file.empty()) {
+    std::fprintf(stderr, "--settings or --platform is required\n");
+    return kExitInvalid;
+  }
   return leaf::try_handle_all(
       [&]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(settings, Settings::Load(file));
--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -1,7 +1,10 @@
-# Warnings for every hand-written target; generated code is exempt.
+# Warnings for every hand-written target; generated code is exempt. GCC 12 warns
+# of overlapping copies in std::string's own operator+ when it optimises; the
+# warning is wrong there, and later versions don't give it.
 add_library(gentianroute_warnings INTERFACE)
 target_compile_options(gentianroute_warnings INTERFACE -Wall -Wextra -Werror
-                                                       -Wno-missing-field-initializers)
+                                                       -Wno-missing-field-initializers
+                       $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>)
 
 # gentianroute_package(<name> DEPS <targets>): a library of packages/<name>,
 # from every src/*.cc, with tests/*_test.cc as one Criterion program each.
--- a/packages/decision/include/gentianroute/decision/rendezvous.h
+++ b/packages/decision/include/gentianroute/decision/rendezvous.h
@@ -2,12 +2,16 @@
 #define GENTIANROUTE_DECISION_RENDEZVOUS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
 
 namespace gentianroute {
 
+/// @brief Weight of a name in the rendezvous hash of a key; the highest wins.
+std::uint64_t RendezvousWeight(std::string_view key, std::string_view name);
+
 /// @brief Place of a daemon among others in the rendezvous hash of a key; the
 /// same in everyone's eyes, and moved only by a daemon that comes or goes.
 /// @param names all daemons, with or without `own`
--- a/packages/entry/include/gentianroute/entry/problem.h
+++ b/packages/entry/include/gentianroute/entry/problem.h
@@ -1,21 +1,14 @@
 #ifndef GENTIANROUTE_ENTRY_PROBLEM_H_
 #define GENTIANROUTE_ENTRY_PROBLEM_H_
 
-#include <string>
 #include <string_view>
 
 #include "gentianroute/base/error_kind.h"
+#include "gentianroute/base/problem.h"
 #include "gentianroute/loop/http.h"
 
 namespace gentianroute {
 
-/// @brief The problem+json body of an error.
-/// @param key_checked false: an earlier arrival of its key may have run
-std::string ProblemBody(ErrorKind kind,
-                        std::string_view detail,
-                        std::string_view request_id,
-                        bool key_checked = true);
-
 /// @brief The whole answer to an error, with Retry-After where the table has
 /// one.
 HttpResponse ProblemResponse(ErrorKind kind,
--- a/packages/entry/src/problem.cc
+++ b/packages/entry/src/problem.cc
@@ -1,32 +1,7 @@
 #include "gentianroute/entry/problem.h"
 
-#include <nlohmann/json.hpp>
-
 namespace gentianroute {
 
-std::string ProblemBody(ErrorKind kind,
-                        std::string_view detail,
-                        std::string_view request_id,
-                        bool key_checked) {
-  const ErrorAnswer answer = AnswerFor(kind);
-  nlohmann::json body = {
-      {"type", "about:blank"},
-      {"title", answer.title},
-      {"status", answer.http_status},
-      {"detail", detail},
-      {"kind", answer.name},
-      {"number", static_cast<int>(answer.kind)},
-      {"work", WorkKnownName(answer.work)},
-  };
-  if (!request_id.empty()) {
-    body["request_id"] = request_id;
-  }
-  if (!key_checked) {
-    body["key_checked"] = false;
-  }
-  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 HttpResponse ProblemResponse(ErrorKind kind,
                              std::string_view detail,
                              std::string_view request_id,
--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/gateway.h
@@ -0,0 +1,36 @@
+#ifndef GENTIANROUTE_GATEWAY_GATEWAY_H_
+#define GENTIANROUTE_GATEWAY_GATEWAY_H_
+
+#include <functional>
+#include <memory>
+
+#include "gentianroute/gateway/settings.h"
+#include "gentianroute/gateway/store.h"
+#include "gentianroute/gateway/translator.h"
+#include "gentianroute/loop/event_loop.h"
+#include "gentianroute/loop/relay_client.h"
+
+namespace gentianroute::gateway {
+
+/// @brief One daemon in front of the backend servers.
+class Gateway {
+ public:
+  /// @throws std::runtime_error if an address can't be used
+  Gateway(EventLoop& loop,
+          GatewaySettings settings,
+          RelayClient& client,
+          const Translator& translator,
+          Store& store);
+  ~Gateway();
+
+  /// @brief Takes no new requests, ends those that it has, then calls back.
+  void Drain(std::function<void()> done);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -0,0 +1,163 @@
+#ifndef GENTIANROUTE_GATEWAY_REQUEST_FLOW_H_
+#define GENTIANROUTE_GATEWAY_REQUEST_FLOW_H_
+
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gentianroute/base/error_kind.h"
+#include "gentianroute/base/id.h"
+#include "gentianroute/decision/suspect_table.h"
+#include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/request_journal.h"
+#include "gentianroute/gateway/result_releases.h"
+#include "gentianroute/gateway/retry_ledger.h"
+#include "gentianroute/gateway/stage_work.h"
+#include "gentianroute/gateway/translator.h"
+#include "gentianroute/loop/relay_client.h"
+#include "gentianroute/loop/relay_server.h"
+#include "gentianroute/routing/event_cutter.h"
+#include "gentianroute/routing/route_table.h"
+#include "gentianroute/routing/server_directory.h"
+#include "gentianroute/routing/stage_plan.h"
+
+namespace gentianroute::gateway {
+
+/// @brief What the requests of one daemon share.
+struct FlowServices {
+  EventLoop& loop;
+  RelayClient& client;
+  const Translator& translator;
+  routing::ServerDirectory& servers;
+  const routing::Topology& topology;
+  StageWork& stages;
+  ResultReleases& releases;
+  Cluster& cluster;
+  RetryLedger& retries;
+  SuspectTable& suspects;
+  RequestJournal& journal;
+};
+
+/// @brief One caller's request on its way through the stages to its server and
+/// back. Held by count by what is under way for it.
+class RequestFlow : public boost::intrusive_ref_counter<
+                        RequestFlow,
+                        boost::thread_unsafe_counter>,
+                    public boost::intrusive::list_base_hook<
+                        boost::intrusive::link_mode<
+                            boost::intrusive::auto_unlink>> {
+ public:
+  using Ptr = boost::intrusive_ptr<RequestFlow>;
+  using List = boost::intrusive::list<
+      RequestFlow,
+      boost::intrusive::constant_time_size<false>>;
+
+  /// @brief Begins a request; it lives until it has been answered.
+  /// @param table null: no configuration is known yet
+  static void Begin(FlowServices& services,
+                    RelayExchangePtr exchange,
+                    routing::RouteTablePtr table,
+                    List& all);
+  ~RequestFlow();
+
+  /// @brief What is running at a server, for those that ask who crashed it.
+  const routing::ServerPtr& server() const { return server_; }
+  Fingerprint fingerprint() const { return fingerprint_; }
+
+ private:
+  class Send;
+
+  RequestFlow(FlowServices& services,
+              RelayExchangePtr exchange,
+              routing::RouteTablePtr table,
+              List& all);
+
+  /// Why a request can't begin; nothing if it can.
+  std::optional<ErrorKind> Admit();
+  std::optional<ErrorKind> CheckKey();
+  std::optional<ErrorKind> CheckTime();
+  void Start();
+  void StartTimers();
+  void Advance();
+  void RunStage(std::uint32_t stage);
+  void OnStageEnd(std::uint32_t stage, StageOutcome outcome);
+  void OnStageFailure(std::uint32_t stage, routing::StageFailure failure);
+
+  void SendToServer();
+  routing::Choice ChooseServer() const;
+  std::string MessageFor(const routing::Server& server) const;
+  void OnHead(const ServerAnswer& answer);
+  void OnBody(std::string_view part);
+  void OnAnswered();
+  void OnNotRun(const ServerAnswer& answer);
+  void OnBroken(RelayFailure failure);
+  void OnOverdue();
+  void ReportCrash();
+  bool MaySendAgain() const;
+  /// Sends again if the limits allow it.
+  bool TrySendAgain(std::string_view what, std::string_view reason);
+  void Occupy(const routing::ServerPtr& server);
+  void Leave();
+
+  void RelayPart(std::string_view part);
+  void ReleaseSpent();
+
+  void Refuse(ErrorKind kind, std::string_view detail);
+  void Refuse(ErrorKind kind,
+              std::string_view detail,
+              std::optional<Duration> retry_after);
+  void BreakOff(std::string_view detail);
+  void OnTimeout();
+  void OnCallerGone();
+  void Finish(std::string_view outcome, int status, std::string_view detail);
+
+  bool repeatable() const { return route_->MayRepeat(); }
+  Duration TimeLeft() const;
+
+  FlowServices& services_;
+  RelayExchangePtr exchange_;
+  routing::RouteTablePtr table_;
+  Ptr self_;  ///< until it is answered
+  CallerRequest request_;
+  const routing::Route* route_ = nullptr;
+  const routing::Organisation* organisation_ = nullptr;
+  const routing::ServiceSpec* service_ = nullptr;
+  std::string service_name_;
+  Fingerprint fingerprint_;
+  TimePoint began_{};
+  TimePoint limit_{};
+  TimerId limit_timer_;
+  TimerId overdue_timer_;
+
+  std::optional<routing::StagePlan> plan_;
+  std::map<std::uint32_t, std::unique_ptr<GroupHold>> running_;
+  std::map<std::uint32_t, std::string> results_in_;  ///< data centre, by stage
+  std::uint32_t remakes_ = 0;
+  TimePoint stages_done_{};
+
+  std::unique_ptr<Send> send_;
+  std::vector<std::unique_ptr<Send>> old_sends_;
+  routing::ServerPtr server_;
+  routing::ServerLoad occupied_;
+  std::vector<std::string> tried_;
+  std::uint32_t sends_ = 0;  ///< that a server may have run or refused
+  bool sent_any_ = false;
+  bool may_have_run_ = false;
+  TimePoint sent_at_{};
+  TimePoint first_at_{};
+
+  ServerAnswer answer_;
+  std::string body_;
+  bool answer_begun_ = false;
+  routing::EventCutter events_;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_REQUEST_FLOW_H_
--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/request_journal.h
@@ -0,0 +1,59 @@
+#ifndef GENTIANROUTE_GATEWAY_REQUEST_JOURNAL_H_
+#define GENTIANROUTE_GATEWAY_REQUEST_JOURNAL_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "gentianroute/base/error_kind.h"
+#include "gentianroute/base/time.h"
+#include "gentianroute/observe/duration_histogram.h"
+#include "gentianroute/observe/metric_writer.h"
+#include "gentianroute/routing/deployment.h"
+
+namespace gentianroute::gateway {
+
+/// @brief How a request ended, and what decided it.
+struct RequestEnd {
+  std::string_view id;
+  std::string_view route;
+  std::string_view organisation;
+  std::string_view service;
+  std::string_view server;  ///< the last one it was sent to
+  std::string_view outcome;
+  std::string_view detail;
+  int status = 0;
+  std::uint32_t sends = 0;
+  std::uint64_t deployment_version = 0;
+  Duration stages{};  ///< until all stages were done
+  Duration first{};   ///< until the first part of the answer
+  Duration total{};
+  routing::RouteKind kind = routing::RouteKind::kIdempotent;
+};
+
+/// @brief Counts and logs what becomes of requests. Its labels are a closed
+/// set, so that callers can't make it grow.
+class RequestJournal {
+ public:
+  void OnEnd(const RequestEnd& end);
+  /// @brief A request was sent once more, resumed, or its stage made again.
+  void OnRepeat(std::string_view id,
+                std::string_view what,
+                std::string_view server,
+                std::string_view reason);
+  void Write(MetricWriter& writer) const;
+
+ private:
+  static constexpr std::size_t kKinds = 3;
+
+  std::map<std::string, std::uint64_t, std::less<>> outcomes_;
+  std::map<std::string, std::uint64_t, std::less<>> repeats_;
+  std::array<DurationHistogram, kKinds> first_;
+  std::array<DurationHistogram, kKinds> total_;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_REQUEST_JOURNAL_H_
--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/result_releases.h
@@ -0,0 +1,51 @@
+#ifndef GENTIANROUTE_GATEWAY_RESULT_RELEASES_H_
+#define GENTIANROUTE_GATEWAY_RESULT_RELEASES_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gentianroute/gateway/translator.h"
+#include "gentianroute/loop/event_loop.h"
+#include "gentianroute/loop/relay_client.h"
+
+namespace gentianroute::gateway {
+
+/// @brief Tells stage servers which results nobody will read any more.
+///
+/// A result takes up room at its maker until it is released or runs out after
+/// seconds; without releases a server of large results is full after a few
+/// calls and turns pieces away. Releases to one server share a call.
+class ResultReleases {
+ public:
+  ResultReleases(EventLoop& loop,
+                 RelayClient& client,
+                 const Translator& translator);
+  ~ResultReleases();
+
+  /// @param bytes of one result, about; large ones go sooner
+  void Release(std::vector<std::string> results, std::uint64_t bytes);
+
+ private:
+  class Call;
+  struct Batch {
+    std::vector<std::string> results;
+    TimePoint due{};
+  };
+
+  void Flush();
+  void Send(const Endpoint& server, std::vector<std::string> results);
+
+  EventLoop& loop_;
+  RelayClient& client_;
+  const Translator& translator_;
+  std::map<Endpoint, Batch> batches_;
+  std::map<const Call*, std::unique_ptr<Call>> calls_;
+  TimerId timer_;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_RESULT_RELEASES_H_
--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/stage_work.h
@@ -0,0 +1,78 @@
+#ifndef GENTIANROUTE_GATEWAY_STAGE_WORK_H_
+#define GENTIANROUTE_GATEWAY_STAGE_WORK_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/stage_desk.h"
+#include "gentianroute/routing/pool_choice.h"
+#include "gentianroute/routing/route_table.h"
+#include "gentianroute/routing/server_directory.h"
+#include "gentianroute/routing/stage_plan.h"
+
+namespace gentianroute::gateway {
+
+/// @brief How one stage of a request ended.
+struct StageOutcome {
+  GroupOutcome group;
+  std::string data_centre;  ///< of the servers that hold the results
+};
+
+/// @brief Hands the stages of this daemon's requests to the pools, here or at
+/// the daemons that schedule them.
+class StageWork {
+ public:
+  StageWork(EventLoop& loop,
+            Cluster& cluster,
+            StageDesk& desk,
+            routing::ServerDirectory& servers,
+            const routing::Topology& topology);
+
+  void SetTable(routing::RouteTablePtr table) { table_ = std::move(table); }
+  void OnBacklog(TimePoint now,
+                 std::string_view service,
+                 std::string_view data_centre,
+                 Duration backlog);
+
+  using Done = std::function<void(StageOutcome)>;
+  /// @param inputs_in data centres that hold the inputs
+  /// @return let go of it to drop the work; `done` is not called then
+  std::unique_ptr<GroupHold> Run(std::string_view service,
+                                 routing::StageGroup group,
+                                 std::vector<std::string> inputs_in,
+                                 Done done);
+
+  /// @brief When all stages of a fresh plan would be done, from now.
+  Duration TimeFor(TimePoint now, const routing::StagePlan& plan);
+  /// @brief The least that the stages from this one on take, without waiting.
+  Duration LeastFrom(const routing::StagePlan& plan, std::uint32_t stage) const;
+  /// @brief Whether every service that the plan needs has a server.
+  bool HasServers(const routing::StagePlan& plan) const;
+
+  /// @brief A daemon is gone: what it ran is handed out again.
+  void OnPeerGone(std::string_view peer);
+
+ private:
+  class Handed;
+
+  const routing::StageCapacity* CapacityOf(std::string_view service) const;
+  std::vector<routing::PoolState> PoolsOf(TimePoint now,
+                                          std::string_view service);
+
+  EventLoop& loop_;
+  Cluster& cluster_;
+  StageDesk& desk_;
+  routing::ServerDirectory& servers_;
+  const routing::Topology& topology_;
+  routing::RouteTablePtr table_;
+  routing::PoolBoard board_;
+  std::vector<Handed*> handed_;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_STAGE_WORK_H_
--- /dev/null
+++ b/packages/gateway/src/cluster.cc
@@ -0,0 +1,478 @@
+#include "gentianroute/gateway/cluster.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/async.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "gentianroute/decision/rendezvous.h"
+#include "gentianroute/observe/log.h"
+
+namespace gentianroute::gateway {
+namespace {
+
+/// Beats of one daemon in a second, to all peers together: the period grows
+/// with the peers, so that the cost of a daemon stays what it is.
+constexpr std::int64_t kBeatsPerSecond = 90;
+constexpr Duration kShortestPeriod = std::chrono::milliseconds(100);
+/// Lost datagrams come two in a row now and then; five are a failure.
+constexpr int kBeatsOfSilence = 5;
+/// Daemons that start together write their rows within the first moments, and
+/// read the others' a little later; after that only newcomers are missed, who
+/// make themselves known by their own beats.
+constexpr Duration kFirstLook = std::chrono::milliseconds(400);
+constexpr Duration kRowPeriod = std::chrono::seconds(5);
+constexpr Duration kCopyTimeout = std::chrono::milliseconds(600);
+
+std::int32_t MillisecondsUntil(TimePoint now, TimePoint then) {
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(then - now);
+  return static_cast<std::int32_t>(left.count());
+}
+
+std::string RowOf(const GatewaySettings& settings) {
+  return nlohmann::json{{"address", settings.peers.address},
+                        {"port", settings.peers.port},
+                        {"data_centre", settings.data_centre}}
+      .dump();
+}
+
+struct IgnoreTaskErrors final : kj::TaskSet::ErrorHandler {
+  void taskFailed(kj::Exception&& exception) override {
+    LogEvent("peer_call_failed", LogLevel::kWarning)
+        .Field("reason", exception.getDescription().cStr());
+  }
+};
+
+void WriteGroup(TimePoint now,
+                std::string_view service,
+                std::string_view data_centre,
+                const routing::StageGroup& group,
+                schema::Group::Builder out) {
+  out.setService(std::string(service));
+  out.setDataCentre(std::string(data_centre));
+  out.setRequest(group.request);
+  out.setStage(group.stage);
+  out.setPieces(group.pieces);
+  auto inputs = out.initInputs(static_cast<unsigned>(group.inputs.size()));
+  for (unsigned i = 0; i < inputs.size(); ++i) {
+    inputs.set(i, group.inputs[i]);
+  }
+  out.setKey(group.key);
+  out.setWork(group.work);
+  out.setWantedMs(MillisecondsUntil(now, group.wanted));
+  out.setDeadlineMs(MillisecondsUntil(now, group.deadline));
+  out.setPriority(group.priority);
+}
+
+routing::StageGroup ReadGroup(TimePoint now, schema::Group::Reader in) {
+  routing::StageGroup group;
+  group.request = in.getRequest();
+  group.stage = in.getStage();
+  group.pieces = in.getPieces();
+  for (const auto input : in.getInputs()) {
+    group.inputs.emplace_back(input);
+  }
+  group.key = in.getKey();
+  group.work = in.getWork();
+  group.wanted = now + std::chrono::milliseconds(in.getWantedMs());
+  group.deadline = now + std::chrono::milliseconds(in.getDeadlineMs());
+  group.priority = in.getPriority();
+  return group;
+}
+
+void WriteOutcome(const GroupOutcome& outcome,
+                  schema::GroupOutcome::Builder out) {
+  if (outcome.failure) {
+    out.setFailure(static_cast<std::uint16_t>(*outcome.failure) + 1);
+  }
+  auto results = out.initResults(static_cast<unsigned>(outcome.results.size()));
+  for (unsigned i = 0; i < results.size(); ++i) {
+    results.set(i, outcome.results[i]);
+  }
+}
+
+GroupOutcome ReadOutcome(schema::GroupOutcome::Reader in) {
+  GroupOutcome outcome;
+  if (in.getFailure() != 0) {
+    outcome.failure = static_cast<routing::StageFailure>(in.getFailure() - 1);
+  }
+  for (const auto result : in.getResults()) {
+    outcome.results.emplace_back(result);
+  }
+  return outcome;
+}
+
+}  // namespace
+
+struct Cluster::Peer {
+  std::string name;
+  std::string address;
+  std::uint16_t port = 0;
+  std::string data_centre;
+  std::uint64_t incarnation = 0;
+  TimePoint heard{};
+  bool alive = false;
+  bool leaving = false;
+  bool store_answers = false;
+  std::unique_ptr<RpcConnection> link;
+  bool link_broken = false;
+};
+
+/// What peers may ask of this daemon.
+class Cluster::Service final : public schema::Cluster::Server {
+ public:
+  explicit Service(Cluster& cluster) : cluster_(cluster) {}
+
+  kj::Promise<void> runGroup(RunGroupContext context) override {
+    // The caller's request may end first; its waiting pieces then go.
+    context.allowCancellation();
+    const auto group = context.getParams().getGroup();
+    const std::string service = group.getService();
+    const std::string data_centre = group.getDataCentre();
+    auto done = kj::newPromiseAndFulfiller<void>();
+    auto fulfiller =
+        std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+            kj::mv(done.fulfiller));
+    std::unique_ptr<GroupHold> hold = cluster_.handler_.RunGroup(
+        service, data_centre, ReadGroup(cluster_.loop_.Now(), group),
+        [context, fulfiller](GroupOutcome outcome) mutable {
+          WriteOutcome(outcome, context.getResults().initOutcome());
+          (*fulfiller)->fulfill();
+        });
+    return done.promise.attach(
+        kj::heap<std::unique_ptr<GroupHold>>(std::move(hold)));
+  }
+
+  kj::Promise<void> storeCopy(StoreCopyContext context) override {
+    const auto params = context.getParams();
+    cluster_.handler_.FillStoreCopy(params.getDeploymentVersion(),
+                                    params.getServersVersion(),
+                                    context.getResults().initCopy());
+    return kj::READY_NOW;
+  }
+
+ private:
+  Cluster& cluster_;
+};
+
+/// A group that a peer runs. Letting go of it cancels the call.
+class Cluster::RemoteGroup final : public GroupHold {
+ public:
+  using Done = std::function<void(std::optional<GroupOutcome>)>;
+
+  explicit RemoteGroup(Done done) : done_(std::move(done)) {}
+  ~RemoteGroup() noexcept override {
+    canceler_.cancel("the request has ended");
+  }
+
+  template <typename T>
+  kj::Promise<T> Wrap(kj::Promise<T> call) {
+    return canceler_.wrap(kj::mv(call));
+  }
+  std::weak_ptr<RemoteGroup*> self() const { return self_; }
+  void End(std::optional<GroupOutcome> outcome) {
+    if (auto done = std::exchange(done_, nullptr)) {
+      done(std::move(outcome));
+    }
+  }
+
+ private:
+  Done done_;
+  kj::Canceler canceler_;
+  /// Tells a callback that the group still exists.
+  std::shared_ptr<RemoteGroup*> self_ = std::make_shared<RemoteGroup*>(this);
+};
+
+Cluster::Cluster(EventLoop& loop,
+                 const GatewaySettings& settings,
+                 Store& store,
+                 ClusterHandler& handler)
+    : loop_(loop),
+      settings_(settings),
+      store_(store),
+      handler_(handler),
+      incarnation_(static_cast<std::uint64_t>(loop.Wall())) {
+  task_errors_ = std::make_unique<IgnoreTaskErrors>();
+  tasks_ = std::make_unique<kj::TaskSet>(*task_errors_);
+  datagrams_ = std::make_unique<DatagramSocket>(
+      loop_, settings_.peers.address, settings_.peers.port,
+      [this](std::span<const std::byte> message) { OnMessage(message); });
+  server_ = std::make_unique<RpcServer>(loop_, settings_.peers.address,
+                                        settings_.peers.port,
+                                        kj::heap<Service>(*this));
+}
+
+Cluster::~Cluster() {
+  loop_.Cancel(beat_timer_);
+  loop_.Cancel(row_timer_);
+}
+
+void Cluster::Start() {
+  SendBeats();
+  row_timer_ = loop_.After(Duration{0}, [this] { Register(); });
+}
+
+void Cluster::AnnounceLeaving() {
+  leaving_ = true;
+  SendBeats();
+}
+
+void Cluster::Register() {
+  store_.Put(StoreTable::kDaemons, settings_.name, RowOf(settings_),
+             [this](const StoreAnswer& answer) {
+               const bool written = answer.kind == StoreAnswer::Kind::kRows;
+               row_timer_ = loop_.After(kFirstLook, [this, written] {
+                 if (!written) {
+                   Register();
+                   return;
+                 }
+                 store_.Read(StoreTable::kDaemons, [this](StoreAnswer rows) {
+                   OnDaemonRows(rows.rows);
+                 });
+               });
+             });
+}
+
+void Cluster::OnDaemonRows(const std::vector<StoredRow>& rows) {
+  for (const StoredRow& row : rows) {
+    OnDaemonRow(row);
+  }
+  row_timer_ = loop_.After(kRowPeriod, [this] {
+    store_.Read(StoreTable::kDaemons,
+                [this](StoreAnswer answer) { OnDaemonRows(answer.rows); });
+  });
+}
+
+void Cluster::OnDaemonRow(const StoredRow& row) {
+  if (IsSelf(row.key)) {
+    return;
+  }
+  const auto json = nlohmann::json::parse(row.value, nullptr, false);
+  if (!json.is_object() || !json.contains("address") ||
+      !json.contains("port") || !json["address"].is_string() ||
+      !json["port"].is_number_unsigned()) {
+    LogEvent("daemon_row_unreadable", LogLevel::kWarning)
+        .Field("daemon", row.key);
+    return;
+  }
+  Peer& peer = PeerNamed(row.key);
+  if (peer.alive) {
+    return;
+  }
+  peer.address = json["address"];
+  peer.port = json["port"];
+  peer.data_centre = json.value("data_centre", "");
+}
+
+Cluster::Peer& Cluster::PeerNamed(std::string_view name) {
+  const auto found = peers_.find(name);
+  if (found != peers_.end()) {
+    return *found->second;
+  }
+  auto peer = std::make_unique<Peer>();
+  peer->name = name;
+  return *peers_.emplace(std::string(name), std::move(peer)).first->second;
+}
+
+Duration Cluster::BeatPeriod() const {
+  const auto peers = static_cast<std::int64_t>(peers_.size());
+  return std::max(kShortestPeriod,
+                  Duration(std::chrono::seconds(1)) * peers / kBeatsPerSecond);
+}
+
+Duration Cluster::SilenceLimit() const {
+  return BeatPeriod() * kBeatsOfSilence;
+}
+
+void Cluster::SendBeats() {
+  const TimePoint now = loop_.Now();
+  Watch(now);
+  loop_.Cancel(beat_timer_);
+  beat_timer_ = loop_.After(BeatPeriod(), [this] { SendBeats(); });
+  if (peers_.empty()) {
+    return;
+  }
+  capnp::MallocMessageBuilder message;
+  auto beat = message.initRoot<schema::Beat>();
+  beat.setDaemon(settings_.name);
+  beat.setIncarnation(incarnation_);
+  beat.setAddress(settings_.peers.address);
+  beat.setPort(settings_.peers.port);
+  beat.setDataCentre(settings_.data_centre);
+  beat.setDraining(leaving_);
+  handler_.FillBeat(beat);
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  const std::span<const std::byte> data(
+      reinterpret_cast<const std::byte*>(bytes.begin()), bytes.size());
+  for (const auto& [name, peer] : peers_) {
+    datagrams_->Send(peer->address, peer->port, data);
+  }
+}
+
+void Cluster::OnMessage(std::span<const std::byte> message) {
+  if (message.empty() || message.size() % sizeof(capnp::word) != 0) {
+    return;
+  }
+  // A datagram is not aligned for the reader, so it is copied.
+  auto words = kj::heapArray<capnp::word>(message.size() / sizeof(capnp::word));
+  std::copy(message.begin(), message.end(),
+            reinterpret_cast<std::byte*>(words.begin()));
+  const auto failed = kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader reader(words);
+    const auto beat = reader.getRoot<schema::Beat>();
+    const std::string name = beat.getDaemon();
+    if (name.empty() || IsSelf(name)) {
+      return;
+    }
+    Peer& peer = PeerNamed(name);
+    const bool restarted = peer.incarnation != beat.getIncarnation();
+    if (restarted) {
+      peer.link.reset();
+    }
+    peer.incarnation = beat.getIncarnation();
+    peer.address = beat.getAddress();
+    peer.port = beat.getPort();
+    peer.data_centre = beat.getDataCentre();
+    peer.leaving = beat.getDraining();
+    peer.store_answers = beat.getStoreAnswers();
+    peer.heard = loop_.Now();
+    if (!std::exchange(peer.alive, true)) {
+      LogEvent("peer_up").Field("peer", name).Field("incarnation",
+                                                    peer.incarnation);
+    }
+    if (beat.getBacklogs().size() > 0) {
+      // It schedules servers, so work for it will come: the link stands then.
+      LinkTo(peer);
+    }
+    handler_.OnBeat(beat);
+  });
+  if (failed != nullptr) {
+    LogEvent("beat_unreadable", LogLevel::kWarning);
+  }
+}
+
+void Cluster::Watch(TimePoint now) {
+  for (const auto& [name, peer] : peers_) {
+    if (peer->alive && now - peer->heard > SilenceLimit()) {
+      peer->alive = false;
+      peer->link.reset();
+      LogEvent("peer_down", LogLevel::kWarning)
+          .Field("peer", name)
+          .Field("silent_ms", Milliseconds(now - peer->heard));
+      handler_.OnPeerGone(name);
+    }
+    if (std::exchange(peer->link_broken, false)) {
+      peer->link.reset();
+    }
+  }
+}
+
+bool Cluster::IsAlive(std::string_view peer) const {
+  const auto found = peers_.find(peer);
+  return found != peers_.end() && found->second->alive;
+}
+
+std::size_t Cluster::live_daemons() const {
+  return 1 + static_cast<std::size_t>(std::count_if(
+                 peers_.begin(), peers_.end(),
+                 [](const auto& entry) { return entry.second->alive; }));
+}
+
+std::string Cluster::SchedulerOf(std::string_view service,
+                                 std::string_view data_centre) const {
+  const std::string key =
+      std::string(service) + "/" + std::string(data_centre);
+  // Those beside the servers come first; the link to them is the shortest.
+  const auto weight = [&](std::string_view name, std::string_view place) {
+    return std::pair(place == data_centre, RendezvousWeight(key, name));
+  };
+  std::string best = settings_.name;
+  auto best_weight = weight(settings_.name, settings_.data_centre);
+  if (leaving_) {
+    best_weight = {false, 0};
+  }
+  for (const auto& [name, peer] : peers_) {
+    const auto peer_weight = weight(name, peer->data_centre);
+    if (peer->alive && !peer->leaving && peer_weight > best_weight) {
+      best = name;
+      best_weight = peer_weight;
+    }
+  }
+  return best;
+}
+
+RpcConnection* Cluster::LinkTo(Peer& peer) {
+  if (peer.link != nullptr && !peer.link_broken) {
+    return peer.link.get();
+  }
+  peer.link_broken = false;
+  peer.link = std::make_unique<RpcConnection>(
+      loop_, peer.address, peer.port, [&peer] { peer.link_broken = true; });
+  return peer.link.get();
+}
+
+std::unique_ptr<GroupHold> Cluster::RunGroupAt(
+    std::string_view peer_name,
+    std::string_view service,
+    std::string_view data_centre,
+    const routing::StageGroup& group,
+    std::function<void(std::optional<GroupOutcome>)> done) {
+  Peer& peer = PeerNamed(peer_name);
+  RpcConnection* link = LinkTo(peer);
+  auto remote = std::make_unique<RemoteGroup>(std::move(done));
+  const std::weak_ptr<RemoteGroup*> self = remote->self();
+  auto request =
+      link->bootstrap().castAs<schema::Cluster>().runGroupRequest();
+  WriteGroup(loop_.Now(), service, data_centre, group, request.initGroup());
+  kj::Promise<capnp::Response<schema::Cluster::RunGroupResults>> sent =
+      request.send();
+  // Only the call itself can be cancelled: what hears of its end may let go of
+  // the group, and a promise must not be destroyed by its own callback.
+  tasks_->add(remote->Wrap(kj::mv(sent))
+                  .then(
+                      [self](auto response) {
+                        if (const auto alive = self.lock()) {
+                          (*alive)->End(ReadOutcome(response.getOutcome()));
+                        }
+                      },
+                      [self](kj::Exception&& /*exception*/) {
+                        if (const auto alive = self.lock()) {
+                          (*alive)->End(std::nullopt);
+                        }
+                      }));
+  return remote;
+}
+
+void Cluster::FetchStoreCopy(std::uint64_t deployment_version,
+                             std::uint64_t servers_version) {
+  Peer* source = nullptr;
+  for (const auto& [name, peer] : peers_) {
+    const bool usable = peer->alive && peer->store_answers;
+    if (usable && (source == nullptr || peer->heard > source->heard)) {
+      source = peer.get();
+    }
+  }
+  if (source == nullptr) {
+    return;
+  }
+  auto request =
+      LinkTo(*source)->bootstrap().castAs<schema::Cluster>().storeCopyRequest();
+  request.setDeploymentVersion(deployment_version);
+  request.setServersVersion(servers_version);
+  auto timeout = kj::newPromiseAndFulfiller<void>();
+  auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+      kj::mv(timeout.fulfiller));
+  loop_.After(kCopyTimeout, [fulfiller] { (*fulfiller)->fulfill(); });
+  tasks_->add(request.send()
+                  .then([this](auto response) {
+                    handler_.OnStoreCopy(response.getCopy());
+                  })
+                  .exclusiveJoin(kj::mv(timeout.promise)));
+}
+
+}  // namespace gentianroute::gateway
--- /dev/null
+++ b/packages/gateway/src/stage_desk.cc
@@ -0,0 +1,251 @@
+#include "gentianroute/gateway/stage_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gentianroute/observe/log.h"
+
+namespace gentianroute::gateway {
+namespace {
+
+/// A pool counts as scheduled here for this long after its last work; peers
+/// then go by its backlog.
+constexpr Duration kScheduledFor = std::chrono::seconds(2);
+/// Below this a stage server's call can't end; it is not worth sending.
+constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(1);
+
+}  // namespace
+
+struct StageDesk::Pool {
+  Pool(std::string service_name,
+       std::string place,
+       routing::StageCapacity capacity)
+      : service(std::move(service_name)),
+        data_centre(std::move(place)),
+        pool(capacity) {}
+
+  std::string service;
+  std::string data_centre;
+  routing::StagePool pool;
+  std::map<routing::StageGroupId, GroupDone> waiting;
+  std::map<routing::StageCallId, std::unique_ptr<Call>> calls;
+  std::vector<std::unique_ptr<Call>> ended;
+  TimePoint used{};
+  TimerId timer;
+  bool settle_due = false;
+};
+
+class StageDesk::Call final : public RelayCallObserver {
+ public:
+  Call(StageDesk& desk,
+       Pool& pool,
+       routing::StageCallId id,
+       Duration give_up_after,
+       RelayCall call)
+      : desk_(desk), pool_(pool), id_(id) {
+    timer_ = desk_.loop_.After(give_up_after,
+                               [this] { End({routing::CallEnd::kBroken, {}}); });
+    call_ = desk_.client_.Call(std::move(call), *this);
+  }
+  ~Call() override {
+    desk_.loop_.Cancel(timer_);
+    desk_.client_.Cancel(call_);
+  }
+
+  void OnHead(MessageHead head) override { head_ = std::move(head); }
+  void OnBody(std::string_view part) override { body_.append(part); }
+  void OnDone() override { End(desk_.translator_.ReadStageAnswer(head_, body_)); }
+  void OnFailure(RelayFailure failure) override {
+    const bool sent = failure != RelayFailure::kNotSent;
+    LogEvent("stage_call_broken", LogLevel::kWarning)
+        .Field("service", pool_.service)
+        .Field("sent", sent ? "yes" : "no");
+    End({routing::CallEnd::kBroken, {}});
+  }
+
+ private:
+  void End(const StageAnswer& answer) {
+    desk_.loop_.Cancel(timer_);
+    desk_.client_.Cancel(call_);
+    desk_.OnCallEnd(pool_, id_, answer);
+  }
+
+  StageDesk& desk_;
+  Pool& pool_;
+  routing::StageCallId id_;
+  RelayCallId call_;
+  TimerId timer_;
+  MessageHead head_;
+  std::string body_;
+};
+
+class StageDesk::Hold final : public GroupHold {
+ public:
+  Hold(Pool& pool, routing::StageGroupId group) : pool_(pool), group_(group) {}
+  ~Hold() override {
+    if (pool_.waiting.erase(group_) > 0) {
+      pool_.pool.Cancel(group_);
+    }
+  }
+
+ private:
+  Pool& pool_;
+  routing::StageGroupId group_;
+};
+
+StageDesk::StageDesk(EventLoop& loop,
+                     RelayClient& client,
+                     const Translator& translator,
+                     routing::ServerDirectory& servers,
+                     ResultReleases& releases)
+    : loop_(loop),
+      client_(client),
+      translator_(translator),
+      servers_(servers),
+      releases_(releases) {}
+
+StageDesk::~StageDesk() {
+  for (const auto& [key, pool] : pools_) {
+    loop_.Cancel(pool->timer);
+  }
+}
+
+void StageDesk::SetTable(routing::RouteTablePtr table) {
+  table_ = std::move(table);
+  for (const auto& [key, pool] : pools_) {
+    const routing::ServiceSpec* spec = table_->Service(pool->service);
+    if (spec != nullptr && spec->stage) {
+      pool->pool.SetCapacity(*spec->stage);
+    }
+  }
+}
+
+StageDesk::Pool* StageDesk::PoolFor(std::string_view service,
+                                    std::string_view data_centre) {
+  const PoolKey key(service, data_centre);
+  const auto found = pools_.find(key);
+  if (found != pools_.end()) {
+    return found->second.get();
+  }
+  const routing::ServiceSpec* spec =
+      table_ == nullptr ? nullptr : table_->Service(service);
+  if (spec == nullptr || !spec->stage) {
+    return nullptr;
+  }
+  auto pool = std::make_unique<Pool>(key.first, key.second, *spec->stage);
+  return pools_.emplace(key, std::move(pool)).first->second.get();
+}
+
+std::unique_ptr<GroupHold> StageDesk::Run(std::string_view service,
+                                          std::string_view data_centre,
+                                          routing::StageGroup group,
+                                          GroupDone done) {
+  Pool* pool = PoolFor(service, data_centre);
+  if (pool == nullptr) {
+    loop_.After(Duration{0}, [done = std::move(done)] {
+      done({routing::StageFailure::kNoServer, {}});
+    });
+    return std::make_unique<GroupHold>();
+  }
+  const TimePoint now = loop_.Now();
+  pool->used = now;
+  const routing::StageGroupId id = pool->pool.Submit(now, std::move(group));
+  pool->waiting.emplace(id, std::move(done));
+  // Groups that come together, as those of one message, share the next call.
+  if (!std::exchange(pool->settle_due, true)) {
+    loop_.After(Duration{0}, [this, pool] {
+      pool->settle_due = false;
+      Work(*pool);
+    });
+  }
+  return std::make_unique<Hold>(*pool, id);
+}
+
+std::vector<routing::ServerPtr> StageDesk::ServersOf(const Pool& pool) const {
+  std::vector<routing::ServerPtr> servers;
+  for (const routing::ServerPtr& server : servers_.In(pool.service)) {
+    if (server->record().data_centre == pool.data_centre) {
+      servers.push_back(server);
+    }
+  }
+  return servers;
+}
+
+void StageDesk::Work(Pool& pool) {
+  pool.ended.clear();
+  const auto calls = pool.pool.Dispatch(loop_.Now(), ServersOf(pool));
+  for (const routing::StageCall& call : calls) {
+    Send(pool, call);
+  }
+  Settle(pool);
+  loop_.Cancel(pool.timer);
+  if (pool.pool.waiting_pieces() > 0) {
+    pool.timer = loop_.After(pool.pool.LookAgainIn(),
+                             [this, &pool] { Work(pool); });
+  }
+}
+
+void StageDesk::Send(Pool& pool, const routing::StageCall& call) {
+  const TimePoint now = loop_.Now();
+  std::vector<StagePieceRequest> pieces;
+  pieces.reserve(call.pieces.size());
+  for (const routing::StagePiece& piece : call.pieces) {
+    const routing::StageGroup* group = pool.pool.Find(piece.group);
+    pieces.push_back({group->request, group->stage, piece.segment,
+                      std::max(kLeastTimeLeft, group->deadline - now),
+                      group->key, group->inputs});
+  }
+  const routing::ServerRecord& server = call.server->record();
+  RelayCall out;
+  out.endpoint = {server.address, server.port};
+  out.message =
+      translator_.StageCallMessage(out.endpoint, server.id, pieces);
+  ++calls_sent_;
+  pieces_sent_ += pieces.size();
+  pool.calls.emplace(call.id,
+                     std::make_unique<Call>(*this, pool, call.id,
+                                            call.give_up_after,
+                                            std::move(out)));
+}
+
+void StageDesk::OnCallEnd(Pool& pool,
+                          routing::StageCallId call,
+                          const StageAnswer& answer) {
+  // The call's own function is running; it is destroyed at the next turn.
+  pool.ended.push_back(std::move(pool.calls.extract(call).mapped()));
+  pool.pool.OnCallEnd(loop_.Now(), call, answer.end, answer.results);
+  Settle(pool);
+  if (!std::exchange(pool.settle_due, true)) {
+    loop_.After(Duration{0}, [this, &pool] {
+      pool.settle_due = false;
+      Work(pool);
+    });
+  }
+}
+
+void StageDesk::Settle(Pool& pool) {
+  for (routing::StageGroupEnd& end : pool.pool.TakeEnded()) {
+    const auto found = pool.waiting.find(end.group);
+    if (found == pool.waiting.end()) {
+      continue;
+    }
+    const GroupDone done = std::move(found->second);
+    pool.waiting.erase(found);
+    done({end.failure, std::move(end.results)});
+  }
+  releases_.Release(pool.pool.TakeOrphans(), 0);
+}
+
+void StageDesk::ForEachPool(
+    TimePoint now,
+    const std::function<void(std::string_view,
+                             std::string_view,
+                             Duration)>& visit) const {
+  for (const auto& [key, pool] : pools_) {
+    if (now - pool->used < kScheduledFor) {
+      visit(pool->service, pool->data_centre, pool->pool.Backlog(now));
+    }
+  }
+}
+
+}  // namespace gentianroute::gateway
--- /dev/null
+++ b/packages/gateway/src/stage_work.cc
@@ -0,0 +1,238 @@
+#include "gentianroute/gateway/stage_work.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "gentianroute/observe/log.h"
+
+namespace gentianroute::gateway {
+namespace {
+
+/// After this many schedulers have broken off, this daemon calls the servers
+/// itself: a small direct share costs less than a request that waits on.
+constexpr std::uint32_t kMostSchedulers = 2;
+
+}  // namespace
+
+/// One group on its way: chooses a pool and its scheduler, and again if that
+/// one breaks off.
+class StageWork::Handed final : public GroupHold {
+ public:
+  Handed(StageWork& work,
+         std::string_view service,
+         routing::StageGroup group,
+         std::vector<std::string> inputs_in,
+         Done done)
+      : work_(work),
+        service_(service),
+        group_(std::move(group)),
+        inputs_in_(std::move(inputs_in)),
+        done_(std::move(done)) {
+    work_.handed_.push_back(this);
+    Choose();
+  }
+  ~Handed() override {
+    work_.loop_.Cancel(timer_);
+    auto& all = work_.handed_;
+    all.erase(std::remove(all.begin(), all.end(), this), all.end());
+  }
+
+  void OnPeerGone(std::string_view peer) {
+    if (scheduler_ == peer) {
+      ChooseLater();
+    }
+  }
+
+ private:
+  void ChooseLater() {
+    scheduler_.clear();
+    work_.loop_.Cancel(timer_);
+    timer_ = work_.loop_.After(Duration{0}, [this] { Choose(); });
+  }
+
+  void Choose() {
+    const TimePoint now = work_.loop_.Now();
+    const routing::StageCapacity* capacity = work_.CapacityOf(service_);
+    const auto pools = work_.PoolsOf(now, service_);
+    const routing::PoolWork load{group_.pieces,
+                                 capacity == nullptr ? Duration{0}
+                                                     : capacity->piece,
+                                 inputs_in_};
+    const routing::PoolState* pool =
+        capacity == nullptr ? nullptr
+                            : routing::ChoosePool(pools, load, *capacity,
+                                                  work_.topology_);
+    if (pool == nullptr) {
+      timer_ = work_.loop_.After(Duration{0}, [this] {
+        End({routing::StageFailure::kNoServer, {}});
+      });
+      return;
+    }
+    data_centre_ = pool->data_centre;
+    const std::uint32_t calls =
+        (group_.pieces + capacity->batch - 1) / capacity->batch;
+    work_.board_.OnHandedOver(service_, data_centre_,
+                              capacity->piece * group_.pieces +
+                                  capacity->call * calls / 2);
+    HandOver();
+  }
+
+  void HandOver() {
+    scheduler_ = work_.cluster_.SchedulerOf(service_, data_centre_);
+    const bool here = work_.cluster_.IsSelf(scheduler_) ||
+                      schedulers_ >= kMostSchedulers;
+    ++schedulers_;
+    if (here) {
+      scheduler_.clear();
+      hold_ = work_.desk_.Run(
+          service_, data_centre_, group_,
+          [this](GroupOutcome outcome) { End(std::move(outcome)); });
+      return;
+    }
+    hold_ = work_.cluster_.RunGroupAt(
+        scheduler_, service_, data_centre_, group_,
+        [this](std::optional<GroupOutcome> outcome) {
+          if (outcome) {
+            End(std::move(*outcome));
+            return;
+          }
+          LogEvent("scheduler_broke_off", LogLevel::kWarning)
+              .Field("id", group_.request)
+              .Field("service", service_)
+              .Field("scheduler", scheduler_);
+          ChooseLater();
+        });
+  }
+
+  void End(GroupOutcome outcome) {
+    const Done done = std::move(done_);
+    done({std::move(outcome), data_centre_});
+  }
+
+  StageWork& work_;
+  std::string service_;
+  routing::StageGroup group_;
+  std::vector<std::string> inputs_in_;
+  Done done_;
+  std::string data_centre_;
+  std::string scheduler_;
+  std::uint32_t schedulers_ = 0;
+  std::unique_ptr<GroupHold> hold_;
+  TimerId timer_;
+};
+
+StageWork::StageWork(EventLoop& loop,
+                     Cluster& cluster,
+                     StageDesk& desk,
+                     routing::ServerDirectory& servers,
+                     const routing::Topology& topology)
+    : loop_(loop),
+      cluster_(cluster),
+      desk_(desk),
+      servers_(servers),
+      topology_(topology) {}
+
+void StageWork::OnBacklog(TimePoint now,
+                          std::string_view service,
+                          std::string_view data_centre,
+                          Duration backlog) {
+  board_.Report(now, {std::string(service), std::string(data_centre), 0,
+                      backlog});
+}
+
+const routing::StageCapacity* StageWork::CapacityOf(
+    std::string_view service) const {
+  const routing::ServiceSpec* spec =
+      table_ == nullptr ? nullptr : table_->Service(service);
+  return spec != nullptr && spec->stage ? &*spec->stage : nullptr;
+}
+
+std::vector<routing::PoolState> StageWork::PoolsOf(TimePoint now,
+                                                   std::string_view service) {
+  std::map<std::string, std::uint32_t> open;
+  for (const routing::ServerPtr& server : servers_.In(service)) {
+    const bool usable =
+        server->open() && !server->history().IsAvoided(now);
+    open[server->record().data_centre] += usable ? 1 : 0;
+  }
+  for (const auto& [data_centre, servers] : open) {
+    board_.SetServers(service, data_centre, servers);
+  }
+  std::vector<routing::PoolState> pools = board_.Of(now, service);
+  std::erase_if(pools, [&open](const routing::PoolState& pool) {
+    return !open.contains(pool.data_centre);
+  });
+  return pools;
+}
+
+std::unique_ptr<GroupHold> StageWork::Run(std::string_view service,
+                                          routing::StageGroup group,
+                                          std::vector<std::string> inputs_in,
+                                          Done done) {
+  return std::make_unique<Handed>(*this, service, std::move(group),
+                                  std::move(inputs_in), std::move(done));
+}
+
+Duration StageWork::TimeFor(TimePoint now, const routing::StagePlan& plan) {
+  std::vector<Duration> done(plan.stages(), Duration{0});
+  Duration last{0};
+  for (std::uint32_t stage = 0; stage < plan.stages(); ++stage) {
+    for (const std::uint32_t input : plan.spec(stage).after) {
+      done[stage] = std::max(done[stage], done[input]);
+    }
+    const std::string& service = plan.spec(stage).service;
+    const routing::StageCapacity* capacity = CapacityOf(service);
+    if (plan.pieces(stage) == 0 || capacity == nullptr) {
+      continue;
+    }
+    const auto pools = PoolsOf(now, service);
+    const routing::PoolWork load{plan.pieces(stage), capacity->piece, {}};
+    const routing::PoolState* pool =
+        routing::ChoosePool(pools, load, *capacity, topology_);
+    if (pool != nullptr) {
+      done[stage] += routing::TimeInPool(*pool, load, *capacity) +
+                     topology_.RoundTrip(pool->data_centre);
+    }
+    last = std::max(last, done[stage]);
+  }
+  return last;
+}
+
+Duration StageWork::LeastFrom(const routing::StagePlan& plan,
+                              std::uint32_t stage) const {
+  Duration after{0};
+  for (std::uint32_t next = 0; next < plan.stages(); ++next) {
+    const auto& inputs = plan.spec(next).after;
+    const bool reads =
+        std::find(inputs.begin(), inputs.end(), stage) != inputs.end();
+    if (reads && plan.pieces(next) > 0) {
+      after = std::max(after, LeastFrom(plan, next));
+    }
+  }
+  const routing::StageCapacity* capacity =
+      CapacityOf(plan.spec(stage).service);
+  return capacity == nullptr ? after : after + capacity->call + capacity->piece;
+}
+
+bool StageWork::HasServers(const routing::StagePlan& plan) const {
+  for (std::uint32_t stage = 0; stage < plan.stages(); ++stage) {
+    const auto& servers = servers_.In(plan.spec(stage).service);
+    const bool open = std::any_of(
+        servers.begin(), servers.end(),
+        [](const routing::ServerPtr& server) { return server->open(); });
+    if (plan.pieces(stage) > 0 && !open) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void StageWork::OnPeerGone(std::string_view peer) {
+  for (Handed* handed : std::vector<Handed*>(handed_)) {
+    handed->OnPeerGone(peer);
+  }
+}
+
+}  // namespace gentianroute::gateway
--- /dev/null
+++ b/packages/loop/src/datagram_socket.cc
@@ -0,0 +1,82 @@
+#include "gentianroute/loop/datagram_socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstddef>
+#include <cstring>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "gentianroute/loop/h2o.h"
+
+namespace gentianroute {
+namespace {
+
+constexpr std::size_t kLargestMessage = 64 * 1024;
+
+sockaddr_in AddressOf(std::string_view address, std::uint16_t port) {
+  const std::string host(address);
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(port);
+  inet_pton(AF_INET, host.c_str(), &target.sin_addr);
+  return target;
+}
+
+}  // namespace
+
+DatagramSocket::DatagramSocket(EventLoop& loop,
+                               std::string_view address,
+                               std::uint16_t port,
+                               Receiver receiver)
+    : receiver_(std::move(receiver)),
+      descriptor_(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+  sockaddr_in own = AddressOf(address, port);
+  if (bind(descriptor_, reinterpret_cast<sockaddr*>(&own), sizeof(own)) != 0) {
+    const std::string reason = std::strerror(errno);
+    close(descriptor_);
+    throw std::runtime_error("can't receive datagrams on " +
+                             std::string(address) + ":" + std::to_string(port) +
+                             ": " + reason);
+  }
+  socket_ = h2o_evloop_socket_create(loop.h2o(), descriptor_,
+                                     H2O_SOCKET_FLAG_DONT_READ);
+  socket_->data = this;
+  h2o_socket_read_start(socket_, &DatagramSocket::OnReadable);
+}
+
+DatagramSocket::~DatagramSocket() {
+  h2o_socket_close(socket_);
+}
+
+void DatagramSocket::Send(std::string_view address,
+                          std::uint16_t port,
+                          std::span<const std::byte> message) {
+  sockaddr_in target = AddressOf(address, port);
+  sendto(descriptor_, message.data(), message.size(), MSG_DONTWAIT,
+         reinterpret_cast<sockaddr*>(&target), sizeof(target));
+}
+
+void DatagramSocket::OnReadable(h2o_socket_t* socket, const char* error) {
+  if (error != nullptr) {
+    return;
+  }
+  auto* self = static_cast<DatagramSocket*>(socket->data);
+  static std::array<std::byte, kLargestMessage> buffer;
+  while (true) {
+    const ssize_t size =
+        recv(self->descriptor_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size < 0) {
+      return;
+    }
+    self->receiver_({buffer.data(), static_cast<std::size_t>(size)});
+  }
+}
+
+}  // namespace gentianroute
--- /dev/null
+++ b/packages/loop/src/message_parser.cc
@@ -0,0 +1,237 @@
+#include "gentianroute/loop/message_parser.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <optional>
+#include <utility>
+
+namespace gentianroute {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+char Lower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+/// Beast's incremental parser, collecting what it finds.
+template <bool IsRequest>
+class Collector final : public http::basic_parser<IsRequest> {
+ public:
+  using View = beast::string_view;
+  using Error = beast::error_code;
+
+  Collector() { this->eager(true); }
+
+  MessageHead head_;
+  std::string body_;
+  bool has_transfer_coding_ = false;
+
+ private:
+  void on_request_impl(http::verb /*method*/,
+                       View method,
+                       View target,
+                       int version,
+                       Error& /*error*/) override {
+    constexpr int kVersion11 = 11;
+    head_.version_1_0 = version < kVersion11;
+    head_.method.assign(method.data(), method.size());
+    head_.target.assign(target.data(), target.size());
+  }
+  void on_response_impl(int code,
+                        View /*reason*/,
+                        int /*version*/,
+                        Error& /*error*/) override {
+    head_.status = code;
+  }
+  void on_field_impl(http::field field,
+                     View name,
+                     View value,
+                     Error& /*error*/) override {
+    has_transfer_coding_ |= field == http::field::transfer_encoding;
+    if (field == http::field::expect) {
+      head_.expects_continue = true;
+    }
+    head_.fields.push_back({std::string(name.data(), name.size()),
+                            std::string(value.data(), value.size())});
+  }
+  void on_header_impl(Error& error) override {
+    head_.keep_alive = this->keep_alive();
+    // A coding other than chunked leaves the end of the body open to
+    // interpretation: the next hop could see another request inside it.
+    if (IsRequest && has_transfer_coding_ && !this->chunked()) {
+      error = http::error::bad_transfer_encoding;
+    }
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         Error& /*error*/) override {}
+  std::size_t on_body_impl(View body, Error& /*error*/) override {
+    body_.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/,
+                            View /*extensions*/,
+                            Error& /*error*/) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
+                                 View body,
+                                 Error& /*error*/) override {
+    body_.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_finish_impl(Error& /*error*/) override {}
+};
+
+}  // namespace
+
+bool SameFieldName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](char x, char y) { return Lower(x) == Lower(y); });
+}
+
+const std::string* FindField(const HttpHeaders& fields, std::string_view name) {
+  for (const HttpHeader& field : fields) {
+    if (SameFieldName(field.name, name)) {
+      return &field.value;
+    }
+  }
+  return nullptr;
+}
+
+class MessageParser::Impl {
+ public:
+  Impl(Kind kind, Limits limits) : kind_(kind) { Begin(limits); }
+
+  void Begin(Limits limits) {
+    request_.reset();
+    answer_.reset();
+    if (kind_ == Kind::kRequest) {
+      Prepare(request_.emplace(), limits);
+    } else {
+      Prepare(answer_.emplace(), limits);
+    }
+    told_head_ = false;
+    told_end_ = false;
+    failure_.reset();
+  }
+
+  Event Poll() {
+    return kind_ == Kind::kRequest ? PollWith(*request_) : PollWith(*answer_);
+  }
+  void FeedEnd() {
+    beast::error_code error;
+    if (kind_ == Kind::kRequest) {
+      request_->put_eof(error);
+    } else if (answer_->got_some()) {
+      answer_->put_eof(error);
+    }
+    if (error) {
+      failure_ = Event::kMalformed;
+    }
+  }
+  MessageHead& head() {
+    return kind_ == Kind::kRequest ? request_->head_ : answer_->head_;
+  }
+  bool begun() const {
+    return !input_.empty() || (kind_ == Kind::kRequest ? request_->got_some()
+                                                       : answer_->got_some());
+  }
+
+  std::string input_;
+  std::string part_;
+
+ private:
+  template <typename Parser>
+  static void Prepare(Parser& parser, Limits limits) {
+    parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+    parser.body_limit(limits.body_bytes);
+  }
+
+  template <typename Parser>
+  Event PollWith(Parser& parser) {
+    if (!failure_ && !parser.is_done() && !input_.empty()) {
+      Parse(parser);
+    }
+    if (parser.is_header_done() && !std::exchange(told_head_, true)) {
+      return Event::kHead;
+    }
+    if (!parser.body_.empty()) {
+      part_ = std::exchange(parser.body_, {});
+      return Event::kBody;
+    }
+    if (failure_) {
+      return *failure_;
+    }
+    if (parser.is_done() && !std::exchange(told_end_, true)) {
+      return Event::kEnd;
+    }
+    return Event::kNeedMore;
+  }
+
+  template <typename Parser>
+  void Parse(Parser& parser) {
+    beast::error_code error;
+    std::size_t used = 0;
+    while (used < input_.size() && !parser.is_done()) {
+      const std::size_t part =
+          parser.put(boost::asio::const_buffer(input_.data() + used,
+                                               input_.size() - used),
+                     error);
+      used += part;
+      if (error || part == 0) {
+        break;
+      }
+    }
+    input_.erase(0, used);
+    if (error && error != http::error::need_more) {
+      failure_ = FailureOf(error);
+    }
+  }
+
+  static Event FailureOf(const beast::error_code& error) {
+    if (error == http::error::header_limit) {
+      return Event::kHeadTooLarge;
+    }
+    return error == http::error::body_limit ? Event::kBodyTooLarge
+                                            : Event::kMalformed;
+  }
+
+  Kind kind_;
+  std::optional<Collector<true>> request_;
+  std::optional<Collector<false>> answer_;
+  bool told_head_ = false;
+  bool told_end_ = false;
+  std::optional<Event> failure_;
+};
+
+MessageParser::MessageParser(Kind kind, Limits limits)
+    : impl_(std::make_unique<Impl>(kind, limits)) {}
+MessageParser::~MessageParser() = default;
+
+void MessageParser::Feed(std::string_view data) {
+  impl_->input_.append(data);
+}
+void MessageParser::FeedEnd() {
+  impl_->FeedEnd();
+}
+MessageParser::Event MessageParser::Poll() {
+  return impl_->Poll();
+}
+void MessageParser::Next(Limits limits) {
+  impl_->Begin(limits);
+}
+MessageHead& MessageParser::head() {
+  return impl_->head();
+}
+const std::string& MessageParser::body() const {
+  return impl_->part_;
+}
+bool MessageParser::begun() const {
+  return impl_->begun();
+}
+
+}  // namespace gentianroute
--- /dev/null
+++ b/packages/loop/src/relay_server.cc
@@ -0,0 +1,387 @@
+#include "gentianroute/loop/relay_server.h"
+
+#include <boost/intrusive/list.hpp>
+#include <utility>
+#include <vector>
+
+#include "gentianroute/loop/stream_socket.h"
+
+namespace gentianroute {
+namespace {
+
+namespace intrusive = boost::intrusive;
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kContentTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+
+/// After the last answer the far end's bytes are read and dropped for this
+/// long: closing with unread bytes resets the connection, and the reset can
+/// overtake the answer. A round trip is far below it.
+constexpr Duration kLinger = std::chrono::seconds(1);
+/// A caller that does not read its stream must not fill the host's memory.
+constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
+
+}  // namespace
+
+class RelayServer::Impl {
+ public:
+  Impl(EventLoop& loop, Options options, Handler handler)
+      : loop_(loop),
+        options_(std::move(options)),
+        handler_(std::move(handler)) {
+    listener_ =
+        loop_.Listen(options_.address, options_.port,
+                     [this](st_h2o_socket_t* socket) { Accept(socket); });
+    port_ = listener_->port();
+  }
+  ~Impl() {
+    while (!connections_.empty()) {
+      connections_.front().Retire();
+    }
+    Bury();
+    loop_.Cancel(burial_);
+  }
+
+  class Connection;
+
+  class Exchange final : public RelayExchange {
+   public:
+    Exchange(Connection& connection, MessageHead head, TimePoint began)
+        : connection_(&connection) {
+      head_ = std::move(head);
+      began_ = began;
+    }
+    void Answer(int status,
+                const HttpHeaders& fields,
+                std::string_view body) override;
+    void Begin(int status, const HttpHeaders& fields) override;
+    void Write(std::string_view part) override;
+    void End() override;
+    void Abort() override;
+
+    void AppendBody(std::string_view part) { body_.append(part); }
+    void Detach() { connection_ = nullptr; }
+    void TellGone() {
+      if (auto callback = std::exchange(on_gone_, nullptr)) {
+        callback();
+      }
+    }
+    void ForgetGone() { on_gone_ = nullptr; }
+
+   private:
+    Connection* connection_;
+  };
+
+  class Connection final : public intrusive::list_base_hook<>,
+                           public StreamSocket::Observer {
+   public:
+    Connection(Impl& server, st_h2o_socket_t* socket)
+        : server_(server),
+          parser_(MessageParser::Kind::kRequest, {}),
+          socket_(std::make_unique<StreamSocket>(socket, *this)) {
+      Restart();
+    }
+
+    bool busy() const { return exchange_ != nullptr || begun_; }
+
+    void Retire() {
+      if (std::exchange(retired_, true)) {
+        return;
+      }
+      server_.loop_.Cancel(timer_);
+      socket_.reset();
+      if (exchange_ != nullptr) {
+        exchange_->Detach();
+        auto gone = std::exchange(exchange_, nullptr);
+        gone->TellGone();
+      }
+      server_.Remove(*this);
+    }
+
+    void OnData(std::string_view data) override {
+      if (lingering_) {
+        return;
+      }
+      parser_.Feed(data);
+      Advance();
+    }
+    void OnDrained() override {
+      if (lingering_) {
+        socket_->ShutdownWrite();
+      }
+    }
+    void OnEnd(StreamEnd /*end*/) override { Retire(); }
+
+    void SendWhole(int status,
+                   const HttpHeaders& fields,
+                   std::string_view body) {
+      const bool close = ClosesAfterThis();
+      std::string text = AnswerHeadText(status, fields, BodyFraming::kLength,
+                                        body.size(), close);
+      if (exchange_ == nullptr || exchange_->head().method != "HEAD") {
+        text += body;
+      }
+      socket_->Write(text);
+      Finish(close);
+    }
+    void SendHead(int status, const HttpHeaders& fields) {
+      // A caller of HTTP/1.0 can't read chunks; for it the close ends the body.
+      chunked_ = !exchange_->head().version_1_0;
+      close_after_ = ClosesAfterThis() || !chunked_;
+      socket_->Write(AnswerHeadText(
+          status, fields, chunked_ ? BodyFraming::kChunked : BodyFraming::kNone,
+          0, close_after_));
+    }
+    void SendPart(std::string_view part) {
+      if (part.empty()) {
+        return;
+      }
+      socket_->Write(chunked_ ? ChunkText(part) : std::string(part));
+      if (socket_->pending() > kMaxUnsentBytes) {
+        Retire();
+      }
+    }
+    void SendEnd() {
+      if (chunked_) {
+        socket_->Write(kLastChunk);
+      }
+      Finish(close_after_);
+    }
+
+   private:
+    bool ClosesAfterThis() const {
+      return server_.closing_ || exchange_ == nullptr ||
+             !exchange_->head().keep_alive;
+    }
+
+    /// Reads as far as the present request; what follows it waits.
+    void Advance() {
+      while (!retired_ && !lingering_ && exchange_ == nullptr) {
+        if (!begun_ && parser_.begun()) {
+          BeginRequest();
+        }
+        if (!Step(parser_.Poll())) {
+          return;
+        }
+      }
+    }
+
+    bool Step(MessageParser::Event event) {
+      using Event = MessageParser::Event;
+      switch (event) {
+        case Event::kNeedMore:
+          return false;
+        case Event::kHead:
+          incoming_ = new Exchange(*this, std::move(parser_.head()), began_);
+          Await(server_.options_.limits().idle_timeout);
+          if (incoming_->head().expects_continue) {
+            socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+          }
+          return true;
+        case Event::kBody:
+          incoming_->AppendBody(parser_.body());
+          return true;
+        case Event::kEnd:
+          Dispatch();
+          return true;
+        case Event::kMalformed:
+          Refuse(kBadRequest);
+          return false;
+        case Event::kHeadTooLarge:
+          Refuse(kHeadTooLarge);
+          return false;
+        case Event::kBodyTooLarge:
+          Refuse(kContentTooLarge);
+          return false;
+      }
+      return false;
+    }
+
+    void BeginRequest() {
+      begun_ = true;
+      began_ = server_.loop_.Now();
+      Await(server_.options_.limits().head_timeout);
+    }
+
+    void Dispatch() {
+      server_.loop_.Cancel(timer_);
+      exchange_ = std::move(incoming_);
+      begun_ = false;
+      // The handler may answer at once and so end this connection.
+      const RelayExchangePtr exchange = exchange_;
+      server_.handler_(exchange);
+    }
+
+    /// What was read is no request: nothing after it can be trusted.
+    void Refuse(int status) {
+      incoming_ = nullptr;
+      SendWhole(status, {}, "");
+    }
+
+    void Finish(bool close) {
+      if (exchange_ != nullptr) {
+        exchange_->ForgetGone();
+        exchange_->Detach();
+        exchange_ = nullptr;
+      }
+      if (close) {
+        Linger();
+        return;
+      }
+      Restart();
+      Advance();
+    }
+
+    void Restart() {
+      const CallerLimits limits = server_.options_.limits();
+      parser_.Next({limits.head_bytes, limits.body_bytes});
+      begun_ = false;
+      Await(limits.idle_timeout);
+    }
+
+    void Linger() {
+      lingering_ = true;
+      begun_ = false;
+      if (socket_->pending() == 0) {
+        socket_->ShutdownWrite();
+      }
+      server_.loop_.Cancel(timer_);
+      timer_ = server_.loop_.After(kLinger, [this] { LingerOver(); });
+    }
+    void LingerOver() {
+      if (socket_->pending() > 0) {
+        // A slow reader still takes its answer; the link's own time limit ends
+        // one that takes nothing.
+        timer_ = server_.loop_.After(kLinger, [this] { LingerOver(); });
+        return;
+      }
+      Retire();
+    }
+
+    void Await(Duration limit) {
+      server_.loop_.Cancel(timer_);
+      timer_ = server_.loop_.After(limit, [this] { OnTimeout(); });
+    }
+    void OnTimeout() {
+      if (begun_) {
+        Refuse(kRequestTimeout);
+        return;
+      }
+      Retire();
+    }
+
+    Impl& server_;
+    MessageParser parser_;
+    std::unique_ptr<StreamSocket> socket_;
+    TimerId timer_;
+    boost::intrusive_ptr<Exchange> incoming_;
+    boost::intrusive_ptr<Exchange> exchange_;
+    TimePoint began_{};
+    bool begun_ = false;
+    bool chunked_ = false;
+    bool close_after_ = false;
+    bool lingering_ = false;
+    bool retired_ = false;
+  };
+
+  void Accept(st_h2o_socket_t* socket) {
+    auto* connection = new Connection(*this, socket);
+    connections_.push_back(*connection);
+  }
+
+  /// A connection may end inside its own functions, so it is deleted later.
+  void Remove(Connection& connection) {
+    connections_.erase(connections_.iterator_to(connection));
+    if (dead_.empty()) {
+      burial_ = loop_.After(Duration{0}, [this] { Bury(); });
+    }
+    dead_.emplace_back(&connection);
+  }
+  void Bury() { dead_.clear(); }
+
+  void StopAccepting() {
+    listener_.reset();
+    closing_ = true;
+    std::vector<Connection*> idle;
+    for (Connection& connection : connections_) {
+      if (!connection.busy()) {
+        idle.push_back(&connection);
+      }
+    }
+    for (Connection* connection : idle) {
+      connection->Retire();
+    }
+  }
+
+  std::size_t active() const {
+    std::size_t count = 0;
+    for (const Connection& connection : connections_) {
+      count += connection.busy() ? 1 : 0;
+    }
+    return count;
+  }
+
+  EventLoop& loop_;
+  Options options_;
+  Handler handler_;
+  std::unique_ptr<EventLoop::Listener> listener_;
+  std::uint16_t port_ = 0;
+  bool closing_ = false;
+  intrusive::list<Connection> connections_;
+  std::vector<std::unique_ptr<Connection>> dead_;
+  TimerId burial_;
+};
+
+void RelayServer::Impl::Exchange::Answer(int status,
+                                         const HttpHeaders& fields,
+                                         std::string_view body) {
+  if (connection_ != nullptr) {
+    connection_->SendWhole(status, fields, body);
+  }
+}
+void RelayServer::Impl::Exchange::Begin(int status, const HttpHeaders& fields) {
+  if (connection_ != nullptr) {
+    connection_->SendHead(status, fields);
+  }
+}
+void RelayServer::Impl::Exchange::Write(std::string_view part) {
+  if (connection_ != nullptr) {
+    connection_->SendPart(part);
+  }
+}
+void RelayServer::Impl::Exchange::End() {
+  if (connection_ != nullptr) {
+    connection_->SendEnd();
+  }
+}
+void RelayServer::Impl::Exchange::Abort() {
+  ForgetGone();
+  if (connection_ != nullptr) {
+    connection_->Retire();
+  }
+}
+
+RelayServer::RelayServer(EventLoop& loop, Options options, Handler handler)
+    : impl_(std::make_unique<Impl>(loop,
+                                   std::move(options),
+                                   std::move(handler))) {}
+RelayServer::~RelayServer() = default;
+std::uint16_t RelayServer::port() const {
+  return impl_->port_;
+}
+std::size_t RelayServer::connections() const {
+  return impl_->connections_.size();
+}
+std::size_t RelayServer::active() const {
+  return impl_->active();
+}
+void RelayServer::AnnounceClose() {
+  impl_->closing_ = true;
+}
+void RelayServer::StopAccepting() {
+  impl_->StopAccepting();
+}
+
+}  // namespace gentianroute
--- a/packages/loop/src/rpc.cc
+++ b/packages/loop/src/rpc.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "gentianroute/loop/h2o.h"
+#include "gentianroute/loop/socket_options.h"
 
 namespace gentianroute {
 namespace {
@@ -22,6 +23,7 @@
  public:
   explicit H2oStream(h2o_socket_t* socket) : socket_(socket) {
     socket_->data = this;
+    EndWhenSilent(h2o_socket_get_fd(socket_));
     auto broken = kj::newPromiseAndFulfiller<void>();
     disconnected_ = kj::mv(broken.fulfiller);
     disconnect_ = broken.promise.fork();
--- a/packages/observe/include/gentianroute/observe/log.h
+++ b/packages/observe/include/gentianroute/observe/log.h
@@ -3,6 +3,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -41,6 +42,10 @@
 /// @brief Sends log lines to stderr without glog's own prefix.
 void InitialiseLogging(const char* program);
 
+/// @brief Sends whole lines, without their end, elsewhere than to stderr.
+/// @param destination null: back to stderr
+void SetLogDestination(std::function<void(std::string_view)> destination);
+
 /// @brief The value as it stands in a line.
 std::string QuoteLogValue(std::string_view value);
 
--- a/packages/observe/src/log.cc
+++ b/packages/observe/src/log.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <chrono>
 #include <ctime>
+#include <utility>
 
 namespace gentianroute {
 namespace {
@@ -28,8 +29,17 @@
   return std::string(text.data()) + fraction.data();
 }
 
+std::function<void(std::string_view)>& Destination() {
+  static std::function<void(std::string_view)> destination;
+  return destination;
+}
+
 }  // namespace
 
+void SetLogDestination(std::function<void(std::string_view)> destination) {
+  Destination() = std::move(destination);
+}
+
 std::string QuoteLogValue(std::string_view value) {
   const bool plain = !value.empty() && value.find_first_of(" \"=\\\n\r\t") ==
                                            std::string_view::npos;
@@ -64,6 +74,10 @@
 }
 
 LogEvent::~LogEvent() {
+  if (Destination()) {
+    Destination()(line_);
+    return;
+  }
   switch (level_) {
     case LogLevel::kInfo:
       LOG(INFO) << line_;
--- /dev/null
+++ b/packages/routing/include/gentianroute/routing/deployment.h
@@ -0,0 +1,105 @@
+#ifndef GENTIANROUTE_ROUTING_DEPLOYMENT_H_
+#define GENTIANROUTE_ROUTING_DEPLOYMENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gentianroute/base/time.h"
+
+namespace gentianroute::routing {
+
+/// @brief What may be done more than once for one request.
+enum class RouteKind : std::uint8_t {
+  kIdempotent,     ///< may run again
+  kNonIdempotent,  ///< runs at most once
+  kStream,         ///< events; runs once unless the route is resumable
+};
+
+/// @brief Work that must be done before a request's own call.
+struct StageSpec {
+  std::string service;
+  std::vector<std::uint32_t> after;  ///< stages whose results it reads
+  std::uint64_t result_bytes = 0;    ///< of one piece, about
+};
+
+struct WeightedService {
+  std::string service;
+  std::uint32_t weight = 1;
+};
+
+struct Route {
+  std::string name;
+  std::string hostname;
+  std::string prefix;  ///< begins and ends with a slash
+  RouteKind kind = RouteKind::kIdempotent;
+  Duration timeout{};  ///< longest time that a caller is kept waiting
+  Duration target{};   ///< an answer within it is in time
+  Duration pause_target{};  ///< longest pause between events that is in time
+  std::uint32_t priority = 0;  ///< 0 goes first
+  std::vector<WeightedService> services;
+  std::uint32_t max_attempts = 1;  ///< servers that one request may be sent to
+  std::vector<StageSpec> stages;
+  bool is_public = false;  ///< asks for no key
+  bool resumable = false;
+  bool prefix_affinity = false;
+
+  bool MayRepeat() const {
+    return kind == RouteKind::kIdempotent ||
+           (kind == RouteKind::kStream && resumable);
+  }
+};
+
+/// @brief One model server's measure.
+struct ModelCapacity {
+  std::uint32_t slots = 1;
+  std::uint64_t memory_tokens = 0;
+};
+
+/// @brief One stage server's measure; a call takes `call` plus each piece's
+/// time.
+struct StageCapacity {
+  std::uint32_t batch = 1;  ///< pieces in one call
+  std::uint32_t slots = 1;  ///< calls at once
+  Duration call{};
+  Duration piece{};
+  double room_bytes = 0;  ///< for results
+  Duration result_life{};
+};
+
+struct ServiceSpec {
+  std::string name;
+  std::string health_path;
+  std::uint32_t max_connections = 0;  ///< at one server, of all callers
+  std::optional<ModelCapacity> model;
+  std::optional<StageCapacity> stage;
+};
+
+struct Limits {
+  std::size_t head_bytes = 16 * 1024;
+  std::size_t body_bytes = 4 * 1024 * 1024;
+  Duration head_timeout = std::chrono::seconds(3);
+  Duration idle_timeout = std::chrono::seconds(15);
+};
+
+struct Organisation {
+  std::string name;
+  std::vector<std::string> keys;
+  std::optional<std::uint32_t> priority;  ///< goes before the route's
+};
+
+/// @brief One version of what operators want, in full.
+struct Deployment {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<ServiceSpec> services;
+  Limits limits;
+  /// Absent: requests carry no key and none is asked for.
+  std::optional<std::vector<Organisation>> organisations;
+};
+
+}  // namespace gentianroute::routing
+
+#endif  // GENTIANROUTE_ROUTING_DEPLOYMENT_H_
--- /dev/null
+++ b/packages/routing/include/gentianroute/routing/pool_choice.h
@@ -0,0 +1,80 @@
+#ifndef GENTIANROUTE_ROUTING_POOL_CHOICE_H_
+#define GENTIANROUTE_ROUTING_POOL_CHOICE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gentianroute/base/time.h"
+#include "gentianroute/routing/deployment.h"
+#include "gentianroute/routing/topology.h"
+
+namespace gentianroute::routing {
+
+/// @brief The stage servers of one service in one data centre, and what waits
+/// for them.
+struct PoolState {
+  std::string service;
+  std::string data_centre;
+  std::uint32_t servers = 0;  ///< that can be used
+  Duration backlog{};         ///< server time that waits or runs
+};
+
+/// @brief Work that is about to be handed to a pool.
+struct PoolWork {
+  std::uint32_t pieces = 0;
+  Duration piece_time{};
+  /// Data centres that hold the inputs, one for each input.
+  std::vector<std::string> inputs_in;
+};
+
+/// @brief When a pool would be done with a piece of work, at the latest.
+Duration TimeInPool(const PoolState& pool,
+                    const PoolWork& work,
+                    const StageCapacity& capacity);
+
+/// @brief The pool that is done first, by backlog and distance.
+///
+/// A nearby pool is preferred a little: results that cross regions cost money,
+/// and the next stage reads them.
+/// @return null if none has a server
+const PoolState* ChoosePool(std::span<const PoolState> pools,
+                            const PoolWork& work,
+                            const StageCapacity& capacity,
+                            const Topology& topology);
+
+/// @brief What is known of all pools: what their schedulers told, and what was
+/// handed to them since.
+class PoolBoard {
+ public:
+  /// @param state as its scheduler told, or the own one
+  void Report(TimePoint now, PoolState state);
+  /// @brief Work was handed to a pool; counts until its next report.
+  void OnHandedOver(std::string_view service,
+                    std::string_view data_centre,
+                    Duration server_time);
+  /// @brief The pools of a service with their backlog as of now.
+  std::vector<PoolState> Of(TimePoint now, std::string_view service) const;
+  /// @brief Sets how many servers a pool has, by the host list.
+  void SetServers(std::string_view service,
+                  std::string_view data_centre,
+                  std::uint32_t servers);
+
+ private:
+  struct Entry {
+    PoolState state;
+    TimePoint reported{};
+    Duration handed_over{};
+  };
+  using Key = std::pair<std::string, std::string>;
+
+  std::map<Key, Entry> entries_;
+};
+
+}  // namespace gentianroute::routing
+
+#endif  // GENTIANROUTE_ROUTING_POOL_CHOICE_H_
--- /dev/null
+++ b/packages/routing/include/gentianroute/routing/stage_plan.h
@@ -0,0 +1,74 @@
+#ifndef GENTIANROUTE_ROUTING_STAGE_PLAN_H_
+#define GENTIANROUTE_ROUTING_STAGE_PLAN_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "gentianroute/routing/deployment.h"
+
+namespace gentianroute::routing {
+
+/// @brief How far one request has come in its graph of stages.
+///
+/// A result dies with the server that made it, so a stage may have to be made
+/// again; everything that needs no remaking stays.
+class StagePlan {
+ public:
+  /// @param pieces of each stage; 0: the request does without it
+  StagePlan(std::span<const StageSpec> stages,
+            std::span<const std::uint32_t> pieces);
+
+  /// @brief Stages whose inputs are there and that have not begun.
+  /// @complexity quadratic in the stages, of which there are few
+  std::vector<std::uint32_t> Ready() const;
+  void Begin(std::uint32_t stage);
+  void Finish(std::uint32_t stage, std::vector<std::string> results);
+  /// @brief The stage has to be done again; its inputs are still there.
+  void Repeat(std::uint32_t stage);
+  /// @brief An input of a stage, or of the request's own call, is gone: all
+  /// that it needs is made again.
+  /// @param stage number of stages: the request's own call
+  /// @return results that are of no more use
+  std::vector<std::string> RemakeInputsOf(std::uint32_t stage);
+
+  /// @brief Whether all stages are done.
+  bool complete() const;
+  /// @brief Results that a stage reads, in the order of its `after`.
+  std::vector<std::string> InputsOf(std::uint32_t stage) const;
+  /// @brief Results that the request's own call reads.
+  std::vector<std::string> FinalInputs() const;
+  /// @brief Takes out the results that no unfinished stage will read; those
+  /// that the request's own call reads stay.
+  std::vector<std::string> TakeSpent();
+  /// @brief Takes out all results, at the end of a request.
+  std::vector<std::string> TakeAll();
+
+  std::uint32_t pieces(std::uint32_t stage) const {
+    return nodes_[stage].pieces;
+  }
+  std::size_t stages() const { return nodes_.size(); }
+  const StageSpec& spec(std::uint32_t stage) const { return specs_[stage]; }
+  /// @brief Longest chain of unfinished stages that begins with this one,
+  /// itself included.
+  std::uint32_t StagesLeft(std::uint32_t stage) const;
+
+ private:
+  enum class State : std::uint8_t { kWaiting, kRunning, kDone };
+  struct Node {
+    std::uint32_t pieces = 0;
+    State state = State::kWaiting;
+    std::vector<std::string> results;
+  };
+
+  bool IsRead(std::uint32_t stage) const;
+  bool HasUnfinishedReader(std::uint32_t stage) const;
+
+  std::span<const StageSpec> specs_;
+  std::vector<Node> nodes_;
+};
+
+}  // namespace gentianroute::routing
+
+#endif  // GENTIANROUTE_ROUTING_STAGE_PLAN_H_
--- /dev/null
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -0,0 +1,174 @@
+#ifndef GENTIANROUTE_ROUTING_STAGE_POOL_H_
+#define GENTIANROUTE_ROUTING_STAGE_POOL_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "gentianroute/base/id.h"
+#include "gentianroute/base/time.h"
+#include "gentianroute/routing/deployment.h"
+#include "gentianroute/routing/server.h"
+
+namespace gentianroute::routing {
+
+using StageGroupId = Id<struct StageGroupTag>;
+using StageCallId = Id<struct StageCallTag>;
+
+/// @brief All pieces of one stage of one request.
+struct StageGroup {
+  std::string request;  ///< the caller's id of the request
+  std::uint32_t stage = 0;
+  std::uint32_t pieces = 0;
+  std::vector<std::string> inputs;  ///< results that each piece reads
+  std::string key;                  ///< in place of inputs
+  std::string work;  ///< pieces of equal work have the same text
+  TimePoint wanted{};    ///< done by then, the request is in time
+  TimePoint deadline{};  ///< later than that it is of no use
+  std::uint32_t priority = 0;  ///< 0 goes first
+};
+
+/// @brief Why a group was given up.
+enum class StageFailure : std::uint8_t {
+  kLate,       ///< its deadline can't be met
+  kInputGone,  ///< a result that it reads does not exist any more
+  kFailed,     ///< servers failed it again and again
+  kNoServer,   ///< there is no server
+};
+
+struct StagePiece {
+  StageGroupId group;
+  std::uint32_t segment = 0;
+};
+
+/// @brief A call to be sent now.
+struct StageCall {
+  StageCallId id;
+  ServerPtr server;
+  std::vector<StagePiece> pieces;
+  Duration expected{};
+  Duration give_up_after{};
+};
+
+/// @brief What became of one piece of a call.
+enum class PieceEnd : std::uint8_t { kDone, kLate, kInputGone, kNoRoom, kError };
+struct PieceResult {
+  PieceEnd end = PieceEnd::kError;
+  std::string result;
+};
+
+/// @brief How a call ended as a whole.
+enum class CallEnd : std::uint8_t {
+  kAnswered,
+  kRefused,  ///< not run; the server is full or another one
+  kBroken,   ///< no answer; its pieces may have been made, and are made again
+};
+
+struct StageGroupEnd {
+  StageGroupId group;
+  std::optional<StageFailure> failure;
+  std::vector<std::string> results;
+};
+
+/// @brief Fills the calls of the servers of one stage service in one data
+/// centre.
+///
+/// A call costs much and a piece little (150 ms against 2 to 16), so calls that
+/// hold one request's pieces overload servers that full calls use half. All
+/// daemons hand their pieces to the one that runs this pool; a piece waits here
+/// and not at a server, so that it can still fill the next call and be
+/// overtaken by a more urgent one.
+class StagePool {
+ public:
+  explicit StagePool(StageCapacity capacity) : capacity_(capacity) {}
+
+  void SetCapacity(StageCapacity capacity) { capacity_ = capacity; }
+
+  StageGroupId Submit(TimePoint now, StageGroup group);
+  /// @brief Its request has ended; pieces that wait are dropped.
+  void Cancel(StageGroupId group);
+  const StageGroup* Find(StageGroupId group) const;
+
+  /// @brief Calls to send now to the servers that are free.
+  std::vector<StageCall> Dispatch(TimePoint now,
+                                  std::span<const ServerPtr> servers);
+  /// @param results with kAnswered one for each piece, in the call's order
+  void OnCallEnd(TimePoint now,
+                 StageCallId call,
+                 CallEnd end,
+                 std::span<const PieceResult> results);
+
+  /// @brief Groups that have ended since the last call.
+  std::vector<StageGroupEnd> TakeEnded();
+  /// @brief Results that nobody will read: their group has ended before.
+  std::vector<std::string> TakeOrphans();
+
+  /// @brief Server time that waits or runs, summed over servers.
+  Duration Backlog(TimePoint now) const;
+  /// @brief How soon Dispatch() has to be called, if nothing else happens.
+  Duration LookAgainIn() const;
+  std::size_t waiting_pieces() const { return waiting_pieces_; }
+
+ private:
+  struct Group {
+    StageGroup group;
+    std::vector<std::uint32_t> waiting;  ///< segments, in descending order
+    std::uint32_t running = 0;
+    std::uint32_t done = 0;
+    std::uint32_t tries = 0;  ///< of failed pieces, together
+    std::vector<std::string> results;
+  };
+  struct Running {
+    StageCall call;
+    TimePoint began{};
+  };
+  struct Desk {  ///< what the pool knows of one server
+    std::uint32_t calls = 0;
+    TimePoint hold_until{};
+    TimePoint busy_until{};
+  };
+  struct Urgency {
+    TimePoint key;
+    std::uint64_t order;
+    StageGroupId group;
+    bool operator<(const Urgency& other) const {
+      return key != other.key ? key < other.key : order < other.order;
+    }
+  };
+
+  std::vector<Urgency> ByUrgency(TimePoint now) const;
+  void GiveUpLate(TimePoint now);
+  std::vector<ServerPtr> FreeServers(TimePoint now,
+                                     std::span<const ServerPtr> servers);
+  StageCall Fill(TimePoint now,
+                 const ServerPtr& server,
+                 std::size_t most,
+                 std::span<const Urgency> order);
+  Duration PieceTime(const StageGroup& group) const;
+  Duration TimeOf(std::span<const StagePiece> pieces) const;
+  void Learn(const Running& running, Duration taken);
+  void ApplyPiece(const StagePiece& piece, const PieceResult& result);
+  void ReturnPiece(const StagePiece& piece);
+  void End(StageGroupId group, std::optional<StageFailure> failure);
+
+  StageCapacity capacity_;
+  std::map<StageGroupId, Group> groups_;
+  std::map<StageCallId, Running> running_;
+  std::map<std::string, Desk, std::less<>> desks_;
+  /// Time of a piece of each sort of work, learnt from calls.
+  std::map<std::string, Duration, std::less<>> piece_time_;
+  std::vector<StageGroupEnd> ended_;
+  std::vector<std::string> orphans_;
+  std::size_t waiting_pieces_ = 0;
+  std::uint64_t last_group_ = 0;
+  std::uint64_t last_call_ = 0;
+};
+
+}  // namespace gentianroute::routing
+
+#endif  // GENTIANROUTE_ROUTING_STAGE_POOL_H_
--- /dev/null
+++ b/packages/routing/src/event_cutter.cc
@@ -0,0 +1,58 @@
+#include "gentianroute/routing/event_cutter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianroute::routing {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+/// Position behind the last empty line; 0 if there is none.
+std::size_t EndOfWholeEvents(std::string_view text) {
+  std::size_t end = 0;
+  for (const std::string_view blank : {"\n\n", "\n\r\n"}) {
+    const std::size_t at = text.rfind(blank);
+    if (at != std::string_view::npos) {
+      end = std::max(end, at + blank.size());
+    }
+  }
+  return end;
+}
+
+std::string_view Trimmed(std::string_view text) {
+  const std::size_t from = text.find_first_not_of(' ');
+  if (from == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(from, text.find_last_not_of("\r ") + 1 - from);
+}
+
+}  // namespace
+
+std::string EventCutter::Feed(std::string_view data) {
+  rest_.append(data);
+  const std::size_t end = EndOfWholeEvents(rest_);
+  std::string whole = rest_.substr(0, end);
+  rest_.erase(0, end);
+  NoteIds(whole);
+  return whole;
+}
+
+std::string EventCutter::TakeRest() {
+  return std::exchange(rest_, {});
+}
+
+void EventCutter::NoteIds(std::string_view events) {
+  std::size_t at = 0;
+  while (at < events.size()) {
+    const std::size_t end = std::min(events.find('\n', at), events.size());
+    const std::string_view line = events.substr(at, end - at);
+    if (line.starts_with(kIdField)) {
+      last_id_ = Trimmed(line.substr(kIdField.size()));
+    }
+    at = end + 1;
+  }
+}
+
+}  // namespace gentianroute::routing
--- /dev/null
+++ b/packages/routing/src/stage_plan.cc
@@ -0,0 +1,150 @@
+#include "gentianroute/routing/stage_plan.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace gentianroute::routing {
+namespace {
+
+bool Reads(const StageSpec& reader, std::uint32_t stage) {
+  return std::find(reader.after.begin(), reader.after.end(), stage) !=
+         reader.after.end();
+}
+
+void MoveInto(std::vector<std::string>& all, std::vector<std::string>& from) {
+  all.insert(all.end(), std::make_move_iterator(from.begin()),
+             std::make_move_iterator(from.end()));
+  from.clear();
+}
+
+}  // namespace
+
+StagePlan::StagePlan(std::span<const StageSpec> stages,
+                     std::span<const std::uint32_t> pieces)
+    : specs_(stages), nodes_(stages.size()) {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    nodes_[i].pieces = i < pieces.size() ? pieces[i] : 0;
+    nodes_[i].state = nodes_[i].pieces == 0 ? State::kDone : State::kWaiting;
+  }
+}
+
+std::vector<std::uint32_t> StagePlan::Ready() const {
+  std::vector<std::uint32_t> ready;
+  for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
+    const auto& after = specs_[i].after;
+    const bool inputs_there =
+        std::all_of(after.begin(), after.end(), [this](std::uint32_t input) {
+          return nodes_[input].state == State::kDone;
+        });
+    if (nodes_[i].state == State::kWaiting && inputs_there) {
+      ready.push_back(i);
+    }
+  }
+  return ready;
+}
+
+void StagePlan::Begin(std::uint32_t stage) {
+  nodes_[stage].state = State::kRunning;
+}
+
+void StagePlan::Finish(std::uint32_t stage, std::vector<std::string> results) {
+  nodes_[stage].state = State::kDone;
+  nodes_[stage].results = std::move(results);
+}
+
+void StagePlan::Repeat(std::uint32_t stage) {
+  nodes_[stage].state = State::kWaiting;
+}
+
+std::vector<std::string> StagePlan::RemakeInputsOf(std::uint32_t stage) {
+  std::vector<std::string> useless;
+  for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
+    const bool input =
+        stage < nodes_.size() ? Reads(specs_[stage], i) : !IsRead(i);
+    if (!input || nodes_[i].pieces == 0 || nodes_[i].state != State::kDone) {
+      continue;
+    }
+    nodes_[i].state = State::kWaiting;
+    MoveInto(useless, nodes_[i].results);
+    // Its own inputs are spent by now.
+    std::vector<std::string> deeper = RemakeInputsOf(i);
+    MoveInto(useless, deeper);
+  }
+  if (stage < nodes_.size()) {
+    nodes_[stage].state = State::kWaiting;
+  }
+  return useless;
+}
+
+bool StagePlan::complete() const {
+  return std::all_of(nodes_.begin(), nodes_.end(), [](const Node& node) {
+    return node.state == State::kDone;
+  });
+}
+
+std::vector<std::string> StagePlan::InputsOf(std::uint32_t stage) const {
+  std::vector<std::string> inputs;
+  for (const std::uint32_t input : specs_[stage].after) {
+    const auto& results = nodes_[input].results;
+    inputs.insert(inputs.end(), results.begin(), results.end());
+  }
+  return inputs;
+}
+
+std::vector<std::string> StagePlan::FinalInputs() const {
+  std::vector<std::string> inputs;
+  for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
+    if (!IsRead(i)) {
+      const auto& results = nodes_[i].results;
+      inputs.insert(inputs.end(), results.begin(), results.end());
+    }
+  }
+  return inputs;
+}
+
+std::vector<std::string> StagePlan::TakeSpent() {
+  std::vector<std::string> spent;
+  for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
+    if (IsRead(i) && !HasUnfinishedReader(i)) {
+      MoveInto(spent, nodes_[i].results);
+    }
+  }
+  return spent;
+}
+
+std::vector<std::string> StagePlan::TakeAll() {
+  std::vector<std::string> all;
+  for (Node& node : nodes_) {
+    MoveInto(all, node.results);
+  }
+  return all;
+}
+
+std::uint32_t StagePlan::StagesLeft(std::uint32_t stage) const {
+  std::uint32_t longest = 0;
+  for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].pieces > 0 && Reads(specs_[i], stage)) {
+      longest = std::max(longest, StagesLeft(i));
+    }
+  }
+  return longest + 1;
+}
+
+bool StagePlan::IsRead(std::uint32_t stage) const {
+  return std::any_of(specs_.begin(), specs_.end(),
+                     [stage](const StageSpec& spec) {
+                       return Reads(spec, stage);
+                     });
+}
+
+bool StagePlan::HasUnfinishedReader(std::uint32_t stage) const {
+  for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].state != State::kDone && Reads(specs_[i], stage)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace gentianroute::routing
--- /dev/null
+++ b/packages/routing/src/stage_pool.cc
@@ -0,0 +1,354 @@
+#include "gentianroute/routing/stage_pool.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace gentianroute::routing {
+namespace {
+
+/// How much later a group of the next lower priority counts. About one call's
+/// time: enough to go first, too little to starve anybody for long.
+constexpr Duration kPriorityStep = std::chrono::milliseconds(250);
+/// A group that can't be in time any more goes behind all that still can; an
+/// answer that is late earns its caller little.
+constexpr Duration kMissedStep = std::chrono::seconds(5);
+/// A server this much slower than expected is left out while another is open;
+/// its history fades in seconds, after which it is tried again.
+constexpr double kTooSlow = 2.5;
+/// A call is given up after this many times its expected time and a margin. A
+/// slowed server takes five times as long, and its answer is still worth
+/// having; one that is dark never answers.
+constexpr int kGiveUpFactor = 4;
+constexpr Duration kGiveUpMargin = std::chrono::milliseconds(300);
+/// A server without room, or that refused, is not asked again for this long:
+/// the time in which one more call's results are read and freed.
+constexpr Duration kHold = std::chrono::milliseconds(100);
+/// How often held servers are looked at while pieces wait for them.
+constexpr Duration kLookAgain = std::chrono::milliseconds(25);
+/// Failed pieces that a group survives.
+constexpr std::uint32_t kMostTries = 6;
+/// Weight of the newest call in the learnt time of a piece.
+constexpr double kLearnRate = 0.2;
+/// Calls outside these bounds tell of the server and not of the work.
+constexpr double kLeastUsualRatio = 0.4;
+constexpr double kMostUsualRatio = 1.5;
+
+bool HasOpen(std::span<const ServerPtr> servers) {
+  return std::any_of(servers.begin(), servers.end(),
+                     [](const ServerPtr& server) { return server->open(); });
+}
+
+}  // namespace
+
+StageGroupId StagePool::Submit(TimePoint /*now*/, StageGroup group) {
+  const StageGroupId id{++last_group_};
+  Group& entry = groups_[id];
+  entry.group = std::move(group);
+  entry.results.resize(entry.group.pieces);
+  for (std::uint32_t i = entry.group.pieces; i > 0; --i) {
+    entry.waiting.push_back(i - 1);
+  }
+  waiting_pieces_ += entry.waiting.size();
+  return id;
+}
+
+void StagePool::Cancel(StageGroupId group) {
+  const auto found = groups_.find(group);
+  if (found == groups_.end()) {
+    return;
+  }
+  waiting_pieces_ -= found->second.waiting.size();
+  for (std::string& result : found->second.results) {
+    if (!result.empty()) {
+      orphans_.push_back(std::move(result));
+    }
+  }
+  groups_.erase(found);
+}
+
+const StageGroup* StagePool::Find(StageGroupId group) const {
+  const auto found = groups_.find(group);
+  return found == groups_.end() ? nullptr : &found->second.group;
+}
+
+std::vector<StagePool::Urgency> StagePool::ByUrgency(TimePoint now) const {
+  std::vector<Urgency> order;
+  for (const auto& [id, entry] : groups_) {
+    if (entry.waiting.empty()) {
+      continue;
+    }
+    const StageGroup& group = entry.group;
+    const Duration least = capacity_.call + PieceTime(group);
+    const bool missed = now + least > group.wanted;
+    order.push_back({group.wanted + kPriorityStep * group.priority +
+                         (missed ? kMissedStep : Duration{0}),
+                     id.value, id});
+  }
+  std::sort(order.begin(), order.end());
+  return order;
+}
+
+void StagePool::GiveUpLate(TimePoint now) {
+  std::vector<StageGroupId> late;
+  for (const auto& [id, entry] : groups_) {
+    const Duration least = capacity_.call + PieceTime(entry.group);
+    if (!entry.waiting.empty() && now + least > entry.group.deadline) {
+      late.push_back(id);
+    }
+  }
+  for (const StageGroupId id : late) {
+    End(id, StageFailure::kLate);
+  }
+}
+
+std::vector<ServerPtr> StagePool::FreeServers(
+    TimePoint now,
+    std::span<const ServerPtr> servers) {
+  std::vector<ServerPtr> sound;
+  std::vector<ServerPtr> slow;
+  bool has_sound = false;
+  for (const ServerPtr& server : servers) {
+    if (!server->open() || server->history().IsAvoided(now)) {
+      continue;
+    }
+    const bool is_slow = server->history().Slowness(now) > kTooSlow;
+    has_sound |= !is_slow;
+    const Desk& desk = desks_[server->record().id];
+    if (desk.calls >= capacity_.slots || now < desk.hold_until) {
+      continue;
+    }
+    (is_slow ? slow : sound).push_back(server);
+  }
+  return has_sound ? sound : slow;
+}
+
+std::vector<StageCall> StagePool::Dispatch(TimePoint now,
+                                           std::span<const ServerPtr> servers) {
+  std::vector<StageCall> calls;
+  GiveUpLate(now);
+  if (waiting_pieces_ == 0) {
+    return calls;
+  }
+  if (!HasOpen(servers)) {
+    while (!groups_.empty()) {
+      End(groups_.begin()->first, StageFailure::kNoServer);
+    }
+    return calls;
+  }
+  std::vector<ServerPtr> free = FreeServers(now, servers);
+  const std::vector<Urgency> order =
+      free.empty() ? std::vector<Urgency>{} : ByUrgency(now);
+  for (std::size_t i = 0; i < free.size() && waiting_pieces_ > 0; ++i) {
+    // Free servers share what waits, but no call is split below half of its
+    // size: a server that stays free serves the next request at once.
+    const std::size_t free_left = free.size() - i;
+    const std::size_t share = (waiting_pieces_ + free_left - 1) / free_left;
+    const std::size_t half = (capacity_.batch + 1) / 2;
+    const std::size_t most =
+        std::min<std::size_t>(capacity_.batch, std::max(share, half));
+    calls.push_back(Fill(now, free[i], most, order));
+  }
+  return calls;
+}
+
+StageCall StagePool::Fill(TimePoint now,
+                          const ServerPtr& server,
+                          std::size_t most,
+                          std::span<const Urgency> order) {
+  StageCall call;
+  call.id = StageCallId{++last_call_};
+  call.server = server;
+  for (const Urgency& next : order) {
+    Group& entry = groups_.at(next.group);
+    while (!entry.waiting.empty() && call.pieces.size() < most) {
+      call.pieces.push_back({next.group, entry.waiting.back()});
+      entry.waiting.pop_back();
+      ++entry.running;
+      --waiting_pieces_;
+    }
+  }
+  const Duration usual = TimeOf(call.pieces);
+  call.expected = std::chrono::duration_cast<Duration>(
+      usual * std::max(1.0, server->history().Slowness(now)));
+  call.give_up_after = usual * kGiveUpFactor + kGiveUpMargin;
+  Desk& desk = desks_[server->record().id];
+  ++desk.calls;
+  desk.busy_until = now + call.expected;
+  running_[call.id] = {call, now};
+  return call;
+}
+
+Duration StagePool::PieceTime(const StageGroup& group) const {
+  const auto found = piece_time_.find(group.work);
+  return found == piece_time_.end() ? capacity_.piece : found->second;
+}
+
+Duration StagePool::TimeOf(std::span<const StagePiece> pieces) const {
+  Duration time = capacity_.call;
+  for (const StagePiece& piece : pieces) {
+    const auto found = groups_.find(piece.group);
+    time += found == groups_.end() ? capacity_.piece
+                                   : PieceTime(found->second.group);
+  }
+  return time;
+}
+
+void StagePool::Learn(const Running& running, Duration taken) {
+  const Duration usual = TimeOf(running.call.pieces);
+  const Duration of_pieces = usual - capacity_.call;
+  const double whole = Seconds(taken) / Seconds(usual);
+  if (of_pieces.count() <= 0 || whole < kLeastUsualRatio ||
+      whole > kMostUsualRatio) {
+    return;
+  }
+  const double ratio = std::clamp(
+      Seconds(taken - capacity_.call) / Seconds(of_pieces), 0.2, 2.0);
+  for (const StagePiece& piece : running.call.pieces) {
+    const auto found = groups_.find(piece.group);
+    if (found == groups_.end()) {
+      continue;
+    }
+    // Each piece of a call moves its work by its part of the call's lesson.
+    const double rate =
+        kLearnRate / static_cast<double>(running.call.pieces.size());
+    const Duration before = PieceTime(found->second.group);
+    piece_time_[found->second.group.work] =
+        std::chrono::duration_cast<Duration>(before *
+                                             (1.0 + rate * (ratio - 1.0)));
+  }
+}
+
+void StagePool::OnCallEnd(TimePoint now,
+                          StageCallId call,
+                          CallEnd end,
+                          std::span<const PieceResult> results) {
+  const auto found = running_.find(call);
+  if (found == running_.end()) {
+    return;
+  }
+  const Running running = std::move(found->second);
+  running_.erase(found);
+  Server& server = *running.call.server;
+  Desk& desk = desks_[server.record().id];
+  desk.calls -= desk.calls > 0 ? 1 : 0;
+  desk.busy_until = now;
+  if (end == CallEnd::kRefused) {
+    desk.hold_until = now + kHold;
+  }
+  if (end == CallEnd::kBroken) {
+    server.history().OnBreak(now);
+  }
+  if (end == CallEnd::kAnswered) {
+    const Duration taken = now - running.began;
+    server.history().OnAnswer(
+        now, true, Seconds(taken) / Seconds(TimeOf(running.call.pieces)));
+    Learn(running, taken);
+  }
+  for (std::size_t i = 0; i < running.call.pieces.size(); ++i) {
+    const StagePiece& piece = running.call.pieces[i];
+    if (end == CallEnd::kAnswered && i < results.size()) {
+      if (results[i].end == PieceEnd::kNoRoom) {
+        desk.hold_until = now + kHold;
+      }
+      ApplyPiece(piece, results[i]);
+    } else {
+      const bool costs_a_try = end != CallEnd::kRefused;
+      ApplyPiece(piece,
+                 {costs_a_try ? PieceEnd::kError : PieceEnd::kNoRoom, {}});
+    }
+  }
+}
+
+void StagePool::ApplyPiece(const StagePiece& piece,
+                           const PieceResult& result) {
+  const auto found = groups_.find(piece.group);
+  if (found == groups_.end()) {
+    if (!result.result.empty()) {
+      orphans_.push_back(result.result);
+    }
+    return;
+  }
+  Group& entry = found->second;
+  --entry.running;
+  switch (result.end) {
+    case PieceEnd::kDone:
+      entry.results[piece.segment] = result.result;
+      ++entry.done;
+      if (entry.done == entry.group.pieces) {
+        End(piece.group, std::nullopt);
+      }
+      return;
+    case PieceEnd::kLate:
+      End(piece.group, StageFailure::kLate);
+      return;
+    case PieceEnd::kInputGone:
+      End(piece.group, StageFailure::kInputGone);
+      return;
+    case PieceEnd::kNoRoom:
+      ReturnPiece(piece);
+      return;
+    case PieceEnd::kError:
+      ++entry.tries;
+      ReturnPiece(piece);
+      if (entry.tries > kMostTries + entry.group.pieces) {
+        End(piece.group, StageFailure::kFailed);
+      }
+      return;
+  }
+}
+
+void StagePool::ReturnPiece(const StagePiece& piece) {
+  Group& entry = groups_.at(piece.group);
+  entry.waiting.push_back(piece.segment);
+  std::sort(entry.waiting.rbegin(), entry.waiting.rend());
+  ++waiting_pieces_;
+}
+
+void StagePool::End(StageGroupId group, std::optional<StageFailure> failure) {
+  const auto found = groups_.find(group);
+  Group& entry = found->second;
+  waiting_pieces_ -= entry.waiting.size();
+  StageGroupEnd end{group, failure, {}};
+  if (failure) {
+    for (std::string& result : entry.results) {
+      if (!result.empty()) {
+        orphans_.push_back(std::move(result));
+      }
+    }
+  } else {
+    end.results = std::move(entry.results);
+  }
+  groups_.erase(found);
+  ended_.push_back(std::move(end));
+}
+
+std::vector<StageGroupEnd> StagePool::TakeEnded() {
+  return std::exchange(ended_, {});
+}
+
+std::vector<std::string> StagePool::TakeOrphans() {
+  return std::exchange(orphans_, {});
+}
+
+Duration StagePool::Backlog(TimePoint now) const {
+  Duration backlog{0};
+  for (const auto& [id, entry] : groups_) {
+    backlog += PieceTime(entry.group) * entry.waiting.size();
+  }
+  const std::size_t calls =
+      (waiting_pieces_ + capacity_.batch - 1) / capacity_.batch;
+  backlog += capacity_.call * calls;
+  for (const auto& [id, desk] : desks_) {
+    if (desk.calls > 0 && desk.busy_until > now) {
+      backlog += desk.busy_until - now;
+    }
+  }
+  return backlog;
+}
+
+Duration StagePool::LookAgainIn() const {
+  return waiting_pieces_ == 0 ? Duration::max() : kLookAgain;
+}
+
+}  // namespace gentianroute::routing
--- /dev/null
+++ b/packages/schema/schema/cluster.capnp
@@ -0,0 +1,76 @@
+@0xd3c1a7e95b2f4680;
+# Between the daemons that share backend servers.
+
+using Cxx = import "/capnp/c++.capnp";
+using Peer = import "peer.capnp";
+$Cxx.namespace("gentianroute::schema");
+
+struct ServerWork {
+  # What one daemon has at one backend server.
+  server @0 :Text;
+  calls @1 :Float32;
+  tokens @2 :Float32;
+  unreadTokens @3 :Float32;
+}
+
+struct StageBacklog {
+  # What waits for the stage servers of one service in one data centre; told by
+  # the daemon that schedules them.
+  service @0 :Text;
+  dataCentre @1 :Text;
+  backlogMs @2 :Float32;
+}
+
+struct Beat {
+  # Sent to each peer every period, as a datagram; soft state only.
+  daemon @0 :Text;
+  incarnation @1 :UInt64;
+  address @2 :Text;
+  port @3 :UInt16;
+  dataCentre @4 :Text;
+  draining @5 :Bool;
+  deploymentVersion @6 :UInt64;       # of the row in the store
+  serversVersion @7 :UInt64;          # of the newest row of the host list
+  storeAnswers @8 :Bool;
+  work @9 :List(ServerWork);
+  backlogs @10 :List(StageBacklog);
+  quarantined @11 :List(Peer.Quarantine);
+}
+
+struct Group {
+  # All pieces of one stage of one request.
+  service @0 :Text;
+  dataCentre @1 :Text;
+  request @2 :Text;
+  stage @3 :UInt32;
+  pieces @4 :UInt32;
+  inputs @5 :List(Text);
+  key @6 :Text;
+  work @7 :Text;
+  wantedMs @8 :Int32;                 # from now
+  deadlineMs @9 :Int32;               # from now
+  priority @10 :UInt32;
+}
+
+struct GroupOutcome {
+  failure @0 :UInt16;                 # 0: done; else 1 + the kind of failure
+  results @1 :List(Text);
+}
+
+struct Row {
+  key @0 :Text;
+  value @1 :Data;
+  version @2 :UInt64;
+}
+
+struct StoreCopy {
+  # What a peer last read in the store; empty parts are not newer.
+  deployment @0 :List(Row);
+  servers @1 :List(Row);
+  serversVersion @2 :UInt64;
+}
+
+interface Cluster {
+  runGroup @0 (group :Group) -> (outcome :GroupOutcome);
+  storeCopy @1 (deploymentVersion :UInt64, serversVersion :UInt64) -> (copy :StoreCopy);
+}
