Place stage work beside its reader; give each stage call a connection of its own

Ruled out: the plan's remaking of inputs (traced by hand, each path keeps the stage's inputs whole). Change: pools and model servers are chosen by the bytes that would cross; a stage beside a longer chain begins with its last stages; urgency goes by the usual time of a call; beats between regions are a third as many; the store holds calls for 3 s.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -109,7 +109,8 @@
   Peer& PeerNamed(std::string_view name);
   RpcConnection* LinkTo(Peer& peer);
   Duration BeatPeriod() const;
-  Duration SilenceLimit() const;
+  bool IsInOwnRegion(const Peer& peer) const;
+  Duration SilenceLimit(const Peer& peer) const;
 
   EventLoop& loop_;
   const GatewaySettings& settings_;
@@ -117,6 +118,7 @@
   ClusterHandler& handler_;
   std::uint64_t incarnation_;
   bool leaving_ = false;
+  std::uint32_t beats_ = 0;
   std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
   std::unique_ptr<DatagramSocket> datagrams_;
   std::unique_ptr<RpcServer> server_;
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -86,6 +86,8 @@
   void StartTimers();
   void Advance();
   void RunStage(std::uint32_t stage);
+  std::vector<routing::PlacedBytes> PlacedResults(
+      std::span<const std::uint32_t> stages) const;
   void OnStageEnd(std::uint32_t stage, StageOutcome outcome);
   void OnStageFailure(std::uint32_t stage, routing::StageFailure failure);
 
@@ -138,6 +140,8 @@
   std::optional<routing::StagePlan> plan_;
   std::map<std::uint32_t, std::unique_ptr<GroupHold>> running_;
   std::map<std::uint32_t, std::string> results_in_;  ///< data centre, by stage
+  /// Data centre of the server that will probably read the results.
+  std::string home_;
   std::uint32_t remakes_ = 0;
   TimePoint stages_done_{};
 
--- a/packages/gateway/include/gentianroute/gateway/stage_work.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_work.h
@@ -39,17 +39,25 @@
                  Duration backlog);
 
   using Done = std::function<void(StageOutcome)>;
-  /// @param inputs_in data centres that hold the inputs
+  /// @param inputs where the inputs lie
+  /// @param result_bytes of one piece, about
+  /// @param read_in data centre of what reads the results, if known
   /// @return let go of it to drop the work; `done` is not called then
   std::unique_ptr<GroupHold> Run(std::string_view service,
                                  routing::StageGroup group,
-                                 std::vector<std::string> inputs_in,
+                                 std::vector<routing::PlacedBytes> inputs,
+                                 double result_bytes,
+                                 std::string_view read_in,
                                  Done done);
 
   /// @brief When all stages of a fresh plan would be done, from now.
   Duration TimeFor(TimePoint now, const routing::StagePlan& plan);
-  /// @brief The least that the stages from this one on take, without waiting.
-  Duration LeastFrom(const routing::StagePlan& plan, std::uint32_t stage) const;
+  /// @brief The least that the stages after this one take, without waiting.
+  Duration LeastAfter(const routing::StagePlan& plan,
+                      std::uint32_t stage) const;
+  /// @brief What the stages after this one take with full calls.
+  Duration UsualAfter(const routing::StagePlan& plan,
+                      std::uint32_t stage) const;
   /// @brief Whether every service that the plan needs has a server.
   bool HasServers(const routing::StagePlan& plan) const;
 
@@ -60,6 +68,11 @@
   class Handed;
 
   const routing::StageCapacity* CapacityOf(std::string_view service) const;
+  /// The longest chain of stages that read this one, by a time of each.
+  template <typename TimeOf>
+  Duration LongestAfter(const routing::StagePlan& plan,
+                        std::uint32_t stage,
+                        const TimeOf& time_of) const;
   std::vector<routing::PoolState> PoolsOf(TimePoint now,
                                           std::string_view service);
 
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -1,7 +1,7 @@
 #include "gentianroute/gateway/cluster.h"
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+#include <capnp/serialize-packed.h>
 #include <kj/async.h>
 
 #include <algorithm>
@@ -18,13 +18,16 @@
 /// with the peers, so that the cost of a daemon stays what it is.
 constexpr std::int64_t kBeatsPerSecond = 90;
 constexpr Duration kShortestPeriod = std::chrono::milliseconds(100);
-/// Lost datagrams come two in a row now and then; five are a failure.
-constexpr int kBeatsOfSilence = 5;
+/// Bytes between regions are billed by volume, so only one beat in this many
+/// goes there; what it tells is 20 ms old on arrival in any case.
+constexpr std::uint32_t kBeatsPerRegionBeat = 3;
+/// Lost datagrams come two in a row now and then; four are a failure.
+constexpr int kBeatsOfSilence = 4;
 /// Daemons that start together write their rows within the first moments, and
 /// read the others' a little later; after that only newcomers are missed, who
 /// make themselves known by their own beats.
 constexpr Duration kFirstLook = std::chrono::milliseconds(400);
-constexpr Duration kRowPeriod = std::chrono::seconds(5);
+constexpr Duration kRowPeriod = std::chrono::seconds(15);
 constexpr Duration kCopyTimeout = std::chrono::milliseconds(600);
 
 std::int32_t MillisecondsUntil(TimePoint now, TimePoint then) {
@@ -284,8 +287,17 @@
                   Duration(std::chrono::seconds(1)) * peers / kBeatsPerSecond);
 }
 
-Duration Cluster::SilenceLimit() const {
-  return BeatPeriod() * kBeatsOfSilence;
+bool Cluster::IsInOwnRegion(const Peer& peer) const {
+  const auto own = settings_.regions.find(settings_.data_centre);
+  const auto other = settings_.regions.find(peer.data_centre);
+  return peer.data_centre == settings_.data_centre ||
+         (own != settings_.regions.end() && other != settings_.regions.end() &&
+          own->second == other->second);
+}
+
+Duration Cluster::SilenceLimit(const Peer& peer) const {
+  const auto beats = IsInOwnRegion(peer) ? 1 : kBeatsPerRegionBeat;
+  return BeatPeriod() * kBeatsOfSilence * beats;
 }
 
 void Cluster::SendBeats() {
@@ -305,25 +317,25 @@
   beat.setDataCentre(settings_.data_centre);
   beat.setDraining(leaving_);
   handler_.FillBeat(beat);
-  const auto words = capnp::messageToFlatArray(message);
-  const auto bytes = words.asBytes();
+  kj::VectorOutputStream packed;
+  capnp::writePackedMessage(packed, message);
+  const auto bytes = packed.getArray();
   const std::span<const std::byte> data(
       reinterpret_cast<const std::byte*>(bytes.begin()), bytes.size());
+  const bool to_all = leaving_ || beats_++ % kBeatsPerRegionBeat == 0;
   for (const auto& [name, peer] : peers_) {
-    datagrams_->Send(peer->address, peer->port, data);
+    if (to_all || IsInOwnRegion(*peer)) {
+      datagrams_->Send(peer->address, peer->port, data);
+    }
   }
 }
 
 void Cluster::OnMessage(std::span<const std::byte> message) {
-  if (message.empty() || message.size() % sizeof(capnp::word) != 0) {
-    return;
-  }
-  // A datagram is not aligned for the reader, so it is copied.
-  auto words = kj::heapArray<capnp::word>(message.size() / sizeof(capnp::word));
-  std::copy(message.begin(), message.end(),
-            reinterpret_cast<std::byte*>(words.begin()));
   const auto failed = kj::runCatchingExceptions([&] {
-    capnp::FlatArrayMessageReader reader(words);
+    kj::ArrayInputStream stream(
+        kj::arrayPtr(reinterpret_cast<const kj::byte*>(message.data()),
+                     message.size()));
+    capnp::PackedMessageReader reader(stream);
     const auto beat = reader.getRoot<schema::Beat>();
     const std::string name = beat.getDaemon();
     if (name.empty() || IsSelf(name)) {
@@ -358,7 +370,7 @@
 
 void Cluster::Watch(TimePoint now) {
   for (const auto& [name, peer] : peers_) {
-    if (peer->alive && now - peer->heard > SilenceLimit()) {
+    if (peer->alive && now - peer->heard > SilenceLimit(*peer)) {
       peer->alive = false;
       peer->link.reset();
       LogEvent("peer_down", LogLevel::kWarning)
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -166,6 +166,9 @@
     return;
   }
   limit_timer_ = services_.loop.At(limit_, [this] { OnTimeout(); });
+  if (const routing::Choice home = ChooseServer(); home.server != nullptr) {
+    home_ = home.server->record().data_centre;
+  }
   Advance();
 }
 
@@ -202,7 +205,6 @@
 
 void RequestFlow::RunStage(std::uint32_t stage) {
   const routing::StageSpec& spec = plan_->spec(stage);
-  const Duration from_here = services_.stages.LeastFrom(*plan_, stage);
   routing::StageGroup group;
   group.request = request_.id;
   group.stage = stage;
@@ -211,30 +213,36 @@
   group.key = request_.stage_key;
   group.work = route_->name + ":" + std::to_string(stage);
   // What comes after this stage has to fit behind it.
-  const auto* capacity = table_->Service(spec.service);
-  const Duration own = capacity != nullptr && capacity->stage
-                           ? capacity->stage->call + capacity->stage->piece
-                           : Duration{0};
-  const Duration after = from_here - own;
-  group.wanted = began_ + route_->target - after - kUsualAnswer;
-  group.deadline = limit_ - after - kLeastAnswer;
+  group.wanted = began_ + route_->target - kUsualAnswer -
+                 services_.stages.UsualAfter(*plan_, stage);
+  group.deadline =
+      limit_ - kLeastAnswer - services_.stages.LeastAfter(*plan_, stage);
   group.priority = organisation_ != nullptr && organisation_->priority
                        ? *organisation_->priority
                        : route_->priority;
-  std::vector<std::string> inputs_in;
-  for (const std::uint32_t input : spec.after) {
-    if (plan_->pieces(input) > 0) {
-      inputs_in.push_back(results_in_[input]);
-    }
-  }
   plan_->Begin(stage);
   running_[stage] = services_.stages.Run(
-      spec.service, std::move(group), std::move(inputs_in),
+      spec.service, std::move(group), PlacedResults(spec.after),
+      static_cast<double>(spec.result_bytes), home_,
       [this, stage](StageOutcome outcome) {
         OnStageEnd(stage, std::move(outcome));
       });
 }
 
+std::vector<routing::PlacedBytes> RequestFlow::PlacedResults(
+    std::span<const std::uint32_t> stages) const {
+  std::vector<routing::PlacedBytes> placed;
+  for (const std::uint32_t stage : stages) {
+    const auto found = results_in_.find(stage);
+    if (found != results_in_.end()) {
+      placed.push_back({found->second,
+                        static_cast<double>(plan_->spec(stage).result_bytes) *
+                            plan_->pieces(stage)});
+    }
+  }
+  return placed;
+}
+
 void RequestFlow::OnStageEnd(std::uint32_t stage, StageOutcome outcome) {
   const Ptr keep(this);
   const auto hold = running_.extract(stage);
@@ -285,7 +293,8 @@
   const TimePoint now = services_.loop.Now();
   const auto& servers = services_.servers.In(service_name_);
   if (service_ != nullptr && service_->model) {
-    return routing::ChooseModel(now, servers, tried_, request_.prompt,
+    const auto inputs = PlacedResults(plan_->FinalStages());
+    return routing::ChooseModel(now, servers, tried_, request_.prompt, inputs,
                                 *service_->model, services_.topology);
   }
   return routing::ChoosePlain(now, servers, tried_, services_.topology);
--- a/packages/gateway/src/result_releases.cc
+++ b/packages/gateway/src/result_releases.cc
@@ -13,7 +13,7 @@
 /// before the next call ends. Of small results it holds seconds' worth.
 constexpr std::uint64_t kLargeResult = 500'000;
 constexpr Duration kLargeDelay = std::chrono::milliseconds(30);
-constexpr Duration kSmallDelay = std::chrono::milliseconds(300);
+constexpr Duration kSmallDelay = std::chrono::milliseconds(120);
 constexpr Duration kTick = std::chrono::milliseconds(30);
 constexpr Duration kCallTimeout = std::chrono::seconds(2);
 constexpr std::size_t kMostInCall = 400;
--- a/packages/gateway/src/stage_desk.cc
+++ b/packages/gateway/src/stage_desk.cc
@@ -198,6 +198,11 @@
   const routing::ServerRecord& server = call.server->record();
   RelayCall out;
   out.endpoint = {server.address, server.port};
+  // A server may send a second answer to a call, late. On a kept connection it
+  // would arrive as the answer to the next call, whose pieces then got another
+  // request's results; a stage answer bears no id that would tell.
+  out.reuse_within = Duration{0};
+  out.keep = false;
   out.message =
       translator_.StageCallMessage(out.endpoint, server.id, pieces);
   ++calls_sent_;
--- a/packages/gateway/src/stage_work.cc
+++ b/packages/gateway/src/stage_work.cc
@@ -23,12 +23,12 @@
   Handed(StageWork& work,
          std::string_view service,
          routing::StageGroup group,
-         std::vector<std::string> inputs_in,
+         routing::PoolWork load,
          Done done)
       : work_(work),
         service_(service),
         group_(std::move(group)),
-        inputs_in_(std::move(inputs_in)),
+        load_(std::move(load)),
         done_(std::move(done)) {
     work_.handed_.push_back(this);
     Choose();
@@ -56,13 +56,9 @@
     const TimePoint now = work_.loop_.Now();
     const routing::StageCapacity* capacity = work_.CapacityOf(service_);
     const auto pools = work_.PoolsOf(now, service_);
-    const routing::PoolWork load{group_.pieces,
-                                 capacity == nullptr ? Duration{0}
-                                                     : capacity->piece,
-                                 inputs_in_};
     const routing::PoolState* pool =
         capacity == nullptr ? nullptr
-                            : routing::ChoosePool(pools, load, *capacity,
+                            : routing::ChoosePool(pools, load_, *capacity,
                                                   work_.topology_);
     if (pool == nullptr) {
       timer_ = work_.loop_.After(Duration{0}, [this] {
@@ -114,7 +110,7 @@
   StageWork& work_;
   std::string service_;
   routing::StageGroup group_;
-  std::vector<std::string> inputs_in_;
+  routing::PoolWork load_;
   Done done_;
   std::string data_centre_;
   std::string scheduler_;
@@ -167,12 +163,22 @@
   return pools;
 }
 
-std::unique_ptr<GroupHold> StageWork::Run(std::string_view service,
-                                          routing::StageGroup group,
-                                          std::vector<std::string> inputs_in,
-                                          Done done) {
+std::unique_ptr<GroupHold> StageWork::Run(
+    std::string_view service,
+    routing::StageGroup group,
+    std::vector<routing::PlacedBytes> inputs,
+    double result_bytes,
+    std::string_view read_in,
+    Done done) {
+  const routing::StageCapacity* capacity = CapacityOf(service);
+  routing::PoolWork load;
+  load.pieces = group.pieces;
+  load.piece_time = capacity == nullptr ? Duration{0} : capacity->piece;
+  load.inputs = std::move(inputs);
+  load.result_bytes = result_bytes * group.pieces;
+  load.read_in = read_in;
   return std::make_unique<Handed>(*this, service, std::move(group),
-                                  std::move(inputs_in), std::move(done));
+                                  std::move(load), std::move(done));
 }
 
 Duration StageWork::TimeFor(TimePoint now, const routing::StagePlan& plan) {
@@ -188,7 +194,7 @@
       continue;
     }
     const auto pools = PoolsOf(now, service);
-    const routing::PoolWork load{plan.pieces(stage), capacity->piece, {}};
+    const routing::PoolWork load{plan.pieces(stage), capacity->piece};
     const routing::PoolState* pool =
         routing::ChoosePool(pools, load, *capacity, topology_);
     if (pool != nullptr) {
@@ -200,20 +206,37 @@
   return last;
 }
 
-Duration StageWork::LeastFrom(const routing::StagePlan& plan,
-                              std::uint32_t stage) const {
-  Duration after{0};
+template <typename TimeOf>
+Duration StageWork::LongestAfter(const routing::StagePlan& plan,
+                                 std::uint32_t stage,
+                                 const TimeOf& time_of) const {
+  Duration longest{0};
   for (std::uint32_t next = 0; next < plan.stages(); ++next) {
     const auto& inputs = plan.spec(next).after;
     const bool reads =
         std::find(inputs.begin(), inputs.end(), stage) != inputs.end();
-    if (reads && plan.pieces(next) > 0) {
-      after = std::max(after, LeastFrom(plan, next));
+    const routing::StageCapacity* capacity =
+        CapacityOf(plan.spec(next).service);
+    if (reads && plan.pieces(next) > 0 && capacity != nullptr) {
+      longest = std::max(longest, time_of(*capacity) +
+                                      LongestAfter(plan, next, time_of));
     }
   }
-  const routing::StageCapacity* capacity =
-      CapacityOf(plan.spec(stage).service);
-  return capacity == nullptr ? after : after + capacity->call + capacity->piece;
+  return longest;
+}
+
+Duration StageWork::LeastAfter(const routing::StagePlan& plan,
+                               std::uint32_t stage) const {
+  return LongestAfter(plan, stage, [](const routing::StageCapacity& capacity) {
+    return capacity.call + capacity.piece;
+  });
+}
+
+Duration StageWork::UsualAfter(const routing::StagePlan& plan,
+                               std::uint32_t stage) const {
+  return LongestAfter(plan, stage, [](const routing::StageCapacity& capacity) {
+    return capacity.UsualCall();
+  });
 }
 
 bool StageWork::HasServers(const routing::StagePlan& plan) const {
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -12,7 +12,7 @@
 /// How long the store holds a call without news. A connection that goes silent
 /// is found out only when this is over, so it has to be well below the time in
 /// which a change must be in force; each call costs money.
-constexpr Duration kWait = std::chrono::milliseconds(2000);
+constexpr Duration kWait = std::chrono::milliseconds(3000);
 /// Pause after a call that failed, doubled each time up to the last.
 constexpr Duration kFirstPause = std::chrono::milliseconds(60);
 constexpr Duration kLongestPause = std::chrono::milliseconds(500);
--- a/packages/loop/include/gentianroute/loop/relay_client.h
+++ b/packages/loop/include/gentianroute/loop/relay_client.h
@@ -32,6 +32,8 @@
   /// An idle connection is used only if it has been idle for less; zero: a
   /// fresh connection, whose failure is never a close that crossed the call.
   Duration reuse_within = std::chrono::seconds(4);
+  /// Whether the connection may serve another call later.
+  bool keep = true;
   /// Tells the answer of this call from a stray one of a call before it; a
   /// stray one is dropped. Null: the first answer is taken.
   std::function<bool(const MessageHead&)> is_ours;
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -73,6 +73,7 @@
       observer_ = &observer;
       is_ours_ = std::move(call.is_ours);
       no_body_ = call.answer_has_no_body;
+      keep_ = call.keep;
       head_told_ = false;
       socket_->Write(call.message);
     }
@@ -176,7 +177,7 @@
       // A body that the server has not read yet, or bytes after the answer:
       // the next call on this connection would meet them.
       const bool clean = socket_->pending() == 0 && !parser_.begun();
-      if (!keep_alive_ || !clean || no_body_) {
+      if (!keep_ || !keep_alive_ || !clean || no_body_) {
         Retire();
       }
       observer->OnDone();
@@ -208,6 +209,7 @@
     RelayCallObserver* observer_ = nullptr;
     std::function<bool(const MessageHead&)> is_ours_;
     bool no_body_ = false;
+    bool keep_ = true;
     bool head_told_ = false;
     bool stray_ = false;
     bool keep_alive_ = true;
--- a/packages/routing/include/gentianroute/routing/deployment.h
+++ b/packages/routing/include/gentianroute/routing/deployment.h
@@ -67,6 +67,9 @@
   Duration piece{};
   double room_bytes = 0;  ///< for results
   Duration result_life{};
+
+  /// @brief What a call takes under load: calls are nearly full then.
+  Duration UsualCall() const { return call + piece * batch * 3 / 4; }
 };
 
 struct ServiceSpec {
--- a/packages/routing/include/gentianroute/routing/pool_choice.h
+++ b/packages/routing/include/gentianroute/routing/pool_choice.h
@@ -11,6 +11,7 @@
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/deployment.h"
+#include "gentianroute/routing/placed_bytes.h"
 #include "gentianroute/routing/topology.h"
 
 namespace gentianroute::routing {
@@ -28,8 +29,9 @@
 struct PoolWork {
   std::uint32_t pieces = 0;
   Duration piece_time{};
-  /// Data centres that hold the inputs, one for each input.
-  std::vector<std::string> inputs_in;
+  std::vector<PlacedBytes> inputs;
+  double result_bytes = 0;  ///< of all pieces
+  std::string read_in;      ///< data centre of what reads the results, if known
 };
 
 /// @brief When a pool would be done with a piece of work, at the latest.
@@ -39,8 +41,8 @@
 
 /// @brief The pool that is done first, by backlog and distance.
 ///
-/// A nearby pool is preferred a little: results that cross regions cost money,
-/// and the next stage reads them.
+/// A pool beside its inputs and its reader is preferred by the bytes that need
+/// not cross: they cost money.
 /// @return null if none has a server
 const PoolState* ChoosePool(std::span<const PoolState> pools,
                             const PoolWork& work,
--- a/packages/routing/include/gentianroute/routing/server_choice.h
+++ b/packages/routing/include/gentianroute/routing/server_choice.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "gentianroute/routing/deployment.h"
+#include "gentianroute/routing/placed_bytes.h"
 #include "gentianroute/routing/server.h"
 #include "gentianroute/routing/topology.h"
 
@@ -48,10 +49,12 @@
 /// the servers for a subject by the same hash, so they send it to the same one
 /// without asking each other; what that server has read is not read again. A
 /// server with a queue of prompts loses by the time that the queue takes.
+/// @param inputs results of stages that the server has to fetch
 Choice ChooseModel(TimePoint now,
                    std::span<const ServerPtr> servers,
                    std::span<const std::string> tried,
                    const Prompt& prompt,
+                   std::span<const PlacedBytes> inputs,
                    const ModelCapacity& capacity,
                    const Topology& topology);
 
--- a/packages/routing/include/gentianroute/routing/stage_plan.h
+++ b/packages/routing/include/gentianroute/routing/stage_plan.h
@@ -20,7 +20,13 @@
   StagePlan(std::span<const StageSpec> stages,
             std::span<const std::uint32_t> pieces);
 
-  /// @brief Stages whose inputs are there and that have not begun.
+  /// @brief Stages whose inputs are there, that have not begun, and whose
+  /// results will soon be read.
+  ///
+  /// A result takes up room at its maker until it is read. A stage beside a
+  /// longer chain would be done long before that chain, and its large results
+  /// would fill its servers meanwhile; so it begins with the chain's last
+  /// stages.
   /// @complexity quadratic in the stages, of which there are few
   std::vector<std::uint32_t> Ready() const;
   void Begin(std::uint32_t stage);
@@ -37,6 +43,8 @@
   bool complete() const;
   /// @brief Results that a stage reads, in the order of its `after`.
   std::vector<std::string> InputsOf(std::uint32_t stage) const;
+  /// @brief Stages whose results the request's own call reads.
+  std::vector<std::uint32_t> FinalStages() const;
   /// @brief Results that the request's own call reads.
   std::vector<std::string> FinalInputs() const;
   /// @brief Takes out the results that no unfinished stage will read; those
@@ -63,6 +71,8 @@
   };
 
   bool IsRead(std::uint32_t stage) const;
+  /// Stages in the longest chain that is still to be done.
+  std::uint32_t LongestChainLeft() const;
   bool HasUnfinishedReader(std::uint32_t stage) const;
 
   std::span<const StageSpec> specs_;
--- a/packages/routing/src/pool_choice.cc
+++ b/packages/routing/src/pool_choice.cc
@@ -7,25 +7,16 @@
 namespace gentianroute::routing {
 namespace {
 
-/// A pool in another region must be done this much sooner: three results of
-/// 3 MB over 40 ms of distance cost more than a short wait. In milliseconds.
-constexpr double kAwayMs = 40.0;
-constexpr double kInputAwayMs = 4.0;
-
 double ScoreMs(const PoolState& pool,
                const PoolWork& work,
                const StageCapacity& capacity,
                const Topology& map) {
-  double ms = Milliseconds(TimeInPool(pool, work, capacity)) +
-              Milliseconds(map.RoundTrip(pool.data_centre));
-  if (map.RoundTrip(pool.data_centre) >= Topology::kBetweenRegions) {
-    ms += kAwayMs;
-  }
-  for (const std::string& input : work.inputs_in) {
-    const Duration trip = map.RoundTrip(input, pool.data_centre);
-    ms += trip >= Topology::kBetweenRegions ? kInputAwayMs : 0.0;
-  }
-  return ms;
+  const double time = Milliseconds(TimeInPool(pool, work, capacity)) +
+                      Milliseconds(map.RoundTrip(pool.data_centre));
+  const PlacedBytes results{pool.data_centre, work.result_bytes};
+  const double onward =
+      work.read_in.empty() ? 0.0 : AwayMs({&results, 1}, work.read_in);
+  return time + AwayMs(work.inputs, pool.data_centre) + onward;
 }
 
 }  // namespace
--- a/packages/routing/src/server_choice.cc
+++ b/packages/routing/src/server_choice.cc
@@ -151,12 +151,13 @@
                    std::span<const ServerPtr> servers,
                    std::span<const std::string> tried,
                    const Prompt& prompt,
+                   std::span<const PlacedBytes> inputs,
                    const ModelCapacity& capacity,
                    const Topology& topology) {
   const std::vector<double> reading = ReadAgainMs(servers, prompt);
   return Best(servers, tried, [&](std::size_t i) {
     return ModelScore(now, *servers[i], prompt, capacity, topology) +
-           reading[i];
+           reading[i] + AwayMs(inputs, servers[i]->record().data_centre);
   });
 }
 
--- a/packages/routing/src/stage_plan.cc
+++ b/packages/routing/src/stage_plan.cc
@@ -31,13 +31,15 @@
 
 std::vector<std::uint32_t> StagePlan::Ready() const {
   std::vector<std::uint32_t> ready;
+  const std::uint32_t longest = LongestChainLeft();
   for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
     const auto& after = specs_[i].after;
     const bool inputs_there =
         std::all_of(after.begin(), after.end(), [this](std::uint32_t input) {
           return nodes_[input].state == State::kDone;
         });
-    if (nodes_[i].state == State::kWaiting && inputs_there) {
+    const bool soon_read = StagesLeft(i) >= longest;
+    if (nodes_[i].state == State::kWaiting && inputs_there && soon_read) {
       ready.push_back(i);
     }
   }
@@ -92,14 +94,22 @@
   return inputs;
 }
 
-std::vector<std::string> StagePlan::FinalInputs() const {
-  std::vector<std::string> inputs;
+std::vector<std::uint32_t> StagePlan::FinalStages() const {
+  std::vector<std::uint32_t> stages;
   for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
     if (!IsRead(i)) {
-      const auto& results = nodes_[i].results;
-      inputs.insert(inputs.end(), results.begin(), results.end());
+      stages.push_back(i);
     }
   }
+  return stages;
+}
+
+std::vector<std::string> StagePlan::FinalInputs() const {
+  std::vector<std::string> inputs;
+  for (const std::uint32_t stage : FinalStages()) {
+    const auto& results = nodes_[stage].results;
+    inputs.insert(inputs.end(), results.begin(), results.end());
+  }
   return inputs;
 }
 
@@ -131,6 +141,16 @@
   return longest + 1;
 }
 
+std::uint32_t StagePlan::LongestChainLeft() const {
+  std::uint32_t longest = 0;
+  for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].state != State::kDone) {
+      longest = std::max(longest, StagesLeft(i));
+    }
+  }
+  return longest;
+}
+
 bool StagePlan::IsRead(std::uint32_t stage) const {
   return std::any_of(specs_.begin(), specs_.end(),
                      [stage](const StageSpec& spec) {
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -7,9 +7,10 @@
 namespace gentianroute::routing {
 namespace {
 
-/// How much later a group of the next lower priority counts. About one call's
-/// time: enough to go first, too little to starve anybody for long.
-constexpr Duration kPriorityStep = std::chrono::milliseconds(250);
+/// How much later a group of the next lower priority counts. Several calls'
+/// time: in a burst the more urgent go first, and who waits for longer than
+/// that is not starved.
+constexpr Duration kPriorityStep = std::chrono::milliseconds(1500);
 /// A group that can't be in time any more goes behind all that still can; an
 /// answer that is late earns its caller little.
 constexpr Duration kMissedStep = std::chrono::seconds(5);
@@ -79,8 +80,7 @@
       continue;
     }
     const StageGroup& group = entry.group;
-    const Duration least = capacity_.call + PieceTime(group);
-    const bool missed = now + least > group.wanted;
+    const bool missed = now + capacity_.UsualCall() > group.wanted;
     order.push_back({group.wanted + kPriorityStep * group.priority +
                          (missed ? kMissedStep : Duration{0}),
                      id.value, id});
