Keep the books of each stage server's room at its scheduler

Change: results are released through the scheduler, which fills calls by the room that is left; deadlines of stages leave the time of the answer.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -49,6 +49,10 @@
                                               std::string_view data_centre,
                                               routing::StageGroup group,
                                               GroupDone done) = 0;
+  /// @brief Results of servers that this daemon schedules are of no more use.
+  virtual void OnReleased(std::string_view service,
+                          std::string_view data_centre,
+                          std::vector<std::string> results) = 0;
   virtual void FillStoreCopy(std::uint64_t deployment_version,
                              std::uint64_t servers_version,
                              schema::StoreCopy::Builder copy) = 0;
@@ -91,6 +95,12 @@
       const routing::StageGroup& group,
       std::function<void(std::optional<GroupOutcome>)> done);
 
+  /// @brief Tells the scheduler of a pool which results are of no more use.
+  void ReleaseAt(std::string_view peer,
+                 std::string_view service,
+                 std::string_view data_centre,
+                 std::span<const std::string> results);
+
   /// @brief Asks a live peer that the store answers for its copy.
   void FetchStoreCopy(std::uint64_t deployment_version,
                       std::uint64_t servers_version);
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -16,7 +16,6 @@
 #include "gentianroute/decision/suspect_table.h"
 #include "gentianroute/gateway/cluster.h"
 #include "gentianroute/gateway/request_journal.h"
-#include "gentianroute/gateway/result_releases.h"
 #include "gentianroute/gateway/retry_ledger.h"
 #include "gentianroute/gateway/stage_work.h"
 #include "gentianroute/gateway/translator.h"
@@ -37,7 +36,6 @@
   routing::ServerDirectory& servers;
   const routing::Topology& topology;
   StageWork& stages;
-  ResultReleases& releases;
   Cluster& cluster;
   RetryLedger& retries;
   SuspectTable& suspects;
@@ -108,7 +106,7 @@
   void Leave();
 
   void RelayPart(std::string_view part);
-  void ReleaseSpent();
+  void Release(std::vector<routing::StageResults> spent);
 
   void Refuse(ErrorKind kind, std::string_view detail);
   void Refuse(ErrorKind kind,
@@ -121,6 +119,8 @@
 
   bool repeatable() const { return route_->MayRepeat(); }
   Duration TimeLeft() const;
+  /// The least that the request's own server takes.
+  Duration LeastAnswer() const;
 
   FlowServices& services_;
   RelayExchangePtr exchange_;
--- a/packages/gateway/include/gentianroute/gateway/result_releases.h
+++ b/packages/gateway/include/gentianroute/gateway/result_releases.h
@@ -25,23 +25,17 @@
                  const Translator& translator);
   ~ResultReleases();
 
-  /// @param bytes of one result, about; large ones go sooner
-  void Release(std::vector<std::string> results, std::uint64_t bytes);
+  void Release(std::vector<std::string> results);
 
  private:
   class Call;
-  struct Batch {
-    std::vector<std::string> results;
-    TimePoint due{};
-  };
-
   void Flush();
   void Send(const Endpoint& server, std::vector<std::string> results);
 
   EventLoop& loop_;
   RelayClient& client_;
   const Translator& translator_;
-  std::map<Endpoint, Batch> batches_;
+  std::map<Endpoint, std::vector<std::string>> waiting_;
   std::map<const Call*, std::unique_ptr<Call>> calls_;
   TimerId timer_;
 };
--- a/packages/gateway/include/gentianroute/gateway/stage_desk.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_desk.h
@@ -42,7 +42,11 @@
       TimePoint now,
       const std::function<void(std::string_view service,
                                std::string_view data_centre,
-                               Duration backlog)>& visit) const;
+                               routing::Backlog backlog)>& visit) const;
+  /// @brief Frees the room of results, in a pool's books and at their servers.
+  void Release(std::string_view service,
+               std::string_view data_centre,
+               std::vector<std::string> results);
   std::uint64_t calls_sent() const { return calls_sent_; }
   std::uint64_t pieces_sent() const { return pieces_sent_; }
 
@@ -54,6 +58,7 @@
 
   Pool* PoolFor(std::string_view service, std::string_view data_centre);
   void Work(Pool& pool);
+  void WorkLater(Pool& pool);
   void Send(Pool& pool, const routing::StageCall& call);
   void OnCallEnd(Pool& pool,
                  routing::StageCallId call,
--- a/packages/gateway/include/gentianroute/gateway/stage_work.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_work.h
@@ -2,9 +2,11 @@
 #define GENTIANROUTE_GATEWAY_STAGE_WORK_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "gentianroute/gateway/cluster.h"
@@ -31,12 +33,13 @@
             StageDesk& desk,
             routing::ServerDirectory& servers,
             const routing::Topology& topology);
+  ~StageWork();
 
   void SetTable(routing::RouteTablePtr table) { table_ = std::move(table); }
   void OnBacklog(TimePoint now,
                  std::string_view service,
                  std::string_view data_centre,
-                 Duration backlog);
+                 routing::Backlog backlog);
 
   using Done = std::function<void(StageOutcome)>;
   /// @param inputs where the inputs lie
@@ -50,6 +53,11 @@
                                  std::string_view read_in,
                                  Done done);
 
+  /// @brief Frees the room of results that nobody will read any more.
+  void Release(std::string_view service,
+               std::string_view data_centre,
+               std::vector<std::string> results);
+
   /// @brief When all stages of a fresh plan would be done, from now.
   Duration TimeFor(TimePoint now, const routing::StagePlan& plan);
   /// @brief The least that the stages after this one take, without waiting.
@@ -67,6 +75,7 @@
  private:
   class Handed;
 
+  void FlushReleases();
   const routing::StageCapacity* CapacityOf(std::string_view service) const;
   /// The longest chain of stages that read this one, by a time of each.
   template <typename TimeOf>
@@ -84,6 +93,9 @@
   routing::RouteTablePtr table_;
   routing::PoolBoard board_;
   std::vector<Handed*> handed_;
+  using PoolKey = std::pair<std::string, std::string>;
+  std::map<PoolKey, std::vector<std::string>> released_;
+  TimerId release_timer_;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -69,6 +69,7 @@
   out.setWantedMs(MillisecondsUntil(now, group.wanted));
   out.setDeadlineMs(MillisecondsUntil(now, group.deadline));
   out.setPriority(group.priority);
+  out.setResultBytes(group.result_bytes);
 }
 
 routing::StageGroup ReadGroup(TimePoint now, schema::Group::Reader in) {
@@ -84,6 +85,7 @@
   group.wanted = now + std::chrono::milliseconds(in.getWantedMs());
   group.deadline = now + std::chrono::milliseconds(in.getDeadlineMs());
   group.priority = in.getPriority();
+  group.result_bytes = in.getResultBytes();
   return group;
 }
 
@@ -150,6 +152,18 @@
         kj::heap<std::unique_ptr<GroupHold>>(std::move(hold)));
   }
 
+  kj::Promise<void> release(ReleaseContext context) override {
+    const auto params = context.getParams();
+    std::vector<std::string> results;
+    for (const auto result : params.getResults()) {
+      results.emplace_back(result);
+    }
+    const std::string service = params.getService();
+    const std::string data_centre = params.getDataCentre();
+    cluster_.handler_.OnReleased(service, data_centre, std::move(results));
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> storeCopy(StoreCopyContext context) override {
     const auto params = context.getParams();
     cluster_.handler_.FillStoreCopy(params.getDeploymentVersion(),
@@ -460,6 +474,22 @@
   return remote;
 }
 
+void Cluster::ReleaseAt(std::string_view peer_name,
+                        std::string_view service,
+                        std::string_view data_centre,
+                        std::span<const std::string> results) {
+  RpcConnection* link = LinkTo(PeerNamed(peer_name));
+  auto request = link->bootstrap().castAs<schema::Cluster>().releaseRequest();
+  request.setService(std::string(service));
+  request.setDataCentre(std::string(data_centre));
+  auto out = request.initResults(static_cast<unsigned>(results.size()));
+  for (unsigned i = 0; i < out.size(); ++i) {
+    out.set(i, results[i]);
+  }
+  // A lost release costs room for some seconds only; it is not repeated.
+  tasks_->add(request.send().ignoreResult());
+}
+
 void Cluster::FetchStoreCopy(std::uint64_t deployment_version,
                              std::uint64_t servers_version) {
   Peer* source = nullptr;
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -35,6 +35,11 @@
 /// Below this a load is nothing, after many additions and subtractions.
 constexpr double kLeastLoad = 0.5;
 
+Duration DurationOf(float milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<float, std::milli>(milliseconds));
+}
+
 }  // namespace
 
 class Gateway::Impl final : public ClusterHandler {
@@ -56,7 +61,7 @@
         stages_(loop, cluster_, desk_, servers_, topology_),
         retries_(settings_.retry_ratio, settings_.retry_slack),
         services_{loop,     client,    translator, servers_,  topology_, stages_,
-                  releases_, cluster_, retries_,   suspects_, journal_} {
+                  cluster_, retries_,   suspects_, journal_} {
     servers_.SetOnClosed([this](routing::Server& server) {
       OnServerClosed(server);
     });
@@ -97,6 +102,11 @@
                                       GroupDone done) override {
     return desk_.Run(service, data_centre, std::move(group), std::move(done));
   }
+  void OnReleased(std::string_view service,
+                  std::string_view data_centre,
+                  std::vector<std::string> results) override {
+    desk_.Release(service, data_centre, std::move(results));
+  }
   void FillStoreCopy(std::uint64_t deployment_version,
                      std::uint64_t servers_version,
                      schema::StoreCopy::Builder copy) override;
@@ -311,15 +321,16 @@
     work[i].setTokens(static_cast<float>(load.tokens));
     work[i].setUnreadTokens(static_cast<float>(load.unread_tokens));
   }
-  struct Backlog {
+  struct PoolBacklog {
     std::string_view service;
     std::string_view data_centre;
-    Duration backlog;
+    routing::Backlog backlog;
   };
-  std::vector<Backlog> backlogs;
+  std::vector<PoolBacklog> backlogs;
   const TimePoint now = loop_.Now();
   desk_.ForEachPool(now, [&](std::string_view service,
-                             std::string_view data_centre, Duration backlog) {
+                             std::string_view data_centre,
+                             routing::Backlog backlog) {
     backlogs.push_back({service, data_centre, backlog});
     stages_.OnBacklog(now, service, data_centre, backlog);
   });
@@ -327,7 +338,9 @@
   for (unsigned i = 0; i < backlogs.size(); ++i) {
     out[i].setService(std::string(backlogs[i].service));
     out[i].setDataCentre(std::string(backlogs[i].data_centre));
-    out[i].setBacklogMs(static_cast<float>(Milliseconds(backlogs[i].backlog)));
+    out[i].setInTimeMs(
+        static_cast<float>(Milliseconds(backlogs[i].backlog.in_time)));
+    out[i].setAllMs(static_cast<float>(Milliseconds(backlogs[i].backlog.all)));
   }
   const auto quarantined = suspects_.Quarantined(now);
   auto list = beat.initQuarantined(static_cast<unsigned>(quarantined.size()));
@@ -361,8 +374,8 @@
     const std::string service = backlog.getService();
     const std::string data_centre = backlog.getDataCentre();
     stages_.OnBacklog(now, service, data_centre,
-                      Duration(static_cast<std::int64_t>(
-                          backlog.getBacklogMs() * 1000.0F)));
+                      {DurationOf(backlog.getInTimeMs()),
+                       DurationOf(backlog.getAllMs())});
   }
   for (const auto entry : beat.getQuarantined()) {
     suspects_.OnPeerQuarantine(
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -22,6 +22,10 @@
 constexpr Duration kUsualAnswer = std::chrono::milliseconds(150);
 /// No server answers sooner.
 constexpr Duration kLeastAnswer = std::chrono::milliseconds(20);
+/// What a model server takes before the first token and for each more, when
+/// nothing waits there; its steps take 6 ms and more.
+constexpr Duration kLeastFirstToken = std::chrono::milliseconds(50);
+constexpr Duration kLeastToken = std::chrono::milliseconds(7);
 /// Part of its target after which a repeatable request that has no answer is
 /// sent to another server: a silent server shows in no other way.
 constexpr double kOverdueShare = 0.5;
@@ -174,7 +178,7 @@
 
 std::optional<ErrorKind> RequestFlow::CheckTime() {
   const TimePoint now = services_.loop.Now();
-  const Duration need = services_.stages.TimeFor(now, *plan_) + kLeastAnswer;
+  const Duration need = services_.stages.TimeFor(now, *plan_) + LeastAnswer();
   if (!services_.stages.HasServers(*plan_)) {
     Refuse(ErrorKind::kNoServer, "a stage has no server");
     return ErrorKind::kNoServer;
@@ -188,6 +192,16 @@
   return std::nullopt;
 }
 
+Duration RequestFlow::LeastAnswer() const {
+  if (route_->kind != routing::RouteKind::kStream) {
+    return kLeastAnswer;
+  }
+  const double tokens = std::min(request_.prompt.tokens_expected,
+                                 request_.prompt.tokens_out);
+  return kLeastFirstToken +
+         std::chrono::duration_cast<Duration>(kLeastToken * tokens);
+}
+
 Duration RequestFlow::TimeLeft() const {
   return limit_ - services_.loop.Now();
 }
@@ -211,12 +225,13 @@
   group.pieces = plan_->pieces(stage);
   group.inputs = plan_->InputsOf(stage);
   group.key = request_.stage_key;
+  group.result_bytes = static_cast<double>(spec.result_bytes);
   group.work = route_->name + ":" + std::to_string(stage);
   // What comes after this stage has to fit behind it.
   group.wanted = began_ + route_->target - kUsualAnswer -
                  services_.stages.UsualAfter(*plan_, stage);
   group.deadline =
-      limit_ - kLeastAnswer - services_.stages.LeastAfter(*plan_, stage);
+      limit_ - LeastAnswer() - services_.stages.LeastAfter(*plan_, stage);
   group.priority = organisation_ != nullptr && organisation_->priority
                        ? *organisation_->priority
                        : route_->priority;
@@ -252,7 +267,7 @@
   }
   results_in_[stage] = std::move(outcome.data_centre);
   plan_->Finish(stage, std::move(outcome.group.results));
-  ReleaseSpent();
+  Release(plan_->TakeSpent());
   Advance();
 }
 
@@ -277,16 +292,16 @@
     return;
   }
   services_.journal.OnRepeat(request_.id, "stage", "", "an input is gone");
-  services_.releases.Release(plan_->RemakeInputsOf(stage), 0);
+  Release(plan_->RemakeInputsOf(stage));
   Advance();
 }
 
-void RequestFlow::ReleaseSpent() {
-  std::uint64_t bytes = 0;
-  for (std::uint32_t i = 0; i < plan_->stages(); ++i) {
-    bytes = std::max(bytes, plan_->spec(i).result_bytes);
+void RequestFlow::Release(std::vector<routing::StageResults> spent) {
+  for (routing::StageResults& stage : spent) {
+    services_.stages.Release(plan_->spec(stage.stage).service,
+                             results_in_[stage.stage],
+                             std::move(stage.results));
   }
-  services_.releases.Release(plan_->TakeSpent(), bytes);
 }
 
 routing::Choice RequestFlow::ChooseServer() const {
@@ -404,11 +419,7 @@
     server_->own().unread_tokens -= occupied_.unread_tokens;
     occupied_.unread_tokens = 0;
     // The server has read the results by now; a resumed run makes them again.
-    std::uint64_t bytes = 0;
-    for (const routing::StageSpec& stage : route_->stages) {
-      bytes = std::max(bytes, stage.result_bytes);
-    }
-    services_.releases.Release(plan_->TakeAll(), bytes);
+    Release(plan_->TakeAll());
   }
   RelayPart(part);
 }
@@ -461,8 +472,8 @@
                                "the results are gone");
     Leave();
     tried_.pop_back();
-    services_.releases.Release(
-        plan_->RemakeInputsOf(static_cast<std::uint32_t>(plan_->stages())), 0);
+    Release(
+        plan_->RemakeInputsOf(static_cast<std::uint32_t>(plan_->stages())));
     Advance();
     return;
   }
@@ -528,8 +539,8 @@
   if (plan_->FinalInputs().empty() && !route_->stages.empty() &&
       answer_begun_) {
     // The results went when the first run had read them.
-    services_.releases.Release(
-        plan_->RemakeInputsOf(static_cast<std::uint32_t>(plan_->stages())), 0);
+    Release(
+        plan_->RemakeInputsOf(static_cast<std::uint32_t>(plan_->stages())));
     Advance();
     return true;
   }
@@ -620,7 +631,7 @@
   services_.loop.Cancel(limit_timer_);
   services_.loop.Cancel(overdue_timer_);
   if (plan_) {
-    services_.releases.Release(plan_->TakeAll(), 0);
+    Release(plan_->TakeAll());
   }
   RequestEnd end;
   end.id = request_.id;
--- a/packages/gateway/src/result_releases.cc
+++ b/packages/gateway/src/result_releases.cc
@@ -1,7 +1,5 @@
 #include "gentianroute/gateway/result_releases.h"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "gentianroute/observe/log.h"
@@ -9,12 +7,9 @@
 namespace gentianroute::gateway {
 namespace {
 
-/// A server of 3 MB results holds 16 of them, made by two calls: they must go
-/// before the next call ends. Of small results it holds seconds' worth.
-constexpr std::uint64_t kLargeResult = 500'000;
-constexpr Duration kLargeDelay = std::chrono::milliseconds(30);
-constexpr Duration kSmallDelay = std::chrono::milliseconds(120);
-constexpr Duration kTick = std::chrono::milliseconds(30);
+/// Releases within this time share a call. A server of large results is full
+/// after two calls, so it must be far below the time of a call.
+constexpr Duration kTick = std::chrono::milliseconds(20);
 constexpr Duration kCallTimeout = std::chrono::seconds(2);
 constexpr std::size_t kMostInCall = 400;
 
@@ -63,32 +58,20 @@
   loop_.Cancel(timer_);
 }
 
-void ResultReleases::Release(std::vector<std::string> results,
-                             std::uint64_t bytes) {
-  const Duration delay = bytes >= kLargeResult ? kLargeDelay : kSmallDelay;
-  const TimePoint due = loop_.Now() + delay;
+void ResultReleases::Release(std::vector<std::string> results) {
   for (std::string& result : results) {
     const auto holder = translator_.HolderOf(result);
     if (!holder) {
       LogEvent("result_unreadable", LogLevel::kWarning).Field("result", result);
       continue;
     }
-    Batch& batch = batches_[*holder];
-    batch.due = batch.results.empty() ? due : std::min(batch.due, due);
-    batch.results.push_back(std::move(result));
+    waiting_[*holder].push_back(std::move(result));
   }
 }
 
 void ResultReleases::Flush() {
-  const TimePoint now = loop_.Now();
-  for (auto at = batches_.begin(); at != batches_.end();) {
-    Batch& batch = at->second;
-    if (batch.due > now) {
-      ++at;
-      continue;
-    }
-    Send(at->first, std::move(batch.results));
-    at = batches_.erase(at);
+  for (auto& [server, results] : std::exchange(waiting_, {})) {
+    Send(server, std::move(results));
   }
 }
 
--- a/packages/gateway/src/stage_desk.cc
+++ b/packages/gateway/src/stage_desk.cc
@@ -32,7 +32,7 @@
   std::vector<std::unique_ptr<Call>> ended;
   TimePoint used{};
   TimerId timer;
-  bool settle_due = false;
+  bool work_due = false;
 };
 
 class StageDesk::Call final : public RelayCallObserver {
@@ -152,12 +152,7 @@
   const routing::StageGroupId id = pool->pool.Submit(now, std::move(group));
   pool->waiting.emplace(id, std::move(done));
   // Groups that come together, as those of one message, share the next call.
-  if (!std::exchange(pool->settle_due, true)) {
-    loop_.After(Duration{0}, [this, pool] {
-      pool->settle_due = false;
-      Work(*pool);
-    });
-  }
+  WorkLater(*pool);
   return std::make_unique<Hold>(*pool, id);
 }
 
@@ -220,12 +215,17 @@
   pool.ended.push_back(std::move(pool.calls.extract(call).mapped()));
   pool.pool.OnCallEnd(loop_.Now(), call, answer.end, answer.results);
   Settle(pool);
-  if (!std::exchange(pool.settle_due, true)) {
-    loop_.After(Duration{0}, [this, &pool] {
-      pool.settle_due = false;
-      Work(pool);
-    });
+  WorkLater(pool);
+}
+
+void StageDesk::WorkLater(Pool& pool) {
+  if (std::exchange(pool.work_due, true)) {
+    return;
   }
+  loop_.After(Duration{0}, [this, &pool] {
+    pool.work_due = false;
+    Work(pool);
+  });
 }
 
 void StageDesk::Settle(Pool& pool) {
@@ -238,17 +238,32 @@
     pool.waiting.erase(found);
     done({end.failure, std::move(end.results)});
   }
-  releases_.Release(pool.pool.TakeOrphans(), 0);
+  std::vector<std::string> orphans = pool.pool.TakeOrphans();
+  pool.pool.OnReleased(orphans);
+  releases_.Release(std::move(orphans));
+}
+
+void StageDesk::Release(std::string_view service,
+                        std::string_view data_centre,
+                        std::vector<std::string> results) {
+  Pool* pool = PoolFor(service, data_centre);
+  if (pool != nullptr) {
+    pool->pool.OnReleased(results);
+    if (pool->pool.waiting_pieces() > 0) {
+      WorkLater(*pool);
+    }
+  }
+  releases_.Release(std::move(results));
 }
 
 void StageDesk::ForEachPool(
     TimePoint now,
     const std::function<void(std::string_view,
                              std::string_view,
-                             Duration)>& visit) const {
+                             routing::Backlog)>& visit) const {
   for (const auto& [key, pool] : pools_) {
     if (now - pool->used < kScheduledFor) {
-      visit(pool->service, pool->data_centre, pool->pool.Backlog(now));
+      visit(pool->service, pool->data_centre, pool->pool.BacklogAt(now));
     }
   }
 }
--- a/packages/gateway/src/stage_work.cc
+++ b/packages/gateway/src/stage_work.cc
@@ -1,8 +1,7 @@
 #include "gentianroute/gateway/stage_work.h"
 
 #include <algorithm>
-#include <map>
-#include <set>
+#include <iterator>
 #include <utility>
 
 #include "gentianroute/observe/log.h"
@@ -14,6 +13,9 @@
 /// itself: a small direct share costs less than a request that waits on.
 constexpr std::uint32_t kMostSchedulers = 2;
 
+/// Releases within this time share a message to the scheduler.
+constexpr Duration kReleasePeriod = std::chrono::milliseconds(15);
+
 }  // namespace
 
 /// One group on its way: chooses a pool and its scheduler, and again if that
@@ -128,12 +130,18 @@
       cluster_(cluster),
       desk_(desk),
       servers_(servers),
-      topology_(topology) {}
+      topology_(topology) {
+  release_timer_ = loop_.Every(kReleasePeriod, [this] { FlushReleases(); });
+}
+
+StageWork::~StageWork() {
+  loop_.Cancel(release_timer_);
+}
 
 void StageWork::OnBacklog(TimePoint now,
                           std::string_view service,
                           std::string_view data_centre,
-                          Duration backlog) {
+                          routing::Backlog backlog) {
   board_.Report(now, {std::string(service), std::string(data_centre), 0,
                       backlog});
 }
@@ -181,6 +189,27 @@
                                   std::move(load), std::move(done));
 }
 
+void StageWork::Release(std::string_view service,
+                        std::string_view data_centre,
+                        std::vector<std::string> results) {
+  auto& waiting =
+      released_[{std::string(service), std::string(data_centre)}];
+  waiting.insert(waiting.end(), std::make_move_iterator(results.begin()),
+                 std::make_move_iterator(results.end()));
+}
+
+void StageWork::FlushReleases() {
+  for (auto& [pool, results] : std::exchange(released_, {})) {
+    const auto& [service, data_centre] = pool;
+    const std::string scheduler = cluster_.SchedulerOf(service, data_centre);
+    if (cluster_.IsSelf(scheduler)) {
+      desk_.Release(service, data_centre, std::move(results));
+    } else {
+      cluster_.ReleaseAt(scheduler, service, data_centre, results);
+    }
+  }
+}
+
 Duration StageWork::TimeFor(TimePoint now, const routing::StagePlan& plan) {
   std::vector<Duration> done(plan.stages(), Duration{0});
   Duration last{0};
--- a/packages/routing/include/gentianroute/routing/pool_choice.h
+++ b/packages/routing/include/gentianroute/routing/pool_choice.h
@@ -12,6 +12,7 @@
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/deployment.h"
 #include "gentianroute/routing/placed_bytes.h"
+#include "gentianroute/routing/stage_pool.h"
 #include "gentianroute/routing/topology.h"
 
 namespace gentianroute::routing {
@@ -22,7 +23,7 @@
   std::string service;
   std::string data_centre;
   std::uint32_t servers = 0;  ///< that can be used
-  Duration backlog{};         ///< server time that waits or runs
+  Backlog backlog;
 };
 
 /// @brief Work that is about to be handed to a pool.
@@ -34,7 +35,8 @@
   std::string read_in;      ///< data centre of what reads the results, if known
 };
 
-/// @brief When a pool would be done with a piece of work, at the latest.
+/// @brief Time until a pool is done with a piece of work that goes before all
+/// that is late already.
 Duration TimeInPool(const PoolState& pool,
                     const PoolWork& work,
                     const StageCapacity& capacity);
--- a/packages/routing/include/gentianroute/routing/server_choice.h
+++ b/packages/routing/include/gentianroute/routing/server_choice.h
@@ -23,7 +23,8 @@
 struct Prompt {
   std::string model;
   double tokens_in = 0;
-  double tokens_out = 0;  ///< at most
+  double tokens_out = 0;       ///< at most
+  double tokens_expected = 0;  ///< the caller's guess; often far off
   std::vector<PromptPart> parts;
 };
 
--- a/packages/routing/include/gentianroute/routing/stage_plan.h
+++ b/packages/routing/include/gentianroute/routing/stage_plan.h
@@ -10,6 +10,12 @@
 
 namespace gentianroute::routing {
 
+/// @brief Results of one stage.
+struct StageResults {
+  std::uint32_t stage = 0;
+  std::vector<std::string> results;
+};
+
 /// @brief How far one request has come in its graph of stages.
 ///
 /// A result dies with the server that made it, so a stage may have to be made
@@ -31,13 +37,11 @@
   std::vector<std::uint32_t> Ready() const;
   void Begin(std::uint32_t stage);
   void Finish(std::uint32_t stage, std::vector<std::string> results);
-  /// @brief The stage has to be done again; its inputs are still there.
-  void Repeat(std::uint32_t stage);
   /// @brief An input of a stage, or of the request's own call, is gone: all
   /// that it needs is made again.
   /// @param stage number of stages: the request's own call
   /// @return results that are of no more use
-  std::vector<std::string> RemakeInputsOf(std::uint32_t stage);
+  std::vector<StageResults> RemakeInputsOf(std::uint32_t stage);
 
   /// @brief Whether all stages are done.
   bool complete() const;
@@ -49,9 +53,9 @@
   std::vector<std::string> FinalInputs() const;
   /// @brief Takes out the results that no unfinished stage will read; those
   /// that the request's own call reads stay.
-  std::vector<std::string> TakeSpent();
+  std::vector<StageResults> TakeSpent();
   /// @brief Takes out all results, at the end of a request.
-  std::vector<std::string> TakeAll();
+  std::vector<StageResults> TakeAll();
 
   std::uint32_t pieces(std::uint32_t stage) const {
     return nodes_[stage].pieces;
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -31,6 +31,13 @@
   TimePoint wanted{};    ///< done by then, the request is in time
   TimePoint deadline{};  ///< later than that it is of no use
   std::uint32_t priority = 0;  ///< 0 goes first
+  double result_bytes = 0;     ///< room that one result takes, about
+};
+
+/// @brief Server time that waits or runs, summed over servers.
+struct Backlog {
+  Duration in_time{};  ///< of groups that can still be in time, and of calls
+  Duration all{};
 };
 
 /// @brief Why a group was given up.
@@ -44,6 +51,7 @@
 struct StagePiece {
   StageGroupId group;
   std::uint32_t segment = 0;
+  double result_bytes = 0;
 };
 
 /// @brief A call to be sent now.
@@ -103,13 +111,15 @@
                  CallEnd end,
                  std::span<const PieceResult> results);
 
+  /// @brief Nobody will read these results any more; their room is free.
+  void OnReleased(std::span<const std::string> results);
+
   /// @brief Groups that have ended since the last call.
   std::vector<StageGroupEnd> TakeEnded();
   /// @brief Results that nobody will read: their group has ended before.
   std::vector<std::string> TakeOrphans();
 
-  /// @brief Server time that waits or runs, summed over servers.
-  Duration Backlog(TimePoint now) const;
+  routing::Backlog BacklogAt(TimePoint now) const;
   /// @brief How soon Dispatch() has to be called, if nothing else happens.
   Duration LookAgainIn() const;
   std::size_t waiting_pieces() const { return waiting_pieces_; }
@@ -131,6 +141,12 @@
     std::uint32_t calls = 0;
     TimePoint hold_until{};
     TimePoint busy_until{};
+    double used_bytes = 0;  ///< room of results that are made or being made
+  };
+  struct Made {  ///< a result that takes up room
+    std::string server;
+    double bytes = 0;
+    TimePoint runs_out{};
   };
   struct Urgency {
     TimePoint key;
@@ -149,10 +165,18 @@
                  const ServerPtr& server,
                  std::size_t most,
                  std::span<const Urgency> order);
+  bool HasRoom(const Desk& desk, const StageGroup& group) const;
+  void FreeRoom(std::string_view server, double bytes);
+  void ForgetOldResults(TimePoint now);
+  bool CanBeInTime(TimePoint now, const StageGroup& group) const;
   Duration PieceTime(const StageGroup& group) const;
   Duration TimeOf(std::span<const StagePiece> pieces) const;
   void Learn(const Running& running, Duration taken);
   void ApplyPiece(const StagePiece& piece, const PieceResult& result);
+  void NoteMade(TimePoint now,
+                const Server& server,
+                const StagePiece& piece,
+                const PieceResult& result);
   void ReturnPiece(const StagePiece& piece);
   void End(StageGroupId group, std::optional<StageFailure> failure);
 
@@ -160,11 +184,13 @@
   std::map<StageGroupId, Group> groups_;
   std::map<StageCallId, Running> running_;
   std::map<std::string, Desk, std::less<>> desks_;
+  std::unordered_map<std::string, Made> made_;
   /// Time of a piece of each sort of work, learnt from calls.
   std::map<std::string, Duration, std::less<>> piece_time_;
   std::vector<StageGroupEnd> ended_;
   std::vector<std::string> orphans_;
   std::size_t waiting_pieces_ = 0;
+  TimePoint forget_at_{};
   std::uint64_t last_group_ = 0;
   std::uint64_t last_call_ = 0;
 };
--- a/packages/routing/src/pool_choice.cc
+++ b/packages/routing/src/pool_choice.cc
@@ -25,7 +25,7 @@
                     const PoolWork& work,
                     const StageCapacity& capacity) {
   const Duration wait =
-      pool.backlog / std::max<std::int64_t>(1, pool.servers);
+      pool.backlog.in_time / std::max<std::int64_t>(1, pool.servers);
   const std::uint32_t in_call = std::min(work.pieces, capacity.batch);
   return wait + capacity.call + work.piece_time * in_call;
 }
@@ -82,8 +82,11 @@
     // Each server works off one second of backlog in a second.
     const Duration done =
         (now - entry.reported) * std::max<std::int64_t>(1, state.servers);
-    state.backlog =
-        std::max(Duration{0}, state.backlog + entry.handed_over - done);
+    const auto present = [&entry, done](Duration reported) {
+      return std::max(Duration{0}, reported + entry.handed_over - done);
+    };
+    state.backlog = {present(state.backlog.in_time),
+                     present(state.backlog.all)};
     pools.push_back(std::move(state));
   }
   return pools;
--- a/packages/routing/src/stage_plan.cc
+++ b/packages/routing/src/stage_plan.cc
@@ -12,10 +12,12 @@
          reader.after.end();
 }
 
-void MoveInto(std::vector<std::string>& all, std::vector<std::string>& from) {
-  all.insert(all.end(), std::make_move_iterator(from.begin()),
-             std::make_move_iterator(from.end()));
-  from.clear();
+void MoveInto(std::vector<StageResults>& all,
+              std::uint32_t stage,
+              std::vector<std::string>& from) {
+  if (!from.empty()) {
+    all.push_back({stage, std::exchange(from, {})});
+  }
 }
 
 }  // namespace
@@ -55,12 +57,8 @@
   nodes_[stage].results = std::move(results);
 }
 
-void StagePlan::Repeat(std::uint32_t stage) {
-  nodes_[stage].state = State::kWaiting;
-}
-
-std::vector<std::string> StagePlan::RemakeInputsOf(std::uint32_t stage) {
-  std::vector<std::string> useless;
+std::vector<StageResults> StagePlan::RemakeInputsOf(std::uint32_t stage) {
+  std::vector<StageResults> useless;
   for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
     const bool input =
         stage < nodes_.size() ? Reads(specs_[stage], i) : !IsRead(i);
@@ -68,10 +66,10 @@
       continue;
     }
     nodes_[i].state = State::kWaiting;
-    MoveInto(useless, nodes_[i].results);
+    MoveInto(useless, i, nodes_[i].results);
     // Its own inputs are spent by now.
-    std::vector<std::string> deeper = RemakeInputsOf(i);
-    MoveInto(useless, deeper);
+    std::vector<StageResults> deeper = RemakeInputsOf(i);
+    std::move(deeper.begin(), deeper.end(), std::back_inserter(useless));
   }
   if (stage < nodes_.size()) {
     nodes_[stage].state = State::kWaiting;
@@ -113,20 +111,20 @@
   return inputs;
 }
 
-std::vector<std::string> StagePlan::TakeSpent() {
-  std::vector<std::string> spent;
+std::vector<StageResults> StagePlan::TakeSpent() {
+  std::vector<StageResults> spent;
   for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
     if (IsRead(i) && !HasUnfinishedReader(i)) {
-      MoveInto(spent, nodes_[i].results);
+      MoveInto(spent, i, nodes_[i].results);
     }
   }
   return spent;
 }
 
-std::vector<std::string> StagePlan::TakeAll() {
-  std::vector<std::string> all;
-  for (Node& node : nodes_) {
-    MoveInto(all, node.results);
+std::vector<StageResults> StagePlan::TakeAll() {
+  std::vector<StageResults> all;
+  for (std::uint32_t i = 0; i < nodes_.size(); ++i) {
+    MoveInto(all, i, nodes_[i].results);
   }
   return all;
 }
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -27,6 +27,8 @@
 constexpr Duration kHold = std::chrono::milliseconds(100);
 /// How often held servers are looked at while pieces wait for them.
 constexpr Duration kLookAgain = std::chrono::milliseconds(25);
+/// How often results that have run out are looked for.
+constexpr Duration kForgetPeriod = std::chrono::milliseconds(200);
 /// Failed pieces that a group survives.
 constexpr std::uint32_t kMostTries = 6;
 /// Weight of the newest call in the learnt time of a piece.
@@ -80,9 +82,9 @@
       continue;
     }
     const StageGroup& group = entry.group;
-    const bool missed = now + capacity_.UsualCall() > group.wanted;
+    const bool in_time = CanBeInTime(now, group);
     order.push_back({group.wanted + kPriorityStep * group.priority +
-                         (missed ? kMissedStep : Duration{0}),
+                         (in_time ? Duration{0} : kMissedStep),
                      id.value, id});
   }
   std::sort(order.begin(), order.end());
@@ -127,6 +129,7 @@
                                            std::span<const ServerPtr> servers) {
   std::vector<StageCall> calls;
   GiveUpLate(now);
+  ForgetOldResults(now);
   if (waiting_pieces_ == 0) {
     return calls;
   }
@@ -147,7 +150,10 @@
     const std::size_t half = (capacity_.batch + 1) / 2;
     const std::size_t most =
         std::min<std::size_t>(capacity_.batch, std::max(share, half));
-    calls.push_back(Fill(now, free[i], most, order));
+    StageCall call = Fill(now, free[i], most, order);
+    if (!call.pieces.empty()) {
+      calls.push_back(std::move(call));
+    }
   }
   return calls;
 }
@@ -157,28 +163,87 @@
                           std::size_t most,
                           std::span<const Urgency> order) {
   StageCall call;
-  call.id = StageCallId{++last_call_};
   call.server = server;
+  Desk& desk = desks_[server->record().id];
   for (const Urgency& next : order) {
     Group& entry = groups_.at(next.group);
-    while (!entry.waiting.empty() && call.pieces.size() < most) {
-      call.pieces.push_back({next.group, entry.waiting.back()});
+    while (!entry.waiting.empty() && call.pieces.size() < most &&
+           HasRoom(desk, entry.group)) {
+      call.pieces.push_back(
+          {next.group, entry.waiting.back(), entry.group.result_bytes});
+      desk.used_bytes += entry.group.result_bytes;
       entry.waiting.pop_back();
       ++entry.running;
       --waiting_pieces_;
     }
   }
+  if (call.pieces.empty()) {
+    return call;
+  }
+  call.id = StageCallId{++last_call_};
   const Duration usual = TimeOf(call.pieces);
   call.expected = std::chrono::duration_cast<Duration>(
       usual * std::max(1.0, server->history().Slowness(now)));
   call.give_up_after = usual * kGiveUpFactor + kGiveUpMargin;
-  Desk& desk = desks_[server->record().id];
   ++desk.calls;
   desk.busy_until = now + call.expected;
   running_[call.id] = {call, now};
   return call;
 }
 
+bool StagePool::HasRoom(const Desk& desk, const StageGroup& group) const {
+  // A server without any result takes one of any size.
+  return capacity_.room_bytes <= 0 || desk.used_bytes <= 0 ||
+         desk.used_bytes + group.result_bytes <= capacity_.room_bytes;
+}
+
+void StagePool::FreeRoom(std::string_view server, double bytes) {
+  const auto found = desks_.find(server);
+  if (found != desks_.end()) {
+    found->second.used_bytes = std::max(0.0, found->second.used_bytes - bytes);
+  }
+}
+
+void StagePool::NoteMade(TimePoint now,
+                         const Server& server,
+                         const StagePiece& piece,
+                         const PieceResult& result) {
+  if (result.result.empty()) {
+    FreeRoom(server.record().id, piece.result_bytes);
+    return;
+  }
+  made_[result.result] = {server.record().id, piece.result_bytes,
+                          now + capacity_.result_life};
+}
+
+void StagePool::OnReleased(std::span<const std::string> results) {
+  for (const std::string& result : results) {
+    const auto found = made_.find(result);
+    if (found != made_.end()) {
+      FreeRoom(found->second.server, found->second.bytes);
+      made_.erase(found);
+    }
+  }
+}
+
+void StagePool::ForgetOldResults(TimePoint now) {
+  if (now < forget_at_) {
+    return;
+  }
+  forget_at_ = now + kForgetPeriod;
+  std::vector<std::string> old;
+  for (const auto& [result, made] : made_) {
+    if (made.runs_out <= now) {
+      old.push_back(result);
+    }
+  }
+  OnReleased(old);
+}
+
+bool StagePool::CanBeInTime(TimePoint now, const StageGroup& group) const {
+  return now + capacity_.UsualCall() <= group.wanted;
+}
+
 Duration StagePool::PieceTime(const StageGroup& group) const {
   const auto found = piece_time_.find(group.work);
   return found == piece_time_.end() ? capacity_.piece : found->second;
@@ -247,7 +312,9 @@
   }
   for (std::size_t i = 0; i < running.call.pieces.size(); ++i) {
     const StagePiece& piece = running.call.pieces[i];
-    if (end == CallEnd::kAnswered && i < results.size()) {
+    const bool answered = end == CallEnd::kAnswered && i < results.size();
+    NoteMade(now, server, piece, answered ? results[i] : PieceResult{});
+    if (answered) {
       if (results[i].end == PieceEnd::kNoRoom) {
         desk.hold_until = now + kHold;
       }
@@ -331,20 +398,27 @@
   return std::exchange(orphans_, {});
 }
 
-Duration StagePool::Backlog(TimePoint now) const {
-  Duration backlog{0};
+Backlog StagePool::BacklogAt(TimePoint now) const {
+  Duration pieces_in_time{0};
+  Duration pieces_late{0};
+  std::size_t in_time = 0;
   for (const auto& [id, entry] : groups_) {
-    backlog += PieceTime(entry.group) * entry.waiting.size();
+    const Duration time = PieceTime(entry.group) * entry.waiting.size();
+    const bool can = CanBeInTime(now, entry.group);
+    (can ? pieces_in_time : pieces_late) += time;
+    in_time += can ? entry.waiting.size() : 0;
   }
-  const std::size_t calls =
-      (waiting_pieces_ + capacity_.batch - 1) / capacity_.batch;
-  backlog += capacity_.call * calls;
+  const auto calls_for = [this](std::size_t pieces) {
+    return capacity_.call * ((pieces + capacity_.batch - 1) / capacity_.batch);
+  };
+  Duration running{0};
   for (const auto& [id, desk] : desks_) {
     if (desk.calls > 0 && desk.busy_until > now) {
-      backlog += desk.busy_until - now;
+      running += desk.busy_until - now;
     }
   }
-  return backlog;
+  return {running + pieces_in_time + calls_for(in_time),
+          running + pieces_in_time + pieces_late + calls_for(waiting_pieces_)};
 }
 
 Duration StagePool::LookAgainIn() const {
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -18,7 +18,8 @@
   # the daemon that schedules them.
   service @0 :Text;
   dataCentre @1 :Text;
-  backlogMs @2 :Float32;
+  inTimeMs @2 :Float32;               # of work that can still be in time
+  allMs @3 :Float32;
 }
 
 struct Beat {
@@ -50,6 +51,7 @@
   wantedMs @8 :Int32;                 # from now
   deadlineMs @9 :Int32;               # from now
   priority @10 :UInt32;
+  resultBytes @11 :Float64;           # of one piece, about
 }
 
 struct GroupOutcome {
@@ -72,5 +74,6 @@
 
 interface Cluster {
   runGroup @0 (group :Group) -> (outcome :GroupOutcome);
+  release @2 (service :Text, dataCentre :Text, results :List(Text)) -> ();
   storeCopy @1 (deploymentVersion :UInt64, serversVersion :UInt64) -> (copy :StoreCopy);
 }
