--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -64,6 +64,9 @@
                     List& all);
   ~RequestFlow();
 
+  /// @brief The daemon ends: the request gets its answer now, and a true one.
+  void OnShutdown();
+
   /// @brief What is running at a server, for those that ask who crashed it.
   const routing::ServerPtr& server() const { return server_; }
   Fingerprint fingerprint() const { return fingerprint_; }
@@ -121,6 +124,8 @@
   Duration TimeLeft() const;
   /// The least that the request's own server takes.
   Duration LeastAnswer() const;
+  /// When the stages must be done for the answer to be of use.
+  TimePoint StagesBy() const;
 
   FlowServices& services_;
   RelayExchangePtr exchange_;
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -30,6 +30,8 @@
 constexpr Duration kBalancerNotices = std::chrono::milliseconds(2600);
 /// Kept from the grace before the process is killed.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(400);
+/// For the last answers to leave the host.
+constexpr Duration kLastWords = std::chrono::milliseconds(50);
 constexpr Duration kDrainLook = std::chrono::milliseconds(50);
 constexpr Duration kHousekeeping = std::chrono::milliseconds(250);
 /// Below this a load is nothing, after many additions and subtractions.
@@ -265,7 +267,10 @@
     const bool idle = callers_->active() == 0;
     if ((idle && now >= earliest) || now >= latest) {
       LogEvent("drain_ended").Field("left", callers_->active());
-      done();
+      while (!flows_.empty()) {
+        flows_.front().OnShutdown();
+      }
+      loop_.After(kLastWords, done);
       return;
     }
     loop_.After(kDrainLook, [this, earliest, latest, done = std::move(done)] {
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -178,15 +178,15 @@
 
 std::optional<ErrorKind> RequestFlow::CheckTime() {
   const TimePoint now = services_.loop.Now();
-  const Duration need = services_.stages.TimeFor(now, *plan_) + LeastAnswer();
+  const Duration need = services_.stages.TimeFor(now, *plan_);
   if (!services_.stages.HasServers(*plan_)) {
     Refuse(ErrorKind::kNoServer, "a stage has no server");
     return ErrorKind::kNoServer;
   }
-  if (now + need > limit_) {
+  if (now + need > StagesBy()) {
     // What is waiting now has to be worked off before a place is free.
     Refuse(ErrorKind::kOverloaded, "the stages can't be done in time",
-           need - TimeLeft());
+           now + need - StagesBy());
     return ErrorKind::kOverloaded;
   }
   return std::nullopt;
@@ -202,6 +202,11 @@
          std::chrono::duration_cast<Duration>(kLeastToken * tokens);
 }
 
+TimePoint RequestFlow::StagesBy() const {
+  const TimePoint first = began_ + route_->FirstPartWithin() - kUsualAnswer;
+  return std::min(limit_ - LeastAnswer(), first);
+}
+
 Duration RequestFlow::TimeLeft() const {
   return limit_ - services_.loop.Now();
 }
@@ -231,7 +236,7 @@
   group.wanted = began_ + route_->target - kUsualAnswer -
                  services_.stages.UsualAfter(*plan_, stage);
   group.deadline =
-      limit_ - LeastAnswer() - services_.stages.LeastAfter(*plan_, stage);
+      StagesBy() - services_.stages.LeastAfter(*plan_, stage);
   group.priority = organisation_ != nullptr && organisation_->priority
                        ? *organisation_->priority
                        : route_->priority;
@@ -616,6 +621,15 @@
   Refuse(ErrorKind::kDeadlineExceeded, "the time limit passed", std::nullopt);
 }
 
+void RequestFlow::OnShutdown() {
+  const Ptr keep(this);
+  if (may_have_run_ || answer_begun_) {
+    BreakOff("the daemon stops");
+    return;
+  }
+  Refuse(ErrorKind::kShuttingDown, "the daemon stops");
+}
+
 void RequestFlow::OnCallerGone() {
   Finish("caller_gone", 0, "");
 }
--- a/packages/routing/include/gentianroute/routing/deployment.h
+++ b/packages/routing/include/gentianroute/routing/deployment.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_ROUTING_DEPLOYMENT_H_
 #define GENTIANROUTE_ROUTING_DEPLOYMENT_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -46,6 +47,22 @@
   bool resumable = false;
   bool prefix_affinity = false;
 
+  /// @brief How long callers wait for the first part of an answer.
+  ///
+  /// Callers give a stream up after a silence of two seconds, of four times its
+  /// target, or of eight times its longest pause, whichever is longest. Work
+  /// that ends later is for nobody.
+  Duration FirstPartWithin() const {
+    constexpr int kTargets = 4;
+    constexpr int kPauses = 8;
+    constexpr Duration kLeast = std::chrono::seconds(2);
+    if (kind != RouteKind::kStream) {
+      return timeout;
+    }
+    return std::min(timeout, std::max({kLeast, target * kTargets,
+                                       pause_target * kPauses}));
+  }
+
   bool MayRepeat() const {
     return kind == RouteKind::kIdempotent ||
            (kind == RouteKind::kStream && resumable);
