Let one daemon of a data centre follow the store for the others

Change: the first daemon of a data centre in rendezvous order follows the store's changes; it tells the others at once that there is news, and they take the changed rows from it. If its calls fail, the next in order follows too.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -101,7 +101,14 @@
                  std::string_view data_centre,
                  std::span<const std::string> results);
 
-  /// @brief Asks a live peer that the store answers for its copy.
+  /// @brief Whether this daemon is to follow the store's changes for its data
+  /// centre: nobody before it, in an order that all agree on, does so or could.
+  bool IsStoreReader() const;
+  /// @brief Tells the peers at once what has changed here.
+  void TellNews();
+
+  /// @brief Asks the nearest peer that knows something newer for its copy. One
+  /// question is under way at a time.
   void FetchStoreCopy(std::uint64_t deployment_version,
                       std::uint64_t servers_version);
 
@@ -129,6 +136,8 @@
   std::uint64_t incarnation_;
   bool leaving_ = false;
   std::uint32_t beats_ = 0;
+  bool fetching_ = false;
+  bool news_due_ = false;
   std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
   std::unique_ptr<DatagramSocket> datagrams_;
   std::unique_ptr<RpcServer> server_;
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -12,11 +12,27 @@
 
 namespace gentianroute::gateway {
 
+/// @brief What a daemon knows of the store from its own calls.
+enum class StoreContact : std::uint8_t {
+  kNotAsked,  ///< others ask it, and this daemon takes their copy
+  kAnswers,
+  kSilent,
+};
+
+/// @brief Rows that are newer than a version.
+struct StoreChanges {
+  std::vector<StoredRow> rows;
+  std::uint64_t version = 0;  ///< of the store, when they were read; 0: none
+  bool whole = false;         ///< all rows of the table
+};
+
 /// @brief Keeps a copy of one of the store's tables.
 ///
-/// Reads it whole once and follows its changes then. Versions only go forward:
-/// a read that lags behind what is known is dropped, so that a daemon never
-/// goes back to an older configuration.
+/// Reads it whole once. One daemon of a data centre then follows the changes,
+/// and the others take its copy: each call to the store costs money, and what
+/// one has read the others need not ask for. Versions only go forward: a read
+/// that lags behind what is known is dropped, so that a daemon never goes back
+/// to an older configuration.
 class StoreFollower {
  public:
   /// @param rows all rows as they are now
@@ -36,18 +52,25 @@
   ~StoreFollower();
 
   void Start();
-  /// @brief Rows that a peer has read; taken if they are newer.
-  void Offer(std::vector<StoredRow> rows, std::uint64_t version);
+  /// @brief Whether this daemon is to follow the table's changes.
+  void SetFollowing(bool following);
+  /// @brief Reads the table once, if no call is under way.
+  void Refresh();
+  /// @brief What a peer has read; taken if it is newer.
+  void Offer(StoreChanges changes);
+  /// @brief What a peer does not know yet.
+  /// @param known newest change that the peer has
+  StoreChanges ChangesAfter(std::uint64_t known) const;
 
   bool known() const { return known_; }
   bool answers() const { return answers_; }
+  StoreContact contact() const;
   /// @brief Time since the store last answered.
   Duration Age(TimePoint now) const { return now - answered_at_; }
   /// @brief Version that this copy is up to.
   std::uint64_t version() const { return version_; }
-  /// @brief Version of the newest row.
-  std::uint64_t newest_row() const;
-  std::vector<StoredRow> Copy() const;
+  /// @brief Version of the newest change, deletions too.
+  std::uint64_t newest_change() const { return newest_change_; }
 
  private:
   void ReadWhole();
@@ -56,6 +79,8 @@
   void OnChanges(StoreAnswer answer);
   void Take(std::vector<StoredRow> rows, std::uint64_t version);
   void Apply(const StoredRow& row);
+  void Ask();
+  void Bury(const StoredRow& row);
   void OnAnswer();
   void OnSilence(const std::string& detail);
 
@@ -64,7 +89,13 @@
   StoreTable table_;
   Listener listener_;
   std::map<std::string, StoredRow, std::less<>> rows_;
+  /// Deleted rows, so that peers can be told of them.
+  std::map<std::string, StoredRow, std::less<>> graves_;
+  std::uint64_t graves_since_ = 0;  ///< older deletions are forgotten
   std::uint64_t version_ = 0;
+  std::uint64_t newest_change_ = 0;
+  bool following_ = true;
+  bool asking_ = false;
   bool known_ = false;
   bool answers_ = false;
   std::uint32_t failures_ = 0;
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -122,7 +122,9 @@
   TimePoint heard{};
   bool alive = false;
   bool leaving = false;
-  bool store_answers = false;
+  StoreContact store = StoreContact::kNotAsked;
+  std::uint64_t deployment_version = 0;
+  std::uint64_t servers_version = 0;
   std::unique_ptr<RpcConnection> link;
   bool link_broken = false;
 };
@@ -365,7 +367,11 @@
     peer.port = beat.getPort();
     peer.data_centre = beat.getDataCentre();
     peer.leaving = beat.getDraining();
-    peer.store_answers = beat.getStoreAnswers();
+    peer.store = static_cast<StoreContact>(
+        std::min<unsigned>(beat.getStoreContact(),
+                           static_cast<unsigned>(StoreContact::kSilent)));
+    peer.deployment_version = beat.getDeploymentVersion();
+    peer.servers_version = beat.getServersVersion();
     peer.heard = loop_.Now();
     if (!std::exchange(peer.alive, true)) {
       LogEvent("peer_up").Field("peer", name).Field("incarnation",
@@ -490,31 +496,72 @@
   tasks_->add(request.send().ignoreResult());
 }
 
+bool Cluster::IsStoreReader() const {
+  constexpr std::string_view kKey = "store-reader";
+  const std::uint64_t own = RendezvousWeight(kKey, settings_.name);
+  return std::none_of(
+      peers_.begin(), peers_.end(), [&](const auto& entry) {
+        const Peer& peer = *entry.second;
+        return peer.alive && !peer.leaving &&
+               peer.data_centre == settings_.data_centre &&
+               peer.store != StoreContact::kSilent &&
+               RendezvousWeight(kKey, peer.name) > own;
+      });
+}
+
+void Cluster::TellNews() {
+  if (std::exchange(news_due_, true)) {
+    return;
+  }
+  loop_.After(Duration{0}, [this] {
+    news_due_ = false;
+    SendBeats();
+  });
+}
+
 void Cluster::FetchStoreCopy(std::uint64_t deployment_version,
                              std::uint64_t servers_version) {
+  if (fetching_) {
+    return;
+  }
   Peer* source = nullptr;
   for (const auto& [name, peer] : peers_) {
-    const bool usable = peer->alive && peer->store_answers;
-    if (usable && (source == nullptr || peer->heard > source->heard)) {
+    const bool newer = peer->deployment_version > deployment_version ||
+                       peer->servers_version > servers_version;
+    const bool nearer =
+        source == nullptr ||
+        (peer->data_centre == settings_.data_centre &&
+         source->data_centre != settings_.data_centre) ||
+        (IsInOwnRegion(*peer) && !IsInOwnRegion(*source));
+    if (peer->alive && newer && nearer) {
       source = peer.get();
     }
   }
   if (source == nullptr) {
     return;
   }
+  RpcConnection* link = LinkTo(*source);
+  if (!link->connected()) {
+    return;
+  }
   auto request =
-      LinkTo(*source)->bootstrap().castAs<schema::Cluster>().storeCopyRequest();
+      link->bootstrap().castAs<schema::Cluster>().storeCopyRequest();
   request.setDeploymentVersion(deployment_version);
   request.setServersVersion(servers_version);
   auto timeout = kj::newPromiseAndFulfiller<void>();
   auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
       kj::mv(timeout.fulfiller));
   loop_.After(kCopyTimeout, [fulfiller] { (*fulfiller)->fulfill(); });
+  fetching_ = true;
   tasks_->add(request.send()
                   .then([this](auto response) {
                     handler_.OnStoreCopy(response.getCopy());
                   })
-                  .exclusiveJoin(kj::mv(timeout.promise)));
+                  .exclusiveJoin(kj::mv(timeout.promise))
+                  .then([this] { fetching_ = false; },
+                        [this](kj::Exception&& /*broken*/) {
+                          fetching_ = false;
+                        }));
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -121,12 +121,18 @@
                 OnDeploymentRow(row);
               }
             },
-            [this](const StoredRow& row) { OnDeploymentRow(row); },
+            [this](const StoredRow& row) {
+              OnDeploymentRow(row);
+              cluster_.TellNews();
+            },
             [](bool /*answers*/) {}};
   }
   StoreFollower::Listener ServersListener() {
     return {[this](const std::vector<StoredRow>& rows) { OnServerRows(rows); },
-            [this](const StoredRow& row) { OnServerRow(row); },
+            [this](const StoredRow& row) {
+              OnServerRow(row);
+              cluster_.TellNews();
+            },
             [this](bool answers) {
               if (answers && server_rows_.known()) {
                 servers_.OnStoreReturned(loop_.Now());
@@ -254,9 +260,18 @@
     const TimePoint now = loop_.Now();
     servers_.Expire(now);
     suspects_.Sweep(now);
-    const bool behind = newest_deployment_ > deployment_.newest_row();
-    if (behind || !server_rows_.answers() || !deployment_.known()) {
-      cluster_.FetchStoreCopy(deployment_.newest_row(), server_rows_.version());
+    const bool reader = cluster_.IsStoreReader();
+    deployment_.SetFollowing(reader);
+    server_rows_.SetFollowing(reader);
+    CatchUp();
+  }
+
+  /// Takes from a peer what it knows and this daemon does not.
+  void CatchUp() {
+    if (newest_deployment_ > deployment_.newest_change() ||
+        newest_servers_ > server_rows_.newest_change()) {
+      cluster_.FetchStoreCopy(deployment_.newest_change(),
+                              server_rows_.newest_change());
     }
   }
 
@@ -303,15 +318,19 @@
            std::map<std::string, routing::ServerLoad, std::less<>>,
            std::less<>>
       peer_loads_;
-  std::uint64_t newest_deployment_ = 0;  ///< row version that a peer has told
+  /// What peers last told of their calls to the store.
+  std::map<std::string, StoreContact, std::less<>> store_contacts_;
+  std::uint64_t newest_deployment_ = 0;  ///< change that a peer has told
+  std::uint64_t newest_servers_ = 0;     ///< change that a peer has told
   bool draining_ = false;
   TimerId housekeeping_;
 };
 
 void Gateway::Impl::FillBeat(schema::Beat::Builder beat) {
-  beat.setDeploymentVersion(deployment_.newest_row());
-  beat.setServersVersion(server_rows_.version());
-  beat.setStoreAnswers(server_rows_.answers() && deployment_.answers());
+  beat.setDeploymentVersion(deployment_.newest_change());
+  beat.setServersVersion(server_rows_.newest_change());
+  beat.setStoreContact(static_cast<std::uint8_t>(
+      std::max(server_rows_.contact(), deployment_.contact())));
   std::vector<const routing::Server*> busy;
   servers_.ForEach([&busy](routing::Server& server) {
     if (server.own().calls > kLeastLoad) {
@@ -387,8 +406,15 @@
         now, Fingerprint{entry.getFingerprint()},
         std::chrono::milliseconds(entry.getRemainingMs()));
   }
+  const auto contact = static_cast<StoreContact>(beat.getStoreContact());
+  const auto before = std::exchange(store_contacts_[name], contact);
+  if (before == StoreContact::kSilent && contact == StoreContact::kAnswers) {
+    servers_.OnStoreReturned(now);
+  }
   newest_deployment_ =
       std::max(newest_deployment_, beat.getDeploymentVersion());
+  newest_servers_ = std::max(newest_servers_, beat.getServersVersion());
+  CatchUp();
 }
 
 void Gateway::Impl::OnPeerGone(std::string_view peer) {
@@ -415,17 +441,17 @@
           reinterpret_cast<const kj::byte*>(rows[i].value.data()),
           rows[i].value.size()));
       out[i].setVersion(rows[i].version);
+      out[i].setDeleted(rows[i].deleted);
     }
   };
-  if (deployment_.known() && deployment_.newest_row() > deployment_version) {
-    const auto rows = deployment_.Copy();
-    fill(rows, copy.initDeployment(static_cast<unsigned>(rows.size())));
-  }
-  if (server_rows_.known() && server_rows_.version() > servers_version) {
-    const auto rows = server_rows_.Copy();
-    fill(rows, copy.initServers(static_cast<unsigned>(rows.size())));
-    copy.setServersVersion(server_rows_.version());
-  }
+  const StoreChanges deployment = deployment_.ChangesAfter(deployment_version);
+  fill(deployment.rows,
+       copy.initDeployment(static_cast<unsigned>(deployment.rows.size())));
+  const StoreChanges servers = server_rows_.ChangesAfter(servers_version);
+  fill(servers.rows,
+       copy.initServers(static_cast<unsigned>(servers.rows.size())));
+  copy.setServersVersion(servers.version);
+  copy.setServersWhole(servers.whole);
 }
 
 void Gateway::Impl::OnStoreCopy(schema::StoreCopy::Reader copy) {
@@ -436,22 +462,27 @@
       rows.push_back({row.getKey(),
                       std::string(reinterpret_cast<const char*>(value.begin()),
                                   value.size()),
-                      row.getVersion(), false});
+                      row.getVersion(), row.getDeleted()});
     }
     return rows;
   };
-  if (copy.getDeployment().size() > 0) {
-    auto rows = rows_of(copy.getDeployment());
-    std::uint64_t newest = 0;
-    for (const StoredRow& row : rows) {
-      newest = std::max(newest, row.version);
-    }
-    LogEvent("deployment_from_peer").Field("row_version", newest);
-    deployment_.Offer(std::move(rows), newest);
+  StoreChanges deployment;
+  deployment.rows = rows_of(copy.getDeployment());
+  for (const StoredRow& row : deployment.rows) {
+    deployment.version = std::max(deployment.version, row.version);
+  }
+  if (!deployment.rows.empty()) {
+    LogEvent("deployment_from_peer").Field("row_version", deployment.version);
+    deployment.whole = !deployment_.known();
+    deployment_.Offer(std::move(deployment));
   }
-  if (copy.getServersVersion() > 0 && !server_rows_.answers()) {
-    LogEvent("servers_from_peer").Field("version", copy.getServersVersion());
-    server_rows_.Offer(rows_of(copy.getServers()), copy.getServersVersion());
+  if (copy.getServersVersion() > 0) {
+    StoreChanges servers{rows_of(copy.getServers()), copy.getServersVersion(),
+                         copy.getServersWhole()};
+    LogEvent("servers_from_peer")
+        .Field("version", servers.version)
+        .Field("rows", servers.rows.size());
+    server_rows_.Offer(std::move(servers));
   }
 }
 
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -16,6 +16,9 @@
 /// Pause after a call that failed, doubled each time up to the last.
 constexpr Duration kFirstPause = std::chrono::milliseconds(60);
 constexpr Duration kLongestPause = std::chrono::milliseconds(500);
+/// Deletions that peers can still be told of one by one; a peer that lacks
+/// older ones gets the whole table.
+constexpr std::size_t kMostGraves = 1000;
 /// A single lost answer is no outage.
 constexpr std::uint32_t kFailuresOfOutage = 2;
 
@@ -42,20 +45,44 @@
 }
 
 void StoreFollower::Start() {
-  ReadWhole();
+  Ask();
+}
+
+void StoreFollower::SetFollowing(bool following) {
+  const bool begins = following && !std::exchange(following_, following);
+  if (begins && !asking_) {
+    Ask();
+  }
+}
+
+void StoreFollower::Refresh() {
+  if (!asking_) {
+    ReadWhole();
+  }
+}
+
+void StoreFollower::Ask() {
+  if (!known_) {
+    ReadWhole();
+  } else if (following_) {
+    FollowOn();
+  }
 }
 
 void StoreFollower::ReadWhole() {
+  asking_ = true;
   store_.Read(table_, [this](StoreAnswer answer) { OnWhole(std::move(answer)); });
 }
 
 void StoreFollower::FollowOn() {
+  asking_ = true;
   store_.Follow(table_, version_, kWait, [this](StoreAnswer answer) {
     OnChanges(std::move(answer));
   });
 }
 
 void StoreFollower::OnWhole(StoreAnswer answer) {
+  asking_ = false;
   if (answer.kind != StoreAnswer::Kind::kRows) {
     OnSilence(answer.detail);
     return;
@@ -67,10 +94,11 @@
     return;
   }
   Take(std::move(answer.rows), answer.version);
-  FollowOn();
+  Ask();
 }
 
 void StoreFollower::OnChanges(StoreAnswer answer) {
+  asking_ = false;
   if (answer.kind == StoreAnswer::Kind::kHistoryGone) {
     OnAnswer();
     LogEvent("store_history_gone", LogLevel::kWarning)
@@ -93,20 +121,55 @@
     }
   }
   version_ = std::max(version_, answer.version);
-  FollowOn();
+  Ask();
 }
 
-void StoreFollower::Offer(std::vector<StoredRow> rows, std::uint64_t version) {
-  if (known_ && version <= version_) {
+void StoreFollower::Offer(StoreChanges changes) {
+  if (changes.whole) {
+    if (!known_ || changes.version > version_) {
+      Take(std::move(changes.rows), changes.version);
+    }
     return;
   }
-  Take(std::move(rows), version);
+  for (const StoredRow& row : changes.rows) {
+    Apply(row);
+  }
+  version_ = std::max(version_, changes.version);
+}
+
+StoreChanges StoreFollower::ChangesAfter(std::uint64_t known) const {
+  StoreChanges changes;
+  if (!known_ || known >= newest_change_) {
+    return changes;
+  }
+  changes.version = version_;
+  changes.whole = known < graves_since_;
+  for (const auto& [key, row] : rows_) {
+    if (changes.whole || row.version > known) {
+      changes.rows.push_back(row);
+    }
+  }
+  for (const auto& [key, grave] : graves_) {
+    if (!changes.whole && grave.version > known) {
+      changes.rows.push_back(grave);
+    }
+  }
+  return changes;
 }
 
 void StoreFollower::Take(std::vector<StoredRow> rows, std::uint64_t version) {
-  rows_.clear();
-  for (StoredRow& row : rows) {
+  auto before = std::exchange(rows_, {});
+  for (const StoredRow& row : rows) {
     rows_[row.key] = row;
+    newest_change_ = std::max(newest_change_, row.version);
+    before.erase(row.key);
+  }
+  // What is missing now was deleted some time before this read.
+  for (auto& [key, row] : before) {
+    Bury({key, "", version, true});
+  }
+  if (!known_) {
+    graves_since_ = version;
   }
   version_ = std::max(version_, version);
   known_ = true;
@@ -118,14 +181,41 @@
   if (found != rows_.end() && found->second.version >= row.version) {
     return;
   }
+  const auto grave = graves_.find(row.key);
+  if (grave != graves_.end() && grave->second.version >= row.version) {
+    return;
+  }
   if (row.deleted) {
     rows_.erase(row.key);
+    Bury(row);
   } else {
     rows_[row.key] = row;
+    newest_change_ = std::max(newest_change_, row.version);
   }
   listener_.on_change(row);
 }
 
+void StoreFollower::Bury(const StoredRow& row) {
+  newest_change_ = std::max(newest_change_, row.version);
+  graves_[row.key] = row;
+  if (graves_.size() <= kMostGraves) {
+    return;
+  }
+  const auto oldest = std::min_element(
+      graves_.begin(), graves_.end(), [](const auto& a, const auto& b) {
+        return a.second.version < b.second.version;
+      });
+  graves_since_ = std::max(graves_since_, oldest->second.version);
+  graves_.erase(oldest);
+}
+
+StoreContact StoreFollower::contact() const {
+  if (!following_ && !asking_) {
+    return StoreContact::kNotAsked;
+  }
+  return answers_ ? StoreContact::kAnswers : StoreContact::kSilent;
+}
+
 void StoreFollower::OnAnswer() {
   failures_ = 0;
   answered_at_ = loop_.Now();
@@ -148,29 +238,10 @@
       std::min(kLongestPause,
                kFirstPause * (1 << std::min(failures_, kMostDoublings)));
   timer_ = loop_.After(pause, [this] {
-    if (known_) {
-      FollowOn();
-    } else {
-      ReadWhole();
+    if (!asking_) {
+      Ask();
     }
   });
 }
 
-std::uint64_t StoreFollower::newest_row() const {
-  std::uint64_t newest = 0;
-  for (const auto& [key, row] : rows_) {
-    newest = std::max(newest, row.version);
-  }
-  return newest;
-}
-
-std::vector<StoredRow> StoreFollower::Copy() const {
-  std::vector<StoredRow> rows;
-  rows.reserve(rows_.size());
-  for (const auto& [key, row] : rows_) {
-    rows.push_back(row);
-  }
-  return rows;
-}
-
 }  // namespace gentianroute::gateway
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -31,8 +31,8 @@
   dataCentre @4 :Text;
   draining @5 :Bool;
   deploymentVersion @6 :UInt64;       # of the row in the store
-  serversVersion @7 :UInt64;          # of the newest row of the host list
-  storeAnswers @8 :Bool;
+  serversVersion @7 :UInt64;          # of the newest change of the host list
+  storeContact @8 :UInt8;             # 0: does not ask it, 1: it answers, 2: silent
   work @9 :List(ServerWork);
   backlogs @10 :List(StageBacklog);
   quarantined @11 :List(Peer.Quarantine);
@@ -63,13 +63,15 @@
   key @0 :Text;
   value @1 :Data;
   version @2 :UInt64;
+  deleted @3 :Bool;
 }
 
 struct StoreCopy {
-  # What a peer last read in the store; empty parts are not newer.
+  # What a peer last read in the store, as far as it is newer.
   deployment @0 :List(Row);
   servers @1 :List(Row);
-  serversVersion @2 :UInt64;
+  serversVersion @2 :UInt64;          # of the store, when the peer read it; 0: nothing
+  serversWhole @3 :Bool;              # all rows, not the changes only
 }
 
 interface Cluster {
