Stop following the store where another daemon does; take changes together

Cause: SetFollowing(false) kept the old value (a short-circuit skipped the exchange), so all 88 daemons followed; and each of 199 servers' first rows came in a call of its own.

--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -80,6 +80,7 @@
   void Take(std::vector<StoredRow> rows, std::uint64_t version);
   void Apply(const StoredRow& row);
   void Ask();
+  void AskAfter(Duration pause);
   void Bury(const StoredRow& row);
   void OnAnswer();
   void OnSilence(const std::string& detail);
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -13,6 +13,10 @@
 /// is found out only when this is over, so it has to be well below the time in
 /// which a change must be in force; each call costs money.
 constexpr Duration kWait = std::chrono::milliseconds(3000);
+/// Changes within this time come in one answer: hundreds of servers that start
+/// together would cost a call each. It is a small part of the time in which a
+/// change must be in force.
+constexpr Duration kChangesTogether = std::chrono::milliseconds(120);
 /// Pause after a call that failed, doubled each time up to the last.
 constexpr Duration kFirstPause = std::chrono::milliseconds(60);
 constexpr Duration kLongestPause = std::chrono::milliseconds(500);
@@ -49,8 +53,8 @@
 }
 
 void StoreFollower::SetFollowing(bool following) {
-  const bool begins = following && !std::exchange(following_, following);
-  if (begins && !asking_) {
+  const bool followed = std::exchange(following_, following);
+  if (following && !followed && !asking_) {
     Ask();
   }
 }
@@ -121,7 +125,11 @@
     }
   }
   version_ = std::max(version_, answer.version);
-  Ask();
+  if (answer.rows.empty()) {
+    Ask();
+    return;
+  }
+  AskAfter(kChangesTogether);
 }
 
 void StoreFollower::Offer(StoreChanges changes) {
@@ -237,6 +245,11 @@
   const Duration pause =
       std::min(kLongestPause,
                kFirstPause * (1 << std::min(failures_, kMostDoublings)));
+  AskAfter(pause);
+}
+
+void StoreFollower::AskAfter(Duration pause) {
+  loop_.Cancel(timer_);
   timer_ = loop_.After(pause, [this] {
     if (!asking_) {
       Ask();
--- /dev/null
+++ b/packages/routing/tests/directory_test.cc
@@ -0,0 +1,80 @@
+#include "gentianroute/routing/server_directory.h"
+
+#include <criterion/criterion.h>
+
+#include "routing_fixture.h"
+
+using namespace gentianroute;
+using namespace gentianroute::routing;
+
+namespace {
+
+ServerRecord Record(const std::string& id, std::int64_t born = 1) {
+  ServerRecord record = MakeServer(id)->record();
+  record.born = born;
+  return record;
+}
+
+}  // namespace
+
+Test(server_directory, leaving_server_is_closed_at_once) {
+  ServerDirectory servers;
+  servers.Put(Record("a"));
+  ServerRecord leaving = Record("a");
+  leaving.leaving = true;
+  servers.Put(leaving);
+  cr_assert_not(servers.Find("a")->open());
+}
+
+// A server starts again under its old id: it holds nothing of before, so what
+// was known of the earlier start must not count for it.
+Test(server_directory, another_start_is_another_server) {
+  ServerDirectory servers;
+  servers.Put(Record("a", 1));
+  const ServerPtr before(servers.Find("a"));
+  before->own().calls = 3;
+  servers.Put(Record("a", 2));
+  cr_assert(servers.Find("a") != before.get());
+  cr_assert_eq(servers.Find("a")->own().calls, 0);
+  cr_assert_not(before->open());
+}
+
+Test(server_directory, address_of_another_service_is_another_server) {
+  ServerDirectory servers;
+  servers.Put(Record("a"));
+  ServerRecord moved = Record("a");
+  moved.service = "other";
+  servers.Put(moved);
+  cr_assert(servers.In("stage").empty());
+  cr_assert_eq(servers.In("other").size(), 1);
+}
+
+Test(server_directory, removed_server_is_gone) {
+  ServerDirectory servers;
+  servers.Put(Record("a"));
+  servers.Remove(kStart, "a");
+  cr_assert(servers.In("stage").empty());
+}
+
+// The store was away, nobody could renew an entry, and a living server's has
+// lapsed: callers would be told that no server exists. It is written again
+// within two seconds of the store's return.
+Test(server_directory, lapsed_server_stays_until_it_had_time_to_return) {
+  ServerDirectory servers;
+  servers.Put(Record("a"));
+  servers.OnStoreReturned(kStart);
+  servers.Remove(kStart + 10 * kMs, "a");
+  cr_assert_eq(servers.In("stage").size(), 1);
+  servers.Put(Record("a"));
+  servers.Expire(kStart + std::chrono::seconds(3));
+  cr_assert_eq(servers.In("stage").size(), 1);
+}
+
+Test(server_directory, lapsed_server_that_does_not_return_is_gone) {
+  ServerDirectory servers;
+  servers.Put(Record("a"));
+  servers.OnStoreReturned(kStart);
+  servers.Remove(kStart + 10 * kMs, "a");
+  servers.Expire(kStart + std::chrono::seconds(2));
+  cr_assert(servers.In("stage").empty());
+}
--- /dev/null
+++ b/packages/routing/tests/pool_choice_test.cc
@@ -0,0 +1,74 @@
+#include "gentianroute/routing/pool_choice.h"
+
+#include <criterion/criterion.h>
+
+#include "routing_fixture.h"
+
+using namespace gentianroute;
+using namespace gentianroute::routing;
+
+namespace {
+
+PoolState Pool(const std::string& data_centre,
+               std::uint32_t servers,
+               Duration backlog) {
+  return {"stage", data_centre, servers, {backlog, backlog}};
+}
+
+const StageCapacity kCapacity = PoolFixture::CapacityOf(10, 0);
+
+}  // namespace
+
+Test(pool_choice, near_pool_is_taken_when_both_are_idle) {
+  const std::vector<PoolState> pools = {Pool("south", 2, {}),
+                                        Pool("north", 2, {})};
+  const PoolState* pool =
+      ChoosePool(pools, {4, 13 * kMs}, kCapacity, TwoRegions());
+  cr_assert_str_eq(pool->data_centre.c_str(), "north");
+}
+
+// A burst comes to the data centre with the fewest servers; its work spills to
+// another region once the wait is longer than the way.
+Test(pool_choice, burst_spills_to_another_region) {
+  const std::vector<PoolState> pools = {
+      Pool("south", 2, {}), Pool("north", 1, std::chrono::seconds(1))};
+  const PoolState* pool =
+      ChoosePool(pools, {4, 13 * kMs}, kCapacity, TwoRegions());
+  cr_assert_str_eq(pool->data_centre.c_str(), "south");
+}
+
+Test(pool_choice, large_results_are_made_beside_their_reader) {
+  const std::vector<PoolState> pools = {Pool("south", 2, {}),
+                                        Pool("north", 2, {})};
+  PoolWork work{3, 13 * kMs};
+  work.result_bytes = 9e6;
+  work.read_in = "south";
+  cr_assert_str_eq(ChoosePool(pools, work, kCapacity, TwoRegions())
+                       ->data_centre.c_str(),
+                   "south");
+}
+
+Test(pool_choice, pool_without_servers_is_not_taken) {
+  const std::vector<PoolState> pools = {Pool("north", 0, {})};
+  cr_assert_null(ChoosePool(pools, {4, 13 * kMs}, kCapacity, TwoRegions()));
+}
+
+Test(pool_board, work_handed_over_counts_until_the_next_report) {
+  PoolBoard board;
+  board.SetServers("stage", "north", 1);
+  board.Report(kStart, Pool("north", 0, 100 * kMs));
+  board.OnHandedOver("stage", "north", 200 * kMs);
+  cr_assert_eq(board.Of(kStart, "stage")[0].backlog.in_time.count(),
+               Duration(300 * kMs).count());
+  board.Report(kStart, Pool("north", 0, 50 * kMs));
+  cr_assert_eq(board.Of(kStart, "stage")[0].backlog.in_time.count(),
+               Duration(50 * kMs).count());
+}
+
+Test(pool_board, backlog_is_worked_off_between_reports) {
+  PoolBoard board;
+  board.SetServers("stage", "north", 2);
+  board.Report(kStart, Pool("north", 0, 300 * kMs));
+  cr_assert_eq(board.Of(kStart + 100 * kMs, "stage")[0].backlog.in_time.count(),
+               Duration(100 * kMs).count());
+}
--- /dev/null
+++ b/packages/routing/tests/routing_fixture.h
@@ -0,0 +1,84 @@
+#ifndef GENTIANROUTE_ROUTING_TESTS_ROUTING_FIXTURE_H_
+#define GENTIANROUTE_ROUTING_TESTS_ROUTING_FIXTURE_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "gentianroute/routing/server.h"
+#include "gentianroute/routing/stage_pool.h"
+#include "gentianroute/routing/topology.h"
+
+namespace gentianroute::routing {
+
+inline constexpr TimePoint kStart = TimePoint{} + std::chrono::seconds(10);
+inline constexpr Duration kMs = std::chrono::milliseconds(1);
+
+inline ServerPtr MakeServer(const std::string& id,
+                            const std::string& data_centre = "north",
+                            std::uint32_t slots = 1) {
+  ServerRecord record;
+  record.id = id;
+  record.service = "stage";
+  record.address = "10.0.0.1";
+  record.port = 80;
+  record.data_centre = data_centre;
+  record.slots = slots;
+  return ServerPtr(new Server(record));
+}
+
+inline Topology TwoRegions() {
+  return Topology("north", {{"north", "N"}, {"north-b", "N"}, {"south", "S"}});
+}
+
+/// A stage pool with the figures of the deployments' sheets.
+struct PoolFixture {
+  StageCapacity capacity;
+  StagePool pool;
+  std::vector<ServerPtr> servers;
+
+  explicit PoolFixture(std::uint32_t batch = 10, double room_bytes = 0)
+      : capacity(CapacityOf(batch, room_bytes)), pool(capacity) {}
+
+  static StageCapacity CapacityOf(std::uint32_t batch, double room_bytes) {
+    StageCapacity capacity;
+    capacity.batch = batch;
+    capacity.call = 150 * kMs;
+    capacity.piece = 13 * kMs;
+    capacity.room_bytes = room_bytes;
+    capacity.result_life = std::chrono::seconds(4);
+    return capacity;
+  }
+
+  StageGroupId Submit(const std::string& request,
+                      std::uint32_t pieces,
+                      Duration wanted_in = std::chrono::seconds(2),
+                      std::uint32_t priority = 0,
+                      double result_bytes = 0,
+                      TimePoint now = kStart) {
+    StageGroup group;
+    group.request = request;
+    group.pieces = pieces;
+    group.work = "route:0";
+    group.wanted = now + wanted_in;
+    group.deadline = now + std::chrono::seconds(6);
+    group.priority = priority;
+    group.result_bytes = result_bytes;
+    return pool.Submit(now, group);
+  }
+
+  /// Ends a call with a result for each piece, named by group and segment.
+  void Answer(const StageCall& call, TimePoint now) {
+    std::vector<PieceResult> results;
+    for (const StagePiece& piece : call.pieces) {
+      results.push_back({PieceEnd::kDone,
+                         std::to_string(piece.group.value) + "." +
+                             std::to_string(piece.segment)});
+    }
+    pool.OnCallEnd(now, call.id, CallEnd::kAnswered, results);
+  }
+};
+
+}  // namespace gentianroute::routing
+
+#endif  // GENTIANROUTE_ROUTING_TESTS_ROUTING_FIXTURE_H_
--- /dev/null
+++ b/packages/routing/tests/server_choice_test.cc
@@ -0,0 +1,136 @@
+#include "gentianroute/routing/server_choice.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+#include "routing_fixture.h"
+
+using namespace gentianroute;
+using namespace gentianroute::routing;
+
+namespace {
+
+Prompt PromptAbout(const std::string& subject, const std::string& own) {
+  Prompt prompt;
+  prompt.tokens_in = 9000;
+  prompt.tokens_out = 60;
+  prompt.parts = {{"common", 2500}, {subject, 3800}, {own, 2900}};
+  return prompt;
+}
+
+struct ModelFixture {
+  std::vector<ServerPtr> servers;
+  ModelCapacity capacity{64, 450'000};
+  Topology map = TwoRegions();
+
+  ModelFixture() {
+    for (int i = 0; i < 6; ++i) {
+      servers.push_back(MakeServer("m" + std::to_string(i), "north", 64));
+    }
+  }
+  ServerPtr Choose(const Prompt& prompt,
+                   std::span<const PlacedBytes> inputs = {},
+                   std::span<const std::string> tried = {}) const {
+    return ChooseModel(kStart, servers, tried, prompt, inputs, capacity, map)
+        .server;
+  }
+};
+
+}  // namespace
+
+Test(server_choice, plain_request_stays_in_its_data_centre) {
+  const std::vector<ServerPtr> servers = {MakeServer("far", "south", 6),
+                                          MakeServer("near", "north", 6)};
+  const Choice choice = ChoosePlain(kStart, servers, {}, TwoRegions());
+  cr_assert(choice.server == servers[1]);
+}
+
+Test(server_choice, full_server_loses_to_a_free_one_far_away) {
+  const std::vector<ServerPtr> servers = {MakeServer("far", "south", 6),
+                                          MakeServer("near", "north", 6)};
+  servers[1]->own().calls = 18;
+  const Choice choice = ChoosePlain(kStart, servers, {}, TwoRegions());
+  cr_assert(choice.server == servers[0]);
+}
+
+// Callers see errors from one server while its health check passes; its own
+// answers are what tells.
+Test(server_choice, failing_server_is_avoided_until_its_failures_fade) {
+  const std::vector<ServerPtr> servers = {MakeServer("far", "south", 6),
+                                          MakeServer("near", "north", 6)};
+  for (int i = 0; i < 10; ++i) {
+    servers[1]->history().OnAnswer(kStart, false, 1.0);
+  }
+  const Topology map = TwoRegions();
+  cr_assert(ChoosePlain(kStart, servers, {}, map).server == servers[0]);
+  const TimePoint later = kStart + std::chrono::seconds(30);
+  cr_assert(ChoosePlain(later, servers, {}, map).server == servers[1]);
+}
+
+Test(server_choice, leaving_tried_and_unlisted_servers_are_not_taken) {
+  std::vector<ServerPtr> servers = {MakeServer("leaving"), MakeServer("tried"),
+                                    MakeServer("gone")};
+  ServerRecord leaving = servers[0]->record();
+  leaving.leaving = true;
+  servers[0]->SetRecord(leaving);
+  servers[2]->Unlist();
+  const std::vector<std::string> tried = {"tried"};
+  const Choice choice = ChoosePlain(kStart, servers, tried, TwoRegions());
+  cr_assert(choice.server == nullptr);
+}
+
+Test(server_choice, requests_about_one_subject_meet_at_one_server) {
+  const ModelFixture fixture;
+  const ServerPtr home = fixture.Choose(PromptAbout("subject", "r0"));
+  for (int i = 1; i < 20; ++i) {
+    cr_assert(fixture.Choose(PromptAbout("subject",
+                                         "r" + std::to_string(i))) == home);
+  }
+}
+
+Test(server_choice, subjects_spread_over_all_servers) {
+  const ModelFixture fixture;
+  std::set<std::string> homes;
+  for (int i = 0; i < 100; ++i) {
+    homes.insert(
+        fixture.Choose(PromptAbout("s" + std::to_string(i), "r"))->record().id);
+  }
+  cr_assert_eq(homes.size(), fixture.servers.size());
+}
+
+// One subject gets much of the traffic: its home has prompts in front of it
+// that take longer to read than the subject takes to read again elsewhere.
+Test(server_choice, hot_subject_is_split_once_its_home_has_a_queue) {
+  const ModelFixture fixture;
+  const Prompt prompt = PromptAbout("hot", "r0");
+  const ServerPtr home = fixture.Choose(prompt);
+  home->own().unread_tokens = 20'000;
+  cr_assert(fixture.Choose(prompt) != home);
+}
+
+Test(server_choice, small_load_does_not_move_a_subject) {
+  const ModelFixture fixture;
+  const Prompt prompt = PromptAbout("subject", "r0");
+  const ServerPtr home = fixture.Choose(prompt);
+  home->own().unread_tokens = 2'900;
+  home->own().calls = 5;
+  cr_assert(fixture.Choose(prompt) == home);
+}
+
+// A stage's results lie in one data centre and are billed when they cross.
+Test(server_choice, large_results_are_read_where_they_lie) {
+  ModelFixture fixture;
+  fixture.servers.push_back(MakeServer("s0", "south", 64));
+  const std::vector<PlacedBytes> inputs = {{"south", 12e6}};
+  cr_assert(fixture.Choose(PromptAbout("subject", "r"), inputs) ==
+            fixture.servers.back());
+}
+
+Test(server_choice, request_that_does_not_fit_in_memory_goes_elsewhere) {
+  const ModelFixture fixture;
+  const Prompt prompt = PromptAbout("subject", "r0");
+  const ServerPtr home = fixture.Choose(prompt);
+  home->own().tokens = 600'000;
+  cr_assert(fixture.Choose(prompt) != home);
+}
--- /dev/null
+++ b/packages/routing/tests/stage_plan_test.cc
@@ -0,0 +1,103 @@
+#include "gentianroute/routing/stage_plan.h"
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute::routing;
+
+namespace {
+
+/// The deployments' widest graph: a chain of three, and one stage beside it.
+std::vector<StageSpec> ChatStages() {
+  return {{"wide", {}, 3'000'000},
+          {"first", {}, 8'000},
+          {"second", {1}, 60'000},
+          {"third", {2}, 6'000}};
+}
+
+}  // namespace
+
+Test(stage_plan, chain_goes_one_by_one) {
+  const auto stages = ChatStages();
+  const std::vector<std::uint32_t> pieces = {0, 1, 8, 16};
+  StagePlan plan(stages, pieces);
+  cr_assert_eq(plan.Ready(), std::vector<std::uint32_t>{1});
+  plan.Begin(1);
+  cr_assert(plan.Ready().empty());
+  plan.Finish(1, {"a"});
+  cr_assert_eq(plan.Ready(), std::vector<std::uint32_t>{2});
+  cr_assert_eq(plan.InputsOf(2), std::vector<std::string>{"a"});
+}
+
+// A large result that waits for a slow chain fills its server meanwhile, and
+// other requests' pieces find no room there.
+Test(stage_plan, stage_beside_a_chain_begins_with_its_last_stage) {
+  const auto stages = ChatStages();
+  const std::vector<std::uint32_t> pieces = {2, 1, 8, 16};
+  StagePlan plan(stages, pieces);
+  cr_assert_eq(plan.Ready(), std::vector<std::uint32_t>{1});
+  plan.Finish(1, {"a"});
+  plan.Finish(2, {"b"});
+  cr_assert_eq(plan.Ready(), (std::vector<std::uint32_t>{0, 3}));
+}
+
+Test(stage_plan, request_without_pieces_is_complete) {
+  const auto stages = ChatStages();
+  const std::vector<std::uint32_t> none = {0, 0, 0, 0};
+  cr_assert(StagePlan(stages, none).complete());
+  cr_assert(StagePlan(stages, {}).complete());
+}
+
+Test(stage_plan, own_call_reads_what_no_stage_reads) {
+  const auto stages = ChatStages();
+  const std::vector<std::uint32_t> pieces = {1, 1, 1, 1};
+  StagePlan plan(stages, pieces);
+  plan.Finish(0, {"w"});
+  plan.Finish(1, {"a"});
+  plan.Finish(2, {"b"});
+  plan.Finish(3, {"c"});
+  cr_assert(plan.complete());
+  cr_assert_eq(plan.FinalInputs(), (std::vector<std::string>{"w", "c"}));
+}
+
+Test(stage_plan, results_are_spent_once_their_reader_is_done) {
+  const auto stages = ChatStages();
+  const std::vector<std::uint32_t> pieces = {0, 1, 1, 1};
+  StagePlan plan(stages, pieces);
+  plan.Finish(1, {"a"});
+  cr_assert(plan.TakeSpent().empty());
+  plan.Finish(2, {"b"});
+  const auto spent = plan.TakeSpent();
+  cr_assert_eq(spent.size(), 1);
+  cr_assert_eq(spent[0].results, std::vector<std::string>{"a"});
+}
+
+// The caller sees a slower answer. A result died with its server after the one
+// before it had been released, so the whole way to it is made again; a stage
+// must never run with a part of its inputs.
+Test(stage_plan, lost_result_is_made_again_with_all_before_it) {
+  const auto stages = ChatStages();
+  const std::vector<std::uint32_t> pieces = {0, 1, 1, 1};
+  StagePlan plan(stages, pieces);
+  plan.Finish(1, {"a"});
+  plan.Finish(2, {"b"});
+  plan.TakeSpent();
+  plan.Begin(3);
+  plan.RemakeInputsOf(3);
+  cr_assert_eq(plan.Ready(), std::vector<std::uint32_t>{1});
+  plan.Finish(1, {"a2"});
+  cr_assert_eq(plan.Ready(), std::vector<std::uint32_t>{2});
+  cr_assert_eq(plan.InputsOf(2), std::vector<std::string>{"a2"});
+  plan.Finish(2, {"b2"});
+  cr_assert_eq(plan.Ready(), std::vector<std::uint32_t>{3});
+}
+
+Test(stage_plan, results_read_by_the_own_call_are_made_again_for_another_run) {
+  const auto stages = ChatStages();
+  const std::vector<std::uint32_t> pieces = {1, 0, 0, 0};
+  StagePlan plan(stages, pieces);
+  plan.Finish(0, {"w"});
+  plan.TakeAll();
+  plan.RemakeInputsOf(static_cast<std::uint32_t>(plan.stages()));
+  cr_assert_not(plan.complete());
+  cr_assert_eq(plan.Ready(), std::vector<std::uint32_t>{0});
+}
--- /dev/null
+++ b/packages/routing/tests/stage_pool_test.cc
@@ -0,0 +1,199 @@
+#include "gentianroute/routing/stage_pool.h"
+
+#include <criterion/criterion.h>
+
+#include "routing_fixture.h"
+
+using namespace gentianroute;
+using namespace gentianroute::routing;
+
+Test(stage_pool, pieces_of_several_requests_share_a_call) {
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("a")};
+  fixture.Submit("r1", 4);
+  fixture.Submit("r2", 4);
+  const auto calls = fixture.pool.Dispatch(kStart, fixture.servers);
+  cr_assert_eq(calls.size(), 1);
+  cr_assert_eq(calls[0].pieces.size(), 8);
+}
+
+Test(stage_pool, each_group_gets_its_own_results_in_order) {
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("a")};
+  const StageGroupId first = fixture.Submit("r1", 2);
+  const StageGroupId second = fixture.Submit("r2", 3);
+  const auto calls = fixture.pool.Dispatch(kStart, fixture.servers);
+  fixture.Answer(calls[0], kStart + 200 * kMs);
+  const auto ended = fixture.pool.TakeEnded();
+  cr_assert_eq(ended.size(), 2);
+  for (const StageGroupEnd& end : ended) {
+    const std::string name = std::to_string(end.group.value);
+    cr_assert_not(end.failure.has_value());
+    cr_assert_eq(end.results.size(), end.group == first ? 2 : 3);
+    cr_assert(end.group == first || end.group == second);
+    for (std::size_t i = 0; i < end.results.size(); ++i) {
+      cr_assert_str_eq(end.results[i].c_str(),
+                       (name + "." + std::to_string(i)).c_str());
+    }
+  }
+}
+
+Test(stage_pool, urgent_group_overtakes_one_that_came_first) {
+  PoolFixture fixture(4);
+  fixture.servers = {MakeServer("a")};
+  fixture.Submit("patient", 4, std::chrono::seconds(3), 2);
+  const StageGroupId urgent =
+      fixture.Submit("urgent", 4, std::chrono::seconds(2), 0);
+  const auto calls = fixture.pool.Dispatch(kStart, fixture.servers);
+  cr_assert_eq(calls.size(), 1);
+  for (const StagePiece& piece : calls[0].pieces) {
+    cr_assert_eq(piece.group.value, urgent.value);
+  }
+}
+
+// A burst brings more pieces than the servers can do. What can't be in time any
+// more would take the place of what still can, and then both were late: so it
+// waits behind, although it came first.
+Test(stage_pool, burst_serves_first_what_can_still_be_in_time) {
+  PoolFixture fixture(4);
+  fixture.servers = {MakeServer("a")};
+  fixture.Submit("missed", 4, 50 * kMs);
+  const StageGroupId timely = fixture.Submit("timely", 4, 400 * kMs);
+  const auto calls = fixture.pool.Dispatch(kStart, fixture.servers);
+  for (const StagePiece& piece : calls[0].pieces) {
+    cr_assert_eq(piece.group.value, timely.value);
+  }
+}
+
+Test(stage_pool, free_server_is_kept_when_one_call_holds_all) {
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("a"), MakeServer("b")};
+  fixture.Submit("r1", 4);
+  cr_assert_eq(fixture.pool.Dispatch(kStart, fixture.servers).size(), 1);
+}
+
+// The caller sees a stage that ends late or not at all. A server of 3 MB
+// results holds 16 of them from the start of their call until they are
+// released; a call filled without regard to that comes back without most of its
+// results, and its time is lost.
+Test(stage_pool, call_is_filled_by_the_room_that_is_left) {
+  constexpr double kResult = 3e6;
+  PoolFixture fixture(10, 49e6);
+  fixture.servers = {MakeServer("a")};
+  fixture.Submit("r1", 10, std::chrono::seconds(2), 0, kResult);
+  fixture.Submit("r2", 10, std::chrono::seconds(2), 0, kResult);
+  const auto first = fixture.pool.Dispatch(kStart, fixture.servers);
+  cr_assert_eq(first[0].pieces.size(), 10);
+  fixture.Answer(first[0], kStart + 280 * kMs);
+  const auto second =
+      fixture.pool.Dispatch(kStart + 280 * kMs, fixture.servers);
+  cr_assert_eq(second[0].pieces.size(), 6);
+}
+
+Test(stage_pool, released_results_make_room) {
+  constexpr double kResult = 3e6;
+  PoolFixture fixture(10, 30e6);
+  fixture.servers = {MakeServer("a")};
+  fixture.Submit("r1", 10, std::chrono::seconds(2), 0, kResult);
+  fixture.Submit("r2", 10, std::chrono::seconds(2), 0, kResult);
+  const auto first = fixture.pool.Dispatch(kStart, fixture.servers);
+  fixture.Answer(first[0], kStart + 280 * kMs);
+  cr_assert(
+      fixture.pool.Dispatch(kStart + 280 * kMs, fixture.servers).empty());
+  const auto ended = fixture.pool.TakeEnded();
+  fixture.pool.OnReleased(ended[0].results);
+  const auto second =
+      fixture.pool.Dispatch(kStart + 300 * kMs, fixture.servers);
+  cr_assert_eq(second[0].pieces.size(), 10);
+}
+
+Test(stage_pool, unreleased_results_run_out) {
+  constexpr double kResult = 3e6;
+  PoolFixture fixture(10, 30e6);
+  fixture.servers = {MakeServer("a")};
+  fixture.Submit("r1", 10, std::chrono::seconds(2), 0, kResult);
+  const auto first = fixture.pool.Dispatch(kStart, fixture.servers);
+  fixture.Answer(first[0], kStart + 280 * kMs);
+  const TimePoint later = kStart + std::chrono::seconds(5);
+  fixture.Submit("r2", 10, std::chrono::seconds(2), 0, kResult, later);
+  cr_assert_eq(
+      fixture.pool.Dispatch(later, fixture.servers)[0].pieces.size(), 10);
+}
+
+// The caller sees its answer some hundred milliseconds later, and not an error.
+// A server dies with a call; the pieces have no effect but their results, so
+// they go to another server, and the dead one is left out.
+Test(stage_pool, broken_call_is_made_again_elsewhere) {
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("a"), MakeServer("b")};
+  fixture.Submit("r1", 3);
+  const auto first = fixture.pool.Dispatch(kStart, fixture.servers);
+  fixture.pool.OnCallEnd(kStart + 10 * kMs, first[0].id, CallEnd::kBroken, {});
+  const auto again = fixture.pool.Dispatch(kStart + 11 * kMs, fixture.servers);
+  cr_assert_eq(again.size(), 1);
+  cr_assert_eq(again[0].pieces.size(), 3);
+  cr_assert(again[0].server != first[0].server);
+}
+
+Test(stage_pool, slow_server_is_left_out_while_another_is_open) {
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("slow"), MakeServer("sound")};
+  for (int i = 0; i < 30; ++i) {
+    fixture.servers[0]->history().OnAnswer(kStart, true, 5.0);
+  }
+  fixture.Submit("r1", 3);
+  const auto calls = fixture.pool.Dispatch(kStart, fixture.servers);
+  cr_assert_eq(calls.size(), 1);
+  cr_assert(calls[0].server == fixture.servers[1]);
+}
+
+Test(stage_pool, group_that_can_not_end_in_time_is_given_up_at_once) {
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("a")};
+  const StageGroupId group = fixture.Submit("r1", 3);
+  const TimePoint late = kStart + std::chrono::milliseconds(5900);
+  cr_assert(fixture.pool.Dispatch(late, fixture.servers).empty());
+  const auto ended = fixture.pool.TakeEnded();
+  cr_assert_eq(ended.size(), 1);
+  cr_assert_eq(ended[0].group.value, group.value);
+  cr_assert(ended[0].failure == StageFailure::kLate);
+}
+
+Test(stage_pool, group_without_servers_fails_at_once) {
+  PoolFixture fixture(10);
+  fixture.Submit("r1", 3);
+  fixture.pool.Dispatch(kStart, fixture.servers);
+  const auto ended = fixture.pool.TakeEnded();
+  cr_assert(ended.at(0).failure == StageFailure::kNoServer);
+}
+
+Test(stage_pool, results_of_a_cancelled_group_are_orphans) {
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("a")};
+  const StageGroupId group = fixture.Submit("r1", 2);
+  const auto calls = fixture.pool.Dispatch(kStart, fixture.servers);
+  fixture.pool.Cancel(group);
+  fixture.Answer(calls[0], kStart + 200 * kMs);
+  cr_assert_eq(fixture.pool.TakeOrphans().size(), 2);
+  cr_assert(fixture.pool.TakeEnded().empty());
+}
+
+Test(stage_pool, lost_input_ends_the_group) {
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("a")};
+  fixture.Submit("r1", 1);
+  const auto calls = fixture.pool.Dispatch(kStart, fixture.servers);
+  const PieceResult gone{PieceEnd::kInputGone, ""};
+  fixture.pool.OnCallEnd(kStart + 160 * kMs, calls[0].id, CallEnd::kAnswered,
+                         {&gone, 1});
+  cr_assert(fixture.pool.TakeEnded().at(0).failure == StageFailure::kInputGone);
+}
+
+Test(stage_pool, backlog_counts_late_work_apart) {
+  PoolFixture fixture(10);
+  fixture.Submit("late", 10, 10 * kMs);
+  fixture.Submit("timely", 5, std::chrono::seconds(2));
+  const Backlog backlog = fixture.pool.BacklogAt(kStart);
+  cr_assert_eq(backlog.in_time.count(), Duration(215 * kMs).count());
+  cr_assert_gt(backlog.all.count(), backlog.in_time.count());
+}
