--- /dev/null
+++ b/packages/loop/tests/message_parser_test.cc
@@ -0,0 +1,131 @@
+#include "gentianroute/loop/message_parser.h"
+
+#include <criterion/criterion.h>
+
+using namespace gentianroute;
+using Event = MessageParser::Event;
+
+namespace {
+
+constexpr MessageParser::Limits kLimits{1024, 4096};
+
+struct RequestFixture {
+  MessageParser parser{MessageParser::Kind::kRequest, kLimits};
+  std::string body;
+
+  /// Polls until something decisive: the end, an error, or more is needed.
+  Event Read(std::string_view bytes) {
+    parser.Feed(bytes);
+    while (true) {
+      const Event event = parser.Poll();
+      if (event == Event::kBody) {
+        body += parser.body();
+      } else if (event != Event::kHead) {
+        return event;
+      }
+    }
+  }
+};
+
+struct AnswerFixture {
+  MessageParser parser{MessageParser::Kind::kAnswer, kLimits};
+
+  Event Read(std::string_view bytes) {
+    parser.Feed(bytes);
+    Event event = parser.Poll();
+    while (event == Event::kHead || event == Event::kBody) {
+      event = parser.Poll();
+    }
+    return event;
+  }
+};
+
+}  // namespace
+
+Test(message_parser, target_stays_as_it_was_sent) {
+  RequestFixture fixture;
+  cr_assert(fixture.Read("GET /a/../b//%2e?x=%20 HTTP/1.1\r\nHost: h\r\n\r\n") ==
+            Event::kEnd);
+  cr_assert(fixture.parser.head().target == "/a/../b//%2e?x=%20");
+}
+
+Test(message_parser, body_with_a_length_and_in_chunks) {
+  RequestFixture whole;
+  cr_assert(whole.Read("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc") ==
+            Event::kEnd);
+  cr_assert(whole.body == "abc");
+  RequestFixture chunked;
+  cr_assert(chunked.Read("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n") == Event::kEnd);
+  cr_assert(chunked.body == "abc");
+}
+
+Test(message_parser, request_byte_by_byte) {
+  RequestFixture fixture;
+  const std::string text =
+      "POST /p HTTP/1.1\r\nContent-Length: 2\r\nHost: h\r\n\r\nhi";
+  for (std::size_t i = 0; i + 1 < text.size(); ++i) {
+    cr_assert(fixture.Read(text.substr(i, 1)) == Event::kNeedMore);
+  }
+  cr_assert(fixture.Read(text.substr(text.size() - 1)) == Event::kEnd);
+  cr_assert(fixture.body == "hi");
+}
+
+// A caller hides a request inside another one: two hops that read the end of
+// the first body differently would see it as a request of its own.
+Test(message_parser, smuggled_requests_are_refused) {
+  for (const std::string_view fields :
+       {"Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: chunked, identity\r\n", "Content-Length: -1\r\n",
+        "Content-Length: 3x\r\n", "Host : h\r\n"}) {
+    RequestFixture fixture;
+    const std::string text =
+        "POST / HTTP/1.1\r\n" + std::string(fields) + "\r\nabc";
+    cr_assert(fixture.Read(text) == Event::kMalformed, "%s", fields.data());
+  }
+}
+
+Test(message_parser, what_follows_a_request_waits) {
+  RequestFixture fixture;
+  const std::string first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  cr_assert(fixture.Read(first + "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n") ==
+            Event::kEnd);
+  cr_assert(fixture.parser.head().target == "/1");
+  fixture.parser.Next(kLimits);
+  cr_assert(fixture.Read("") == Event::kEnd);
+  cr_assert(fixture.parser.head().target == "/2");
+}
+
+Test(message_parser, limits_are_told_apart) {
+  RequestFixture head;
+  cr_assert(head.Read("GET / HTTP/1.1\r\nX: " + std::string(2000, 'x')) ==
+            Event::kHeadTooLarge);
+  RequestFixture body;
+  cr_assert(body.Read("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n") ==
+            Event::kBodyTooLarge);
+}
+
+Test(message_parser, answer_without_a_length_ends_with_its_connection) {
+  AnswerFixture fixture;
+  cr_assert(fixture.Read("HTTP/1.1 200 OK\r\n\r\npart") == Event::kNeedMore);
+  fixture.parser.FeedEnd();
+  cr_assert(fixture.parser.Poll() == Event::kEnd);
+}
+
+Test(message_parser, answer_that_is_cut_is_not_whole) {
+  AnswerFixture fixture;
+  cr_assert(fixture.Read("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart") ==
+            Event::kNeedMore);
+  fixture.parser.FeedEnd();
+  cr_assert(fixture.parser.Poll() == Event::kMalformed);
+}
+
+Test(message_parser, bytes_after_an_answer_are_seen) {
+  AnswerFixture fixture;
+  fixture.Read("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200");
+  fixture.parser.Next(kLimits);
+  cr_assert(fixture.parser.begun());
+}
