--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -80,7 +80,9 @@
   /// centre: the same in the eyes of all that see the same daemons.
   std::string SchedulerOf(std::string_view service,
                           std::string_view data_centre) const;
-  bool IsSelf(std::string_view daemon) const { return daemon == settings_.name; }
+  bool IsSelf(std::string_view daemon) const {
+    return daemon == settings_.name;
+  }
   bool IsAlive(std::string_view peer) const;
   std::size_t live_daemons() const;  ///< this one included
 
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -44,17 +44,16 @@
 
 /// @brief One caller's request on its way through the stages to its server and
 /// back. Held by count by what is under way for it.
-class RequestFlow : public boost::intrusive_ref_counter<
-                        RequestFlow,
-                        boost::thread_unsafe_counter>,
-                    public boost::intrusive::list_base_hook<
-                        boost::intrusive::link_mode<
-                            boost::intrusive::auto_unlink>> {
+class RequestFlow
+    : public boost::intrusive_ref_counter<RequestFlow,
+                                          boost::thread_unsafe_counter>,
+      public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
  public:
   using Ptr = boost::intrusive_ptr<RequestFlow>;
-  using List = boost::intrusive::list<
-      RequestFlow,
-      boost::intrusive::constant_time_size<false>>;
+  using List =
+      boost::intrusive::list<RequestFlow,
+                             boost::intrusive::constant_time_size<false>>;
 
   /// @brief Begins a request; it lives until it has been answered.
   /// @param table null: no configuration is known yet
--- a/packages/gateway/include/gentianroute/gateway/translator.h
+++ b/packages/gateway/include/gentianroute/gateway/translator.h
@@ -28,9 +28,9 @@
   bool has_odd_key = false;
   routing::Prompt prompt;
   std::vector<std::uint32_t> stage_pieces;
-  std::string stage_key;  ///< what stages without inputs work on
+  std::string stage_key;     ///< what stages without inputs work on
   std::string resume_after;  ///< last event that the caller has, if any
-  HttpHeaders passed_on;  ///< fields that go to the server unchanged
+  HttpHeaders passed_on;     ///< fields that go to the server unchanged
 };
 
 /// @brief What this daemon adds to a request for a backend server.
@@ -45,7 +45,7 @@
 /// @brief What the head of a server's answer says.
 struct ServerAnswer {
   int status = 0;
-  bool not_run = false;  ///< the server has not run the request and won't
+  bool not_run = false;   ///< the server has not run the request and won't
   HttpHeaders passed_on;  ///< fields that go to the caller
 };
 
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -141,9 +141,8 @@
     const std::string service = group.getService();
     const std::string data_centre = group.getDataCentre();
     auto done = kj::newPromiseAndFulfiller<void>();
-    auto fulfiller =
-        std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
-            kj::mv(done.fulfiller));
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+        kj::mv(done.fulfiller));
     std::unique_ptr<GroupHold> hold = cluster_.handler_.RunGroup(
         service, data_centre, ReadGroup(cluster_.loop_.Now(), group),
         [context, fulfiller](GroupOutcome outcome) mutable {
@@ -348,9 +347,8 @@
 
 void Cluster::OnMessage(std::span<const std::byte> message) {
   const auto failed = kj::runCatchingExceptions([&] {
-    kj::ArrayInputStream stream(
-        kj::arrayPtr(reinterpret_cast<const kj::byte*>(message.data()),
-                     message.size()));
+    kj::ArrayInputStream stream(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(message.data()), message.size()));
     capnp::PackedMessageReader reader(stream);
     const auto beat = reader.getRoot<schema::Beat>();
     const std::string name = beat.getDaemon();
@@ -367,15 +365,15 @@
     peer.port = beat.getPort();
     peer.data_centre = beat.getDataCentre();
     peer.leaving = beat.getDraining();
-    peer.store = static_cast<StoreContact>(
-        std::min<unsigned>(beat.getStoreContact(),
-                           static_cast<unsigned>(StoreContact::kSilent)));
+    peer.store = static_cast<StoreContact>(std::min<unsigned>(
+        beat.getStoreContact(), static_cast<unsigned>(StoreContact::kSilent)));
     peer.deployment_version = beat.getDeploymentVersion();
     peer.servers_version = beat.getServersVersion();
     peer.heard = loop_.Now();
     if (!std::exchange(peer.alive, true)) {
-      LogEvent("peer_up").Field("peer", name).Field("incarnation",
-                                                    peer.incarnation);
+      LogEvent("peer_up")
+          .Field("peer", name)
+          .Field("incarnation", peer.incarnation);
     }
     if (beat.getBacklogs().size() > 0) {
       // It schedules servers, so work for it will come: the link stands then.
@@ -417,8 +415,7 @@
 
 std::string Cluster::SchedulerOf(std::string_view service,
                                  std::string_view data_centre) const {
-  const std::string key =
-      std::string(service) + "/" + std::string(data_centre);
+  const std::string key = std::string(service) + "/" + std::string(data_centre);
   // Those beside the servers come first; the link to them is the shortest.
   const auto weight = [&](std::string_view name, std::string_view place) {
     return std::pair(place == data_centre, RendezvousWeight(key, name));
@@ -458,8 +455,7 @@
   RpcConnection* link = LinkTo(peer);
   auto remote = std::make_unique<RemoteGroup>(std::move(done));
   const std::weak_ptr<RemoteGroup*> self = remote->self();
-  auto request =
-      link->bootstrap().castAs<schema::Cluster>().runGroupRequest();
+  auto request = link->bootstrap().castAs<schema::Cluster>().runGroupRequest();
   WriteGroup(loop_.Now(), service, data_centre, group, request.initGroup());
   kj::Promise<capnp::Response<schema::Cluster::RunGroupResults>> sent =
       request.send();
@@ -499,14 +495,13 @@
 bool Cluster::IsStoreReader() const {
   constexpr std::string_view kKey = "store-reader";
   const std::uint64_t own = RendezvousWeight(kKey, settings_.name);
-  return std::none_of(
-      peers_.begin(), peers_.end(), [&](const auto& entry) {
-        const Peer& peer = *entry.second;
-        return peer.alive && !peer.leaving &&
-               peer.data_centre == settings_.data_centre &&
-               peer.store != StoreContact::kSilent &&
-               RendezvousWeight(kKey, peer.name) > own;
-      });
+  return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const Peer& peer = *entry.second;
+    return peer.alive && !peer.leaving &&
+           peer.data_centre == settings_.data_centre &&
+           peer.store != StoreContact::kSilent &&
+           RendezvousWeight(kKey, peer.name) > own;
+  });
 }
 
 void Cluster::TellNews() {
@@ -528,11 +523,10 @@
   for (const auto& [name, peer] : peers_) {
     const bool newer = peer->deployment_version > deployment_version ||
                        peer->servers_version > servers_version;
-    const bool nearer =
-        source == nullptr ||
-        (peer->data_centre == settings_.data_centre &&
-         source->data_centre != settings_.data_centre) ||
-        (IsInOwnRegion(*peer) && !IsInOwnRegion(*source));
+    const bool nearer = source == nullptr ||
+                        (peer->data_centre == settings_.data_centre &&
+                         source->data_centre != settings_.data_centre) ||
+                        (IsInOwnRegion(*peer) && !IsInOwnRegion(*source));
     if (peer->alive && newer && nearer) {
       source = peer.get();
     }
@@ -544,8 +538,7 @@
   if (!link->connected()) {
     return;
   }
-  auto request =
-      link->bootstrap().castAs<schema::Cluster>().storeCopyRequest();
+  auto request = link->bootstrap().castAs<schema::Cluster>().storeCopyRequest();
   request.setDeploymentVersion(deployment_version);
   request.setServersVersion(servers_version);
   auto timeout = kj::newPromiseAndFulfiller<void>();
@@ -553,15 +546,14 @@
       kj::mv(timeout.fulfiller));
   loop_.After(kCopyTimeout, [fulfiller] { (*fulfiller)->fulfill(); });
   fetching_ = true;
-  tasks_->add(request.send()
-                  .then([this](auto response) {
-                    handler_.OnStoreCopy(response.getCopy());
-                  })
-                  .exclusiveJoin(kj::mv(timeout.promise))
-                  .then([this] { fetching_ = false; },
-                        [this](kj::Exception&& /*broken*/) {
-                          fetching_ = false;
-                        }));
+  tasks_->add(
+      request.send()
+          .then([this](auto response) {
+            handler_.OnStoreCopy(response.getCopy());
+          })
+          .exclusiveJoin(kj::mv(timeout.promise))
+          .then([this] { fetching_ = false; },
+                [this](kj::Exception&& /*broken*/) { fetching_ = false; }));
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -62,11 +62,10 @@
         desk_(loop, client, translator, servers_, releases_),
         stages_(loop, cluster_, desk_, servers_, topology_),
         retries_(settings_.retry_ratio, settings_.retry_slack),
-        services_{loop,     client,    translator, servers_,  topology_, stages_,
-                  cluster_, retries_,   suspects_, journal_} {
-    servers_.SetOnClosed([this](routing::Server& server) {
-      OnServerClosed(server);
-    });
+        services_{loop,    client,   translator, servers_,  topology_,
+                  stages_, cluster_, retries_,   suspects_, journal_} {
+    servers_.SetOnClosed(
+        [this](routing::Server& server) { OnServerClosed(server); });
     Listen();
     deployment_.Start();
     server_rows_.Start();
@@ -153,7 +152,9 @@
         RelayServer::Options{settings_.readiness.address,
                              settings_.readiness.port,
                              [] { return CallerLimits{}; }},
-        [this](const RelayExchangePtr& exchange) { AnswerReadiness(*exchange); });
+        [this](const RelayExchangePtr& exchange) {
+          AnswerReadiness(*exchange);
+        });
     metrics_ = std::make_unique<RelayServer>(
         loop_,
         RelayServer::Options{settings_.metrics.address, settings_.metrics.port,
@@ -352,12 +353,12 @@
   };
   std::vector<PoolBacklog> backlogs;
   const TimePoint now = loop_.Now();
-  desk_.ForEachPool(now, [&](std::string_view service,
-                             std::string_view data_centre,
-                             routing::Backlog backlog) {
-    backlogs.push_back({service, data_centre, backlog});
-    stages_.OnBacklog(now, service, data_centre, backlog);
-  });
+  desk_.ForEachPool(now,
+                    [&](std::string_view service, std::string_view data_centre,
+                        routing::Backlog backlog) {
+                      backlogs.push_back({service, data_centre, backlog});
+                      stages_.OnBacklog(now, service, data_centre, backlog);
+                    });
   auto out = beat.initBacklogs(static_cast<unsigned>(backlogs.size()));
   for (unsigned i = 0; i < backlogs.size(); ++i) {
     out[i].setService(std::string(backlogs[i].service));
@@ -397,9 +398,9 @@
   for (const auto backlog : beat.getBacklogs()) {
     const std::string service = backlog.getService();
     const std::string data_centre = backlog.getDataCentre();
-    stages_.OnBacklog(now, service, data_centre,
-                      {DurationOf(backlog.getInTimeMs()),
-                       DurationOf(backlog.getAllMs())});
+    stages_.OnBacklog(
+        now, service, data_centre,
+        {DurationOf(backlog.getInTimeMs()), DurationOf(backlog.getAllMs())});
   }
   for (const auto entry : beat.getQuarantined()) {
     suspects_.OnPeerQuarantine(
@@ -437,9 +438,9 @@
                        capnp::List<schema::Row>::Builder out) {
     for (unsigned i = 0; i < rows.size(); ++i) {
       out[i].setKey(rows[i].key);
-      out[i].setValue(kj::arrayPtr(
-          reinterpret_cast<const kj::byte*>(rows[i].value.data()),
-          rows[i].value.size()));
+      out[i].setValue(
+          kj::arrayPtr(reinterpret_cast<const kj::byte*>(rows[i].value.data()),
+                       rows[i].value.size()));
       out[i].setVersion(rows[i].version);
       out[i].setDeleted(rows[i].deleted);
     }
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -96,8 +96,8 @@
                         RelayExchangePtr exchange,
                         routing::RouteTablePtr table,
                         List& all) {
-  const Ptr flow(new RequestFlow(services, std::move(exchange),
-                                 std::move(table), all));
+  const Ptr flow(
+      new RequestFlow(services, std::move(exchange), std::move(table), all));
   flow->self_ = flow;
   if (const auto kind = flow->Admit()) {
     flow->Refuse(*kind, "");
@@ -196,8 +196,8 @@
   if (route_->kind != routing::RouteKind::kStream) {
     return kLeastAnswer;
   }
-  const double tokens = std::min(request_.prompt.tokens_expected,
-                                 request_.prompt.tokens_out);
+  const double tokens =
+      std::min(request_.prompt.tokens_expected, request_.prompt.tokens_out);
   return kLeastFirstToken +
          std::chrono::duration_cast<Duration>(kLeastToken * tokens);
 }
@@ -235,8 +235,7 @@
   // What comes after this stage has to fit behind it.
   group.wanted = began_ + route_->target - kUsualAnswer -
                  services_.stages.UsualAfter(*plan_, stage);
-  group.deadline =
-      StagesBy() - services_.stages.LeastAfter(*plan_, stage);
+  group.deadline = StagesBy() - services_.stages.LeastAfter(*plan_, stage);
   group.priority = organisation_ != nullptr && organisation_->priority
                        ? *organisation_->priority
                        : route_->priority;
@@ -255,9 +254,9 @@
   for (const std::uint32_t stage : stages) {
     const auto found = results_in_.find(stage);
     if (found != results_in_.end()) {
-      placed.push_back({found->second,
-                        static_cast<double>(plan_->spec(stage).result_bytes) *
-                            plan_->pieces(stage)});
+      placed.push_back(
+          {found->second, static_cast<double>(plan_->spec(stage).result_bytes) *
+                              plan_->pieces(stage)});
     }
   }
   return placed;
@@ -332,14 +331,13 @@
       events_.last_id().empty() ? request_.resume_after : events_.last_id();
   const MessageHead& head = exchange_->head();
   const std::string& body = exchange_->body();
-  const bool bodiless = body.empty() && (head.method == "GET" ||
-                                         head.method == "HEAD" ||
-                                         head.method == "DELETE");
-  return RequestHeadText(
-             head.method, head.target,
-             services_.translator.ServerFields(request_, added),
-             bodiless ? BodyFraming::kNone : BodyFraming::kLength,
-             body.size()) +
+  const bool bodiless =
+      body.empty() && (head.method == "GET" || head.method == "HEAD" ||
+                       head.method == "DELETE");
+  return RequestHeadText(head.method, head.target,
+                         services_.translator.ServerFields(request_, added),
+                         bodiless ? BodyFraming::kNone : BodyFraming::kLength,
+                         body.size()) +
          body;
 }
 
@@ -373,8 +371,8 @@
   send_ = std::make_unique<Send>(*this, std::move(call));
   services_.loop.Cancel(overdue_timer_);
   if (repeatable()) {
-    const auto wait = std::chrono::duration_cast<Duration>(route_->target *
-                                                           kOverdueShare);
+    const auto wait =
+        std::chrono::duration_cast<Duration>(route_->target * kOverdueShare);
     overdue_timer_ = services_.loop.After(wait, [this] { OnOverdue(); });
   }
 }
@@ -477,8 +475,7 @@
                                "the results are gone");
     Leave();
     tried_.pop_back();
-    Release(
-        plan_->RemakeInputsOf(static_cast<std::uint32_t>(plan_->stages())));
+    Release(plan_->RemakeInputsOf(static_cast<std::uint32_t>(plan_->stages())));
     Advance();
     return;
   }
@@ -523,9 +520,9 @@
 }
 
 void RequestFlow::ReportCrash() {
-  services_.suspects.OnCrash(
-      services_.loop.Now(), server_->record().id,
-      static_cast<std::uint64_t>(server_->record().born), {&fingerprint_, 1});
+  services_.suspects.OnCrash(services_.loop.Now(), server_->record().id,
+                             static_cast<std::uint64_t>(server_->record().born),
+                             {&fingerprint_, 1});
 }
 
 bool RequestFlow::MaySendAgain() const {
@@ -534,8 +531,7 @@
 
 bool RequestFlow::TrySendAgain(std::string_view what, std::string_view reason) {
   const std::size_t daemons = services_.cluster.live_daemons();
-  if (!MaySendAgain() ||
-      !services_.retries.TryTake(service_name_, daemons)) {
+  if (!MaySendAgain() || !services_.retries.TryTake(service_name_, daemons)) {
     return false;
   }
   services_.journal.OnRepeat(request_.id, what,
@@ -544,8 +540,7 @@
   if (plan_->FinalInputs().empty() && !route_->stages.empty() &&
       answer_begun_) {
     // The results went when the first run had read them.
-    Release(
-        plan_->RemakeInputsOf(static_cast<std::uint32_t>(plan_->stages())));
+    Release(plan_->RemakeInputsOf(static_cast<std::uint32_t>(plan_->stages())));
     Advance();
     return true;
   }
@@ -659,11 +654,11 @@
   end.status = status;
   end.sends = sends_;
   end.deployment_version = table_ == nullptr ? 0 : table_->version();
-  end.stages = stages_done_ == TimePoint{} ? Duration{0} : stages_done_ - began_;
+  end.stages =
+      stages_done_ == TimePoint{} ? Duration{0} : stages_done_ - began_;
   end.first = first_at_ == TimePoint{} ? Duration{0} : first_at_ - began_;
   end.total = now - began_;
-  end.kind =
-      route_ == nullptr ? routing::RouteKind::kIdempotent : route_->kind;
+  end.kind = route_ == nullptr ? routing::RouteKind::kIdempotent : route_->kind;
   services_.journal.OnEnd(end);
   Leave();
   running_.clear();
--- a/packages/gateway/src/request_journal.cc
+++ b/packages/gateway/src/request_journal.cc
@@ -7,8 +7,8 @@
 namespace gentianroute::gateway {
 namespace {
 
-constexpr auto kKindNames = std::to_array<std::string_view>(
-    {"idempotent", "non_idempotent", "stream"});
+constexpr auto kKindNames =
+    std::to_array<std::string_view>({"idempotent", "non_idempotent", "stream"});
 
 }  // namespace
 
--- a/packages/gateway/src/stage_desk.cc
+++ b/packages/gateway/src/stage_desk.cc
@@ -43,8 +43,9 @@
        Duration give_up_after,
        RelayCall call)
       : desk_(desk), pool_(pool), id_(id) {
-    timer_ = desk_.loop_.After(give_up_after,
-                               [this] { End({routing::CallEnd::kBroken, {}}); });
+    timer_ = desk_.loop_.After(give_up_after, [this] {
+      End({routing::CallEnd::kBroken, {}});
+    });
     call_ = desk_.client_.Call(std::move(call), *this);
   }
   ~Call() override {
@@ -54,7 +55,9 @@
 
   void OnHead(MessageHead head) override { head_ = std::move(head); }
   void OnBody(std::string_view part) override { body_.append(part); }
-  void OnDone() override { End(desk_.translator_.ReadStageAnswer(head_, body_)); }
+  void OnDone() override {
+    End(desk_.translator_.ReadStageAnswer(head_, body_));
+  }
   void OnFailure(RelayFailure failure) override {
     const bool sent = failure != RelayFailure::kNotSent;
     LogEvent("stage_call_broken", LogLevel::kWarning)
@@ -175,8 +178,8 @@
   Settle(pool);
   loop_.Cancel(pool.timer);
   if (pool.pool.waiting_pieces() > 0) {
-    pool.timer = loop_.After(pool.pool.LookAgainIn(),
-                             [this, &pool] { Work(pool); });
+    pool.timer =
+        loop_.After(pool.pool.LookAgainIn(), [this, &pool] { Work(pool); });
   }
 }
 
@@ -198,14 +201,12 @@
   // request's results; a stage answer bears no id that would tell.
   out.reuse_within = Duration{0};
   out.keep = false;
-  out.message =
-      translator_.StageCallMessage(out.endpoint, server.id, pieces);
+  out.message = translator_.StageCallMessage(out.endpoint, server.id, pieces);
   ++calls_sent_;
   pieces_sent_ += pieces.size();
-  pool.calls.emplace(call.id,
-                     std::make_unique<Call>(*this, pool, call.id,
-                                            call.give_up_after,
-                                            std::move(out)));
+  pool.calls.emplace(
+      call.id, std::make_unique<Call>(*this, pool, call.id, call.give_up_after,
+                                      std::move(out)));
 }
 
 void StageDesk::OnCallEnd(Pool& pool,
@@ -258,9 +259,9 @@
 
 void StageDesk::ForEachPool(
     TimePoint now,
-    const std::function<void(std::string_view,
-                             std::string_view,
-                             routing::Backlog)>& visit) const {
+    const std::function<
+        void(std::string_view, std::string_view, routing::Backlog)>& visit)
+    const {
   for (const auto& [key, pool] : pools_) {
     if (now - pool->used < kScheduledFor) {
       visit(pool->service, pool->data_centre, pool->pool.BacklogAt(now));
--- a/packages/gateway/src/stage_work.cc
+++ b/packages/gateway/src/stage_work.cc
@@ -59,9 +59,9 @@
     const routing::StageCapacity* capacity = work_.CapacityOf(service_);
     const auto pools = work_.PoolsOf(now, service_);
     const routing::PoolState* pool =
-        capacity == nullptr ? nullptr
-                            : routing::ChoosePool(pools, load_, *capacity,
-                                                  work_.topology_);
+        capacity == nullptr
+            ? nullptr
+            : routing::ChoosePool(pools, load_, *capacity, work_.topology_);
     if (pool == nullptr) {
       timer_ = work_.loop_.After(Duration{0}, [this] {
         End({routing::StageFailure::kNoServer, {}});
@@ -71,16 +71,16 @@
     data_centre_ = pool->data_centre;
     const std::uint32_t calls =
         (group_.pieces + capacity->batch - 1) / capacity->batch;
-    work_.board_.OnHandedOver(service_, data_centre_,
-                              capacity->piece * group_.pieces +
-                                  capacity->call * calls / 2);
+    work_.board_.OnHandedOver(
+        service_, data_centre_,
+        capacity->piece * group_.pieces + capacity->call * calls / 2);
     HandOver();
   }
 
   void HandOver() {
     scheduler_ = work_.cluster_.SchedulerOf(service_, data_centre_);
-    const bool here = work_.cluster_.IsSelf(scheduler_) ||
-                      schedulers_ >= kMostSchedulers;
+    const bool here =
+        work_.cluster_.IsSelf(scheduler_) || schedulers_ >= kMostSchedulers;
     ++schedulers_;
     if (here) {
       scheduler_.clear();
@@ -142,8 +142,8 @@
                           std::string_view service,
                           std::string_view data_centre,
                           routing::Backlog backlog) {
-  board_.Report(now, {std::string(service), std::string(data_centre), 0,
-                      backlog});
+  board_.Report(now,
+                {std::string(service), std::string(data_centre), 0, backlog});
 }
 
 const routing::StageCapacity* StageWork::CapacityOf(
@@ -157,8 +157,7 @@
                                                    std::string_view service) {
   std::map<std::string, std::uint32_t> open;
   for (const routing::ServerPtr& server : servers_.In(service)) {
-    const bool usable =
-        server->open() && !server->history().IsAvoided(now);
+    const bool usable = server->open() && !server->history().IsAvoided(now);
     open[server->record().data_centre] += usable ? 1 : 0;
   }
   for (const auto& [data_centre, servers] : open) {
@@ -192,8 +191,7 @@
 void StageWork::Release(std::string_view service,
                         std::string_view data_centre,
                         std::vector<std::string> results) {
-  auto& waiting =
-      released_[{std::string(service), std::string(data_centre)}];
+  auto& waiting = released_[{std::string(service), std::string(data_centre)}];
   waiting.insert(waiting.end(), std::make_move_iterator(results.begin()),
                  std::make_move_iterator(results.end()));
 }
@@ -247,8 +245,8 @@
     const routing::StageCapacity* capacity =
         CapacityOf(plan.spec(next).service);
     if (reads && plan.pieces(next) > 0 && capacity != nullptr) {
-      longest = std::max(longest, time_of(*capacity) +
-                                      LongestAfter(plan, next, time_of));
+      longest = std::max(
+          longest, time_of(*capacity) + LongestAfter(plan, next, time_of));
     }
   }
   return longest;
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -26,8 +26,8 @@
 /// A single lost answer is no outage.
 constexpr std::uint32_t kFailuresOfOutage = 2;
 
-constexpr std::array<std::string_view, 3> kTableNames = {
-    "deployment", "servers", "daemons"};
+constexpr std::array<std::string_view, 3> kTableNames = {"deployment",
+                                                         "servers", "daemons"};
 
 std::string_view NameOf(StoreTable table) {
   return kTableNames[static_cast<std::size_t>(table)];
@@ -75,14 +75,14 @@
 
 void StoreFollower::ReadWhole() {
   asking_ = true;
-  store_.Read(table_, [this](StoreAnswer answer) { OnWhole(std::move(answer)); });
+  store_.Read(table_,
+              [this](StoreAnswer answer) { OnWhole(std::move(answer)); });
 }
 
 void StoreFollower::FollowOn() {
   asking_ = true;
-  store_.Follow(table_, version_, kWait, [this](StoreAnswer answer) {
-    OnChanges(std::move(answer));
-  });
+  store_.Follow(table_, version_, kWait,
+                [this](StoreAnswer answer) { OnChanges(std::move(answer)); });
 }
 
 void StoreFollower::OnWhole(StoreAnswer answer) {
@@ -242,9 +242,8 @@
     listener_.on_reachable(false);
   }
   constexpr std::uint32_t kMostDoublings = 4;
-  const Duration pause =
-      std::min(kLongestPause,
-               kFirstPause * (1 << std::min(failures_, kMostDoublings)));
+  const Duration pause = std::min(
+      kLongestPause, kFirstPause * (1 << std::min(failures_, kMostDoublings)));
   AskAfter(pause);
 }
 
--- a/packages/loop/include/gentianroute/loop/relay_client.h
+++ b/packages/loop/include/gentianroute/loop/relay_client.h
@@ -27,7 +27,7 @@
 /// @brief One call, as the bytes that go out.
 struct RelayCall {
   Endpoint endpoint;
-  std::string message;  ///< the whole request, head and body
+  std::string message;              ///< the whole request, head and body
   bool answer_has_no_body = false;  ///< the request was a HEAD
   /// An idle connection is used only if it has been idle for less; zero: a
   /// fresh connection, whose failure is never a close that crossed the call.
--- a/packages/loop/include/gentianroute/loop/stream_socket.h
+++ b/packages/loop/include/gentianroute/loop/stream_socket.h
@@ -14,8 +14,8 @@
 
 /// @brief How the far end of a connection ended it.
 enum class StreamEnd : std::uint8_t {
-  kClosed,   ///< in order; everything that it sent has arrived
-  kBroken,   ///< reset, timed out, or never connected
+  kClosed,  ///< in order; everything that it sent has arrived
+  kBroken,  ///< reset, timed out, or never connected
 };
 
 /// @brief One TCP connection that reads for as long as it is open.
--- a/packages/loop/src/datagram_socket.cc
+++ b/packages/loop/src/datagram_socket.cc
@@ -36,7 +36,8 @@
                                std::uint16_t port,
                                Receiver receiver)
     : receiver_(std::move(receiver)),
-      descriptor_(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+      descriptor_(
+          socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
   sockaddr_in own = AddressOf(address, port);
   if (bind(descriptor_, reinterpret_cast<sockaddr*>(&own), sizeof(own)) != 0) {
     const std::string reason = std::strerror(errno);
--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -177,10 +177,9 @@
     beast::error_code error;
     std::size_t used = 0;
     while (used < input_.size() && !parser.is_done()) {
-      const std::size_t part =
-          parser.put(boost::asio::const_buffer(input_.data() + used,
-                                               input_.size() - used),
-                     error);
+      const std::size_t part = parser.put(
+          boost::asio::const_buffer(input_.data() + used, input_.size() - used),
+          error);
       used += part;
       if (error || part == 0) {
         break;
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -152,8 +152,7 @@
     void OnHead() {
       MessageHead& head = parser_.head();
       keep_alive_ = head.keep_alive;
-      stray_ = head.status < kFirstFinalStatus ||
-               (is_ours_ && !is_ours_(head));
+      stray_ = head.status < kFirstFinalStatus || (is_ours_ && !is_ours_(head));
       if (stray_) {
         return;
       }
@@ -261,10 +260,9 @@
   void Remove(Connection& connection, RelayCallId call) {
     calls_.erase(call);
     Line& line = connections_[connection.endpoint()];
-    const auto found =
-        std::find_if(line.begin(), line.end(), [&](const auto& candidate) {
-          return candidate.get() == &connection;
-        });
+    const auto found = std::find_if(
+        line.begin(), line.end(),
+        [&](const auto& candidate) { return candidate.get() == &connection; });
     if (dead_.empty()) {
       burial_ = loop_.After(Duration{0}, [this] { dead_.clear(); });
     }
--- a/packages/loop/tests/message_parser_test.cc
+++ b/packages/loop/tests/message_parser_test.cc
@@ -44,8 +44,9 @@
 
 Test(message_parser, target_stays_as_it_was_sent) {
   RequestFixture fixture;
-  cr_assert(fixture.Read("GET /a/../b//%2e?x=%20 HTTP/1.1\r\nHost: h\r\n\r\n") ==
-            Event::kEnd);
+  cr_assert(
+      fixture.Read("GET /a/../b//%2e?x=%20 HTTP/1.1\r\nHost: h\r\n\r\n") ==
+      Event::kEnd);
   cr_assert(fixture.parser.head().target == "/a/../b//%2e?x=%20");
 }
 
--- a/packages/routing/include/gentianroute/routing/deployment.h
+++ b/packages/routing/include/gentianroute/routing/deployment.h
@@ -36,9 +36,9 @@
   std::string hostname;
   std::string prefix;  ///< begins and ends with a slash
   RouteKind kind = RouteKind::kIdempotent;
-  Duration timeout{};  ///< longest time that a caller is kept waiting
-  Duration target{};   ///< an answer within it is in time
-  Duration pause_target{};  ///< longest pause between events that is in time
+  Duration timeout{};          ///< longest time that a caller is kept waiting
+  Duration target{};           ///< an answer within it is in time
+  Duration pause_target{};     ///< longest pause between events that is in time
   std::uint32_t priority = 0;  ///< 0 goes first
   std::vector<WeightedService> services;
   std::uint32_t max_attempts = 1;  ///< servers that one request may be sent to
@@ -59,8 +59,8 @@
     if (kind != RouteKind::kStream) {
       return timeout;
     }
-    return std::min(timeout, std::max({kLeast, target * kTargets,
-                                       pause_target * kPauses}));
+    return std::min(
+        timeout, std::max({kLeast, target * kTargets, pause_target * kPauses}));
   }
 
   bool MayRepeat() const {
--- a/packages/routing/include/gentianroute/routing/server.h
+++ b/packages/routing/include/gentianroute/routing/server.h
@@ -29,9 +29,9 @@
 
 /// @brief Work that daemons have at one server.
 struct ServerLoad {
-  double calls = 0;           ///< requests sent and not ended
-  double tokens = 0;          ///< memory that they will take, in tokens
-  double unread_tokens = 0;   ///< of prompts whose first event is awaited
+  double calls = 0;          ///< requests sent and not ended
+  double tokens = 0;         ///< memory that they will take, in tokens
+  double unread_tokens = 0;  ///< of prompts whose first event is awaited
 
   ServerLoad& operator+=(const ServerLoad& other) {
     calls += other.calls;
@@ -98,9 +98,9 @@
 
 /// @brief One incarnation of a backend server. Calls in flight hold it by
 /// count, so it outlives its place in the list.
-class Server : public boost::intrusive_ref_counter<
-                   Server,
-                   boost::thread_unsafe_counter> {
+class Server
+    : public boost::intrusive_ref_counter<Server,
+                                          boost::thread_unsafe_counter> {
  public:
   explicit Server(ServerRecord record) : record_(std::move(record)) {}
 
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -27,11 +27,11 @@
   std::uint32_t pieces = 0;
   std::vector<std::string> inputs;  ///< results that each piece reads
   std::string key;                  ///< in place of inputs
-  std::string work;  ///< pieces of equal work have the same text
-  TimePoint wanted{};    ///< done by then, the request is in time
-  TimePoint deadline{};  ///< later than that it is of no use
-  std::uint32_t priority = 0;  ///< 0 goes first
-  double result_bytes = 0;     ///< room that one result takes, about
+  std::string work;                 ///< pieces of equal work have the same text
+  TimePoint wanted{};               ///< done by then, the request is in time
+  TimePoint deadline{};             ///< later than that it is of no use
+  std::uint32_t priority = 0;       ///< 0 goes first
+  double result_bytes = 0;          ///< room that one result takes, about
 };
 
 /// @brief Server time that waits or runs, summed over servers.
@@ -64,7 +64,13 @@
 };
 
 /// @brief What became of one piece of a call.
-enum class PieceEnd : std::uint8_t { kDone, kLate, kInputGone, kNoRoom, kError };
+enum class PieceEnd : std::uint8_t {
+  kDone,
+  kLate,
+  kInputGone,
+  kNoRoom,
+  kError
+};
 struct PieceResult {
   PieceEnd end = PieceEnd::kError;
   std::string result;
--- a/packages/routing/src/route_table.cc
+++ b/packages/routing/src/route_table.cc
@@ -48,10 +48,9 @@
   }
   const std::string_view path = target.substr(0, target.find('?'));
   const auto& routes = found->second;
-  const auto match =
-      std::find_if(routes.begin(), routes.end(), [path](const Route* route) {
-        return path.starts_with(route->prefix);
-      });
+  const auto match = std::find_if(
+      routes.begin(), routes.end(),
+      [path](const Route* route) { return path.starts_with(route->prefix); });
   return match == routes.end() ? nullptr : *match;
 }
 
--- a/packages/routing/src/server_choice.cc
+++ b/packages/routing/src/server_choice.cc
@@ -88,7 +88,8 @@
   std::vector<std::pair<std::uint64_t, std::size_t>> places;
   places.reserve(servers.size());
   for (std::size_t i = 0; i < servers.size(); ++i) {
-    places.emplace_back(RendezvousWeight(subject.id, servers[i]->record().id), i);
+    places.emplace_back(RendezvousWeight(subject.id, servers[i]->record().id),
+                        i);
   }
   std::sort(places.rbegin(), places.rend());
   std::vector<std::size_t> ranks(servers.size());
@@ -110,8 +111,9 @@
   const std::vector<std::size_t> ranks = Ranks(servers, *subject);
   const double missed = subject->tokens / kTokensReadPerMs + kAwayMs;
   for (std::size_t i = 0; i < servers.size(); ++i) {
-    ms[i] = ranks[i] == 0 ? 0.0
-                          : missed + kRankStepMs * static_cast<double>(ranks[i]);
+    ms[i] = ranks[i] == 0
+                ? 0.0
+                : missed + kRankStepMs * static_cast<double>(ranks[i]);
   }
   return ms;
 }
--- a/packages/routing/src/stage_plan.cc
+++ b/packages/routing/src/stage_plan.cc
@@ -150,10 +150,9 @@
 }
 
 bool StagePlan::IsRead(std::uint32_t stage) const {
-  return std::any_of(specs_.begin(), specs_.end(),
-                     [stage](const StageSpec& spec) {
-                       return Reads(spec, stage);
-                     });
+  return std::any_of(
+      specs_.begin(), specs_.end(),
+      [stage](const StageSpec& spec) { return Reads(spec, stage); });
 }
 
 bool StagePlan::HasUnfinishedReader(std::uint32_t stage) const {
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -327,8 +327,7 @@
   }
 }
 
-void StagePool::ApplyPiece(const StagePiece& piece,
-                           const PieceResult& result) {
+void StagePool::ApplyPiece(const StagePiece& piece, const PieceResult& result) {
   const auto found = groups_.find(piece.group);
   if (found == groups_.end()) {
     if (!result.result.empty()) {
--- a/packages/routing/tests/pool_choice_test.cc
+++ b/packages/routing/tests/pool_choice_test.cc
@@ -43,9 +43,9 @@
   PoolWork work{3, 13 * kMs};
   work.result_bytes = 9e6;
   work.read_in = "south";
-  cr_assert_str_eq(ChoosePool(pools, work, kCapacity, TwoRegions())
-                       ->data_centre.c_str(),
-                   "south");
+  cr_assert_str_eq(
+      ChoosePool(pools, work, kCapacity, TwoRegions())->data_centre.c_str(),
+      "south");
 }
 
 Test(pool_choice, pool_without_servers_is_not_taken) {
--- a/packages/routing/tests/routing_fixture.h
+++ b/packages/routing/tests/routing_fixture.h
@@ -71,9 +71,9 @@
   void Answer(const StageCall& call, TimePoint now) {
     std::vector<PieceResult> results;
     for (const StagePiece& piece : call.pieces) {
-      results.push_back({PieceEnd::kDone,
-                         std::to_string(piece.group.value) + "." +
-                             std::to_string(piece.segment)});
+      results.push_back({PieceEnd::kDone, std::to_string(piece.group.value) +
+                                              "." +
+                                              std::to_string(piece.segment)});
     }
     pool.OnCallEnd(now, call.id, CallEnd::kAnswered, results);
   }
--- a/packages/routing/tests/server_choice_test.cc
+++ b/packages/routing/tests/server_choice_test.cc
@@ -84,8 +84,8 @@
   const ModelFixture fixture;
   const ServerPtr home = fixture.Choose(PromptAbout("subject", "r0"));
   for (int i = 1; i < 20; ++i) {
-    cr_assert(fixture.Choose(PromptAbout("subject",
-                                         "r" + std::to_string(i))) == home);
+    cr_assert(fixture.Choose(PromptAbout("subject", "r" + std::to_string(i))) ==
+              home);
   }
 }
 
--- a/packages/routing/tests/stage_pool_test.cc
+++ b/packages/routing/tests/stage_pool_test.cc
@@ -98,8 +98,7 @@
   fixture.Submit("r2", 10, std::chrono::seconds(2), 0, kResult);
   const auto first = fixture.pool.Dispatch(kStart, fixture.servers);
   fixture.Answer(first[0], kStart + 280 * kMs);
-  cr_assert(
-      fixture.pool.Dispatch(kStart + 280 * kMs, fixture.servers).empty());
+  cr_assert(fixture.pool.Dispatch(kStart + 280 * kMs, fixture.servers).empty());
   const auto ended = fixture.pool.TakeEnded();
   fixture.pool.OnReleased(ended[0].results);
   const auto second =
@@ -116,8 +115,8 @@
   fixture.Answer(first[0], kStart + 280 * kMs);
   const TimePoint later = kStart + std::chrono::seconds(5);
   fixture.Submit("r2", 10, std::chrono::seconds(2), 0, kResult, later);
-  cr_assert_eq(
-      fixture.pool.Dispatch(later, fixture.servers)[0].pieces.size(), 10);
+  cr_assert_eq(fixture.pool.Dispatch(later, fixture.servers)[0].pieces.size(),
+               10);
 }
 
 // The caller sees its answer some hundred milliseconds later, and not an error.
