Leave half a call of waiting for each later stage

Cause: in a burst a stage's groups went just before they were late, and used up the time that the next, as loaded, stage needs.

--- a/packages/gateway/src/stage_work.cc
+++ b/packages/gateway/src/stage_work.cc
@@ -262,7 +262,7 @@
 Duration StageWork::UsualAfter(const routing::StagePlan& plan,
                                std::uint32_t stage) const {
   return LongestAfter(plan, stage, [](const routing::StageCapacity& capacity) {
-    return capacity.UsualCall();
+    return capacity.UsualCall() * 3 / 2;
   });
 }
 
