Give up at once what the queue leaves no time for

Change: a pool adds up what goes before a group and gives up those that can't end in time; a request whose stages are overdue is refused then.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -100,6 +100,8 @@
   void OnNotRun(const ServerAnswer& answer);
   void OnBroken(RelayFailure failure);
   void OnOverdue();
+  /// The stages end too late for the caller to wait for the answer.
+  void OnStagesOverdue();
   void ReportCrash();
   bool MaySendAgain() const;
   /// Sends again if the limits allow it.
@@ -140,6 +142,7 @@
   TimePoint limit_{};
   TimerId limit_timer_;
   TimerId overdue_timer_;
+  TimerId stages_timer_;
 
   std::optional<routing::StagePlan> plan_;
   std::map<std::uint32_t, std::unique_ptr<GroupHold>> running_;
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -170,6 +170,7 @@
     return;
   }
   limit_timer_ = services_.loop.At(limit_, [this] { OnTimeout(); });
+  stages_timer_ = services_.loop.At(StagesBy(), [this] { OnStagesOverdue(); });
   if (const routing::Choice home = ChooseServer(); home.server != nullptr) {
     home_ = home.server->record().data_centre;
   }
@@ -616,6 +617,13 @@
   Refuse(ErrorKind::kDeadlineExceeded, "the time limit passed", std::nullopt);
 }
 
+void RequestFlow::OnStagesOverdue() {
+  const Ptr keep(this);
+  if (!plan_->complete() && !answer_begun_) {
+    Refuse(ErrorKind::kDeadlineTooShort, "the stages took too long");
+  }
+}
+
 void RequestFlow::OnShutdown() {
   const Ptr keep(this);
   if (may_have_run_ || answer_begun_) {
@@ -639,6 +647,7 @@
   const TimePoint now = services_.loop.Now();
   services_.loop.Cancel(limit_timer_);
   services_.loop.Cancel(overdue_timer_);
+  services_.loop.Cancel(stages_timer_);
   if (plan_) {
     Release(plan_->TakeAll());
   }
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -164,7 +164,10 @@
   };
 
   std::vector<Urgency> ByUrgency(TimePoint now) const;
-  void GiveUpLate(TimePoint now);
+  /// Ends the groups that what goes before them leaves no time for: their
+  /// callers learn it now and not at their deadline.
+  void GiveUpLate(TimePoint now, std::size_t servers);
+  Duration RunningTime(TimePoint now) const;
   std::vector<ServerPtr> FreeServers(TimePoint now,
                                      std::span<const ServerPtr> servers);
   StageCall Fill(TimePoint now,
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -37,9 +37,10 @@
 constexpr double kLeastUsualRatio = 0.4;
 constexpr double kMostUsualRatio = 1.5;
 
-bool HasOpen(std::span<const ServerPtr> servers) {
-  return std::any_of(servers.begin(), servers.end(),
-                     [](const ServerPtr& server) { return server->open(); });
+std::size_t OpenServers(std::span<const ServerPtr> servers) {
+  return static_cast<std::size_t>(
+      std::count_if(servers.begin(), servers.end(),
+                    [](const ServerPtr& server) { return server->open(); }));
 }
 
 }  // namespace
@@ -91,12 +92,21 @@
   return order;
 }
 
-void StagePool::GiveUpLate(TimePoint now) {
+void StagePool::GiveUpLate(TimePoint now, std::size_t servers) {
   std::vector<StageGroupId> late;
-  for (const auto& [id, entry] : groups_) {
-    const Duration least = capacity_.call + PieceTime(entry.group);
-    if (!entry.waiting.empty() && now + least > entry.group.deadline) {
-      late.push_back(id);
+  Duration ahead = RunningTime(now);
+  for (const Urgency& next : ByUrgency(now)) {
+    const Group& entry = groups_.at(next.group);
+    const Duration piece = PieceTime(entry.group);
+    const auto waiting = static_cast<std::int64_t>(entry.waiting.size());
+    const Duration work =
+        piece * waiting + capacity_.call * waiting / capacity_.batch;
+    const TimePoint end = now + ahead / static_cast<std::int64_t>(servers) +
+                          capacity_.call + piece;
+    if (end > entry.group.deadline) {
+      late.push_back(next.group);
+    } else {
+      ahead += work;
     }
   }
   for (const StageGroupId id : late) {
@@ -104,6 +114,16 @@
   }
 }
 
+Duration StagePool::RunningTime(TimePoint now) const {
+  Duration running{0};
+  for (const auto& [id, desk] : desks_) {
+    if (desk.calls > 0 && desk.busy_until > now) {
+      running += desk.busy_until - now;
+    }
+  }
+  return running;
+}
+
 std::vector<ServerPtr> StagePool::FreeServers(
     TimePoint now,
     std::span<const ServerPtr> servers) {
@@ -128,17 +148,18 @@
 std::vector<StageCall> StagePool::Dispatch(TimePoint now,
                                            std::span<const ServerPtr> servers) {
   std::vector<StageCall> calls;
-  GiveUpLate(now);
   ForgetOldResults(now);
   if (waiting_pieces_ == 0) {
     return calls;
   }
-  if (!HasOpen(servers)) {
+  const std::size_t open = OpenServers(servers);
+  if (open == 0) {
     while (!groups_.empty()) {
       End(groups_.begin()->first, StageFailure::kNoServer);
     }
     return calls;
   }
+  GiveUpLate(now, open);
   std::vector<ServerPtr> free = FreeServers(now, servers);
   const std::vector<Urgency> order =
       free.empty() ? std::vector<Urgency>{} : ByUrgency(now);
@@ -410,12 +431,7 @@
   const auto calls_for = [this](std::size_t pieces) {
     return capacity_.call * ((pieces + capacity_.batch - 1) / capacity_.batch);
   };
-  Duration running{0};
-  for (const auto& [id, desk] : desks_) {
-    if (desk.calls > 0 && desk.busy_until > now) {
-      running += desk.busy_until - now;
-    }
-  }
+  const Duration running = RunningTime(now);
   return {running + pieces_in_time + calls_for(in_time),
           running + pieces_in_time + pieces_late + calls_for(waiting_pieces_)};
 }
--- a/packages/routing/tests/stage_pool_test.cc
+++ b/packages/routing/tests/stage_pool_test.cc
@@ -158,6 +158,24 @@
   cr_assert(ended[0].failure == StageFailure::kLate);
 }
 
+// The caller learns at once that it has come for nothing, while it still has
+// time to come back: what goes before it takes longer than it can wait.
+Test(stage_pool, group_behind_too_much_work_is_given_up_at_once) {
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("a")};
+  for (int i = 0; i < 30; ++i) {
+    fixture.Submit("before", 10, std::chrono::seconds(2));
+  }
+  const StageGroupId last = fixture.Submit("last", 10, std::chrono::seconds(3));
+  fixture.pool.Dispatch(kStart, fixture.servers);
+  bool given_up = false;
+  for (const StageGroupEnd& end : fixture.pool.TakeEnded()) {
+    cr_assert(end.failure == StageFailure::kLate);
+    given_up |= end.group == last;
+  }
+  cr_assert(given_up);
+}
+
 Test(stage_pool, group_without_servers_fails_at_once) {
   PoolFixture fixture(10);
   fixture.Submit("r1", 3);
