--- a/packages/gateway/include/gentianroute/gateway/stage_work.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_work.h
@@ -66,6 +66,9 @@
   /// @brief What the stages after this one take with full calls.
   Duration UsualAfter(const routing::StagePlan& plan,
                       std::uint32_t stage) const;
+  /// @brief When the pools that the plan needs will have worked off what waits
+  /// now, late work too.
+  Duration BusyFor(TimePoint now, const routing::StagePlan& plan);
   /// @brief Whether every service that the plan needs has a server.
   bool HasServers(const routing::StagePlan& plan) const;
 
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -35,7 +35,8 @@
 constexpr Duration kReuse = std::chrono::seconds(4);
 /// Bounds on what callers are told to wait before they ask again.
 constexpr Duration kShortestWait = std::chrono::milliseconds(100);
-constexpr Duration kLongestWait = std::chrono::seconds(2);
+constexpr Duration kUsualWait = std::chrono::milliseconds(300);
+constexpr Duration kLongestWait = std::chrono::seconds(5);
 /// Results that are lost again and again are not made for ever.
 constexpr std::uint32_t kMostRemakes = 2;
 
@@ -185,9 +186,7 @@
     return ErrorKind::kNoServer;
   }
   if (now + need > StagesBy()) {
-    // What is waiting now has to be worked off before a place is free.
-    Refuse(ErrorKind::kOverloaded, "the stages can't be done in time",
-           now + need - StagesBy());
+    Refuse(ErrorKind::kOverloaded, "the stages can't be done in time");
     return ErrorKind::kOverloaded;
   }
   return std::nullopt;
@@ -565,10 +564,15 @@
 }
 
 void RequestFlow::Refuse(ErrorKind kind, std::string_view detail) {
-  const Duration usual = AnswerFor(kind).retry_after;
-  Refuse(kind, detail,
-         usual.count() > 0 ? std::optional<Duration>(kShortestWait * 3)
-                           : std::nullopt);
+  if (AnswerFor(kind).retry_after.count() == 0) {
+    Refuse(kind, detail, std::nullopt);
+    return;
+  }
+  // Who comes back sooner meets the same queue.
+  const Duration busy =
+      plan_ ? services_.stages.BusyFor(services_.loop.Now(), *plan_)
+            : Duration{0};
+  Refuse(kind, detail, std::max(busy, kUsualWait));
 }
 
 void RequestFlow::Refuse(ErrorKind kind,
--- a/packages/gateway/src/stage_work.cc
+++ b/packages/gateway/src/stage_work.cc
@@ -266,6 +266,22 @@
   });
 }
 
+Duration StageWork::BusyFor(TimePoint now, const routing::StagePlan& plan) {
+  Duration busiest{0};
+  for (std::uint32_t stage = 0; stage < plan.stages(); ++stage) {
+    Duration free_in = Duration::max();
+    for (const routing::PoolState& pool : PoolsOf(now, plan.spec(stage).service)) {
+      if (pool.servers > 0) {
+        free_in = std::min(free_in, pool.backlog.all / pool.servers);
+      }
+    }
+    if (plan.pieces(stage) > 0 && free_in != Duration::max()) {
+      busiest = std::max(busiest, free_in);
+    }
+  }
+  return busiest;
+}
+
 bool StageWork::HasServers(const routing::StagePlan& plan) const {
   for (std::uint32_t stage = 0; stage < plan.stages(); ++stage) {
     const auto& servers = servers_.In(plan.spec(stage).service);
