--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -0,0 +1,331 @@
+#ifndef GENTIANROUTE_GATEWAY_DETAIL_GATEWAY_IMPL_H_
+#define GENTIANROUTE_GATEWAY_DETAIL_GATEWAY_IMPL_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/gateway.h"
+#include "gentianroute/gateway/request_flow.h"
+#include "gentianroute/gateway/request_journal.h"
+#include "gentianroute/gateway/result_releases.h"
+#include "gentianroute/gateway/retry_ledger.h"
+#include "gentianroute/gateway/stage_desk.h"
+#include "gentianroute/gateway/stage_work.h"
+#include "gentianroute/gateway/store_follower.h"
+#include "gentianroute/loop/relay_server.h"
+#include "gentianroute/observe/log.h"
+#include "gentianroute/observe/metric_writer.h"
+
+namespace gentianroute::gateway {
+namespace detail {
+
+inline constexpr int kOk = 200;
+inline constexpr int kNotFound = 404;
+inline constexpr int kUnavailable = 503;
+
+/// The balancer asks once a second and takes a daemon out after two misses;
+/// until then it still sends new connections.
+inline constexpr Duration kBalancerNotices = std::chrono::milliseconds(2600);
+/// Kept from the grace before the process is killed.
+inline constexpr Duration kGraceMargin = std::chrono::milliseconds(400);
+/// For the last answers to leave the host.
+inline constexpr Duration kLastWords = std::chrono::milliseconds(50);
+inline constexpr Duration kDrainLook = std::chrono::milliseconds(50);
+inline constexpr Duration kHousekeeping = std::chrono::milliseconds(250);
+
+}  // namespace detail
+
+/// @brief What one daemon is made of, and how its parts hear of each other.
+class Gateway::Impl final : public ClusterHandler {
+ public:
+  Impl(EventLoop& loop,
+       GatewaySettings settings,
+       RelayClient& client,
+       const Translator& translator,
+       Store& store)
+      : loop_(loop),
+        settings_(std::move(settings)),
+        translator_(translator),
+        topology_(settings_.data_centre, settings_.regions),
+        deployment_(loop, store, StoreTable::kDeployment, DeploymentListener()),
+        server_rows_(loop, store, StoreTable::kServers, ServersListener()),
+        cluster_(loop, settings_, store, *this),
+        releases_(loop, client, translator),
+        desk_(loop, client, translator, servers_, releases_),
+        stages_(loop, cluster_, desk_, servers_, topology_),
+        retries_(settings_.retry_ratio, settings_.retry_slack),
+        services_{loop,    client,   translator, servers_,  topology_,
+                  stages_, cluster_, retries_,   suspects_, journal_} {
+    servers_.SetOnClosed(
+        [this](routing::Server& server) { OnServerClosed(server); });
+    Listen();
+    deployment_.Start();
+    server_rows_.Start();
+    cluster_.Start();
+    housekeeping_ = loop_.Every(detail::kHousekeeping, [this] { KeepHouse(); });
+    LogEvent("started")
+        .Field("daemon", settings_.name)
+        .Field("data_centre", settings_.data_centre)
+        .Field("callers", settings_.callers.Text());
+  }
+  ~Impl() override { loop_.Cancel(housekeeping_); }
+
+  void Drain(std::function<void()> done) {
+    if (std::exchange(draining_, true)) {
+      return;
+    }
+    LogEvent("drain_begun")
+        .Field("connections", callers_->connections())
+        .Field("active", callers_->active());
+    const TimePoint now = loop_.Now();
+    cluster_.AnnounceLeaving();
+    callers_->AnnounceClose();
+    loop_.After(detail::kBalancerNotices,
+                [this] { callers_->StopAccepting(); });
+    WaitForEnd(now + detail::kBalancerNotices + detail::kDrainLook,
+               now + settings_.drain_grace - detail::kGraceMargin,
+               std::move(done));
+  }
+
+  // What peers say and ask.
+  void FillBeat(schema::Beat::Builder beat) override;
+  void OnBeat(schema::Beat::Reader beat) override;
+  void OnPeerGone(std::string_view peer) override;
+  std::unique_ptr<GroupHold> RunGroup(std::string_view service,
+                                      std::string_view data_centre,
+                                      routing::StageGroup group,
+                                      GroupDone done) override {
+    return desk_.Run(service, data_centre, std::move(group), std::move(done));
+  }
+  void OnReleased(std::string_view service,
+                  std::string_view data_centre,
+                  std::vector<std::string> results) override {
+    desk_.Release(service, data_centre, std::move(results));
+  }
+  void FillStoreCopy(std::uint64_t deployment_version,
+                     std::uint64_t servers_version,
+                     schema::StoreCopy::Builder copy) override;
+  void OnStoreCopy(schema::StoreCopy::Reader copy) override;
+
+ private:
+  StoreFollower::Listener DeploymentListener() {
+    return {[this](const std::vector<StoredRow>& rows) {
+              for (const StoredRow& row : rows) {
+                OnDeploymentRow(row);
+              }
+            },
+            [this](const StoredRow& row) {
+              OnDeploymentRow(row);
+              cluster_.TellNews();
+            },
+            [](bool /*answers*/) {}};
+  }
+  StoreFollower::Listener ServersListener() {
+    return {[this](const std::vector<StoredRow>& rows) { OnServerRows(rows); },
+            [this](const StoredRow& row) {
+              OnServerRow(row);
+              cluster_.TellNews();
+            },
+            [this](bool answers) {
+              if (answers && server_rows_.known()) {
+                servers_.OnStoreReturned(loop_.Now());
+              }
+            }};
+  }
+
+  void Listen() {
+    RelayServer::Options callers{settings_.callers.address,
+                                 settings_.callers.port,
+                                 [this] { return LimitsInForce(); }};
+    callers_ = std::make_unique<RelayServer>(
+        loop_, std::move(callers), [this](RelayExchangePtr exchange) {
+          RequestFlow::Begin(services_, std::move(exchange), table_, flows_);
+        });
+    readiness_ = std::make_unique<RelayServer>(
+        loop_,
+        RelayServer::Options{settings_.readiness.address,
+                             settings_.readiness.port,
+                             [] { return CallerLimits{}; }},
+        [this](const RelayExchangePtr& exchange) {
+          AnswerReadiness(*exchange);
+        });
+    metrics_ = std::make_unique<RelayServer>(
+        loop_,
+        RelayServer::Options{settings_.metrics.address, settings_.metrics.port,
+                             [] { return CallerLimits{}; }},
+        [this](const RelayExchangePtr& exchange) { AnswerMetrics(*exchange); });
+  }
+
+  CallerLimits LimitsInForce() const {
+    CallerLimits limits;
+    if (table_ != nullptr) {
+      const routing::Limits& stated = table_->deployment().limits;
+      limits = {stated.head_bytes, stated.body_bytes, stated.head_timeout,
+                stated.idle_timeout};
+    }
+    return limits;
+  }
+
+  bool ready() const {
+    return table_ != nullptr && server_rows_.known() && !draining_;
+  }
+
+  void AnswerReadiness(RelayExchange& exchange) {
+    if (!translator_.IsReadinessQuestion(exchange.head())) {
+      exchange.Answer(detail::kNotFound, {}, "");
+      return;
+    }
+    exchange.Answer(ready() ? detail::kOk : detail::kUnavailable, {}, "");
+  }
+
+  void AnswerMetrics(RelayExchange& exchange);
+
+  void OnDeploymentRow(const StoredRow& row) {
+    std::string error;
+    auto deployment = translator_.ReadDeployment(row.value, error);
+    if (!deployment) {
+      LogEvent("deployment_unreadable", LogLevel::kError)
+          .Field("row_version", row.version)
+          .Field("reason", error);
+      return;
+    }
+    if (table_ != nullptr && deployment->version <= table_->version()) {
+      return;
+    }
+    table_ = std::make_shared<routing::RouteTable>(std::move(*deployment));
+    desk_.SetTable(table_);
+    stages_.SetTable(table_);
+    LogEvent("deployment_in_force")
+        .Field("version", table_->version())
+        .Field("routes", table_->deployment().routes.size());
+  }
+
+  std::optional<routing::ServerRecord> ReadServer(const StoredRow& row) {
+    std::string error;
+    auto record = translator_.ReadServer(row.key, row.value, error);
+    if (!record) {
+      LogEvent("server_row_unreadable", LogLevel::kWarning)
+          .Field("server", row.key)
+          .Field("reason", error);
+    }
+    return record;
+  }
+
+  void OnServerRows(const std::vector<StoredRow>& rows) {
+    std::vector<routing::ServerRecord> records;
+    for (const StoredRow& row : rows) {
+      if (auto record = ReadServer(row)) {
+        records.push_back(std::move(*record));
+      }
+    }
+    LogEvent("servers_read").Field("servers", records.size());
+    const TimePoint now = loop_.Now();
+    for (const routing::ServerRecord& record : records) {
+      suspects_.OnIncarnation(now, record.id,
+                              static_cast<std::uint64_t>(record.born));
+    }
+    servers_.Replace(now, std::move(records));
+  }
+
+  void OnServerRow(const StoredRow& row) {
+    const TimePoint now = loop_.Now();
+    auto record = row.deleted ? std::nullopt : ReadServer(row);
+    LogEvent("server_seen")
+        .Field("server", row.key)
+        .Field("version", row.version)
+        .Field("state", !record           ? "gone"
+                        : record->leaving ? "leaving"
+                                          : "open");
+    if (!record) {
+      servers_.Remove(now, row.key);
+      return;
+    }
+    suspects_.OnIncarnation(now, record->id,
+                            static_cast<std::uint64_t>(record->born));
+    servers_.Put(std::move(*record));
+  }
+
+  void OnServerClosed(routing::Server& server) {
+    if (!server.listed()) {
+      suspects_.OnServerDown(loop_.Now(), server.record().id);
+    }
+  }
+
+  void KeepHouse() {
+    const TimePoint now = loop_.Now();
+    servers_.Expire(now);
+    suspects_.Sweep(now);
+    const bool reader = cluster_.IsStoreReader();
+    deployment_.SetFollowing(reader);
+    server_rows_.SetFollowing(reader);
+    CatchUp();
+  }
+
+  /// Takes from a peer what it knows and this daemon does not.
+  void CatchUp() {
+    if (newest_deployment_ > deployment_.newest_change() ||
+        newest_servers_ > server_rows_.newest_change()) {
+      cluster_.FetchStoreCopy(deployment_.newest_change(),
+                              server_rows_.newest_change());
+    }
+  }
+
+  void WaitForEnd(TimePoint earliest,
+                  TimePoint latest,
+                  std::function<void()> done) {
+    const TimePoint now = loop_.Now();
+    const bool idle = callers_->active() == 0;
+    if ((idle && now >= earliest) || now >= latest) {
+      LogEvent("drain_ended").Field("left", callers_->active());
+      while (!flows_.empty()) {
+        flows_.front().OnShutdown();
+      }
+      loop_.After(detail::kLastWords, done);
+      return;
+    }
+    loop_.After(detail::kDrainLook,
+                [this, earliest, latest, done = std::move(done)] {
+                  WaitForEnd(earliest, latest, done);
+                });
+  }
+
+  EventLoop& loop_;
+  GatewaySettings settings_;
+  const Translator& translator_;
+  routing::Topology topology_;
+  routing::RouteTablePtr table_;
+  routing::ServerDirectory servers_;
+  SuspectTable suspects_;
+  RequestJournal journal_;
+  StoreFollower deployment_;
+  StoreFollower server_rows_;
+  Cluster cluster_;
+  ResultReleases releases_;
+  StageDesk desk_;
+  StageWork stages_;
+  RetryLedger retries_;
+  FlowServices services_;
+  RequestFlow::List flows_;
+  std::unique_ptr<RelayServer> callers_;
+  std::unique_ptr<RelayServer> readiness_;
+  std::unique_ptr<RelayServer> metrics_;
+  /// What each peer has at each server.
+  std::map<std::string,
+           std::map<std::string, routing::ServerLoad, std::less<>>,
+           std::less<>>
+      peer_loads_;
+  /// What peers last told of their calls to the store.
+  std::map<std::string, StoreContact, std::less<>> store_contacts_;
+  std::uint64_t newest_deployment_ = 0;  ///< change that a peer has told
+  std::uint64_t newest_servers_ = 0;     ///< change that a peer has told
+  bool draining_ = false;
+  TimerId housekeeping_;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_DETAIL_GATEWAY_IMPL_H_
--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/detail/request_send.h
@@ -0,0 +1,50 @@
+#ifndef GENTIANROUTE_GATEWAY_DETAIL_REQUEST_SEND_H_
+#define GENTIANROUTE_GATEWAY_DETAIL_REQUEST_SEND_H_
+
+#include <string_view>
+#include <utility>
+
+#include "gentianroute/gateway/request_flow.h"
+
+namespace gentianroute::gateway {
+
+/// One try at one server.
+class RequestFlow::Send final : public RelayCallObserver {
+ public:
+  Send(RequestFlow& flow, RelayCall call) : flow_(&flow) {
+    id_ = flow.services_.client.Call(std::move(call), *this);
+  }
+  ~Send() override { Drop(); }
+
+  /// Closes the connection; nothing more is heard.
+  void Drop() {
+    if (RequestFlow* flow = std::exchange(flow_, nullptr)) {
+      flow->services_.client.Cancel(id_);
+    }
+  }
+
+  void OnHead(MessageHead head) override {
+    const Ptr flow(flow_);
+    flow->OnHead(flow->services_.translator.ReadAnswer(head));
+  }
+  void OnBody(std::string_view part) override {
+    const Ptr flow(flow_);
+    flow->OnBody(part);
+  }
+  void OnDone() override {
+    const Ptr flow(std::exchange(flow_, nullptr));
+    flow->OnAnswered();
+  }
+  void OnFailure(RelayFailure failure) override {
+    const Ptr flow(std::exchange(flow_, nullptr));
+    flow->OnBroken(failure);
+  }
+
+ private:
+  RequestFlow* flow_;
+  RelayCallId id_;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_DETAIL_REQUEST_SEND_H_
--- /dev/null
+++ b/packages/gateway/src/cluster_messages.cc
@@ -0,0 +1,79 @@
+#include "gentianroute/gateway/detail/cluster_messages.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace gentianroute::gateway::detail {
+namespace {
+
+std::int32_t MillisecondsUntil(TimePoint now, TimePoint then) {
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(then - now);
+  return static_cast<std::int32_t>(left.count());
+}
+
+}  // namespace
+
+void WriteGroup(TimePoint now,
+                std::string_view service,
+                std::string_view data_centre,
+                const routing::StageGroup& group,
+                schema::Group::Builder out) {
+  out.setService(std::string(service));
+  out.setDataCentre(std::string(data_centre));
+  out.setRequest(group.request);
+  out.setStage(group.stage);
+  out.setPieces(group.pieces);
+  auto inputs = out.initInputs(static_cast<unsigned>(group.inputs.size()));
+  for (unsigned i = 0; i < inputs.size(); ++i) {
+    inputs.set(i, group.inputs[i]);
+  }
+  out.setKey(group.key);
+  out.setWork(group.work);
+  out.setWantedMs(MillisecondsUntil(now, group.wanted));
+  out.setDeadlineMs(MillisecondsUntil(now, group.deadline));
+  out.setPriority(group.priority);
+  out.setResultBytes(group.result_bytes);
+}
+
+routing::StageGroup ReadGroup(TimePoint now, schema::Group::Reader in) {
+  routing::StageGroup group;
+  group.request = in.getRequest();
+  group.stage = in.getStage();
+  group.pieces = in.getPieces();
+  for (const auto input : in.getInputs()) {
+    group.inputs.emplace_back(input);
+  }
+  group.key = in.getKey();
+  group.work = in.getWork();
+  group.wanted = now + std::chrono::milliseconds(in.getWantedMs());
+  group.deadline = now + std::chrono::milliseconds(in.getDeadlineMs());
+  group.priority = in.getPriority();
+  group.result_bytes = in.getResultBytes();
+  return group;
+}
+
+void WriteOutcome(const GroupOutcome& outcome,
+                  schema::GroupOutcome::Builder out) {
+  if (outcome.failure) {
+    out.setFailure(static_cast<std::uint16_t>(*outcome.failure) + 1);
+  }
+  auto results = out.initResults(static_cast<unsigned>(outcome.results.size()));
+  for (unsigned i = 0; i < results.size(); ++i) {
+    results.set(i, outcome.results[i]);
+  }
+}
+
+GroupOutcome ReadOutcome(schema::GroupOutcome::Reader in) {
+  GroupOutcome outcome;
+  if (in.getFailure() != 0) {
+    outcome.failure = static_cast<routing::StageFailure>(in.getFailure() - 1);
+  }
+  for (const auto result : in.getResults()) {
+    outcome.results.emplace_back(result);
+  }
+  return outcome;
+}
+
+}  // namespace gentianroute::gateway::detail
--- /dev/null
+++ b/packages/gateway/src/gateway_peers.cc
@@ -0,0 +1,183 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "gentianroute/gateway/detail/gateway_impl.h"
+
+// What a daemon tells its peers, and what it does with what they tell.
+
+namespace gentianroute::gateway {
+namespace {
+
+/// Below this a load is nothing, after many additions and subtractions.
+constexpr double kLeastLoad = 0.5;
+
+Duration DurationOf(float milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<float, std::milli>(milliseconds));
+}
+
+}  // namespace
+
+void Gateway::Impl::FillBeat(schema::Beat::Builder beat) {
+  beat.setDeploymentVersion(deployment_.newest_change());
+  beat.setServersVersion(server_rows_.newest_change());
+  beat.setStoreContact(static_cast<std::uint8_t>(
+      std::max(server_rows_.contact(), deployment_.contact())));
+  std::vector<const routing::Server*> busy;
+  servers_.ForEach([&busy](routing::Server& server) {
+    if (server.own().calls > kLeastLoad) {
+      busy.push_back(&server);
+    }
+  });
+  auto work = beat.initWork(static_cast<unsigned>(busy.size()));
+  for (unsigned i = 0; i < busy.size(); ++i) {
+    const routing::ServerLoad& load = busy[i]->own();
+    work[i].setServer(busy[i]->record().id);
+    work[i].setCalls(static_cast<float>(load.calls));
+    work[i].setTokens(static_cast<float>(load.tokens));
+    work[i].setUnreadTokens(static_cast<float>(load.unread_tokens));
+  }
+  struct PoolBacklog {
+    std::string_view service;
+    std::string_view data_centre;
+    routing::Backlog backlog;
+  };
+  std::vector<PoolBacklog> backlogs;
+  const TimePoint now = loop_.Now();
+  desk_.ForEachPool(now,
+                    [&](std::string_view service, std::string_view data_centre,
+                        routing::Backlog backlog) {
+                      backlogs.push_back({service, data_centre, backlog});
+                      stages_.OnBacklog(now, service, data_centre, backlog);
+                    });
+  auto out = beat.initBacklogs(static_cast<unsigned>(backlogs.size()));
+  for (unsigned i = 0; i < backlogs.size(); ++i) {
+    out[i].setService(std::string(backlogs[i].service));
+    out[i].setDataCentre(std::string(backlogs[i].data_centre));
+    out[i].setInTimeMs(
+        static_cast<float>(Milliseconds(backlogs[i].backlog.in_time)));
+    out[i].setAllMs(static_cast<float>(Milliseconds(backlogs[i].backlog.all)));
+  }
+  const auto quarantined = suspects_.Quarantined(now);
+  auto list = beat.initQuarantined(static_cast<unsigned>(quarantined.size()));
+  for (unsigned i = 0; i < quarantined.size(); ++i) {
+    list[i].setFingerprint(quarantined[i].first.value);
+    list[i].setRemainingMs(
+        static_cast<std::uint32_t>(Milliseconds(quarantined[i].second)));
+  }
+}
+
+void Gateway::Impl::OnBeat(schema::Beat::Reader beat) {
+  const TimePoint now = loop_.Now();
+  const std::string name = beat.getDaemon();
+  auto& loads = peer_loads_[name];
+  for (const auto& [id, load] : loads) {
+    if (routing::Server* server = servers_.Find(id)) {
+      server->peers() += {-load.calls, -load.tokens, -load.unread_tokens};
+    }
+  }
+  loads.clear();
+  for (const auto work : beat.getWork()) {
+    const routing::ServerLoad load{work.getCalls(), work.getTokens(),
+                                   work.getUnreadTokens()};
+    const std::string id = work.getServer();
+    if (routing::Server* server = servers_.Find(id)) {
+      server->peers() += load;
+      loads[id] = load;
+    }
+  }
+  for (const auto backlog : beat.getBacklogs()) {
+    const std::string service = backlog.getService();
+    const std::string data_centre = backlog.getDataCentre();
+    stages_.OnBacklog(
+        now, service, data_centre,
+        {DurationOf(backlog.getInTimeMs()), DurationOf(backlog.getAllMs())});
+  }
+  for (const auto entry : beat.getQuarantined()) {
+    suspects_.OnPeerQuarantine(
+        now, Fingerprint{entry.getFingerprint()},
+        std::chrono::milliseconds(entry.getRemainingMs()));
+  }
+  const auto contact = static_cast<StoreContact>(beat.getStoreContact());
+  const auto before = std::exchange(store_contacts_[name], contact);
+  if (before == StoreContact::kSilent && contact == StoreContact::kAnswers) {
+    servers_.OnStoreReturned(now);
+  }
+  newest_deployment_ =
+      std::max(newest_deployment_, beat.getDeploymentVersion());
+  newest_servers_ = std::max(newest_servers_, beat.getServersVersion());
+  CatchUp();
+}
+
+void Gateway::Impl::OnPeerGone(std::string_view peer) {
+  const auto found = peer_loads_.find(peer);
+  if (found != peer_loads_.end()) {
+    for (const auto& [id, load] : found->second) {
+      if (routing::Server* server = servers_.Find(id)) {
+        server->peers() += {-load.calls, -load.tokens, -load.unread_tokens};
+      }
+    }
+    peer_loads_.erase(found);
+  }
+  stages_.OnPeerGone(peer);
+}
+
+void Gateway::Impl::FillStoreCopy(std::uint64_t deployment_version,
+                                  std::uint64_t servers_version,
+                                  schema::StoreCopy::Builder copy) {
+  const auto fill = [](const std::vector<StoredRow>& rows,
+                       capnp::List<schema::Row>::Builder out) {
+    for (unsigned i = 0; i < rows.size(); ++i) {
+      out[i].setKey(rows[i].key);
+      out[i].setValue(
+          kj::arrayPtr(reinterpret_cast<const kj::byte*>(rows[i].value.data()),
+                       rows[i].value.size()));
+      out[i].setVersion(rows[i].version);
+      out[i].setDeleted(rows[i].deleted);
+    }
+  };
+  const StoreChanges deployment = deployment_.ChangesAfter(deployment_version);
+  fill(deployment.rows,
+       copy.initDeployment(static_cast<unsigned>(deployment.rows.size())));
+  const StoreChanges servers = server_rows_.ChangesAfter(servers_version);
+  fill(servers.rows,
+       copy.initServers(static_cast<unsigned>(servers.rows.size())));
+  copy.setServersVersion(servers.version);
+  copy.setServersWhole(servers.whole);
+}
+
+void Gateway::Impl::OnStoreCopy(schema::StoreCopy::Reader copy) {
+  const auto rows_of = [](capnp::List<schema::Row>::Reader in) {
+    std::vector<StoredRow> rows;
+    for (const auto row : in) {
+      const auto value = row.getValue();
+      rows.push_back({row.getKey(),
+                      std::string(reinterpret_cast<const char*>(value.begin()),
+                                  value.size()),
+                      row.getVersion(), row.getDeleted()});
+    }
+    return rows;
+  };
+  StoreChanges deployment;
+  deployment.rows = rows_of(copy.getDeployment());
+  for (const StoredRow& row : deployment.rows) {
+    deployment.version = std::max(deployment.version, row.version);
+  }
+  if (!deployment.rows.empty()) {
+    LogEvent("deployment_from_peer").Field("row_version", deployment.version);
+    deployment.whole = !deployment_.known();
+    deployment_.Offer(std::move(deployment));
+  }
+  if (copy.getServersVersion() > 0) {
+    StoreChanges servers{rows_of(copy.getServers()), copy.getServersVersion(),
+                         copy.getServersWhole()};
+    LogEvent("servers_from_peer")
+        .Field("version", servers.version)
+        .Field("rows", servers.rows.size());
+    server_rows_.Offer(std::move(servers));
+  }
+}
+
+}  // namespace gentianroute::gateway
--- /dev/null
+++ b/packages/gateway/src/request_flow_sends.cc
@@ -0,0 +1,286 @@
+#include <algorithm>
+#include <utility>
+
+#include "gentianroute/gateway/detail/request_limits.h"
+#include "gentianroute/gateway/detail/request_send.h"
+#include "gentianroute/gateway/request_flow.h"
+#include "gentianroute/loop/message_text.h"
+
+// A request at its server: sending it, its answer, and sending it once more.
+
+namespace gentianroute::gateway {
+namespace {
+
+using detail::kLeastAnswer;
+using detail::kMostRemakes;
+
+constexpr int kFirstFailure = 300;
+constexpr int kFirstServerFailure = 500;
+constexpr int kConflict = 409;
+
+/// Part of its target after which a repeatable request that has no answer is
+/// sent to another server: a silent server shows in no other way.
+constexpr double kOverdueShare = 0.5;
+/// Connections idle for longer are not used for what must run at most once: a
+/// server that closes just then leaves it open whether the request has run.
+constexpr Duration kReuseOnce = std::chrono::milliseconds(1500);
+constexpr Duration kReuse = std::chrono::seconds(4);
+
+}  // namespace
+
+routing::Choice RequestFlow::ChooseServer() const {
+  const TimePoint now = services_.loop.Now();
+  const auto& servers = services_.servers.In(service_name_);
+  if (service_ != nullptr && service_->model) {
+    const auto inputs = PlacedResults(plan_->FinalStages());
+    return routing::ChooseModel(now, servers, tried_, request_.prompt, inputs,
+                                *service_->model, services_.topology);
+  }
+  return routing::ChoosePlain(now, servers, tried_, services_.topology);
+}
+
+std::string RequestFlow::MessageFor(const routing::Server& server) const {
+  ServerRequest added;
+  added.expected_server = server.record().id;
+  if (organisation_ != nullptr) {
+    added.organisation = organisation_->name;
+  }
+  added.time_left = TimeLeft();
+  added.inputs = plan_->FinalInputs();
+  added.resume_after =
+      events_.last_id().empty() ? request_.resume_after : events_.last_id();
+  const MessageHead& head = exchange_->head();
+  const std::string& body = exchange_->body();
+  const bool bodiless =
+      body.empty() && (head.method == "GET" || head.method == "HEAD" ||
+                       head.method == "DELETE");
+  return RequestHeadText(head.method, head.target,
+                         services_.translator.ServerFields(request_, added),
+                         bodiless ? BodyFraming::kNone : BodyFraming::kLength,
+                         body.size()) +
+         body;
+}
+
+void RequestFlow::SendToServer() {
+  const routing::Choice choice = ChooseServer();
+  if (choice.server == nullptr) {
+    if (may_have_run_) {
+      BreakOff("no other server is left");
+    } else {
+      Refuse(ErrorKind::kNoServer, "no server can take it");
+    }
+    return;
+  }
+  tried_.push_back(choice.server->record().id);
+  const routing::ServerRecord& record = choice.server->record();
+  RelayCall call;
+  call.endpoint = {record.address, record.port};
+  call.message = MessageFor(*choice.server);
+  call.answer_has_no_body = exchange_->head().method == "HEAD";
+  call.reuse_within = repeatable() ? kReuse : kReuseOnce;
+  call.is_ours = [&translator = services_.translator,
+                  id = request_.id](const MessageHead& head) {
+    return translator.IsAnswerTo(head, id);
+  };
+  Occupy(choice.server);
+  sent_at_ = services_.loop.Now();
+  ++sends_;
+  may_have_run_ = true;
+  answer_ = {};
+  body_.clear();
+  send_ = std::make_unique<Send>(*this, std::move(call));
+  services_.loop.Cancel(overdue_timer_);
+  if (repeatable()) {
+    const auto wait =
+        std::chrono::duration_cast<Duration>(route_->target * kOverdueShare);
+    overdue_timer_ = services_.loop.After(wait, [this] { OnOverdue(); });
+  }
+}
+
+void RequestFlow::Occupy(const routing::ServerPtr& server) {
+  Leave();
+  server_ = server;
+  occupied_.calls = 1;
+  const routing::Prompt& prompt = request_.prompt;
+  occupied_.tokens = prompt.tokens_in + prompt.tokens_out / 2;
+  occupied_.unread_tokens =
+      prompt.parts.empty() ? prompt.tokens_in : prompt.parts.back().tokens;
+  server_->own() += occupied_;
+}
+
+void RequestFlow::Leave() {
+  if (server_ == nullptr) {
+    return;
+  }
+  routing::ServerLoad& load = server_->own();
+  load.calls -= occupied_.calls;
+  load.tokens -= occupied_.tokens;
+  load.unread_tokens -= occupied_.unread_tokens;
+  occupied_ = {};
+  server_ = nullptr;
+}
+
+void RequestFlow::OnHead(const ServerAnswer& answer) {
+  answer_ = answer;
+  services_.loop.Cancel(overdue_timer_);
+  const bool streams = route_->kind == routing::RouteKind::kStream &&
+                       answer.status < kFirstFailure && !answer.not_run;
+  if (streams && !answer_begun_) {
+    answer_begun_ = true;
+    exchange_->Begin(answer.status, answer.passed_on);
+  }
+}
+
+void RequestFlow::OnBody(std::string_view part) {
+  if (!answer_begun_ || answer_.status >= kFirstFailure) {
+    body_.append(part);
+    return;
+  }
+  if (first_at_ == TimePoint{}) {
+    first_at_ = services_.loop.Now();
+    server_->history().OnAnswer(first_at_, true, 1.0);
+    server_->own().unread_tokens -= occupied_.unread_tokens;
+    occupied_.unread_tokens = 0;
+    // The server has read the results by now; a resumed run makes them again.
+    Release(plan_->TakeAll());
+  }
+  RelayPart(part);
+}
+
+void RequestFlow::RelayPart(std::string_view part) {
+  if (!route_->resumable) {
+    exchange_->Write(part);
+    return;
+  }
+  exchange_->Write(events_.Feed(part));
+}
+
+void RequestFlow::OnAnswered() {
+  const TimePoint now = services_.loop.Now();
+  if (answer_.not_run) {
+    OnNotRun(answer_);
+    return;
+  }
+  if (answer_begun_ && answer_.status < kFirstFailure) {
+    Leave();
+    exchange_->Write(events_.TakeRest());
+    exchange_->End();
+    services_.suspects.OnAnswered(fingerprint_);
+    Finish("answered", answer_.status, "");
+    return;
+  }
+  const bool failed = answer_.status >= kFirstServerFailure;
+  server_->history().OnAnswer(now, !failed, 1.0);
+  Leave();
+  if (answer_begun_) {
+    // A resumed run was refused after events had gone out.
+    BreakOff("the server that should go on failed");
+    return;
+  }
+  if (failed && repeatable() && TrySendAgain("failure", "server failure")) {
+    return;
+  }
+  services_.suspects.OnAnswered(fingerprint_);
+  exchange_->Answer(answer_.status, answer_.passed_on, body_);
+  first_at_ = first_at_ == TimePoint{} ? now : first_at_;
+  Finish(failed ? "server_failure" : "answered", answer_.status, "");
+}
+
+void RequestFlow::OnNotRun(const ServerAnswer& answer) {
+  const std::string status = std::to_string(answer.status);
+  const std::string server = server_->record().id;
+  if (answer.status == kConflict && ++remakes_ <= kMostRemakes &&
+      !answer_begun_) {
+    services_.journal.OnRepeat(request_.id, "stage", server,
+                               "the results are gone");
+    Leave();
+    tried_.pop_back();
+    Release(plan_->RemakeInputsOf(static_cast<std::uint32_t>(plan_->stages())));
+    Advance();
+    return;
+  }
+  server_->history().OnBreak(services_.loop.Now());
+  Leave();
+  may_have_run_ = answer_begun_ || sends_ > 1;
+  if (TrySendAgain("refused", status)) {
+    return;
+  }
+  if (answer_begun_) {
+    BreakOff("no server went on with the stream");
+    return;
+  }
+  if (may_have_run_ && repeatable()) {
+    BreakOff("the server refused it, and one before may have run it");
+    return;
+  }
+  Refuse(ErrorKind::kOverloaded, "the server refused it: " + status);
+}
+
+void RequestFlow::OnBroken(RelayFailure failure) {
+  const TimePoint now = services_.loop.Now();
+  const std::string server = server_->record().id;
+  server_->history().OnBreak(now);
+  services_.loop.Cancel(overdue_timer_);
+  if (failure == RelayFailure::kNotSent) {
+    services_.suspects.OnServerDown(now, server);
+    --sends_;
+    may_have_run_ = answer_begun_ || sends_ > 0;
+    Leave();
+    services_.journal.OnRepeat(request_.id, "connect", server, "no connection");
+    SendToServer();
+    return;
+  }
+  ReportCrash();
+  Leave();
+  events_.DropRest();
+  if (repeatable() && TrySendAgain("broken", "the connection broke")) {
+    return;
+  }
+  BreakOff("the server's answer broke off");
+}
+
+void RequestFlow::ReportCrash() {
+  services_.suspects.OnCrash(services_.loop.Now(), server_->record().id,
+                             static_cast<std::uint64_t>(server_->record().born),
+                             {&fingerprint_, 1});
+}
+
+bool RequestFlow::MaySendAgain() const {
+  return sends_ < route_->max_attempts && TimeLeft() > kLeastAnswer;
+}
+
+bool RequestFlow::TrySendAgain(std::string_view what, std::string_view reason) {
+  const std::size_t daemons = services_.cluster.live_daemons();
+  if (!MaySendAgain() || !services_.retries.TryTake(service_name_, daemons)) {
+    return false;
+  }
+  services_.journal.OnRepeat(request_.id, what,
+                             tried_.empty() ? "" : tried_.back(), reason);
+  old_sends_.push_back(std::move(send_));
+  if (plan_->FinalInputs().empty() && !route_->stages.empty() &&
+      answer_begun_) {
+    // The results went when the first run had read them.
+    Release(plan_->RemakeInputsOf(static_cast<std::uint32_t>(plan_->stages())));
+    Advance();
+    return true;
+  }
+  SendToServer();
+  return true;
+}
+
+void RequestFlow::OnOverdue() {
+  if (server_ == nullptr || answer_begun_ || answer_.status != 0) {
+    return;
+  }
+  const Ptr keep(this);
+  if (!MaySendAgain()) {
+    return;
+  }
+  server_->history().OnBreak(services_.loop.Now());
+  const routing::ServerPtr server = server_;
+  if (TrySendAgain("overdue", "no answer yet")) {
+    old_sends_.back()->Drop();
+  }
+}
+
+}  // namespace gentianroute::gateway
--- /dev/null
+++ b/packages/gateway/src/request_flow_stages.cc
@@ -0,0 +1,120 @@
+#include <utility>
+
+#include "gentianroute/gateway/detail/request_limits.h"
+#include "gentianroute/gateway/request_flow.h"
+
+// The stages of a request: which run when, and what becomes of their results.
+
+namespace gentianroute::gateway {
+namespace {
+
+using detail::kMostRemakes;
+using detail::kUsualAnswer;
+
+}  // namespace
+
+void RequestFlow::Advance() {
+  if (plan_->complete()) {
+    stages_done_ = services_.loop.Now();
+    SendToServer();
+    return;
+  }
+  for (const std::uint32_t stage : plan_->Ready()) {
+    RunStage(stage);
+  }
+}
+
+void RequestFlow::RunStage(std::uint32_t stage) {
+  const routing::StageSpec& spec = plan_->spec(stage);
+  routing::StageGroup group;
+  group.request = request_.id;
+  group.stage = stage;
+  group.pieces = plan_->pieces(stage);
+  group.inputs = plan_->InputsOf(stage);
+  group.key = request_.stage_key;
+  group.result_bytes = static_cast<double>(spec.result_bytes);
+  group.work = route_->name + ":" + std::to_string(stage);
+  // What comes after this stage has to fit behind it.
+  group.wanted = began_ + route_->target - kUsualAnswer -
+                 services_.stages.UsualAfter(*plan_, stage);
+  group.deadline = StagesBy() - services_.stages.LeastAfter(*plan_, stage);
+  group.priority = organisation_ != nullptr && organisation_->priority
+                       ? *organisation_->priority
+                       : route_->priority;
+  plan_->Begin(stage);
+  running_[stage] = services_.stages.Run(
+      spec.service, std::move(group), PlacedResults(spec.after),
+      static_cast<double>(spec.result_bytes), home_,
+      [this, stage](StageOutcome outcome) {
+        OnStageEnd(stage, std::move(outcome));
+      });
+}
+
+std::vector<routing::PlacedBytes> RequestFlow::PlacedResults(
+    std::span<const std::uint32_t> stages) const {
+  std::vector<routing::PlacedBytes> placed;
+  for (const std::uint32_t stage : stages) {
+    const auto found = results_in_.find(stage);
+    if (found != results_in_.end()) {
+      placed.push_back(
+          {found->second, static_cast<double>(plan_->spec(stage).result_bytes) *
+                              plan_->pieces(stage)});
+    }
+  }
+  return placed;
+}
+
+void RequestFlow::OnStageEnd(std::uint32_t stage, StageOutcome outcome) {
+  const Ptr keep(this);
+  const auto hold = running_.extract(stage);
+  if (outcome.group.failure) {
+    OnStageFailure(stage, *outcome.group.failure);
+    return;
+  }
+  results_in_[stage] = std::move(outcome.data_centre);
+  plan_->Finish(stage, std::move(outcome.group.results));
+  Release(plan_->TakeSpent());
+  Advance();
+}
+
+void RequestFlow::OnStageFailure(std::uint32_t stage,
+                                 routing::StageFailure failure) {
+  using routing::StageFailure;
+  switch (failure) {
+    case StageFailure::kLate:
+      Refuse(ErrorKind::kDeadlineTooShort, "a stage can't be done in time");
+      return;
+    case StageFailure::kNoServer:
+      Refuse(ErrorKind::kNoServer, "a stage has no server");
+      return;
+    case StageFailure::kFailed:
+      Refuse(ErrorKind::kNoServer, "a stage failed again and again");
+      return;
+    case StageFailure::kInputGone:
+      break;
+  }
+  if (++remakes_ > kMostRemakes) {
+    Refuse(ErrorKind::kNoServer, "results of stages were lost again and again");
+    return;
+  }
+  services_.journal.OnRepeat(request_.id, "stage", "", "an input is gone");
+  Release(plan_->RemakeInputsOf(stage));
+  Advance();
+}
+
+void RequestFlow::Release(std::vector<routing::StageResults> spent) {
+  for (routing::StageResults& stage : spent) {
+    services_.stages.Release(plan_->spec(stage.stage).service,
+                             results_in_[stage.stage],
+                             std::move(stage.results));
+  }
+}
+
+void RequestFlow::OnStagesOverdue() {
+  const Ptr keep(this);
+  if (!plan_->complete() && !answer_begun_) {
+    Refuse(ErrorKind::kDeadlineTooShort, "the stages took too long");
+  }
+}
+
+}  // namespace gentianroute::gateway
