Notice within a second that the store's reader is cut off

The reader of their data centre was cut off from the store, and its call waited 3.9 s for an answer before anybody else asked (no store_lost line before 4.6 s). Ruled out: the cut's other ends; peers still heard each other. Change: a call is held for 0.7 s and given up after 1.1 s; the first lost one is told to the region at once, and the next daemon in order asks. A changed configuration is told to all at once.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -106,8 +106,11 @@
   /// @brief Whether this daemon is to follow the store's changes for its data
   /// centre: nobody before it, in an order that all agree on, does so or could.
   bool IsStoreReader() const;
-  /// @brief Tells the peers at once what has changed here.
-  void TellNews();
+  /// @brief Whom news reaches at once; the others hear it with the next beat.
+  enum class News : std::uint8_t { kNear, kToAll };
+  /// @brief Tells peers at once what has changed here: those of the region, or
+  /// all. Bytes between regions are billed, so only the rare news goes to all.
+  void TellNews(News news);
 
   /// @brief Asks the nearest peer that knows something newer for its copy. One
   /// question is under way at a time.
@@ -140,6 +143,7 @@
   std::uint32_t beats_ = 0;
   bool fetching_ = false;
   bool news_due_ = false;
+  bool news_to_all_ = false;
   std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
   std::unique_ptr<DatagramSocket> datagrams_;
   std::unique_ptr<RpcServer> server_;
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -120,21 +120,23 @@
             },
             [this](const StoredRow& row) {
               OnDeploymentRow(row);
-              cluster_.TellNews();
+              cluster_.TellNews(Cluster::News::kToAll);
             },
-            [](bool /*answers*/) {}};
+            [](bool /*answers*/) {},
+            [this] { cluster_.TellNews(Cluster::News::kNear); }};
   }
   StoreFollower::Listener ServersListener() {
     return {[this](const std::vector<StoredRow>& rows) { OnServerRows(rows); },
             [this](const StoredRow& row) {
               OnServerRow(row);
-              cluster_.TellNews();
+              cluster_.TellNews(Cluster::News::kNear);
             },
             [this](bool answers) {
               if (answers && server_rows_.known()) {
                 servers_.OnStoreReturned(loop_.Now());
               }
-            }};
+            },
+            [this] { cluster_.TellNews(Cluster::News::kNear); }};
   }
 
   void Listen() {
@@ -259,10 +261,14 @@
     const TimePoint now = loop_.Now();
     servers_.Expire(now);
     suspects_.Sweep(now);
+    FollowIfReader();
+    CatchUp();
+  }
+
+  void FollowIfReader() {
     const bool reader = cluster_.IsStoreReader();
     deployment_.SetFollowing(reader);
     server_rows_.SetFollowing(reader);
-    CatchUp();
   }
 
   /// Takes from a peer what it knows and this daemon does not.
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -43,6 +43,7 @@
     OnRows on_rows;      ///< the table was read whole
     OnChange on_change;  ///< one row changed
     std::function<void(bool answers)> on_reachable;  ///< lost or regained
+    std::function<void()> on_silence;  ///< a call failed after one that did not
   };
 
   StoreFollower(EventLoop& loop,
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -280,7 +280,8 @@
   const auto bytes = packed.getArray();
   const std::span<const std::byte> data(
       reinterpret_cast<const std::byte*>(bytes.begin()), bytes.size());
-  const bool to_all = leaving_ || beats_++ % kBeatsPerRegionBeat == 0;
+  const bool to_all = std::exchange(news_to_all_, false) || leaving_ ||
+                      beats_++ % kBeatsPerRegionBeat == 0;
   for (const auto& [name, peer] : peers_) {
     if (to_all || IsInOwnRegion(*peer)) {
       datagrams_->Send(peer->address, peer->port, data);
@@ -448,7 +449,8 @@
   });
 }
 
-void Cluster::TellNews() {
+void Cluster::TellNews(News news) {
+  news_to_all_ = news_to_all_ || news == News::kToAll;
   if (std::exchange(news_due_, true)) {
     return;
   }
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -105,6 +105,9 @@
   if (before == StoreContact::kSilent && contact == StoreContact::kAnswers) {
     servers_.OnStoreReturned(now);
   }
+  if (before != contact) {
+    FollowIfReader();
+  }
   newest_deployment_ =
       std::max(newest_deployment_, beat.getDeploymentVersion());
   newest_servers_ = std::max(newest_servers_, beat.getServersVersion());
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -9,10 +9,11 @@
 namespace gentianroute::gateway {
 namespace {
 
-/// How long the store holds a call without news. A connection that goes silent
-/// is found out only when this is over, so it has to be well below the time in
-/// which a change must be in force; each call costs money.
-constexpr Duration kWait = std::chrono::milliseconds(3000);
+/// How long the store holds a call without news. A daemon that is cut off from
+/// the store finds out only when this is over, and then the next one in order
+/// has to ask: two such times must fit into the 2.5 s in which a change has to
+/// be in force. Shorter costs calls.
+constexpr Duration kWait = std::chrono::milliseconds(700);
 /// Changes within this time come in one answer: hundreds of servers that start
 /// together would cost a call each. It is a small part of the time in which a
 /// change must be in force.
@@ -221,7 +222,9 @@
   if (!following_ && !asking_) {
     return StoreContact::kNotAsked;
   }
-  return answers_ ? StoreContact::kAnswers : StoreContact::kSilent;
+  // One lost call is enough for another daemon to ask as well.
+  return answers_ && failures_ == 0 ? StoreContact::kAnswers
+                                    : StoreContact::kSilent;
 }
 
 void StoreFollower::OnAnswer() {
@@ -234,7 +237,9 @@
 }
 
 void StoreFollower::OnSilence(const std::string& detail) {
-  ++failures_;
+  if (++failures_ == 1) {
+    listener_.on_silence();
+  }
   if (failures_ >= kFailuresOfOutage && std::exchange(answers_, false)) {
     LogEvent("store_lost", LogLevel::kWarning)
         .Field("table", NameOf(table_))
--- a/packages/gateway/tests/store_follower_test.cc
+++ b/packages/gateway/tests/store_follower_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 
@@ -24,9 +25,10 @@
   }
   void Follow(StoreTable /*table*/,
               std::uint64_t after,
-              Duration /*wait*/,
+              Duration wait,
               Done done) override {
     asked.push_back({false, after, std::move(done)});
+    longest_wait = std::max(longest_wait, wait);
   }
   void Put(StoreTable /*table*/,
            std::string_view /*key*/,
@@ -47,6 +49,7 @@
   }
 
   std::deque<Asked> asked;
+  Duration longest_wait{0};
 };
 
 struct FollowerFixture {
@@ -54,6 +57,7 @@
   FakeStore store;
   std::vector<std::string> changes;
   std::size_t whole_reads = 0;
+  std::size_t silences = 0;
   StoreFollower follower{loop, store, StoreTable::kServers, Listener()};
 
   StoreFollower::Listener Listener() {
@@ -61,7 +65,7 @@
             [this](const StoredRow& row) {
               changes.push_back((row.deleted ? "-" : "+") + row.key);
             },
-            [](bool /*answers*/) {}};
+            [](bool /*answers*/) {}, [this] { ++silences; }};
   }
   /// Lets timers run that are due within a time.
   void Pass(Duration time) {
@@ -124,6 +128,23 @@
   cr_assert_eq(fixture.whole_reads, 2);
 }
 
+// Callers of a whole data centre got 404 for a new route: its one reader had
+// been cut off from the store and noticed it only after four seconds. Two
+// daemons in a row have to notice within the time in which a change must be in
+// force.
+Test(store_follower, silence_is_noticed_while_another_can_still_ask) {
+  constexpr Duration kInForceWithin = std::chrono::milliseconds(2500);
+  constexpr Duration kAnswerMargin = std::chrono::milliseconds(400);
+  FollowerFixture fixture;
+  fixture.follower.Start();
+  fixture.store.Answer({}, 7);
+  cr_assert(2 * (fixture.store.longest_wait + kAnswerMargin) < kInForceWithin);
+  cr_assert(fixture.follower.contact() == StoreContact::kAnswers);
+  fixture.store.Give(StoreAnswer{});
+  cr_assert(fixture.follower.contact() == StoreContact::kSilent);
+  cr_assert_eq(fixture.silences, 1);
+}
+
 Test(store_follower, failed_call_is_repeated_after_a_pause) {
   FollowerFixture fixture;
   fixture.follower.Start();
