--- a/packages/loop/src/rpc.cc
+++ b/packages/loop/src/rpc.cc
@@ -218,10 +218,7 @@
     if (!connected()) {
       return KJ_EXCEPTION(DISCONNECTED, "not connected");
     }
-    capnp::MallocMessageBuilder message;
-    auto vat = message.initRoot<capnp::rpc::twoparty::VatId>();
-    vat.setSide(capnp::rpc::twoparty::Side::SERVER);
-    return link_->rpc.bootstrap(vat);
+    return link_->bootstrap;
   }
 
  private:
@@ -229,10 +226,24 @@
     explicit Link(h2o_socket_t* socket)
         : stream(socket),
           network(stream, capnp::rpc::twoparty::Side::CLIENT),
-          rpc(capnp::makeRpcClient(network)) {}
+          rpc(capnp::makeRpcClient(network)),
+          bootstrap(AskForBootstrap()) {}
+
     H2oStream stream;
     capnp::TwoPartyVatNetwork network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+    /// Asked for once, while the connection stands. Asking again after its end
+    /// begins another connection on the same network, which throws since that
+    /// is shut down; calls on this one just fail.
+    capnp::Capability::Client bootstrap;
+
+   private:
+    capnp::Capability::Client AskForBootstrap() {
+      capnp::MallocMessageBuilder message;
+      auto vat = message.initRoot<capnp::rpc::twoparty::VatId>();
+      vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+      return rpc.bootstrap(vat);
+    }
   };
 
   static void OnConnected(h2o_socket_t* socket, const char* error) {
--- a/packages/loop/tests/rpc_test.cc
+++ b/packages/loop/tests/rpc_test.cc
@@ -105,3 +105,30 @@
   cr_assert_eq(broken, 1);
   cr_assert_not(connection.connected());
 }
+
+// A daemon ended by itself: a peer had gone, the call to it had failed, and the
+// next call to it was made before the link said that it was broken. Such a call
+// has to fail like any other; an exception out of a timer ends the process.
+Test(rpc, call_between_a_peers_end_and_the_links_does_not_throw) {
+  Links links;
+  bool threw = false;
+  bool failed_again = false;
+  kj::Promise<void> second = kj::READY_NOW;
+  auto first = links.peer().joinRequest().send().then(
+      [](auto&&) {},
+      [&](kj::Exception&&) {
+        const auto thrown = kj::runCatchingExceptions([&] {
+          second = links.peer().exchangeRequest().send().then(
+              [](auto&&) {},
+              [&failed_again](kj::Exception&&) { failed_again = true; });
+        });
+        threw = thrown != nullptr;
+      });
+  auto running = first.eagerlyEvaluate(nullptr);
+  links.server.reset();
+  links.RunFor(milliseconds(100));
+  auto ended = kj::mv(second).eagerlyEvaluate(nullptr);
+  links.RunFor(milliseconds(50));
+  cr_assert_not(threw);
+  cr_assert(failed_again);
+}
