Never write a refusal into a begun stream, nor call a request not run that may have

A stream broke, its stages were made again to resume it, one failed, and its refusal went out in the middle of the chunks. Change: a refusal after the answer has begun, or of a request that an earlier server may have run, breaks off instead. A cut answer is told from a malformed one.

--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -177,6 +177,13 @@
                          std::string_view detail,
                          std::optional<Duration> retry_after) {
   const ErrorAnswer answer = AnswerFor(kind);
+  const bool says_not_run = answer.work == WorkKnown::kNotRun;
+  // An answer in the middle of a stream is no answer, and "not run" has to be
+  // true: both come up when a broken run can't be made good.
+  if (answer_begun_ || (says_not_run && may_have_run_)) {
+    BreakOff(detail);
+    return;
+  }
   if (retry_after) {
     retry_after = std::clamp(*retry_after, kShortestWait, kLongestWait);
   }
--- a/packages/gateway/src/request_flow_sends.cc
+++ b/packages/gateway/src/request_flow_sends.cc
@@ -177,8 +177,11 @@
     BreakOff("the server that should go on failed");
     return;
   }
-  if (failed && repeatable() && TrySendAgain("failure", "server failure")) {
-    return;
+  if (failed && repeatable()) {
+    earlier_may_have_run_ = true;
+    if (TrySendAgain("failure", "server failure")) {
+      return;
+    }
   }
   services_.suspects.OnAnswered(fingerprint_);
   exchange_->Answer(answer_.status, answer_.passed_on, body_);
@@ -201,7 +204,7 @@
   }
   server_->history().OnBreak(services_.loop.Now());
   Leave();
-  may_have_run_ = answer_begun_ || sends_ > 1;
+  may_have_run_ = earlier_may_have_run_;
   if (TrySendAgain("refused", status)) {
     return;
   }
@@ -224,13 +227,14 @@
   if (failure == RelayFailure::kNotSent) {
     services_.suspects.OnServerDown(now, server);
     --sends_;
-    may_have_run_ = answer_begun_ || sends_ > 0;
+    may_have_run_ = earlier_may_have_run_;
     Leave();
     services_.journal.OnRepeat(request_.id, "connect", server, "no connection");
     SendToServer();
     return;
   }
   ReportCrash();
+  earlier_may_have_run_ = true;
   Leave();
   events_.DropRest();
   if (repeatable() && TrySendAgain("broken", "the connection broke")) {
@@ -277,7 +281,7 @@
     return;
   }
   server_->history().OnBreak(services_.loop.Now());
-  const routing::ServerPtr server = server_;
+  earlier_may_have_run_ = true;
   if (TrySendAgain("overdue", "no answer yet")) {
     old_sends_.back()->Drop();
   }
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -111,6 +111,7 @@
         return;
       }
       if (end == StreamEnd::kClosed && head_told_) {
+        ended_ = true;
         parser_.FeedEnd();
         Advance();
       }
@@ -145,7 +146,7 @@
           OnMessageEnd();
           return;
         default:
-          End(RelayFailure::kMalformed);
+          End(ended_ ? RelayFailure::kTruncated : RelayFailure::kMalformed);
       }
     }
 
@@ -213,6 +214,7 @@
     bool stray_ = false;
     bool keep_alive_ = true;
     bool retired_ = false;
+    bool ended_ = false;  ///< the server has closed in order
     TimePoint idle_since_{};
     Duration idle_limit_ = kMaxIdle;
   };
