--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -158,7 +158,6 @@
   routing::ServerLoad occupied_;
   std::vector<std::string> tried_;
   std::uint32_t sends_ = 0;  ///< that a server may have run or refused
-  bool sent_any_ = false;
   bool may_have_run_ = false;
   /// A server before the present one may have run it.
   bool earlier_may_have_run_ = false;
--- a/packages/gateway/include/gentianroute/gateway/settings.h
+++ b/packages/gateway/include/gentianroute/gateway/settings.h
@@ -24,8 +24,7 @@
   Endpoint store;
   Duration drain_grace = std::chrono::seconds(8);  ///< from the stop signal
   double retry_ratio = 0.2;  ///< of a service's requests, of all daemons
-  double retry_slack = 50;   ///< more, in each window, of all daemons
-  Duration retry_window = std::chrono::seconds(10);
+  double retry_slack = 50;   ///< more, in each window of 10 s, of all daemons
 };
 
 }  // namespace gentianroute::gateway
