Give no test port twice; one FreePort for all tests

Ports were drawn at random and a drawn one was still free, as nobody listened on it yet. Ruled out: another process (the port lies below the range for outgoing ones). Change: a port that was given is not given again; the process harness, the whole-path test and the platform-mode test call the same function.

--- a/tests/process/harness.cc
+++ b/tests/process/harness.cc
@@ -1,14 +1,10 @@
 #include "harness.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <signal.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <stdexcept>
 
 #include "test_folder.h"
@@ -22,31 +18,6 @@
 constexpr const char* kTestKeyDigest =
     "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef";
 
-/// A port that was free a moment ago; the listener takes it with SO_REUSEADDR.
-// Below the range that the kernel serves outgoing connections and port 0 from:
-// a port of that range may be taken again before the daemon listens on it, and
-// the daemon then ends with "address already in use".
-std::uint16_t FreePort() {
-  constexpr int kTries = 100;
-  static std::random_device random;
-  std::uniform_int_distribution<int> ports(10'000, 32'000);
-  for (int i = 0; i < kTries; ++i) {
-    const auto port = static_cast<std::uint16_t>(ports(random));
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const int failed =
-        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    close(fd);
-    if (failed == 0) {
-      return port;
-    }
-  }
-  throw std::runtime_error("no free port");
-}
-
 }  // namespace
 
 Deployment::Deployment() : folder_(MakeTestFolder()) {
--- a/tests/process/platform_mode_test.cc
+++ b/tests/process/platform_mode_test.cc
@@ -23,6 +23,7 @@
 using namespace gentianroute;
 using gentianroute::platform::FarStore;
 using gentianroute::platform::RawServer;
+using gentianroute::testing::FreePort;
 using gentianroute::testing::Http;
 using gentianroute::testing::Process;
 using nlohmann::json;
@@ -31,10 +32,6 @@
 
 constexpr int kSeconds = 10;
 
-std::uint16_t FreePort(EventLoop& loop) {
-  return loop.Listen("127.0.0.1", 0, [](st_h2o_socket_t*) {})->port();
-}
-
 /// The program with a store that knows one route and one server.
 struct ProgramFixture {
   EventLoop loop;
@@ -45,10 +42,10 @@
         peer.SendAnswer(200, "Gentianroute-Response-Signature: s\r\n",
                         "got " + body);
       }};
-  std::uint16_t callers = FreePort(loop);
-  std::uint16_t readiness = FreePort(loop);
-  std::uint16_t peers = FreePort(loop);
-  std::uint16_t metrics = FreePort(loop);
+  std::uint16_t callers = FreePort();
+  std::uint16_t readiness = FreePort();
+  std::uint16_t peers = FreePort();
+  std::uint16_t metrics = FreePort();
   std::string folder = testing::MakeTestFolder();
   std::unique_ptr<Process> program;
 
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <random>
 #include <set>
 #include <stdexcept>
 
@@ -56,8 +57,34 @@
   return fd;
 }
 
+bool IsFree(std::uint16_t port) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const int failed =
+      bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  close(fd);
+  return failed == 0;
+}
+
 }  // namespace
 
+std::uint16_t FreePort() {
+  constexpr int kTries = 100;
+  static std::random_device random;
+  static std::set<std::uint16_t> given;
+  std::uniform_int_distribution<int> ports(10'000, 32'000);
+  for (int i = 0; i < kTries; ++i) {
+    const auto port = static_cast<std::uint16_t>(ports(random));
+    if (IsFree(port) && given.insert(port).second) {
+      return port;
+    }
+  }
+  throw std::runtime_error("no free port");
+}
+
 std::string Binary(const std::string& name) {
   const char* folder = std::getenv("GENTIANROUTE_BIN");
   return std::string(folder == nullptr ? "build" : folder) + "/" + name;
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -25,6 +25,14 @@
   return condition();
 }
 
+/// @brief A port on which nobody listens. No port is given twice by one process:
+/// a daemon that got one port for two of its addresses could not start.
+///
+/// It lies below the range that the kernel serves outgoing connections and port
+/// 0 from: a port of that range may be taken again before the daemon listens on
+/// it, and the daemon then ends with "address already in use".
+std::uint16_t FreePort();
+
 /// @brief Path of a built program, like `apps/gentianctl`.
 std::string Binary(const std::string& name);
 
