--- a/packages/gateway/include/gentianroute/gateway/result_releases.h
+++ b/packages/gateway/include/gentianroute/gateway/result_releases.h
@@ -3,13 +3,13 @@
 
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
 #include "gentianroute/gateway/translator.h"
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/relay_client.h"
+#include "gentianroute/loop/relay_fetches.h"
 
 namespace gentianroute::gateway {
 
@@ -28,15 +28,13 @@
   void Release(std::vector<std::string> results);
 
  private:
-  class Call;
   void Flush();
   void Send(const Endpoint& server, std::vector<std::string> results);
 
   EventLoop& loop_;
-  RelayClient& client_;
+  RelayFetches fetches_;
   const Translator& translator_;
   std::map<Endpoint, std::vector<std::string>> waiting_;
-  std::map<const Call*, std::unique_ptr<Call>> calls_;
   TimerId timer_;
 };
 
--- a/packages/gateway/include/gentianroute/gateway/stage_desk.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_desk.h
@@ -13,6 +13,7 @@
 #include "gentianroute/gateway/translator.h"
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/relay_client.h"
+#include "gentianroute/loop/relay_fetches.h"
 #include "gentianroute/routing/route_table.h"
 #include "gentianroute/routing/server_directory.h"
 #include "gentianroute/routing/stage_pool.h"
@@ -51,7 +52,6 @@
   std::uint64_t pieces_sent() const { return pieces_sent_; }
 
  private:
-  class Call;
   class Hold;
   struct Pool;
   using PoolKey = std::pair<std::string, std::string>;
@@ -60,6 +60,7 @@
   void Work(Pool& pool);
   void WorkLater(Pool& pool);
   void Send(Pool& pool, const routing::StageCall& call);
+  StageAnswer ReadEnd(const Pool& pool, const RelayFetchEnd& end) const;
   void OnCallEnd(Pool& pool,
                  routing::StageCallId call,
                  const StageAnswer& answer);
@@ -67,7 +68,7 @@
   std::vector<routing::ServerPtr> ServersOf(const Pool& pool) const;
 
   EventLoop& loop_;
-  RelayClient& client_;
+  RelayFetches fetches_;
   const Translator& translator_;
   routing::ServerDirectory& servers_;
   ResultReleases& releases_;
--- a/packages/gateway/src/result_releases.cc
+++ b/packages/gateway/src/result_releases.cc
@@ -15,42 +15,10 @@
 
 }  // namespace
 
-class ResultReleases::Call final : public RelayCallObserver {
- public:
-  Call(ResultReleases& owner, RelayCall call) : owner_(owner) {
-    timer_ = owner_.loop_.After(kCallTimeout, [this] { End(false); });
-    id_ = owner_.client_.Call(std::move(call), *this);
-  }
-  ~Call() override {
-    owner_.loop_.Cancel(timer_);
-    owner_.client_.Cancel(id_);
-  }
-  void OnHead(MessageHead /*head*/) override {}
-  void OnBody(std::string_view /*part*/) override {}
-  void OnDone() override { End(true); }
-  void OnFailure(RelayFailure /*failure*/) override { End(false); }
-
- private:
-  /// A lost release costs room for some seconds only; it is not repeated.
-  void End(bool told) {
-    if (!told) {
-      LogEvent("release_lost", LogLevel::kWarning);
-    }
-    auto self = std::move(owner_.calls_.extract(this).mapped());
-    owner_.loop_.Cancel(timer_);
-    owner_.loop_.After(Duration{0},
-                       [gone = std::shared_ptr<Call>(std::move(self))] {});
-  }
-
-  ResultReleases& owner_;
-  RelayCallId id_;
-  TimerId timer_;
-};
-
 ResultReleases::ResultReleases(EventLoop& loop,
                                RelayClient& client,
                                const Translator& translator)
-    : loop_(loop), client_(client), translator_(translator) {
+    : loop_(loop), fetches_(loop, client), translator_(translator) {
   timer_ = loop_.Every(kTick, [this] { Flush(); });
 }
 
@@ -83,9 +51,12 @@
   RelayCall call;
   call.endpoint = server;
   call.message = translator_.ReleaseMessage(server, results);
-  auto sent = std::make_unique<Call>(*this, std::move(call));
-  const Call* key = sent.get();
-  calls_.emplace(key, std::move(sent));
+  // A lost release costs room for some seconds only; it is not repeated.
+  fetches_.Start(std::move(call), kCallTimeout, [](const RelayFetchEnd& end) {
+    if (!end.whole) {
+      LogEvent("release_lost", LogLevel::kWarning);
+    }
+  });
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/stage_desk.cc
+++ b/packages/gateway/src/stage_desk.cc
@@ -28,60 +28,11 @@
   std::string data_centre;
   routing::StagePool pool;
   std::map<routing::StageGroupId, GroupDone> waiting;
-  std::map<routing::StageCallId, std::unique_ptr<Call>> calls;
-  std::vector<std::unique_ptr<Call>> ended;
   TimePoint used{};
   TimerId timer;
   bool work_due = false;
 };
 
-class StageDesk::Call final : public RelayCallObserver {
- public:
-  Call(StageDesk& desk,
-       Pool& pool,
-       routing::StageCallId id,
-       Duration give_up_after,
-       RelayCall call)
-      : desk_(desk), pool_(pool), id_(id) {
-    timer_ = desk_.loop_.After(give_up_after, [this] {
-      End({routing::CallEnd::kBroken, {}});
-    });
-    call_ = desk_.client_.Call(std::move(call), *this);
-  }
-  ~Call() override {
-    desk_.loop_.Cancel(timer_);
-    desk_.client_.Cancel(call_);
-  }
-
-  void OnHead(MessageHead head) override { head_ = std::move(head); }
-  void OnBody(std::string_view part) override { body_.append(part); }
-  void OnDone() override {
-    End(desk_.translator_.ReadStageAnswer(head_, body_));
-  }
-  void OnFailure(RelayFailure failure) override {
-    const bool sent = failure != RelayFailure::kNotSent;
-    LogEvent("stage_call_broken", LogLevel::kWarning)
-        .Field("service", pool_.service)
-        .Field("sent", sent ? "yes" : "no");
-    End({routing::CallEnd::kBroken, {}});
-  }
-
- private:
-  void End(const StageAnswer& answer) {
-    desk_.loop_.Cancel(timer_);
-    desk_.client_.Cancel(call_);
-    desk_.OnCallEnd(pool_, id_, answer);
-  }
-
-  StageDesk& desk_;
-  Pool& pool_;
-  routing::StageCallId id_;
-  RelayCallId call_;
-  TimerId timer_;
-  MessageHead head_;
-  std::string body_;
-};
-
 class StageDesk::Hold final : public GroupHold {
  public:
   Hold(Pool& pool, routing::StageGroupId group) : pool_(pool), group_(group) {}
@@ -102,7 +53,7 @@
                      routing::ServerDirectory& servers,
                      ResultReleases& releases)
     : loop_(loop),
-      client_(client),
+      fetches_(loop, client),
       translator_(translator),
       servers_(servers),
       releases_(releases) {}
@@ -170,7 +121,6 @@
 }
 
 void StageDesk::Work(Pool& pool) {
-  pool.ended.clear();
   const auto calls = pool.pool.Dispatch(loop_.Now(), ServersOf(pool));
   for (const routing::StageCall& call : calls) {
     Send(pool, call);
@@ -204,16 +154,29 @@
   out.message = translator_.StageCallMessage(out.endpoint, server.id, pieces);
   ++calls_sent_;
   pieces_sent_ += pieces.size();
-  pool.calls.emplace(
-      call.id, std::make_unique<Call>(*this, pool, call.id, call.give_up_after,
-                                      std::move(out)));
+  fetches_.Start(std::move(out), call.give_up_after,
+                 [this, &pool, id = call.id](const RelayFetchEnd& end) {
+                   OnCallEnd(pool, id, ReadEnd(pool, end));
+                 });
+}
+
+StageAnswer StageDesk::ReadEnd(const Pool& pool,
+                               const RelayFetchEnd& end) const {
+  if (end.whole) {
+    return translator_.ReadStageAnswer(end.head, end.body);
+  }
+  if (end.failure) {
+    const bool sent = *end.failure != RelayFailure::kNotSent;
+    LogEvent("stage_call_broken", LogLevel::kWarning)
+        .Field("service", pool.service)
+        .Field("sent", sent ? "yes" : "no");
+  }
+  return {routing::CallEnd::kBroken, {}};
 }
 
 void StageDesk::OnCallEnd(Pool& pool,
                           routing::StageCallId call,
                           const StageAnswer& answer) {
-  // The call's own function is running; it is destroyed at the next turn.
-  pool.ended.push_back(std::move(pool.calls.extract(call).mapped()));
   pool.pool.OnCallEnd(loop_.Now(), call, answer.end, answer.results);
   Settle(pool);
   WorkLater(pool);
--- /dev/null
+++ b/packages/loop/include/gentianroute/loop/ipv4_address.h
@@ -0,0 +1,31 @@
+#ifndef GENTIANROUTE_LOOP_IPV4_ADDRESS_H_
+#define GENTIANROUTE_LOOP_IPV4_ADDRESS_H_
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gentianroute {
+
+/// @brief A socket address of an IP number and a port.
+/// @return nothing if the text is no IP number
+///
+/// @example Ipv4Address("127.0.0.1", 80)
+inline std::optional<sockaddr_in> Ipv4Address(std::string_view number,
+                                              std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  if (inet_pton(AF_INET, std::string(number).c_str(), &address.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  return address;
+}
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_LOOP_IPV4_ADDRESS_H_
--- a/packages/loop/src/datagram_socket.cc
+++ b/packages/loop/src/datagram_socket.cc
@@ -1,7 +1,5 @@
 #include "gentianroute/loop/datagram_socket.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,21 +12,13 @@
 #include <utility>
 
 #include "gentianroute/loop/h2o.h"
+#include "gentianroute/loop/ipv4_address.h"
 
 namespace gentianroute {
 namespace {
 
 constexpr std::size_t kLargestMessage = 64 * 1024;
 
-sockaddr_in AddressOf(std::string_view address, std::uint16_t port) {
-  const std::string host(address);
-  sockaddr_in target{};
-  target.sin_family = AF_INET;
-  target.sin_port = htons(port);
-  inet_pton(AF_INET, host.c_str(), &target.sin_addr);
-  return target;
-}
-
 }  // namespace
 
 DatagramSocket::DatagramSocket(EventLoop& loop,
@@ -38,9 +28,13 @@
     : receiver_(std::move(receiver)),
       descriptor_(
           socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
-  sockaddr_in own = AddressOf(address, port);
-  if (bind(descriptor_, reinterpret_cast<sockaddr*>(&own), sizeof(own)) != 0) {
-    const std::string reason = std::strerror(errno);
+  auto own = Ipv4Address(address, port);
+  const bool bound =
+      own &&
+      bind(descriptor_, reinterpret_cast<sockaddr*>(&*own), sizeof(*own)) == 0;
+  if (!bound) {
+    const std::string reason =
+        own ? std::strerror(errno) : "that is not an IP number";
     close(descriptor_);
     throw std::runtime_error("can't receive datagrams on " +
                              std::string(address) + ":" + std::to_string(port) +
@@ -59,9 +53,11 @@
 void DatagramSocket::Send(std::string_view address,
                           std::uint16_t port,
                           std::span<const std::byte> message) {
-  sockaddr_in target = AddressOf(address, port);
-  sendto(descriptor_, message.data(), message.size(), MSG_DONTWAIT,
-         reinterpret_cast<sockaddr*>(&target), sizeof(target));
+  auto target = Ipv4Address(address, port);
+  if (target) {
+    sendto(descriptor_, message.data(), message.size(), MSG_DONTWAIT,
+           reinterpret_cast<sockaddr*>(&*target), sizeof(*target));
+  }
 }
 
 void DatagramSocket::OnReadable(h2o_socket_t* socket, const char* error) {
--- a/packages/loop/src/event_loop.cc
+++ b/packages/loop/src/event_loop.cc
@@ -1,6 +1,5 @@
 #include "gentianroute/loop/event_loop.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -17,6 +16,7 @@
 #include <string>
 
 #include "gentianroute/loop/h2o.h"
+#include "gentianroute/loop/ipv4_address.h"
 
 namespace gentianroute {
 namespace {
@@ -95,10 +95,8 @@
 
 int BindAndListen(std::string_view address, std::uint16_t port) {
   const std::string host(address);
-  sockaddr_in target{};
-  target.sin_family = AF_INET;
-  target.sin_port = htons(port);
-  if (inet_pton(AF_INET, host.c_str(), &target.sin_addr) != 1) {
+  auto target = Ipv4Address(address, port);
+  if (!target) {
     throw std::runtime_error("'" + host + "' is not an IP number");
   }
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -106,7 +104,7 @@
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   const bool ready =
-      bind(fd, reinterpret_cast<sockaddr*>(&target), sizeof(target)) == 0 &&
+      bind(fd, reinterpret_cast<sockaddr*>(&*target), sizeof(*target)) == 0 &&
       listen(fd, kBacklog) == 0;
   if (!ready) {
     const std::string reason = std::strerror(errno);
--- a/packages/loop/src/h2o_http_client.cc
+++ b/packages/loop/src/h2o_http_client.cc
@@ -1,8 +1,5 @@
 #include "gentianroute/loop/h2o_http_client.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 #include <algorithm>
 #include <charconv>
 #include <list>
@@ -12,6 +9,7 @@
 #include <utility>
 
 #include "gentianroute/loop/h2o.h"
+#include "gentianroute/loop/ipv4_address.h"
 
 namespace gentianroute {
 namespace {
@@ -157,10 +155,8 @@
     std::unique_ptr<Pool>& pool = pools_[{address, port}];
     if (pool == nullptr) {
       pool = std::make_unique<Pool>();
-      sockaddr_in target{};
-      target.sin_family = AF_INET;
-      target.sin_port = htons(port);
-      inet_pton(AF_INET, address.c_str(), &target.sin_addr);
+      sockaddr_in target =
+          Ipv4Address(address, port).value_or(*Ipv4Address("0.0.0.0", port));
       h2o_socketpool_init_by_address(&pool->pool,
                                      reinterpret_cast<sockaddr*>(&target),
                                      sizeof(target), 0, SIZE_MAX);
--- /dev/null
+++ b/packages/loop/src/relay_fetches.cc
@@ -0,0 +1,58 @@
+#include "gentianroute/loop/relay_fetches.h"
+
+#include <utility>
+
+namespace gentianroute {
+
+class RelayFetches::Fetch final : public RelayCallObserver {
+ public:
+  Fetch(RelayFetches& owner, RelayCall call, Duration time_limit, Done done)
+      : owner_(owner), done_(std::move(done)) {
+    timer_ = owner_.loop_.After(time_limit, [this] { End(); });
+    id_ = owner_.client_.Call(std::move(call), *this);
+  }
+  ~Fetch() override {
+    owner_.loop_.Cancel(timer_);
+    owner_.client_.Cancel(id_);
+  }
+
+  void OnHead(MessageHead head) override { end_.head = std::move(head); }
+  void OnBody(std::string_view part) override { end_.body.append(part); }
+  void OnDone() override {
+    end_.whole = true;
+    End();
+  }
+  void OnFailure(RelayFailure failure) override {
+    end_.failure = failure;
+    End();
+  }
+
+ private:
+  /// Destroys this, and with it the connection of a call that is given up,
+  /// before anybody hears of the end.
+  void End() {
+    const Done done = std::move(done_);
+    RelayFetchEnd end = std::move(end_);
+    owner_.running_.erase(this);
+    done(std::move(end));
+  }
+
+  RelayFetches& owner_;
+  Done done_;
+  RelayCallId id_;
+  TimerId timer_;
+  RelayFetchEnd end_;
+};
+
+RelayFetches::RelayFetches(EventLoop& loop, RelayClient& client)
+    : loop_(loop), client_(client) {}
+RelayFetches::~RelayFetches() = default;
+
+void RelayFetches::Start(RelayCall call, Duration time_limit, Done done) {
+  auto fetch = std::make_unique<Fetch>(*this, std::move(call), time_limit,
+                                       std::move(done));
+  const Fetch* key = fetch.get();
+  running_.emplace(key, std::move(fetch));
+}
+
+}  // namespace gentianroute
--- a/packages/loop/src/rpc.cc
+++ b/packages/loop/src/rpc.cc
@@ -1,9 +1,7 @@
 #include "gentianroute/loop/rpc.h"
 
-#include <arpa/inet.h>
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
-#include <netinet/in.h>
 
 #include <algorithm>
 #include <cstring>
@@ -12,6 +10,7 @@
 #include <utility>
 
 #include "gentianroute/loop/h2o.h"
+#include "gentianroute/loop/ipv4_address.h"
 #include "gentianroute/loop/socket_options.h"
 
 namespace gentianroute {
@@ -189,14 +188,11 @@
        std::uint16_t port,
        std::function<void()> on_broken)
       : on_broken_(std::move(on_broken)), tasks_(*this) {
-    const std::string host(address);
-    sockaddr_in target{};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(port);
-    inet_pton(AF_INET, host.c_str(), &target.sin_addr);
-    connecting_ =
-        h2o_socket_connect(loop.h2o(), reinterpret_cast<sockaddr*>(&target),
-                           sizeof(target), &Impl::OnConnected);
+    if (auto target = Ipv4Address(address, port)) {
+      connecting_ =
+          h2o_socket_connect(loop.h2o(), reinterpret_cast<sockaddr*>(&*target),
+                             sizeof(*target), &Impl::OnConnected);
+    }
     if (connecting_ == nullptr) {
       loop.After(Duration{0}, [alive = std::weak_ptr<bool>(alive_), this] {
         if (!alive.expired()) {
--- a/packages/loop/src/stream_socket.cc
+++ b/packages/loop/src/stream_socket.cc
@@ -1,15 +1,15 @@
 #include "gentianroute/loop/stream_socket.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <utility>
 
 #include "gentianroute/loop/h2o.h"
+#include "gentianroute/loop/ipv4_address.h"
 #include "gentianroute/loop/socket_options.h"
 
 namespace gentianroute {
+
 StreamSocket::StreamSocket(h2o_socket_t* accepted, Observer& observer)
     : observer_(observer), socket_(accepted) {
   Adopt();
@@ -20,15 +20,13 @@
                            std::uint16_t port,
                            Observer& observer)
     : observer_(observer) {
-  const std::string host(address);
-  sockaddr_in target{};
-  target.sin_family = AF_INET;
-  target.sin_port = htons(port);
-  if (inet_pton(AF_INET, host.c_str(), &target.sin_addr) != 1) {
+  auto target = Ipv4Address(address, port);
+  if (!target) {
     return;
   }
-  socket_ = h2o_socket_connect(loop.h2o(), reinterpret_cast<sockaddr*>(&target),
-                               sizeof(target), &StreamSocket::OnConnect);
+  socket_ =
+      h2o_socket_connect(loop.h2o(), reinterpret_cast<sockaddr*>(&*target),
+                         sizeof(*target), &StreamSocket::OnConnect);
   if (socket_ != nullptr) {
     socket_->data = this;
   }
