Expect the first event from what is learnt; tell slow servers from broken ones

Cause: half of the route's target was taken for silence. Prompts of 17,000 to 90,000 tokens need longer with nothing wrong; they were sent elsewhere, read from the start there, and their home was marked as broken, so that its other subjects left it. Slow servers, plain or model, never showed: every answer was noted as in time.

Change: ServicePace learns work, reading and run of each service; a request is overdue after three times what its answer should take, at least half its target. An overdue server that is heard by others is slow, one that is not is avoided. A resumable stream leaves a server that is heard nowhere for a second. PromptMemory knows what this daemon had a server read.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -66,8 +66,8 @@
         desk_(loop, client, translator, servers_, releases_),
         stages_(loop, cluster_, desk_, servers_, topology_),
         retries_(settings_.retry_ratio, settings_.retry_slack),
-        services_{loop,    client,   translator, servers_,  topology_,
-                  stages_, cluster_, retries_,   suspects_, journal_} {
+        services_{loop,     client,   translator, servers_,  topology_, stages_,
+                  cluster_, retries_, paces_,     suspects_, journal_} {
     servers_.SetOnClosed(
         [this](routing::Server& server) { OnServerClosed(server); });
     Listen();
@@ -315,6 +315,7 @@
   StageDesk desk_;
   StageWork stages_;
   RetryLedger retries_;
+  routing::PaceBook paces_;
   FlowServices services_;
   RequestFlow::List flows_;
   std::unique_ptr<RelayServer> callers_;
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -38,6 +38,7 @@
   StageWork& stages;
   Cluster& cluster;
   RetryLedger& retries;
+  routing::PaceBook& paces;
   SuspectTable& suspects;
   RequestJournal& journal;
 };
@@ -91,13 +92,22 @@
 
   void SendToServer();
   routing::Choice ChooseServer() const;
+  bool IsGeneration() const;
   std::string MessageFor(const routing::Server& server) const;
   void OnHead(const ServerAnswer& answer);
   void OnBody(std::string_view part);
   void OnAnswered();
   void OnNotRun(const ServerAnswer& answer);
   void OnBroken(RelayFailure failure);
+  /// Watches for the first part of an answer that does not come.
+  void ExpectFirstPart();
   void OnOverdue();
+  /// The server has begun to answer; its pace is learnt from that.
+  void OnFirstPart();
+  /// Watches a stream for a server that falls silent in the middle of it.
+  void WatchStream();
+  void OnStreamWatch();
+  void DropAndSendAgain(std::string_view what, std::string_view reason);
   /// The stages end too late for the caller to wait for the answer.
   void OnStagesOverdue();
   void ReportCrash();
@@ -155,6 +165,9 @@
   std::vector<std::unique_ptr<Send>> old_sends_;
   routing::ServerPtr server_;
   routing::ServerLoad occupied_;
+  TimePoint sent_at_{};
+  double unread_ = 0;  ///< tokens before the first event, others' too
+  double waves_ = 1;   ///< calls' work before the answer, its own too
   std::vector<std::string> tried_;
   std::uint32_t sends_ = 0;  ///< that a server may have run or refused
   bool may_have_run_ = false;
@@ -165,6 +178,7 @@
   ServerAnswer answer_;
   std::string body_;
   bool answer_begun_ = false;
+  bool streaming_ = false;  ///< the present server has sent events
   routing::EventCutter events_;
 };
 
--- a/packages/gateway/src/request_flow_sends.cc
+++ b/packages/gateway/src/request_flow_sends.cc
@@ -5,6 +5,7 @@
 #include "gentianroute/gateway/detail/request_send.h"
 #include "gentianroute/gateway/request_flow.h"
 #include "gentianroute/loop/message_text.h"
+#include "gentianroute/routing/answer_watch.h"
 
 // A request at its server: sending it, its answer, and sending it once more.
 
@@ -18,9 +19,9 @@
 constexpr int kFirstServerFailure = 500;
 constexpr int kConflict = 409;
 
-/// Part of its target after which a repeatable request that has no answer is
-/// sent to another server: a silent server shows in no other way.
-constexpr double kOverdueShare = 0.5;
+/// Share of a prompt that may be kept or not without falsifying what is learnt
+/// from its reading.
+constexpr double kMostUnsure = 0.25;
 /// Connections idle for longer are not used for what must run at most once: a
 /// server that closes just then leaves it open whether the request has run.
 constexpr Duration kReuseOnce = std::chrono::milliseconds(1500);
@@ -28,15 +29,20 @@
 
 }  // namespace
 
+bool RequestFlow::IsGeneration() const {
+  return service_ != nullptr && service_->model.has_value();
+}
+
 routing::Choice RequestFlow::ChooseServer() const {
   const TimePoint now = services_.loop.Now();
   const auto& servers = services_.servers.In(service_name_);
-  if (service_ != nullptr && service_->model) {
+  const routing::ServicePace& pace = services_.paces.Of(service_name_);
+  if (IsGeneration()) {
     const auto inputs = PlacedResults(plan_->FinalStages(), 1);
     return routing::ChooseModel(now, servers, tried_, request_.prompt, inputs,
-                                *service_->model, services_.topology);
+                                *service_->model, pace, services_.topology);
   }
-  return routing::ChoosePlain(now, servers, tried_, services_.topology);
+  return routing::ChoosePlain(now, servers, tried_, pace, services_.topology);
 }
 
 std::string RequestFlow::MessageFor(const routing::Server& server) const {
@@ -86,23 +92,40 @@
   may_have_run_ = true;
   answer_ = {};
   body_.clear();
+  streaming_ = false;
   send_ = std::make_unique<Send>(*this, std::move(call));
+  ExpectFirstPart();
+}
+
+void RequestFlow::ExpectFirstPart() {
   services_.loop.Cancel(overdue_timer_);
-  if (repeatable()) {
-    const auto wait =
-        std::chrono::duration_cast<Duration>(route_->target * kOverdueShare);
-    overdue_timer_ = services_.loop.After(wait, [this] { OnOverdue(); });
+  if (!repeatable()) {
+    return;
   }
+  const routing::ServicePace& pace = services_.paces.Of(service_name_);
+  // Whether the shared parts are kept is not sure; the wait allows for reading
+  // them.
+  const Duration answer =
+      IsGeneration()
+          ? pace.FirstEvent(unread_ + request_.prompt.tokens_in)
+          : std::chrono::duration_cast<Duration>(pace.Work() * waves_);
+  const Duration expected =
+      answer + services_.topology.RoundTrip(server_->record().data_centre);
+  overdue_timer_ =
+      services_.loop.After(routing::FirstPartOverdueAfter(*route_, expected),
+                           [this] { OnOverdue(); });
 }
 
 void RequestFlow::Occupy(const routing::ServerPtr& server) {
   Leave();
   server_ = server;
+  sent_at_ = services_.loop.Now();
+  unread_ = server_->unread_tokens();
+  waves_ = routing::WavesAt(*server_);
   occupied_.calls = 1;
   const routing::Prompt& prompt = request_.prompt;
   occupied_.tokens = prompt.tokens_in + prompt.tokens_out / 2;
-  occupied_.unread_tokens =
-      prompt.parts.empty() ? prompt.tokens_in : prompt.parts.back().tokens;
+  occupied_.unread_tokens = prompt.OwnTokens();
   server_->own() += occupied_;
 }
 
@@ -117,6 +140,7 @@
 
 void RequestFlow::OnHead(const ServerAnswer& answer) {
   answer_ = answer;
+  server_->OnHeard(services_.loop.Now());
   services_.loop.Cancel(overdue_timer_);
   const bool streams = route_->kind == routing::RouteKind::kStream &&
                        answer.status < kFirstFailure && !answer.not_run;
@@ -131,17 +155,62 @@
     body_.append(part);
     return;
   }
-  if (first_at_ == TimePoint{}) {
-    first_at_ = services_.loop.Now();
-    server_->history().OnAnswer(first_at_, true, 1.0);
-    server_->own().unread_tokens -= occupied_.unread_tokens;
-    occupied_.unread_tokens = 0;
-    // The server has read the results by now; a resumed run makes them again.
-    Release(plan_->TakeAll());
+  server_->OnHeard(services_.loop.Now());
+  if (!streaming_) {
+    streaming_ = true;
+    OnFirstPart();
   }
   RelayPart(part);
 }
 
+void RequestFlow::OnFirstPart() {
+  const TimePoint now = services_.loop.Now();
+  first_at_ = first_at_ == TimePoint{} ? now : first_at_;
+  const routing::Prompt& prompt = request_.prompt;
+  const Duration taken =
+      now - sent_at_ -
+      services_.topology.RoundTrip(server_->record().data_centre);
+  routing::ServicePace& pace = services_.paces.Of(service_name_);
+  const double unread = unread_ + prompt.OwnTokens();
+  const double unsure = server_->memory().SharedUnread(prompt);
+  server_->history().OnAnswer(
+      now, true, Seconds(taken) / Seconds(pace.FirstEvent(unread + unsure)));
+  if (unsure <= kMostUnsure * unread) {
+    pace.OnFirstEvent(unread, taken);
+  }
+  if (IsGeneration()) {
+    server_->memory().OnRead(
+        now, prompt, static_cast<double>(service_->model->memory_tokens));
+  }
+  server_->own().unread_tokens -= occupied_.unread_tokens;
+  occupied_.unread_tokens = 0;
+  // The server has read the results by now; a resumed run makes them again.
+  Release(plan_->TakeAll());
+  if (repeatable()) {
+    WatchStream();
+  }
+}
+
+void RequestFlow::WatchStream() {
+  overdue_timer_ = services_.loop.After(routing::StreamSilenceLimit(*route_),
+                                        [this] { OnStreamWatch(); });
+}
+
+void RequestFlow::OnStreamWatch() {
+  if (server_ == nullptr) {
+    return;
+  }
+  const TimePoint now = services_.loop.Now();
+  if (server_->HeardSince(now - routing::StreamSilenceLimit(*route_))) {
+    WatchStream();
+    return;
+  }
+  const Ptr keep(this);
+  server_->history().OnBreak(now);
+  events_.DropRest();
+  DropAndSendAgain("silent", "the server fell silent");
+}
+
 void RequestFlow::RelayPart(std::string_view part) {
   if (!route_->resumable) {
     exchange_->Write(part);
@@ -157,6 +226,7 @@
     return;
   }
   if (answer_begun_ && answer_.status < kFirstFailure) {
+    services_.paces.Of(service_name_).OnRun(now - first_at_);
     Leave();
     exchange_->Write(events_.TakeRest());
     exchange_->End();
@@ -165,7 +235,15 @@
     return;
   }
   const bool failed = answer_.status >= kFirstServerFailure;
-  server_->history().OnAnswer(now, !failed, 1.0);
+  const Duration taken =
+      now - sent_at_ -
+      services_.topology.RoundTrip(server_->record().data_centre);
+  routing::ServicePace& pace = services_.paces.Of(service_name_);
+  server_->history().OnAnswer(now, !failed,
+                              Seconds(taken) / (Seconds(pace.Work()) * waves_));
+  if (!failed && !IsGeneration()) {
+    pace.OnAnswer(waves_, taken);
+  }
   Leave();
   if (answer_begun_) {
     // A resumed run was refused after events had gone out.
@@ -267,9 +345,14 @@
   if (!MaySendAgain()) {
     return;
   }
-  server_->history().OnBreak(services_.loop.Now());
+  routing::NoteOverdue(services_.loop.Now(), sent_at_, *server_);
+  DropAndSendAgain("overdue", "no answer yet");
+}
+
+void RequestFlow::DropAndSendAgain(std::string_view what,
+                                   std::string_view reason) {
   earlier_may_have_run_ = true;
-  if (TrySendAgain("overdue", "no answer yet")) {
+  if (TrySendAgain(what, reason)) {
     old_sends_.back()->Drop();
   }
 }
--- a/packages/routing/include/gentianroute/routing/server.h
+++ b/packages/routing/include/gentianroute/routing/server.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "gentianroute/base/time.h"
+#include "gentianroute/routing/prompt_memory.h"
 
 namespace gentianroute::routing {
 
@@ -59,10 +60,15 @@
   /// A mean loses half of its distance from "well" in this time.
   static constexpr double kFadeSeconds = 3.0;
 
+  /// Bounds on what one answer says of a server's slowness.
+  static constexpr double kFastest = 0.3;
+  static constexpr double kSlowest = 10.0;
+
   void OnAnswer(TimePoint now, bool good, double slowness) {
     Fade(now);
     failing_ += kNewest * ((good ? 0.0 : 1.0) - failing_);
-    slowness_ += kNewest * (slowness - slowness_);
+    slowness_ +=
+        kNewest * (std::clamp(slowness, kFastest, kSlowest) - slowness_);
     if (good) {
       breaks_ = 0;
     }
@@ -128,6 +134,13 @@
 
   ServerHistory& history() { return history_; }
   const ServerHistory& history() const { return history_; }
+  PromptMemory& memory() { return memory_; }
+  const PromptMemory& memory() const { return memory_; }
+
+  /// @brief Bytes of an answer came from it. One slow answer says little of a
+  /// server that is heard otherwise.
+  void OnHeard(TimePoint now) { heard_ = now; }
+  bool HeardSince(TimePoint then) const { return heard_ >= then; }
 
  private:
   ServerRecord record_;
@@ -135,6 +148,8 @@
   ServerLoad own_;
   ServerLoad peers_;  ///< as the peers told last
   ServerHistory history_;
+  PromptMemory memory_;
+  TimePoint heard_{};
 };
 using ServerPtr = boost::intrusive_ptr<Server>;
 
--- a/packages/routing/include/gentianroute/routing/server_choice.h
+++ b/packages/routing/include/gentianroute/routing/server_choice.h
@@ -8,26 +8,13 @@
 
 #include "gentianroute/routing/deployment.h"
 #include "gentianroute/routing/placed_bytes.h"
+#include "gentianroute/routing/prompt.h"
 #include "gentianroute/routing/server.h"
+#include "gentianroute/routing/service_pace.h"
 #include "gentianroute/routing/topology.h"
 
 namespace gentianroute::routing {
 
-/// @brief One part of a prompt that requests share.
-struct PromptPart {
-  std::string id;
-  double tokens = 0;
-};
-
-/// @brief What a generation asks of a model server.
-struct Prompt {
-  std::string model;
-  double tokens_in = 0;
-  double tokens_out = 0;       ///< at most
-  double tokens_expected = 0;  ///< the caller's guess; often far off
-  std::vector<PromptPart> parts;
-};
-
 /// @brief Why a server was taken, for the log.
 struct Choice {
   ServerPtr server;  ///< null if none may be used
@@ -42,8 +29,13 @@
 Choice ChoosePlain(TimePoint now,
                    std::span<const ServerPtr> servers,
                    std::span<const std::string> tried,
+                   const ServicePace& pace,
                    const Topology& topology);
 
+/// @brief How many calls' work a call at a plain server waits for, its own
+/// included, if it goes there now.
+double WavesAt(const Server& server);
+
 /// @brief Picks the model server that should send its first event first.
 ///
 /// Requests about one subject share most of their prompt. Every daemon ranks
@@ -57,6 +49,7 @@
                    const Prompt& prompt,
                    std::span<const PlacedBytes> inputs,
                    const ModelCapacity& capacity,
+                   const ServicePace& pace,
                    const Topology& topology);
 
 }  // namespace gentianroute::routing
--- a/packages/routing/src/server_choice.cc
+++ b/packages/routing/src/server_choice.cc
@@ -10,21 +10,16 @@
 namespace gentianroute::routing {
 namespace {
 
-/// Work of one call at a plain server, where nothing better is known; the
-/// deployments' sheets say 15 to 30 ms.
-constexpr double kPlainWorkMs = 30.0;
 /// A failed call costs about a second call and the caller's patience.
 constexpr double kFailureCostMs = 600.0;
-/// Prompt tokens that a model server reads in a millisecond.
-constexpr double kTokensReadPerMs = 50.0;
-/// What one running stream adds to the time of each step of the others.
-constexpr double kStepMsPerCall = 0.6;
+/// What one running stream adds to the first event of the next, as a share of
+/// what it takes at an idle server.
+constexpr double kCrowding = 0.006;
 /// A server that broke a connection just now is taken only if all others were
 /// refused; it must lose against any queue, and win against nothing at all.
 constexpr double kAvoidedMs = 5000.0;
 /// Kept against leaving a subject's home beside the reading itself: a small
-/// change of load must not split a subject over two servers. Ten times as much
-/// was tried: a twentieth less was read again, and no fewer requests were late.
+/// change of load must not split a subject over two servers.
 constexpr double kAwayMs = 15.0;
 constexpr double kRankStepMs = 1.5;
 
@@ -64,23 +59,17 @@
   return best;
 }
 
-double PlainScore(TimePoint now, const Server& server, const Topology& map) {
+double PlainScore(TimePoint now,
+                  const Server& server,
+                  const ServicePace& pace,
+                  const Topology& map) {
   const double slots = std::max(1U, server.record().slots);
-  const double work = kPlainWorkMs * server.history().Slowness(now);
-  const double over = std::max(0.0, server.calls() + 1 - slots);
+  const double work =
+      Milliseconds(pace.Work()) * server.history().Slowness(now);
   const double busy = server.calls() / slots;
-  return Milliseconds(map.RoundTrip(server.record().data_centre)) + work +
-         work * over / slots + busy + TroubleMs(now, server) + WarmUpMs(server);
-}
-
-/// The part by which requests about one subject are brought together: the last
-/// but one, as the last belongs to the request itself.
-const PromptPart* Subject(const Prompt& prompt) {
-  constexpr std::size_t kFewest = 2;
-  if (prompt.parts.size() < kFewest) {
-    return nullptr;
-  }
-  return &prompt.parts[prompt.parts.size() - kFewest];
+  return Milliseconds(map.RoundTrip(server.record().data_centre)) +
+         work * WavesAt(server) + busy + TroubleMs(now, server) +
+         WarmUpMs(server);
 }
 
 /// Rank of each server in the hash of a subject, by position; 0 is its home.
@@ -100,21 +89,26 @@
   return ranks;
 }
 
-/// What each server has to read again of the subject, by position: nothing at
-/// its home. A small step a rank keeps the second choice the same in all eyes.
+/// What each server has to read again of the shared parts, by position: nothing
+/// at the subject's home, nor where this daemon had it read before. A small
+/// step a rank keeps the second choice the same in all eyes.
 std::vector<double> ReadAgainMs(std::span<const ServerPtr> servers,
-                                const Prompt& prompt) {
+                                const Prompt& prompt,
+                                const ServicePace& pace) {
   std::vector<double> ms(servers.size(), 0.0);
-  const PromptPart* subject = Subject(prompt);
+  const PromptPart* subject = prompt.Subject();
   if (subject == nullptr) {
     return ms;
   }
   const std::vector<std::size_t> ranks = Ranks(servers, *subject);
-  const double missed = subject->tokens / kTokensReadPerMs + kAwayMs;
   for (std::size_t i = 0; i < servers.size(); ++i) {
-    ms[i] = ranks[i] == 0
-                ? 0.0
-                : missed + kRankStepMs * static_cast<double>(ranks[i]);
+    if (ranks[i] == 0) {
+      continue;
+    }
+    const double unread = servers[i]->memory().SharedUnread(prompt);
+    const double missed =
+        unread > 0 ? Milliseconds(pace.Reading(unread)) + kAwayMs : 0.0;
+    ms[i] = missed + kRankStepMs * static_cast<double>(ranks[i]);
   }
   return ms;
 }
@@ -123,30 +117,39 @@
                   const Server& server,
                   const Prompt& prompt,
                   const ModelCapacity& capacity,
+                  const ServicePace& pace,
                   const Topology& map) {
-  const double read = server.unread_tokens() / kTokensReadPerMs;
-  const double step = kStepMsPerCall * server.calls();
+  const double read = Milliseconds(pace.Reading(server.unread_tokens()));
+  const double step = kCrowding * Milliseconds(pace.Work()) * server.calls();
   const double slots = std::max(1U, capacity.slots);
   const double over = std::max(0.0, server.calls() + 1 - slots);
   const double memory = static_cast<double>(capacity.memory_tokens);
   const double need = server.tokens() + prompt.tokens_in + prompt.tokens_out;
   const double full = memory > 0 ? std::max(0.0, need / memory - 1.0) : 0.0;
   // A request without a slot or memory waits for another one's whole run.
-  constexpr double kRunMs = 1000.0;
+  const double run = Milliseconds(pace.Run());
+  const double own = Milliseconds(pace.FirstEvent(prompt.OwnTokens()));
   return Milliseconds(map.RoundTrip(server.record().data_centre)) +
-         (read + step) * server.history().Slowness(now) +
-         kRunMs * (over / slots + full) + TroubleMs(now, server) +
+         (own + read + step) * server.history().Slowness(now) +
+         run * (over / slots + full) + TroubleMs(now, server) +
          WarmUpMs(server);
 }
 
 }  // namespace
 
+double WavesAt(const Server& server) {
+  const double slots = std::max(1U, server.record().slots);
+  const double over = std::max(0.0, server.calls() + 1 - slots);
+  return 1.0 + over / slots;
+}
+
 Choice ChoosePlain(TimePoint now,
                    std::span<const ServerPtr> servers,
                    std::span<const std::string> tried,
+                   const ServicePace& pace,
                    const Topology& topology) {
   return Best(servers, tried, [&](std::size_t i) {
-    return PlainScore(now, *servers[i], topology);
+    return PlainScore(now, *servers[i], pace, topology);
   });
 }
 
@@ -156,10 +159,11 @@
                    const Prompt& prompt,
                    std::span<const PlacedBytes> inputs,
                    const ModelCapacity& capacity,
+                   const ServicePace& pace,
                    const Topology& topology) {
-  const std::vector<double> reading = ReadAgainMs(servers, prompt);
+  const std::vector<double> reading = ReadAgainMs(servers, prompt, pace);
   return Best(servers, tried, [&](std::size_t i) {
-    return ModelScore(now, *servers[i], prompt, capacity, topology) +
+    return ModelScore(now, *servers[i], prompt, capacity, pace, topology) +
            reading[i] +
            AwayMs(inputs, servers[i]->record().data_centre,
                   kModelMsPerMegabyteAway);
--- a/packages/routing/tests/server_choice_test.cc
+++ b/packages/routing/tests/server_choice_test.cc
@@ -22,6 +22,7 @@
 struct ModelFixture {
   std::vector<ServerPtr> servers;
   ModelCapacity capacity{64, 450'000};
+  ServicePace pace;
   Topology map = TwoRegions();
 
   ModelFixture() {
@@ -32,7 +33,8 @@
   ServerPtr Choose(const Prompt& prompt,
                    std::span<const PlacedBytes> inputs = {},
                    std::span<const std::string> tried = {}) const {
-    return ChooseModel(kStart, servers, tried, prompt, inputs, capacity, map)
+    return ChooseModel(kStart, servers, tried, prompt, inputs, capacity, pace,
+                       map)
         .server;
   }
 };
@@ -42,7 +44,7 @@
 Test(server_choice, plain_request_stays_in_its_data_centre) {
   const std::vector<ServerPtr> servers = {MakeServer("far", "south", 6),
                                           MakeServer("near", "north", 6)};
-  const Choice choice = ChoosePlain(kStart, servers, {}, TwoRegions());
+  const Choice choice = ChoosePlain(kStart, servers, {}, {}, TwoRegions());
   cr_assert(choice.server == servers[1]);
 }
 
@@ -50,7 +52,7 @@
   const std::vector<ServerPtr> servers = {MakeServer("far", "south", 6),
                                           MakeServer("near", "north", 6)};
   servers[1]->own().calls = 18;
-  const Choice choice = ChoosePlain(kStart, servers, {}, TwoRegions());
+  const Choice choice = ChoosePlain(kStart, servers, {}, {}, TwoRegions());
   cr_assert(choice.server == servers[0]);
 }
 
@@ -63,9 +65,9 @@
     servers[1]->history().OnAnswer(kStart, false, 1.0);
   }
   const Topology map = TwoRegions();
-  cr_assert(ChoosePlain(kStart, servers, {}, map).server == servers[0]);
+  cr_assert(ChoosePlain(kStart, servers, {}, {}, map).server == servers[0]);
   const TimePoint later = kStart + std::chrono::seconds(30);
-  cr_assert(ChoosePlain(later, servers, {}, map).server == servers[1]);
+  cr_assert(ChoosePlain(later, servers, {}, {}, map).server == servers[1]);
 }
 
 Test(server_choice, leaving_tried_and_unlisted_servers_are_not_taken) {
@@ -76,7 +78,7 @@
   servers[0]->SetRecord(leaving);
   servers[2]->Unlist();
   const std::vector<std::string> tried = {"tried"};
-  const Choice choice = ChoosePlain(kStart, servers, tried, TwoRegions());
+  const Choice choice = ChoosePlain(kStart, servers, tried, {}, TwoRegions());
   cr_assert(choice.server == nullptr);
 }
 
@@ -147,3 +149,30 @@
   home->own().tokens = 600'000;
   cr_assert(fixture.Choose(prompt) != home);
 }
+
+// Load: one subject was split once, because its home had a queue. Requests that
+// follow go back there only if it costs less than the copy that now exists.
+Test(server_choice, subject_read_elsewhere_before_is_not_read_again_there) {
+  const ModelFixture fixture;
+  const Prompt prompt = PromptAbout("hot", "r0");
+  const ServerPtr home = fixture.Choose(prompt);
+  home->own().unread_tokens = 20'000;
+  const ServerPtr second = fixture.Choose(prompt);
+  second->memory().OnRead(kStart, prompt, 400'000);
+  home->own().unread_tokens = 3'000;
+  cr_assert(fixture.Choose(prompt) == second);
+  home->own().unread_tokens = 0;
+  cr_assert(fixture.Choose(prompt) == home);
+}
+
+// Load: a server answers all it gets, five times slower than the others. Its
+// callers would be late; what is learnt from its answers sends them elsewhere.
+Test(server_choice, slowed_model_server_loses_its_subjects_for_a_time) {
+  const ModelFixture fixture;
+  const Prompt prompt = PromptAbout("subject", "r0");
+  const ServerPtr home = fixture.Choose(prompt);
+  for (int i = 0; i < 10; ++i) {
+    home->history().OnAnswer(kStart, true, 5.0);
+  }
+  cr_assert(fixture.Choose(prompt) != home);
+}
