Let requests of a daemon's first moments wait for its configuration

Each daemon also scheduled every pool by itself for the first half second, as it read the others' rows only then.

Servers are now judged 50 ms after the timer, when what waits has been read. A stream that goes on elsewhere has its caller's patience from its last event, not from its beginning.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -123,6 +123,7 @@
 
   void Register();
   void ReadDaemonRows();
+  void TakeDaemonRows(const std::vector<StoredRow>& rows);
   void OnDaemonRows(const std::vector<StoredRow>& rows);
   void OnDaemonRow(const StoredRow& row);
   void OnMessage(std::span<const std::byte> message);
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -15,6 +15,7 @@
 #include "gentianroute/gateway/retry_ledger.h"
 #include "gentianroute/gateway/stage_desk.h"
 #include "gentianroute/gateway/stage_work.h"
+#include "gentianroute/gateway/start_queue.h"
 #include "gentianroute/gateway/store_follower.h"
 #include "gentianroute/loop/relay_server.h"
 #include "gentianroute/observe/log.h"
@@ -66,6 +67,7 @@
         desk_(loop, client, translator, servers_, releases_),
         stages_(loop, cluster_, desk_, servers_, topology_),
         retries_(settings_.retry_ratio, settings_.retry_slack),
+        starting_(loop.Now()),
         services_{loop,     client,   translator, servers_,  topology_, stages_,
                   cluster_, retries_, paces_,     suspects_, journal_} {
     servers_.SetOnClosed(
@@ -74,6 +76,7 @@
     deployment_.Start();
     server_rows_.Start();
     cluster_.Start();
+    loop_.After(StartQueue::kLongest, [this] { EndStart(); });
     housekeeping_ = loop_.Every(detail::kHousekeeping, [this] { KeepHouse(); });
     LogEvent("started")
         .Field("daemon", settings_.name)
@@ -153,7 +156,9 @@
                                  [this] { return LimitsInForce(); }};
     callers_ = std::make_unique<RelayServer>(
         loop_, std::move(callers), [this](RelayExchangePtr exchange) {
-          RequestFlow::Begin(services_, std::move(exchange), table_, flows_);
+          if (knows_all() || !starting_.Keep(loop_.Now(), exchange)) {
+            RequestFlow::Begin(services_, std::move(exchange), table_, flows_);
+          }
         });
     readiness_ = std::make_unique<RelayServer>(
         loop_,
@@ -174,8 +179,18 @@
     return table_ == nullptr ? CallerLimits{} : table_->deployment().limits;
   }
 
-  bool ready() const {
-    return table_ != nullptr && server_rows_.known() && !draining_;
+  /// Whether requests can be routed.
+  bool knows_all() const { return table_ != nullptr && server_rows_.known(); }
+  bool ready() const { return knows_all() && !draining_; }
+
+  /// Begins what has waited for the daemon to know its deployment.
+  void EndStart() {
+    if (!knows_all() && !starting_.IsOver(loop_.Now())) {
+      return;
+    }
+    while (RelayExchangePtr exchange = starting_.Take()) {
+      RequestFlow::Begin(services_, std::move(exchange), table_, flows_);
+    }
   }
 
   void AnswerReadiness(RelayExchange& exchange) {
@@ -208,6 +223,12 @@
     LogEvent("deployment_in_force")
         .Field("version", table_->version())
         .Field("routes", table_->deployment().routes.size());
+    EndStartLater();
+  }
+
+  /// Once what is being read now has been taken in.
+  void EndStartLater() {
+    loop_.After(Duration{0}, [this] { EndStart(); });
   }
 
   std::optional<routing::ServerRecord> ReadServer(const StoredRow& row) {
@@ -235,6 +256,7 @@
                               static_cast<std::uint64_t>(record.born));
     }
     servers_.Replace(now, std::move(records));
+    EndStartLater();
   }
 
   void OnServerRow(const StoredRow& row) {
@@ -316,6 +338,7 @@
   StageWork stages_;
   RetryLedger retries_;
   routing::PaceBook paces_;
+  StartQueue starting_;
   FlowServices services_;
   RequestFlow::List flows_;
   std::unique_ptr<RelayServer> callers_;
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -101,6 +101,8 @@
   void OnBroken(RelayFailure failure);
   /// Watches for the first part of an answer that does not come.
   void ExpectFirstPart();
+  /// Judges the server some time from now, after its bytes have been read.
+  void JudgeAfter(Duration wait, void (RequestFlow::*judge)());
   void OnOverdue();
   /// The server has begun to answer; its pace is learnt from that.
   void OnFirstPart();
@@ -174,6 +176,7 @@
   /// A server before the present one may have run it.
   bool earlier_may_have_run_ = false;
   TimePoint first_at_{};
+  TimePoint last_part_at_{};
 
   ServerAnswer answer_;
   std::string body_;
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -188,6 +188,11 @@
 
 void Cluster::Start() {
   SendBeats();
+  // Daemons that start again have their rows there already, and know each other
+  // after one reading.
+  store_.Read(StoreTable::kDaemons, [this](const StoreAnswer& answer) {
+    TakeDaemonRows(answer.rows);
+  });
   row_timer_ = loop_.After(Duration{0}, [this] { Register(); });
 }
 
@@ -215,10 +220,15 @@
               [this](const StoreAnswer& answer) { OnDaemonRows(answer.rows); });
 }
 
-void Cluster::OnDaemonRows(const std::vector<StoredRow>& rows) {
+void Cluster::TakeDaemonRows(const std::vector<StoredRow>& rows) {
   for (const StoredRow& row : rows) {
     OnDaemonRow(row);
   }
+  TellNews(News::kToAll);
+}
+
+void Cluster::OnDaemonRows(const std::vector<StoredRow>& rows) {
+  TakeDaemonRows(rows);
   row_timer_ = loop_.After(kRowPeriod, [this] { ReadDaemonRows(); });
 }
 
@@ -332,10 +342,12 @@
     peer.deployment_version = beat.getDeploymentVersion();
     peer.servers_version = beat.getServersVersion();
     peer.heard = loop_.Now();
-    if (!std::exchange(peer.alive, true)) {
+    if (!std::exchange(peer.alive, true) || restarted) {
       LogEvent("peer_up")
           .Field("peer", name)
           .Field("incarnation", peer.incarnation);
+      // It may have missed this daemon's last beat to its region.
+      TellNews(IsInOwnRegion(peer) ? News::kNear : News::kToAll);
     }
     // Work for a scheduler must find its link standing. Among few daemons each
     // may schedule; among many, those that do say so.
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -172,7 +172,9 @@
 }
 
 TimePoint RequestFlow::StagesBy() const {
-  const TimePoint first = began_ + route_->FirstPartWithin() - kUsualAnswer;
+  // The caller of a stream that goes on elsewhere waits from its last event.
+  const TimePoint since = std::max(began_, last_part_at_);
+  const TimePoint first = since + route_->FirstPartWithin() - kUsualAnswer;
   return std::min(limit_ - LeastAnswer(), first);
 }
 
--- a/packages/gateway/src/request_flow_sends.cc
+++ b/packages/gateway/src/request_flow_sends.cc
@@ -111,9 +111,15 @@
           : std::chrono::duration_cast<Duration>(pace.Work() * waves_);
   const Duration expected =
       answer + services_.topology.RoundTrip(server_->record().data_centre);
-  overdue_timer_ =
-      services_.loop.After(routing::FirstPartOverdueAfter(*route_, expected),
-                           [this] { OnOverdue(); });
+  JudgeAfter(routing::FirstPartOverdueAfter(*route_, expected),
+             &RequestFlow::OnOverdue);
+}
+
+void RequestFlow::JudgeAfter(Duration wait, void (RequestFlow::*judge)()) {
+  overdue_timer_ = services_.loop.After(wait, [this, judge] {
+    overdue_timer_ = services_.loop.After(routing::kReadFirst,
+                                          [this, judge] { (this->*judge)(); });
+  });
 }
 
 void RequestFlow::Occupy(const routing::ServerPtr& server) {
@@ -155,7 +161,8 @@
     body_.append(part);
     return;
   }
-  server_->OnHeard(services_.loop.Now());
+  last_part_at_ = services_.loop.Now();
+  server_->OnHeard(last_part_at_);
   if (!streaming_) {
     streaming_ = true;
     OnFirstPart();
@@ -192,8 +199,7 @@
 }
 
 void RequestFlow::WatchStream() {
-  overdue_timer_ = services_.loop.After(routing::StreamSilenceLimit(*route_),
-                                        [this] { OnStreamWatch(); });
+  JudgeAfter(routing::StreamSilenceLimit(*route_), &RequestFlow::OnStreamWatch);
 }
 
 void RequestFlow::OnStreamWatch() {
--- a/packages/routing/include/gentianroute/routing/answer_watch.h
+++ b/packages/routing/include/gentianroute/routing/answer_watch.h
@@ -37,6 +37,11 @@
   return std::max(kLeast, route.pause_target * kPauses);
 }
 
+/// A daemon that was itself paused wakes with its timers due and its sockets
+/// unread, and every server would seem silent. What waits in the sockets is
+/// read within this time; only then is a server judged.
+inline constexpr Duration kReadFirst = std::chrono::milliseconds(50);
+
 /// @brief Notes at a server that an answer is overdue.
 ///
 /// Slow is not broken: a server that has sent anything to anybody since the
