Order what waits for stage servers so that the most value is in time

Change: OrderWork keeps as in time what can be, and lets the least value for its server time step back where the next would be late; late work follows by value for server time, its claim doubling each second. A priority is worth three of the next.

--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -32,6 +32,7 @@
   out.setWantedMs(MillisecondsUntil(now, group.wanted));
   out.setDeadlineMs(MillisecondsUntil(now, group.deadline));
   out.setPriority(group.priority);
+  out.setWeight(static_cast<float>(group.weight));
   out.setResultBytes(group.result_bytes);
 }
 
@@ -48,6 +49,7 @@
   group.wanted = now + std::chrono::milliseconds(in.getWantedMs());
   group.deadline = now + std::chrono::milliseconds(in.getDeadlineMs());
   group.priority = in.getPriority();
+  group.weight = in.getWeight();
   group.result_bytes = in.getResultBytes();
   return group;
 }
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -14,6 +14,7 @@
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/deployment.h"
 #include "gentianroute/routing/server.h"
+#include "gentianroute/routing/work_order.h"
 
 namespace gentianroute::routing {
 
@@ -30,7 +31,8 @@
   std::string work;                 ///< pieces of equal work have the same text
   TimePoint wanted{};               ///< done by then, the request is in time
   TimePoint deadline{};             ///< later than that it is of no use
-  std::uint32_t priority = 0;       ///< 0 goes first
+  std::uint32_t priority = 0;       ///< 0 is worth most
+  double weight = 1;                ///< among the requests of its route
   double result_bytes = 0;          ///< room that one result takes, about
 };
 
@@ -133,6 +135,7 @@
  private:
   struct Group {
     StageGroup group;
+    TimePoint came{};
     std::vector<std::uint32_t> waiting;  ///< segments, in descending order
     std::uint32_t running = 0;
     std::uint32_t done = 0;
@@ -154,27 +157,18 @@
     double bytes = 0;
     TimePoint runs_out{};
   };
-  struct Urgency {
-    TimePoint key;
-    std::uint64_t order;
-    StageGroupId group;
-    bool operator<(const Urgency& other) const {
-      return key != other.key ? key < other.key : order < other.order;
-    }
-  };
-
-  std::vector<Urgency> ByUrgency(TimePoint now) const;
+  std::vector<WaitingWork> ByUrgency(TimePoint now, std::size_t servers) const;
   /// Ends the groups that what goes before them leaves no time for: their
   /// callers learn it now and not at their deadline.
   /// @return the others, the most urgent first
-  std::vector<Urgency> GiveUpLate(TimePoint now, std::size_t servers);
+  std::vector<StageGroupId> GiveUpLate(TimePoint now, std::size_t servers);
   Duration RunningTime(TimePoint now) const;
   std::vector<ServerPtr> FreeServers(TimePoint now,
                                      std::span<const ServerPtr> servers);
   StageCall Fill(TimePoint now,
                  const ServerPtr& server,
                  std::size_t most,
-                 std::span<const Urgency> order);
+                 std::span<const StageGroupId> order);
   bool HasRoom(const Desk& desk, double bytes) const;
   bool IsLarge(const StageGroup& group) const;
   /// Whether a call may take a group's pieces. A group goes whole into one
@@ -192,6 +186,8 @@
   void ForgetOldResults(TimePoint now);
   bool CanBeInTime(TimePoint now, const StageGroup& group) const;
   Duration PieceTime(const StageGroup& group) const;
+  /// Server time of the pieces of a group that wait, in full calls.
+  Duration WaitingTime(const Group& entry) const;
   Duration TimeOf(std::span<const StagePiece> pieces) const;
   void Learn(const Running& running, Duration taken);
   void ApplyPiece(const StagePiece& piece, const PieceResult& result);
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -1,18 +1,17 @@
 #include "gentianroute/routing/stage_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace gentianroute::routing {
 namespace {
 
-/// How much later a group of the next lower priority counts. Several calls'
-/// time: in a burst the more urgent go first, and who waits for longer than
-/// that is not starved.
-constexpr Duration kPriorityStep = std::chrono::milliseconds(1500);
-/// A group that can't be in time any more goes behind all that still can; an
-/// answer that is late earns its caller little.
-constexpr Duration kMissedStep = std::chrono::seconds(5);
+/// What a request is worth against one of the next lower priority. Operators
+/// give an order only; a factor keeps the urgent first where all else is alike,
+/// and lets a small piece of work go before a large one that is hardly more
+/// urgent.
+constexpr double kWorthOfPriority = 3.0;
 /// A server this much slower than expected is left out while another is open;
 /// its history fades in seconds, after which it is tried again.
 constexpr double kTooSlow = 2.5;
@@ -47,10 +46,11 @@
 
 }  // namespace
 
-StageGroupId StagePool::Submit(TimePoint /*now*/, StageGroup group) {
+StageGroupId StagePool::Submit(TimePoint now, StageGroup group) {
   const StageGroupId id{++last_group_};
   Group& entry = groups_[id];
   entry.group = std::move(group);
+  entry.came = now;
   entry.results.resize(entry.group.pieces);
   for (std::uint32_t i = entry.group.pieces; i > 0; --i) {
     entry.waiting.push_back(i - 1);
@@ -82,39 +82,43 @@
   return found == groups_.end() ? nullptr : &found->second.group;
 }
 
-std::vector<StagePool::Urgency> StagePool::ByUrgency(TimePoint now) const {
-  std::vector<Urgency> order;
+std::vector<WaitingWork> StagePool::ByUrgency(TimePoint now,
+                                              std::size_t servers) const {
+  std::vector<WaitingWork> waiting;
   for (const auto& [id, entry] : groups_) {
     if (entry.waiting.empty()) {
       continue;
     }
     const StageGroup& group = entry.group;
-    const bool in_time = CanBeInTime(now, group);
-    order.push_back({group.wanted + kPriorityStep * group.priority +
-                         (in_time ? Duration{0} : kMissedStep),
-                     id.value, id});
+    const double value =
+        group.weight *
+        std::pow(kWorthOfPriority, -static_cast<double>(group.priority));
+    waiting.push_back({id.value, entry.came, group.wanted, WaitingTime(entry),
+                       capacity_.UsualCall(), value});
   }
-  std::sort(order.begin(), order.end());
-  return order;
+  return OrderWork(now, std::move(waiting), RunningTime(now), servers);
 }
 
-std::vector<StagePool::Urgency> StagePool::GiveUpLate(TimePoint now,
-                                                      std::size_t servers) {
-  std::vector<Urgency> kept;
+Duration StagePool::WaitingTime(const Group& entry) const {
+  const auto waiting = static_cast<std::int64_t>(entry.waiting.size());
+  return PieceTime(entry.group) * waiting +
+         capacity_.call * waiting / capacity_.batch;
+}
+
+std::vector<StageGroupId> StagePool::GiveUpLate(TimePoint now,
+                                                std::size_t servers) {
+  std::vector<StageGroupId> kept;
   Duration ahead = RunningTime(now);
-  for (const Urgency& next : ByUrgency(now)) {
-    const Group& entry = groups_.at(next.group);
-    const Duration piece = PieceTime(entry.group);
-    const auto waiting = static_cast<std::int64_t>(entry.waiting.size());
-    const Duration work =
-        piece * waiting + capacity_.call * waiting / capacity_.batch;
+  for (const WaitingWork& next : ByUrgency(now, servers)) {
+    const StageGroupId id{next.id};
+    const Group& entry = groups_.at(id);
     const TimePoint end = now + ahead / static_cast<std::int64_t>(servers) +
-                          capacity_.call + piece;
+                          capacity_.call + PieceTime(entry.group);
     if (end > entry.group.deadline) {
-      End(next.group, StageFailure::kLate);
+      End(id, StageFailure::kLate);
     } else {
-      ahead += work;
-      kept.push_back(next);
+      ahead += next.server_time;
+      kept.push_back(id);
     }
   }
   return kept;
@@ -165,7 +169,7 @@
     }
     return calls;
   }
-  const std::vector<Urgency> order = GiveUpLate(now, open);
+  const std::vector<StageGroupId> order = GiveUpLate(now, open);
   const std::vector<ServerPtr> free = FreeServers(now, servers);
   for (std::size_t i = 0; i < free.size() && waiting_pieces_ > 0; ++i) {
     // Free servers share what waits, but no call is split below half of its
@@ -186,13 +190,13 @@
 StageCall StagePool::Fill(TimePoint now,
                           const ServerPtr& server,
                           std::size_t most,
-                          std::span<const Urgency> order) {
+                          std::span<const StageGroupId> order) {
   StageCall call;
   call.server = server;
   Desk& desk = desks_[server->record().id];
   bool keeps_room = false;
-  for (const Urgency& next : order) {
-    Group& entry = groups_.at(next.group);
+  for (const StageGroupId id : order) {
+    Group& entry = groups_.at(id);
     const bool large = IsLarge(entry.group);
     if (entry.waiting.empty() || (keeps_room && large)) {
       continue;
@@ -202,7 +206,7 @@
       keeps_room = keeps_room || large;
       continue;
     }
-    TakePieces(next.group, entry, desk, most, call);
+    TakePieces(id, entry, desk, most, call);
   }
   if (call.pieces.empty()) {
     return call;
--- /dev/null
+++ b/packages/routing/tests/work_order_test.cc
@@ -0,0 +1,119 @@
+#include "gentianroute/routing/work_order.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+#include "routing_fixture.h"
+
+using namespace gentianroute;
+using namespace gentianroute::routing;
+
+namespace {
+
+/// Work that waits for one server.
+struct QueueFixture {
+  std::vector<WaitingWork> waiting;
+
+  std::uint64_t Add(Duration wanted_in,
+                    Duration server_time,
+                    double value = 1,
+                    TimePoint came = kStart) {
+    const std::uint64_t id = waiting.size() + 1;
+    waiting.push_back({id, came, kStart + wanted_in, server_time,
+                       /*shortest=*/server_time, value});
+    return id;
+  }
+  std::vector<std::uint64_t> Order(std::size_t servers = 1,
+                                   Duration busy = Duration{0}) const {
+    std::vector<std::uint64_t> ids;
+    for (const WaitingWork& work : OrderWork(kStart, waiting, busy, servers)) {
+      ids.push_back(work.id);
+    }
+    return ids;
+  }
+  /// How much value ends in time if the server does it in order.
+  double ValueInTime() const {
+    double value = 0;
+    TimePoint now = kStart;
+    for (const WaitingWork& work : OrderWork(kStart, waiting, Duration{0}, 1)) {
+      now += work.server_time;
+      value += now <= work.wanted ? work.value : 0.0;
+    }
+    return value;
+  }
+};
+
+}  // namespace
+
+Test(work_order, all_in_time_goes_as_it_is_wanted) {
+  QueueFixture fixture;
+  const auto later = fixture.Add(900 * kMs, 100 * kMs, 100);
+  const auto sooner = fixture.Add(400 * kMs, 100 * kMs, 1);
+  const std::vector<std::uint64_t> wanted = {sooner, later};
+  cr_assert(fixture.Order() == wanted);
+}
+
+// Load: twice as much as the servers can do is wanted at once. In the order in
+// which it is wanted every piece waits until it is late, and all is lost.
+Test(work_order, burst_keeps_half_of_it_in_time) {
+  QueueFixture fixture;
+  for (int i = 0; i < 20; ++i) {
+    fixture.Add((500 + i) * kMs, 50 * kMs);
+  }
+  cr_assert_geq(fixture.ValueInTime(), 9);
+}
+
+// Load: a burst of small, cheap answers beside urgent requests of much value.
+Test(work_order, work_of_less_value_for_its_server_time_steps_back) {
+  QueueFixture fixture;
+  const auto cheap = fixture.Add(200 * kMs, 100 * kMs, 0.1);
+  const auto dear = fixture.Add(210 * kMs, 150 * kMs, 1.0);
+  const std::vector<std::uint64_t> wanted = {dear, cheap};
+  cr_assert(fixture.Order() == wanted);
+}
+
+// A request of little value that takes hardly any server time is not worth
+// less than a large one.
+Test(work_order, small_work_is_judged_by_the_time_that_it_takes) {
+  QueueFixture fixture;
+  const auto large = fixture.Add(200 * kMs, 190 * kMs, 1.0);
+  const auto small = fixture.Add(205 * kMs, 20 * kMs, 0.3);
+  const std::vector<std::uint64_t> wanted = {small, large};
+  cr_assert(fixture.Order() == wanted);
+}
+
+Test(work_order, late_work_of_more_value_waits_behind_what_is_in_time) {
+  QueueFixture fixture;
+  const auto late = fixture.Add(-100 * kMs, 50 * kMs, 9.0);
+  const auto timely = fixture.Add(500 * kMs, 50 * kMs, 1.0);
+  const std::vector<std::uint64_t> wanted = {timely, late};
+  cr_assert(fixture.Order() == wanted);
+}
+
+// Nobody starves: among late work, a claim grows with the wait.
+Test(work_order, late_work_that_has_waited_long_goes_before_more_value) {
+  QueueFixture fixture;
+  const auto fresh = fixture.Add(-100 * kMs, 50 * kMs, 9.0);
+  const auto old =
+      fixture.Add(-100 * kMs, 50 * kMs, 1.0, kStart - std::chrono::seconds(4));
+  const std::vector<std::uint64_t> wanted = {old, fresh};
+  cr_assert(fixture.Order() == wanted);
+}
+
+Test(work_order, more_servers_keep_more_in_time) {
+  QueueFixture fixture;
+  fixture.Add(110 * kMs, 100 * kMs, 1.0);
+  const auto second = fixture.Add(111 * kMs, 100 * kMs, 1.0);
+  fixture.Add(500 * kMs, 100 * kMs, 1.0);
+  cr_assert_eq(fixture.Order(2)[1], second);
+  cr_assert_neq(fixture.Order(1)[1], second);
+}
+
+Test(work_order, busy_servers_leave_less_time) {
+  QueueFixture fixture;
+  const auto first = fixture.Add(150 * kMs, 100 * kMs, 1.0);
+  const auto later = fixture.Add(900 * kMs, 100 * kMs, 1.0);
+  cr_assert_eq(fixture.Order(1, 0 * kMs)[0], first);
+  cr_assert_eq(fixture.Order(1, 200 * kMs)[0], later);
+}
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -53,6 +53,7 @@
   deadlineMs @9 :Int32;               # from now
   priority @10 :UInt32;
   resultBytes @11 :Float64;           # of one piece, about
+  weight @12 :Float32;                # of the request among those of its route
 }
 
 struct GroupOutcome {
