Weigh requests by the size of their prompt in the order of stage pools

Hypothesis: the largest prompts of a route, worth up to four times its mean, step back as often as the smallest.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -68,8 +68,9 @@
         stages_(loop, cluster_, desk_, servers_, topology_),
         retries_(settings_.retry_ratio, settings_.retry_slack),
         starting_(loop.Now()),
-        services_{loop,     client,   translator, servers_,  topology_, stages_,
-                  cluster_, retries_, paces_,     suspects_, journal_} {
+        services_{loop,      client,   translator, servers_,
+                  topology_, stages_,  cluster_,   retries_,
+                  paces_,    weights_, suspects_,  journal_} {
     servers_.SetOnClosed(
         [this](routing::Server& server) { OnServerClosed(server); });
     Listen();
@@ -338,6 +339,7 @@
   StageWork stages_;
   RetryLedger retries_;
   routing::PaceBook paces_;
+  routing::RequestWeights weights_;
   StartQueue starting_;
   FlowServices services_;
   RequestFlow::List flows_;
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -22,6 +22,7 @@
 #include "gentianroute/loop/relay_client.h"
 #include "gentianroute/loop/relay_server.h"
 #include "gentianroute/routing/event_cutter.h"
+#include "gentianroute/routing/request_weight.h"
 #include "gentianroute/routing/route_table.h"
 #include "gentianroute/routing/server_directory.h"
 #include "gentianroute/routing/stage_plan.h"
@@ -39,6 +40,7 @@
   Cluster& cluster;
   RetryLedger& retries;
   routing::PaceBook& paces;
+  routing::RequestWeights& weights;
   SuspectTable& suspects;
   RequestJournal& journal;
 };
@@ -150,6 +152,7 @@
   Fingerprint fingerprint_;
   TimePoint began_{};
   TimePoint limit_{};
+  double weight_ = 1;  ///< among the requests of its route
   TimerId limit_timer_;
   TimerId overdue_timer_;
   TimerId stages_timer_;
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -115,6 +115,9 @@
 void RequestFlow::Start() {
   const Duration patience = request_.patience.value_or(route_->timeout);
   limit_ = began_ + std::min(patience, route_->timeout);
+  if (IsGeneration()) {
+    weight_ = services_.weights.Of(route_->name, request_.prompt.tokens_in);
+  }
   plan_.emplace(route_->stages, request_.stage_pieces);
   services_.retries.OnRequest(service_name_, services_.cluster.live_daemons());
   if (RefusedForTime()) {
--- a/packages/gateway/src/request_flow_stages.cc
+++ b/packages/gateway/src/request_flow_stages.cc
@@ -49,6 +49,7 @@
   group.priority = organisation_ != nullptr && organisation_->priority
                        ? *organisation_->priority
                        : route_->priority;
+  group.weight = weight_;
   plan_->Begin(stage);
   running_[stage] =
       services_.stages.Run(spec.service, std::move(group),
