--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -169,12 +169,6 @@
                  const ServerPtr& server,
                  std::size_t most,
                  std::span<const StageGroupId> order);
-  /// Gives the places that no whole group fits into to a part of one: a group
-  /// that waits for the next call loses nothing by it, and calls cost much.
-  void FillRest(Desk& desk,
-                std::size_t most,
-                std::span<const StageGroupId> order,
-                StageCall& call);
   bool HasRoom(const Desk& desk, double bytes) const;
   bool IsLarge(const StageGroup& group) const;
   /// Whether a call may take a group's pieces. A group goes whole into one
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -28,11 +28,6 @@
 /// A result above this share of a server's room is worth keeping room for; all
 /// others find some in any case.
 constexpr double kLargeShare = 0.02;
-/// Up to this share of a server's room, a part of a group may go into a call's
-/// last places. Its results lie there until the rest is made, which costs
-/// nothing while there is room.
-constexpr double kAmpleShare = 0.6;
-constexpr std::size_t kFullCallsWaiting = 2;
 /// How often results that have run out are looked for.
 constexpr Duration kForgetPeriod = std::chrono::milliseconds(200);
 /// Failed pieces that a group survives.
@@ -213,9 +208,6 @@
     }
     TakePieces(id, entry, desk, most, call);
   }
-  if (waiting_pieces_ >= capacity_.batch * kFullCallsWaiting) {
-    FillRest(desk, most, order, call);
-  }
   if (call.pieces.empty()) {
     return call;
   }
@@ -230,25 +222,6 @@
   return call;
 }
 
-void StagePool::FillRest(Desk& desk,
-                         std::size_t most,
-                         std::span<const StageGroupId> order,
-                         StageCall& call) {
-  for (const StageGroupId id : order) {
-    Group& entry = groups_.at(id);
-    const bool ample =
-        capacity_.room_bytes <= 0 ||
-        desk.used_bytes + entry.group.result_bytes * entry.group.pieces <
-            capacity_.room_bytes * kAmpleShare;
-    if (call.pieces.size() >= most) {
-      return;
-    }
-    if (ample) {
-      TakePieces(id, entry, desk, most, call);
-    }
-  }
-}
-
 bool StagePool::IsLarge(const StageGroup& group) const {
   return capacity_.room_bytes > 0 &&
          group.result_bytes > capacity_.room_bytes * kLargeShare;
