Leave a stage pool where work would be late for one where it is in time

Change: a pool that is expected to be late loses to one that is not.

The line of a send also tells the tokens that decided it.

--- a/packages/gateway/include/gentianroute/gateway/request_journal.h
+++ b/packages/gateway/include/gentianroute/gateway/request_journal.h
@@ -52,6 +52,9 @@
   std::string_view data_centre;
   double server_calls = 0;   ///< there, of all daemons, as known here
   double server_tokens = 0;  ///< memory that they take
+  double unread_before = 0;  ///< prompt tokens that are read before its own
+  double own_tokens = 0;     ///< of its prompt, but for the shared parts
+  double shared_unread = 0;  ///< shared tokens that may have to be read there
   double score_ms = 0;       ///< lowest of all servers that may be used
   Duration time_left{};
 };
--- a/packages/gateway/src/request_flow_sends.cc
+++ b/packages/gateway/src/request_flow_sends.cc
@@ -84,9 +84,18 @@
                   id = request_.id](const MessageHead& head) {
     return translator.IsAnswerTo(head, id);
   };
-  services_.journal.OnSent({request_.id, record.id, record.data_centre,
-                            choice.server->calls(), choice.server->tokens(),
-                            choice.score_ms, TimeLeft()});
+  RequestSent sent;
+  sent.id = request_.id;
+  sent.server = record.id;
+  sent.data_centre = record.data_centre;
+  sent.server_calls = choice.server->calls();
+  sent.server_tokens = choice.server->tokens();
+  sent.unread_before = choice.server->unread_tokens();
+  sent.own_tokens = request_.prompt.OwnTokens();
+  sent.shared_unread = choice.server->memory().SharedUnread(request_.prompt);
+  sent.score_ms = choice.score_ms;
+  sent.time_left = TimeLeft();
+  services_.journal.OnSent(sent);
   Occupy(choice.server);
   ++sends_;
   may_have_run_ = true;
--- a/packages/gateway/src/request_journal.cc
+++ b/packages/gateway/src/request_journal.cc
@@ -36,6 +36,9 @@
       .Field("data_centre", sent.data_centre)
       .Field("server_calls", static_cast<std::int64_t>(sent.server_calls))
       .Field("server_tokens", static_cast<std::int64_t>(sent.server_tokens))
+      .Field("unread_before", static_cast<std::int64_t>(sent.unread_before))
+      .Field("own_tokens", static_cast<std::int64_t>(sent.own_tokens))
+      .Field("shared_unread", static_cast<std::int64_t>(sent.shared_unread))
       .Field("score_ms", static_cast<std::int64_t>(sent.score_ms))
       .Field("left_ms", WholeMilliseconds(sent.time_left));
 }
--- a/packages/gateway/src/stage_work.cc
+++ b/packages/gateway/src/stage_work.cc
@@ -58,6 +58,7 @@
     const TimePoint now = work_.loop_.Now();
     const routing::StageCapacity* capacity = work_.CapacityOf(service_);
     const auto pools = work_.PoolsOf(now, service_);
+    load_.time_left = group_.wanted - now;
     const routing::PoolState* pool =
         capacity == nullptr
             ? nullptr
--- a/packages/routing/include/gentianroute/routing/pool_choice.h
+++ b/packages/routing/include/gentianroute/routing/pool_choice.h
@@ -33,6 +33,7 @@
   std::vector<PlacedBytes> inputs;
   double result_bytes = 0;  ///< of all pieces
   std::string read_in;      ///< data centre of what reads the results, if known
+  Duration time_left{};     ///< it is in time if it is done within this
 };
 
 /// @brief Time until a pool is done with a piece of work that goes before all
@@ -44,7 +45,9 @@
 /// @brief The pool that is done first, by backlog and distance.
 ///
 /// A pool beside its inputs and its reader is preferred by the bytes that need
-/// not cross: they cost money.
+/// not cross: they cost money. But a pool where the work would be late loses to
+/// one where it is in time, whatever crosses: in a burst the homes of subjects
+/// have queues while servers elsewhere are free.
 /// @return null if none has a server
 const PoolState* ChoosePool(std::span<const PoolState> pools,
                             const PoolWork& work,
--- a/packages/routing/src/pool_choice.cc
+++ b/packages/routing/src/pool_choice.cc
@@ -7,6 +7,9 @@
 namespace gentianroute::routing {
 namespace {
 
+/// An answer that is late costs its caller more than any results that cross.
+constexpr double kLateMs = 5000.0;
+
 double ScoreMs(const PoolState& pool,
                const PoolWork& work,
                const StageCapacity& capacity,
@@ -18,7 +21,8 @@
       work.read_in.empty()
           ? 0.0
           : AwayMs({&results, 1}, work.read_in, kPoolMsPerMegabyteAway);
-  return time + AwayMs(work.inputs, pool.data_centre, kPoolMsPerMegabyteAway) +
+  const double late = time > Milliseconds(work.time_left) ? kLateMs : 0.0;
+  return time + late + AwayMs(work.inputs, pool.data_centre, kPoolMsPerMegabyteAway) +
          onward;
 }
 
--- a/packages/routing/tests/pool_choice_test.cc
+++ b/packages/routing/tests/pool_choice_test.cc
@@ -68,6 +68,25 @@
       "south");
 }
 
+// Load: a burst of requests with large results, all with their reader in one
+// data centre. Its servers have a queue of more than the requests have time,
+// and those of the others are free; bytes that cross cost less than late answers.
+Test(pool_choice, large_results_cross_where_their_request_would_be_late) {
+  const std::vector<PoolState> pools = {Pool("south", 1, 900 * kMs),
+                                        Pool("north", 1, {})};
+  PoolWork work{4, 16 * kMs};
+  work.result_bytes = 12e6;
+  work.read_in = "south";
+  work.time_left = 2000 * kMs;
+  cr_assert_str_eq(
+      ChoosePool(pools, work, kCapacity, TwoRegions())->data_centre.c_str(),
+      "south");
+  work.time_left = 800 * kMs;
+  cr_assert_str_eq(
+      ChoosePool(pools, work, kCapacity, TwoRegions())->data_centre.c_str(),
+      "north");
+}
+
 Test(pool_choice, pool_without_servers_is_not_taken) {
   const std::vector<PoolState> pools = {Pool("north", 0, {})};
   cr_assert_null(ChoosePool(pools, {4, 13 * kMs}, kCapacity, TwoRegions()));
