Hand large rows on compressed, from all who have them

Ruled out: the store (the readers had the row at 29.9 s), the hold of its calls, the order of readers, decoding.

Change: rows over 4 kB are compressed, once a version; a copy has 1.5 s; of equally near daemons that have the news each takes another.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -111,7 +111,7 @@
   /// all. Bytes between regions are billed, so only the rare news goes to all.
   void TellNews(News news);
 
-  /// @brief Asks the nearest peer that knows something newer for its copy. One
+  /// @brief Asks a near peer that knows something newer for its copy. One
   /// question is under way at a time.
   void FetchStoreCopy(std::uint64_t deployment_version,
                       std::uint64_t servers_version);
@@ -134,6 +134,9 @@
   Duration BeatPeriod() const;
   bool IsInOwnRegion(const Peer& peer) const;
   Duration SilenceLimit(const Peer& peer) const;
+  /// The peer to ask for what is newer; null if none has it.
+  Peer* SourceOf(std::uint64_t deployment_version,
+                 std::uint64_t servers_version) const;
 
   EventLoop& loop_;
   const GatewaySettings& settings_;
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/detail/row_messages.h"
 #include "gentianroute/gateway/gateway.h"
 #include "gentianroute/gateway/request_flow.h"
 #include "gentianroute/gateway/request_journal.h"
@@ -331,6 +332,8 @@
   routing::ServerDirectory servers_;
   SuspectTable suspects_;
   RequestJournal journal_;
+  detail::RowWriter deployment_writer_;
+  detail::RowWriter server_writer_;
   StoreFollower deployment_;
   StoreFollower server_rows_;
   Cluster cluster_;
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -42,7 +42,9 @@
 constexpr Duration kRowPeriod = std::chrono::seconds(60);
 /// Up to so many peers are linked to as soon as they are heard.
 constexpr std::size_t kFewPeers = 16;
-constexpr Duration kCopyTimeout = std::chrono::milliseconds(600);
+/// A large copy over a narrow link that others use too takes most of a second;
+/// asked for again before it has come, it would take up the link twice.
+constexpr Duration kCopyTimeout = std::chrono::milliseconds(1500);
 
 bool IsQuiet(schema::Beat::Reader beat) {
   return beat.getBacklogs().size() == 0 && beat.getQuarantined().size() == 0;
@@ -488,23 +490,36 @@
   });
 }
 
-void Cluster::FetchStoreCopy(std::uint64_t deployment_version,
-                             std::uint64_t servers_version) {
-  if (fetching_) {
-    return;
-  }
+Cluster::Peer* Cluster::SourceOf(std::uint64_t deployment_version,
+                                 std::uint64_t servers_version) const {
   Peer* source = nullptr;
+  std::pair<int, std::uint64_t> best;
   for (const auto& [name, peer] : peers_) {
     const bool newer = peer->deployment_version > deployment_version ||
                        peer->servers_version > servers_version;
-    const bool nearer = source == nullptr ||
-                        (peer->data_centre == settings_.data_centre &&
-                         source->data_centre != settings_.data_centre) ||
-                        (IsInOwnRegion(*peer) && !IsInOwnRegion(*source));
-    if (peer->alive && newer && nearer) {
+    if (!peer->alive || !newer) {
+      continue;
+    }
+    const int nearness = peer->data_centre == settings_.data_centre ? 2
+                         : IsInOwnRegion(*peer)                     ? 1
+                                                                    : 0;
+    // Of equally near ones each daemon takes another, so that all who have the
+    // news hand it on, and not only the one that had it first.
+    const std::pair rank(nearness, RendezvousWeight(settings_.name, name));
+    if (source == nullptr || best < rank) {
       source = peer.get();
+      best = rank;
     }
   }
+  return source;
+}
+
+void Cluster::FetchStoreCopy(std::uint64_t deployment_version,
+                             std::uint64_t servers_version) {
+  if (fetching_) {
+    return;
+  }
+  Peer* source = SourceOf(deployment_version, servers_version);
   if (source == nullptr) {
     return;
   }
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -122,41 +122,21 @@
 void Gateway::Impl::FillStoreCopy(std::uint64_t deployment_version,
                                   std::uint64_t servers_version,
                                   schema::StoreCopy::Builder copy) {
-  const auto fill = [](const std::vector<StoredRow>& rows,
-                       capnp::List<schema::Row>::Builder out) {
-    for (unsigned i = 0; i < rows.size(); ++i) {
-      out[i].setKey(rows[i].key);
-      out[i].setValue(
-          kj::arrayPtr(reinterpret_cast<const kj::byte*>(rows[i].value.data()),
-                       rows[i].value.size()));
-      out[i].setVersion(rows[i].version);
-      out[i].setDeleted(rows[i].deleted);
-    }
-  };
   const StoreChanges deployment = deployment_.ChangesAfter(deployment_version);
-  fill(deployment.rows,
-       copy.initDeployment(static_cast<unsigned>(deployment.rows.size())));
+  deployment_writer_.Write(
+      deployment.rows,
+      copy.initDeployment(static_cast<unsigned>(deployment.rows.size())));
   const StoreChanges servers = server_rows_.ChangesAfter(servers_version);
-  fill(servers.rows,
-       copy.initServers(static_cast<unsigned>(servers.rows.size())));
+  server_writer_.Write(
+      servers.rows,
+      copy.initServers(static_cast<unsigned>(servers.rows.size())));
   copy.setServersVersion(servers.version);
   copy.setServersWhole(servers.whole);
 }
 
 void Gateway::Impl::OnStoreCopy(schema::StoreCopy::Reader copy) {
-  const auto rows_of = [](capnp::List<schema::Row>::Reader in) {
-    std::vector<StoredRow> rows;
-    for (const auto row : in) {
-      const auto value = row.getValue();
-      rows.push_back({row.getKey(),
-                      std::string(reinterpret_cast<const char*>(value.begin()),
-                                  value.size()),
-                      row.getVersion(), row.getDeleted()});
-    }
-    return rows;
-  };
   StoreChanges deployment;
-  deployment.rows = rows_of(copy.getDeployment());
+  deployment.rows = detail::ReadRows(copy.getDeployment());
   for (const StoredRow& row : deployment.rows) {
     deployment.version = std::max(deployment.version, row.version);
   }
@@ -166,8 +146,8 @@
     deployment_.Offer(deployment);
   }
   if (copy.getServersVersion() > 0) {
-    StoreChanges servers{rows_of(copy.getServers()), copy.getServersVersion(),
-                         copy.getServersWhole()};
+    StoreChanges servers{detail::ReadRows(copy.getServers()),
+                         copy.getServersVersion(), copy.getServersWhole()};
     LogEvent("servers_from_peer")
         .Field("version", servers.version)
         .Field("rows", servers.rows.size());
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -66,6 +66,7 @@
   value @1 :Data;
   version @2 :UInt64;
   deleted @3 :Bool;
+  inflatedSize @4 :UInt32;            # of the value; 0: it is not compressed
 }
 
 struct StoreCopy {
