Want stages done before the first event that the prompt needs; learn the steps

Hypothesis: the pools took 150 ms for the model server of every request; a quote's prompt takes 200 to 400, so stages that ended in time were too late for it. The least time of an answer was reckoned with steps of another deployment (7 ms a token). Change: both follow the learnt pace of the service.

Comments: the stories of their tuning go from placed_bytes.h and stage_pool.h.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -137,6 +137,10 @@
   Duration TimeLeft() const;
   /// The least that the request's own server takes.
   Duration LeastAnswer() const;
+  double TokensExpected() const;
+  /// What the request's own server takes until the first part of its answer,
+  /// where nothing waits.
+  Duration UsualFirstPart() const;
   /// When the stages must be done for the answer to be of use.
   TimePoint StagesBy() const;
 
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -18,10 +18,6 @@
 using detail::kLeastAnswer;
 using detail::kUsualAnswer;
 
-/// What a model server takes before the first token and for each more, when
-/// nothing waits there; its steps take 6 ms and more.
-constexpr Duration kLeastFirstToken = std::chrono::milliseconds(50);
-constexpr Duration kLeastToken = std::chrono::milliseconds(7);
 /// Bounds on what callers are told to wait before they ask again.
 constexpr Duration kShortestWait = std::chrono::milliseconds(100);
 constexpr Duration kUsualWait = std::chrono::milliseconds(300);
@@ -168,10 +164,21 @@
   if (route_->kind != routing::RouteKind::kStream) {
     return kLeastAnswer;
   }
-  const double tokens =
-      std::min(request_.prompt.tokens_expected, request_.prompt.tokens_out);
-  return kLeastFirstToken +
-         std::chrono::duration_cast<Duration>(kLeastToken * tokens);
+  const routing::ServicePace& pace = services_.paces.Of(service_name_);
+  return kLeastAnswer + pace.Making(TokensExpected());
+}
+
+double RequestFlow::TokensExpected() const {
+  return std::min(request_.prompt.tokens_expected, request_.prompt.tokens_out);
+}
+
+Duration RequestFlow::UsualFirstPart() const {
+  if (!IsGeneration()) {
+    return kUsualAnswer;
+  }
+  const routing::ServicePace& pace = services_.paces.Of(service_name_);
+  return pace.FirstEvent(request_.prompt.OwnTokens()) +
+         services_.topology.RoundTrip(home_);
 }
 
 TimePoint RequestFlow::StagesBy() const {
--- a/packages/gateway/src/request_flow_sends.cc
+++ b/packages/gateway/src/request_flow_sends.cc
@@ -241,7 +241,7 @@
     return;
   }
   if (answer_begun_ && answer_.status < kFirstFailure) {
-    services_.paces.Of(service_name_).OnRun(now - first_at_);
+    services_.paces.Of(service_name_).OnRun(TokensExpected(), now - first_at_);
     Leave();
     exchange_->Write(events_.TakeRest());
     exchange_->End();
--- a/packages/gateway/src/request_flow_stages.cc
+++ b/packages/gateway/src/request_flow_stages.cc
@@ -11,7 +11,6 @@
 namespace {
 
 using detail::kMostRemakes;
-using detail::kUsualAnswer;
 
 std::string_view NameOf(std::optional<routing::StageFailure> failure) {
   constexpr std::array<std::string_view, 4> kNames = {"late", "input_gone",
@@ -43,7 +42,7 @@
   group.result_bytes = static_cast<double>(spec.result_bytes);
   group.work = route_->name + ":" + std::to_string(stage);
   // What comes after this stage has to fit behind it.
-  group.wanted = began_ + route_->target - kUsualAnswer -
+  group.wanted = began_ + route_->target - UsualFirstPart() -
                  services_.stages.UsualAfter(*plan_, stage);
   group.deadline = StagesBy() - services_.stages.LeastAfter(*plan_, stage);
   group.priority = organisation_ != nullptr && organisation_->priority
--- a/packages/routing/include/gentianroute/routing/placed_bytes.h
+++ b/packages/routing/include/gentianroute/routing/placed_bytes.h
@@ -19,9 +19,8 @@
 /// together: each piece fetches all results by itself.
 ///
 /// So the results of a stage with a wide reader weigh a multiple of their size.
-/// Weighed once, six results of 60 kB that sixteen pieces read seemed to be
-/// 0.4 MB and crossed between data centres at the least difference of backlog;
-/// 5.8 MB did.
+/// Weighed once, they would cross between data centres at the least difference
+/// of backlog, and be billed once for each piece.
 inline PlacedBytes InputOf(std::string data_centre,
                            double result_bytes,
                            std::uint32_t results,
@@ -30,13 +29,10 @@
 }
 
 /// Time that a megabyte between data centres is worth when a stage's pool is
-/// chosen. Results that cross are billed by volume, several hundredths of what
-/// the requests earn; with a quarter of this weight four times as many crossed,
-/// and no more requests were served in time.
+/// chosen: results that cross are billed by volume.
 inline constexpr double kPoolMsPerMegabyteAway = 80.0;
 /// The same when a model server is chosen. There the other choice is to read
-/// the subject's part of the prompt again, and that is billed too: a megabyte
-/// costs what 4 to 15 ms of reading cost. At 80 ms a tenth more was read again.
+/// the subject's part of the prompt again, which is billed as well.
 inline constexpr double kModelMsPerMegabyteAway = 5.0;
 
 /// @brief What it costs to read results from a data centre, as milliseconds.
--- a/packages/routing/include/gentianroute/routing/service_pace.h
+++ b/packages/routing/include/gentianroute/routing/service_pace.h
@@ -31,12 +31,17 @@
   }
   /// @brief Time from the first event of a generation to its last.
   Duration Run() const { return FromMilliseconds(run_ms_); }
+  /// @brief Time that a model server takes to make so many tokens.
+  Duration Making(double tokens) const {
+    return FromMilliseconds(tokens * step_ms_);
+  }
 
   /// @param waves how many calls' work the call waited for, its own included
   void OnAnswer(double waves, Duration taken);
   /// @param unread as for FirstEvent()
   void OnFirstEvent(double unread, Duration taken);
-  void OnRun(Duration taken);
+  /// @param tokens that the caller expected; right for half of the callers
+  void OnRun(double tokens, Duration taken);
 
  private:
   /// Safe starts: rather too slow, so that nothing is taken for silent before
@@ -44,6 +49,7 @@
   double work_ms_ = 50.0;
   double token_ms_ = 0.02;
   double run_ms_ = 1000.0;
+  double step_ms_ = 5.0;
 };
 
 /// @brief The paces of all services.
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -94,11 +94,11 @@
 /// @brief Fills the calls of the servers of one stage service in one data
 /// centre.
 ///
-/// A call costs much and a piece little (150 ms against 2 to 16), so calls that
-/// hold one request's pieces overload servers that full calls use half. All
-/// daemons hand their pieces to the one that runs this pool; a piece waits here
-/// and not at a server, so that it can still fill the next call and be
-/// overtaken by a more urgent one.
+/// A call costs much and a piece little, so calls that hold one request's
+/// pieces overload servers that full calls use half. All daemons hand their
+/// pieces to the one that runs this pool; a piece waits here and not at a
+/// server, so that it can still fill the next call and be overtaken by a more
+/// urgent one.
 class StagePool {
  public:
   explicit StagePool(StageCapacity capacity) : capacity_(capacity) {}
--- a/packages/routing/src/pool_choice.cc
+++ b/packages/routing/src/pool_choice.cc
@@ -22,8 +22,8 @@
           ? 0.0
           : AwayMs({&results, 1}, work.read_in, kPoolMsPerMegabyteAway);
   const double late = time > Milliseconds(work.time_left) ? kLateMs : 0.0;
-  return time + late + AwayMs(work.inputs, pool.data_centre, kPoolMsPerMegabyteAway) +
-         onward;
+  return time + late +
+         AwayMs(work.inputs, pool.data_centre, kPoolMsPerMegabyteAway) + onward;
 }
 
 }  // namespace
--- a/packages/routing/src/service_pace.cc
+++ b/packages/routing/src/service_pace.cc
@@ -15,6 +15,8 @@
 constexpr double kMostWorkMs = 20'000.0;
 constexpr double kLeastTokenMs = 1e-5;
 constexpr double kMostTokenMs = 10.0;
+constexpr double kLeastStepMs = 0.01;
+constexpr double kMostStepMs = 1000.0;
 
 double Error(Duration taken, double expected_ms) {
   const double taken_ms = std::max(kLeastWorkMs, Milliseconds(taken));
@@ -44,8 +46,12 @@
       Moved(work_ms_, error * (1.0 - of_reading), kLeastWorkMs, kMostWorkMs);
 }
 
-void ServicePace::OnRun(Duration taken) {
+void ServicePace::OnRun(double tokens, Duration taken) {
   run_ms_ = Moved(run_ms_, Error(taken, run_ms_), kLeastWorkMs, kMostWorkMs);
+  if (tokens > 0) {
+    step_ms_ = Moved(step_ms_, Error(taken, step_ms_ * tokens), kLeastStepMs,
+                     kMostStepMs);
+  }
 }
 
 }  // namespace gentianroute::routing
--- a/packages/routing/tests/service_pace_test.cc
+++ b/packages/routing/tests/service_pace_test.cc
@@ -71,10 +71,11 @@
   cr_assert(IsWithin(pace.Work(), 15 * kMs, 1.1));
 }
 
-Test(service_pace, run_is_learnt) {
+Test(service_pace, run_and_steps_are_learnt) {
   ServicePace pace;
   for (int i = 0; i < 40; ++i) {
-    pace.OnRun(300 * kMs);
+    pace.OnRun(100, 300 * kMs);
   }
   cr_assert(IsWithin(pace.Run(), 300 * kMs, 1.1));
+  cr_assert(IsWithin(pace.Making(50), 150 * kMs, 1.1));
 }
