Refuse a late request that a stopping daemon may not live to answer

Change: after the time in which the balancer still sends, a request is refused at once unless twice its expected time fits before the end.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -95,12 +95,13 @@
         .Field("connections", callers_->connections())
         .Field("active", callers_->active());
     const TimePoint now = loop_.Now();
+    drain_ = {now + detail::kBalancerNotices,
+              now + settings_.drain_grace - detail::kGraceMargin};
     cluster_.AnnounceLeaving();
     callers_->AnnounceClose();
     loop_.After(detail::kBalancerNotices,
                 [this] { callers_->StopAccepting(); });
-    WaitForEnd(now + detail::kBalancerNotices + detail::kDrainLook,
-               now + settings_.drain_grace - detail::kGraceMargin,
+    WaitForEnd(drain_.unexpected + detail::kDrainLook, drain_.ends,
                std::move(done));
   }
 
@@ -344,6 +345,7 @@
   routing::PaceBook paces_;
   routing::RequestWeights weights_;
   StartQueue starting_;
+  routing::DrainTimes drain_;
   FlowServices services_;
   RequestFlow::List flows_;
   std::unique_ptr<RelayServer> callers_;
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -21,6 +21,7 @@
 #include "gentianroute/gateway/translator.h"
 #include "gentianroute/loop/relay_client.h"
 #include "gentianroute/loop/relay_server.h"
+#include "gentianroute/routing/drain_times.h"
 #include "gentianroute/routing/event_cutter.h"
 #include "gentianroute/routing/request_weight.h"
 #include "gentianroute/routing/route_table.h"
@@ -43,6 +44,7 @@
   routing::RequestWeights& weights;
   SuspectTable& suspects;
   RequestJournal& journal;
+  const routing::DrainTimes& drain;
 };
 
 /// @brief One caller's request on its way through the stages to its server and
@@ -82,6 +84,8 @@
   std::optional<ErrorKind> CheckKey();
   /// Refuses the request if its stages can't end while its caller waits.
   bool RefusedForTime();
+  /// Refuses a late request that this daemon may not live to answer.
+  bool RefusedForDrain();
   void TellAdmitted();
   void Start();
   void Advance();
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -116,7 +116,7 @@
   }
   plan_.emplace(route_->stages, request_.stage_pieces);
   services_.retries.OnRequest(service_name_, services_.cluster.live_daemons());
-  if (RefusedForTime()) {
+  if (RefusedForTime() || RefusedForDrain()) {
     return;
   }
   limit_timer_ = services_.loop.At(limit_, [this] { OnTimeout(); });
@@ -160,6 +160,20 @@
   return false;
 }
 
+bool RequestFlow::RefusedForDrain() {
+  const routing::ServicePace& pace = services_.paces.Of(service_name_);
+  const Duration answer =
+      IsGeneration()
+          ? UsualFirstPart() + pace.Making(request_.prompt.tokens_out)
+          : pace.Work();
+  if (services_.drain.MayTake(services_.loop.Now(),
+                              stages_expected_ + answer)) {
+    return false;
+  }
+  Refuse(ErrorKind::kShuttingDown, "the daemon stops before it could answer");
+  return true;
+}
+
 Duration RequestFlow::LeastAnswer() const {
   if (route_->kind != routing::RouteKind::kStream) {
     return kLeastAnswer;
