--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -69,9 +69,9 @@
         stages_(loop, cluster_, desk_, servers_, topology_),
         retries_(settings_.retry_ratio, settings_.retry_slack),
         starting_(loop.Now()),
-        services_{loop,      client,   translator, servers_,
-                  topology_, stages_,  cluster_,   retries_,
-                  paces_,    weights_, suspects_,  journal_} {
+        services_{loop,      client,   translator, servers_, topology_,
+                  stages_,   cluster_, retries_,   paces_,   weights_,
+                  suspects_, journal_, drain_} {
     servers_.SetOnClosed(
         [this](routing::Server& server) { OnServerClosed(server); });
     Listen();
--- a/packages/routing/tests/pool_choice_test.cc
+++ b/packages/routing/tests/pool_choice_test.cc
@@ -70,7 +70,8 @@
 
 // Load: a burst of requests with large results, all with their reader in one
 // data centre. Its servers have a queue of more than the requests have time,
-// and those of the others are free; bytes that cross cost less than late answers.
+// and those of the others are free; bytes that cross cost less than late
+// answers.
 Test(pool_choice, large_results_cross_where_their_request_would_be_late) {
   const std::vector<PoolState> pools = {Pool("south", 1, 900 * kMs),
                                         Pool("north", 1, {})};
