--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -110,6 +110,8 @@
   /// Judges the server some time from now, after its bytes have been read.
   void JudgeAfter(Duration wait, void (RequestFlow::*judge)());
   void OnOverdue();
+  /// Time since the request was sent, without the way there and back.
+  Duration TakenByServer(TimePoint now) const;
   /// The server has begun to answer; its pace is learnt from that.
   void OnFirstPart();
   /// Watches a stream for a server that falls silent in the middle of it.
--- a/packages/gateway/src/request_flow_sends.cc
+++ b/packages/gateway/src/request_flow_sends.cc
@@ -179,13 +179,16 @@
   RelayPart(part);
 }
 
+Duration RequestFlow::TakenByServer(TimePoint now) const {
+  return now - sent_at_ -
+         services_.topology.RoundTrip(server_->record().data_centre);
+}
+
 void RequestFlow::OnFirstPart() {
   const TimePoint now = services_.loop.Now();
   first_at_ = first_at_ == TimePoint{} ? now : first_at_;
   const routing::Prompt& prompt = request_.prompt;
-  const Duration taken =
-      now - sent_at_ -
-      services_.topology.RoundTrip(server_->record().data_centre);
+  const Duration taken = TakenByServer(now);
   routing::ServicePace& pace = services_.paces.Of(service_name_);
   const double unread = unread_ + prompt.OwnTokens();
   const double unsure = server_->memory().SharedUnread(prompt);
@@ -250,9 +253,7 @@
     return;
   }
   const bool failed = answer_.status >= kFirstServerFailure;
-  const Duration taken =
-      now - sent_at_ -
-      services_.topology.RoundTrip(server_->record().data_centre);
+  const Duration taken = TakenByServer(now);
   routing::ServicePace& pace = services_.paces.Of(service_name_);
   server_->history().OnAnswer(now, !failed,
                               Seconds(taken) / (Seconds(pace.Work()) * waves_));
