--- /dev/null
+++ b/packages/gateway/tests/start_queue_test.cc
@@ -0,0 +1,89 @@
+#include "gentianroute/gateway/start_queue.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+
+using namespace gentianroute;
+using gentianroute::gateway::StartQueue;
+
+namespace {
+
+constexpr TimePoint kStarted = TimePoint{} + std::chrono::seconds(5);
+constexpr Duration kMs = std::chrono::milliseconds(1);
+
+/// A caller's request that nobody answers here.
+class FakeExchange final : public RelayExchange {
+ public:
+  void Answer(int, const HttpHeaders&, std::string_view) override {}
+  void Begin(int, const HttpHeaders&) override {}
+  void Write(std::string_view) override {}
+  void End() override {}
+  void Abort() override {}
+
+  void CallerLeaves() {
+    if (on_gone_) {
+      on_gone_();
+    }
+  }
+};
+using FakePtr = boost::intrusive_ptr<FakeExchange>;
+
+FakePtr NewRequest() {
+  return FakePtr(new FakeExchange);
+}
+
+}  // namespace
+
+// All daemons were lost. Callers are back with the sockets, a tenth of a second
+// before the daemon has read its configuration; refused then, each would have
+// spent one of its few tries. In the order in which they came, they are served
+// once it is known.
+Test(start_queue, requests_of_the_first_moments_come_out_in_order) {
+  StartQueue queue(kStarted);
+  const FakePtr first = NewRequest();
+  const FakePtr second = NewRequest();
+  cr_assert(queue.Keep(kStarted + 3 * kMs, first));
+  cr_assert(queue.Keep(kStarted + 90 * kMs, second));
+  cr_assert(queue.Take() == first);
+  cr_assert(queue.Take() == second);
+  cr_assert(queue.Take() == nullptr);
+}
+
+// The store is away as the daemon starts: callers learn at once that they have
+// to come back, and don't wait for an outage to end.
+Test(start_queue, request_after_the_first_moments_is_not_kept) {
+  StartQueue queue(kStarted);
+  const TimePoint later = kStarted + StartQueue::kLongest;
+  cr_assert(queue.IsOver(later));
+  cr_assert_not(queue.Keep(later, NewRequest()));
+}
+
+Test(start_queue, caller_that_leaves_is_forgotten) {
+  StartQueue queue(kStarted);
+  const FakePtr gone = NewRequest();
+  const FakePtr stays = NewRequest();
+  queue.Keep(kStarted, gone);
+  queue.Keep(kStarted, stays);
+  gone->CallerLeaves();
+  cr_assert(queue.Take() == stays);
+  cr_assert(queue.Take() == nullptr);
+}
+
+Test(start_queue, no_more_than_its_bound_waits) {
+  StartQueue queue(kStarted);
+  for (std::size_t i = 0; i < StartQueue::kMost; ++i) {
+    cr_assert(queue.Keep(kStarted, NewRequest()));
+  }
+  cr_assert_not(queue.Keep(kStarted, NewRequest()));
+}
+
+Test(start_queue, end_of_the_daemon_lets_go_of_what_waits) {
+  const FakePtr waiting = NewRequest();
+  {
+    StartQueue queue(kStarted);
+    queue.Keep(kStarted, waiting);
+  }
+  cr_assert_eq(waiting->use_count(), 1);
+  waiting->CallerLeaves();
+}
