--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -57,8 +57,6 @@
   void Start();
   /// @brief Whether this daemon is to follow the table's changes.
   void SetFollowing(bool following);
-  /// @brief Reads the table once, if no call is under way.
-  void Refresh();
   /// @brief What a peer has read; taken if it is newer.
   void Offer(const StoreChanges& changes);
   /// @brief What a peer does not know yet.
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -69,12 +69,6 @@
   }
 }
 
-void StoreFollower::Refresh() {
-  if (!asking_) {
-    ReadWhole();
-  }
-}
-
 void StoreFollower::Ask() {
   if (!known_) {
     ReadWhole();
--- a/packages/routing/src/work_order.cc
+++ b/packages/routing/src/work_order.cc
@@ -59,8 +59,7 @@
 
   TimePoint EndOf(const WaitingWork& work) const {
     // It takes a server of its own while the others do what goes before it.
-    const Duration before =
-        taken_ - work.server_time - work.server_time * (servers_ - 1);
+    const Duration before = taken_ - work.server_time * servers_;
     return now_ + std::max(Duration{0}, before / servers_) + work.shortest;
   }
 
