--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -21,6 +21,9 @@
 # gentianroute_tests(<group> <targets>): every tests/*_test.cc below the current
 # folder, each a program of its own under CTest.
 function(gentianroute_tests group)
+  if(NOT GENTIANROUTE_DEVELOPMENT)
+    return()
+  endif()
   file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cc)
   foreach(test ${tests})
     get_filename_component(stem ${test} NAME_WE)
