--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -5,13 +5,19 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "gentianroute/base/time.h"
+#include "gentianroute/gateway/daemon_rows.h"
+#include "gentianroute/gateway/group_outcome.h"
+#include "gentianroute/gateway/membership.h"
+#include "gentianroute/gateway/peer_calls.h"
 #include "gentianroute/gateway/settings.h"
 #include "gentianroute/gateway/store_follower.h"
 #include "gentianroute/loop/datagram_socket.h"
@@ -21,27 +27,17 @@
 
 namespace gentianroute::gateway {
 
-/// @brief How a group ended that another daemon ran.
-struct GroupOutcome {
-  std::optional<routing::StageFailure> failure;
-  std::vector<std::string> results;
-};
-using GroupDone = std::function<void(GroupOutcome)>;
-
-/// @brief Work on a group that is dropped when the last holder lets go.
-class GroupHold {
- public:
-  virtual ~GroupHold() = default;
-};
+/// @brief Whether a beat tells what its daemon has at the backend servers.
+enum class Load : std::uint8_t { kTold, kLeftOut };
 
 /// @brief What a daemon does with what its peers say and ask.
 class ClusterHandler {
  public:
   virtual ~ClusterHandler() = default;
   /// @brief Adds what peers should know, apart from who this daemon is.
-  virtual void FillBeat(schema::Beat::Builder beat) = 0;
+  virtual void FillBeat(schema::Beat::Builder beat, Load load) = 0;
   virtual void OnBeat(schema::Beat::Reader beat) = 0;
-  /// @brief A peer is silent, or has said that it goes.
+  /// @brief A peer is silent, or takes no connection.
   virtual void OnPeerGone(std::string_view peer) = 0;
   /// @brief Runs a group for a peer; `done` is called once unless the hold is
   /// let go before.
@@ -62,8 +58,9 @@
 /// @brief The daemons of one deployment, as one of them sees the others.
 ///
 /// Each learns where the others are from rows in the store, and that they live
-/// from datagrams that they send each other many times a second. So beyond an
-/// outage of the store they still find each other.
+/// from datagrams that they send each other. So beyond an outage of the store
+/// they still find each other. `Membership` decides who is believed to live and
+/// whom this daemon tells what; this class sends and receives.
 class Cluster {
  public:
   Cluster(EventLoop& loop,
@@ -76,39 +73,32 @@
   /// @brief Tells the others that this daemon goes; they hand it no more work.
   void AnnounceLeaving();
 
-  /// @brief The daemon that schedules the servers of a service in a data
-  /// centre: the same in the eyes of all that see the same daemons.
-  std::string SchedulerOf(std::string_view service,
-                          std::string_view data_centre) const;
-  bool IsSelf(std::string_view daemon) const {
-    return daemon == settings_.name;
+  /// @brief The daemon that schedules a pool.
+  const std::string& SchedulerOf(const PoolKey& pool) const {
+    return members_.SchedulerOf(pool);
   }
-  std::size_t live_daemons() const;  ///< this one included
+  bool IsSelf(std::string_view daemon) const { return members_.IsSelf(daemon); }
+  std::size_t live_daemons() const { return members_.live_daemons(); }
+  bool IsStoreReader() const { return members_.IsStoreReader(); }
 
-  /// @brief Hands a group to another daemon.
-  /// @param done called once: with the outcome, or with nothing if the peer
-  /// broke off and the pieces may have been made. Not called once the hold is
-  /// let go.
+  /// @brief Hands a group to another daemon; as PeerCalls::RunGroup.
+  /// @param peer one that SchedulerOf has named
   std::unique_ptr<GroupHold> RunGroupAt(
       std::string_view peer,
-      std::string_view service,
-      std::string_view data_centre,
+      const PoolKey& pool,
       const routing::StageGroup& group,
       std::function<void(std::optional<GroupOutcome>)> done);
 
   /// @brief Tells the scheduler of a pool which results are of no more use.
+  /// @param peer one that SchedulerOf has named
   void ReleaseAt(std::string_view peer,
-                 std::string_view service,
-                 std::string_view data_centre,
+                 const PoolKey& pool,
                  std::span<const std::string> results);
 
-  /// @brief Whether this daemon is to follow the store's changes for its data
-  /// centre: nobody before it, in an order that all agree on, does so or could.
-  bool IsStoreReader() const;
-  /// @brief Whom news reaches at once; the others hear it with the next beat.
-  enum class News : std::uint8_t { kNear, kToAll };
-  /// @brief Tells peers at once what has changed here: those of the region, or
-  /// all. Bytes between regions are billed, so only the rare news goes to all.
+  /// @brief Whom news reaches at once; the others hear it from those, or with
+  /// the next beat. A later kind includes those before it.
+  enum class News : std::uint8_t { kRumour, kToDataCentre };
+  /// @brief Tells peers at once what has changed here.
   void TellNews(News news);
 
   /// @brief Asks a near peer that knows something newer for its copy. One
@@ -118,43 +108,33 @@
 
  private:
   class Service;
-  class RemoteGroup;
-  struct Peer;
-
-  void Register();
-  void ReadDaemonRows();
-  void TakeDaemonRows(const std::vector<StoredRow>& rows);
-  void OnDaemonRows(const std::vector<StoredRow>& rows);
-  void OnDaemonRow(const StoredRow& row);
+
+  void OnRows(const std::vector<DaemonState>& daemons);
   void OnMessage(std::span<const std::byte> message);
-  void SendBeats();
+  void OnBeat(schema::Beat::Reader beat);
+  void OnLossTold(schema::LostDaemon::Reader lost, const std::string& told_by);
+  void OnArrival(const Membership::Peer& peer);
+  void OnBeatTime();
+  void BeatNow();
+  void Send(const Membership::Targets& targets);
+  kj::Array<kj::byte> BeatBytes(Load load, Duration next);
+  void SendNews(News news);
   void Watch(TimePoint now);
-  Peer& PeerNamed(std::string_view name);
-  RpcConnection* LinkTo(Peer& peer);
-  Duration BeatPeriod() const;
-  bool IsInOwnRegion(const Peer& peer) const;
-  Duration SilenceLimit(const Peer& peer) const;
-  /// The peer to ask for what is newer; null if none has it.
-  Peer* SourceOf(std::uint64_t deployment_version,
-                 std::uint64_t servers_version) const;
+  void OnUnreachable(const std::string& peer);
+  void OnGone(const std::string& peer);
 
   EventLoop& loop_;
-  const GatewaySettings& settings_;
-  Store& store_;
   ClusterHandler& handler_;
-  std::uint64_t incarnation_;
-  bool leaving_ = false;
-  std::uint32_t beats_ = 0;
-  bool fetching_ = false;
+  Membership members_;
+  DaemonRows rows_;
+  PeerCalls calls_;
+  std::pair<std::uint64_t, std::uint64_t> asked_versions_;
+  TimePoint asked_at_{};
   bool news_due_ = false;
-  bool news_to_all_ = false;
-  std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
+  News news_ = News::kRumour;
   std::unique_ptr<DatagramSocket> datagrams_;
   std::unique_ptr<RpcServer> server_;
-  std::unique_ptr<kj::TaskSet> tasks_;
-  std::unique_ptr<kj::TaskSet::ErrorHandler> task_errors_;
   TimerId beat_timer_;
-  TimerId row_timer_;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -106,7 +106,7 @@
   }
 
   // What peers say and ask.
-  void FillBeat(schema::Beat::Builder beat) override;
+  void FillBeat(schema::Beat::Builder beat, Load load) override;
   void OnBeat(schema::Beat::Reader beat) override;
   void OnPeerGone(std::string_view peer) override;
   std::unique_ptr<GroupHold> RunGroup(std::string_view service,
@@ -134,23 +134,23 @@
             },
             [this](const StoredRow& row) {
               OnDeploymentRow(row);
-              cluster_.TellNews(Cluster::News::kToAll);
+              cluster_.TellNews(Cluster::News::kRumour);
             },
             [](bool /*answers*/) {},
-            [this] { cluster_.TellNews(Cluster::News::kNear); }};
+            [this] { cluster_.TellNews(Cluster::News::kToDataCentre); }};
   }
   StoreFollower::Listener ServersListener() {
     return {[this](const std::vector<StoredRow>& rows) { OnServerRows(rows); },
             [this](const StoredRow& row) {
               OnServerRow(row);
-              cluster_.TellNews(Cluster::News::kNear);
+              cluster_.TellNews(Cluster::News::kRumour);
             },
             [this](bool answers) {
               if (answers && server_rows_.known()) {
                 servers_.OnStoreReturned(loop_.Now());
               }
             },
-            [this] { cluster_.TellNews(Cluster::News::kNear); }};
+            [this] { cluster_.TellNews(Cluster::News::kToDataCentre); }};
   }
 
   void Listen() {
--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -0,0 +1,190 @@
+#ifndef GENTIANROUTE_GATEWAY_MEMBERSHIP_H_
+#define GENTIANROUTE_GATEWAY_MEMBERSHIP_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "gentianroute/base/time.h"
+#include "gentianroute/gateway/pool_key.h"
+#include "gentianroute/gateway/store_contact.h"
+
+namespace gentianroute::gateway {
+
+/// @brief What a daemon tells of itself in each beat.
+struct DaemonState {
+  std::string name;
+  std::uint64_t incarnation = 0;  ///< differs for each start of its process
+  std::string address;
+  std::uint16_t port = 0;
+  std::string data_centre;
+  bool leaving = false;
+  double processor_share = 0;  ///< cores that it may use
+  StoreContact store = StoreContact::kNotAsked;
+  std::uint64_t deployment_version = 0;
+  std::uint64_t servers_version = 0;
+  std::vector<PoolKey> pools;    ///< that it schedules
+  bool has_quarantined = false;  ///< knows of a request that crashes servers
+  Duration next_beat{};          ///< within this the receiver hears it again
+};
+
+/// @brief The daemons of one deployment as one of them believes them to be, and
+/// whom it tells what. No I/O: the time is an argument.
+///
+/// Beats go often to the daemons of the own data centre, whose number does not
+/// grow with the fleet, and seldom to the others. A daemon that schedules a
+/// pool beats fast to its heirs, who would be next; the one who takes over
+/// tells all. So a lost scheduler is passed by soon at any size, and what a
+/// daemon sends hardly grows. News goes by rumour: a few hear it at once and
+/// tell a few more.
+class Membership {
+ public:
+  /// @brief How near another daemon is; the nearest first.
+  enum class Nearness : std::uint8_t { kDataCentre, kRegion, kElsewhere };
+
+  struct Peer {
+    DaemonState state;
+    TimePoint heard{};
+    bool alive = false;
+    Nearness nearness = Nearness::kElsewhere;
+  };
+  using Targets = std::vector<const Peer*>;
+
+  /// @param regions region of each data centre
+  /// @param seed of the choice whom a rumour reaches
+  Membership(DaemonState own,
+             std::map<std::string, std::string, std::less<>> regions,
+             std::uint64_t seed);
+
+  const DaemonState& own() const { return own_; }
+  /// @brief What this daemon does for others, as far as it says how often they
+  /// have to hear of it.
+  void SetDuties(std::vector<PoolKey> pools, bool has_quarantined);
+  /// @brief This daemon goes; it schedules no pool from now on, and the next
+  /// rounds tell everyone.
+  void Leave();
+  bool IsSelf(std::string_view daemon) const { return daemon == own_.name; }
+  /// @brief The peer of this name; null if nothing is known of it.
+  const Peer* Find(std::string_view name) const;
+
+  /// @brief A row of the store says where a daemon is.
+  /// @return the peer, if it was not known or has not been heard: it should be
+  /// told that this daemon lives
+  const Peer* OnRow(const DaemonState& row);
+
+  enum class Arrival : std::uint8_t { kKnown, kNew, kRestarted };
+  /// @brief A peer's beat has come.
+  Arrival OnBeat(TimePoint now, DaemonState state);
+
+  /// @brief A peer takes no connection, though its beats may be recent: its
+  /// process has ended, or its host.
+  /// @return whether it was taken for alive
+  bool OnUnreachable(std::string_view name);
+
+  enum class Loss : std::uint8_t { kOldNews, kNews, kOfThisDaemon };
+  /// @brief Another daemon has lost one of its data centre. If that is this
+  /// daemon, the next rounds tell everyone that it lives.
+  Loss OnLossTold(TimePoint now,
+                  std::string_view name,
+                  std::uint64_t incarnation);
+
+  /// @brief A peer that has been silent for too long.
+  struct Lost {
+    std::string name;
+    Duration silent;
+  };
+  /// @brief Finds peers that have become silent. If this daemon schedules a
+  /// pool of one of them now, the next rounds tell everyone.
+  std::vector<Lost> Watch(TimePoint now);
+
+  /// @brief Peers of the own data centre that were lost a short time ago, for
+  /// those who hear of it from here only.
+  Targets RecentlyLost(TimePoint now) const;
+
+  /// @brief Time until the next round of beats, and of watching.
+  Duration UntilNextRound(TimePoint now) const;
+  /// @brief Whom this round of beats goes to.
+  Targets BeatTargets(TimePoint now);
+  /// @brief Time from one beat to this peer to the next, at most.
+  Duration PeriodTo(const Peer& peer) const;
+  /// @brief Whom news goes to at once, chosen anew each time.
+  Targets RumourTargets();
+  /// @brief All known peers of the own data centre.
+  Targets DataCentre() const;
+  /// @brief All known peers.
+  Targets Everyone() const;
+  /// @brief Whether beats to daemons elsewhere come often enough for what they
+  /// say of load to be of use there.
+  bool TellsLoadElsewhere() const;
+
+  /// @brief The daemon that schedules a pool: the same in the eyes of all that
+  /// see the same daemons.
+  /// @complexity linear in daemons after a change of them, else logarithmic
+  const std::string& SchedulerOf(const PoolKey& pool) const;
+  /// @brief Whether this daemon is to follow the store's changes for its data
+  /// centre: nobody before it, in an order that all agree on, does so or could.
+  bool IsStoreReader() const;
+  /// @brief The peer to ask for what is newer in the store; null if none has
+  /// it.
+  const Peer* SourceOf(std::uint64_t deployment_version,
+                       std::uint64_t servers_version) const;
+
+  std::size_t live_daemons() const;  ///< this one included
+
+ private:
+  /// Whom beats go to at one rate; the first three as in Nearness.
+  enum class Audience : std::uint8_t {
+    kDataCentre,
+    kRegion,
+    kElsewhere,
+    kHeirs
+  };
+  static constexpr std::size_t kAudiences = 4;
+
+  Peer& PeerNamed(const std::string& name);
+  void SetState(Peer& peer, DaemonState state);
+  Nearness NearnessOf(std::string_view data_centre) const;
+  Duration PeriodOf(Audience audience, bool quiet) const;
+  Audience AudienceOf(const Peer& peer) const;
+  bool IsHeir(const Peer& peer) const;
+  /// The best of all that live for a pool, the first its scheduler.
+  std::vector<std::string> Ranked(const PoolKey& pool, std::size_t most) const;
+  void FindHeirs();
+  bool MarkLost(Peer& peer);
+  void OnLost(TimePoint now, const Peer& peer);
+  void OnChanged();
+  bool SucceedsOneOf(const Targets& lost) const;
+  /// Whether this daemon itself stood still and has not yet read what came.
+  bool HasStoodStill(TimePoint now);
+  static void AddSome(Targets& targets,
+                      Targets from,
+                      std::size_t most,
+                      std::mt19937_64& random);
+
+  DaemonState own_;
+  std::map<std::string, std::string, std::less<>> regions_;
+  std::mt19937_64 random_;
+  std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
+  std::array<std::int64_t, 3> counts_{};  ///< of peers, by nearness
+  std::array<TimePoint, kAudiences> due_{};
+  int rounds_to_everyone_ = 0;
+  TimePoint watched_{};
+  TimePoint denied_{};  ///< its own loss
+  std::set<std::string, std::less<>> heirs_;
+  bool heirs_known_ = false;
+  /// Peers of the own data centre, by the time of their loss.
+  std::map<std::string, TimePoint, std::less<>> lost_at_;
+  mutable std::map<PoolKey, std::string> schedulers_;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_MEMBERSHIP_H_
--- a/packages/gateway/include/gentianroute/gateway/stage_desk.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_desk.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/pool_key.h"
 #include "gentianroute/gateway/result_releases.h"
 #include "gentianroute/gateway/translator.h"
 #include "gentianroute/loop/event_loop.h"
@@ -54,7 +55,6 @@
  private:
   class Hold;
   struct Pool;
-  using PoolKey = std::pair<std::string, std::string>;
 
   Pool* PoolFor(std::string_view service, std::string_view data_centre);
   void Work(Pool& pool);
--- a/packages/gateway/include/gentianroute/gateway/stage_work.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_work.h
@@ -89,7 +89,6 @@
   routing::RouteTablePtr table_;
   routing::PoolBoard board_;
   std::vector<Handed*> handed_;
-  using PoolKey = std::pair<std::string, std::string>;
   std::map<PoolKey, std::vector<std::string>> released_;
   TimerId release_timer_;
 };
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -8,22 +8,20 @@
 #include <vector>
 
 #include "gentianroute/gateway/store.h"
+#include "gentianroute/gateway/store_contact.h"
 #include "gentianroute/loop/event_loop.h"
 
 namespace gentianroute::gateway {
 
-/// @brief What a daemon knows of the store from its own calls.
-enum class StoreContact : std::uint8_t {
-  kNotAsked,  ///< others ask it, and this daemon takes their copy
-  kAnswers,
-  kSilent,
-};
-
 /// @brief Rows that are newer than a version.
 struct StoreChanges {
   std::vector<StoredRow> rows;
-  std::uint64_t version = 0;  ///< of the store, when they were read; 0: none
-  bool whole = false;         ///< all rows of the table
+  std::uint64_t version = 0;  ///< that these are complete up to; 0: none
+  bool whole = false;         ///< for one that knows nothing of the table yet
+  /// Hashes of the keys of all rows that there were at a version, for one that
+  /// can't be told all deletions before it; empty: it can.
+  std::vector<std::uint64_t> listed;
+  std::uint64_t listed_version = 0;
 };
 
 /// @brief Keeps a copy of one of the store's tables.
@@ -59,7 +57,8 @@
   void SetFollowing(bool following);
   /// @brief What a peer has read; taken if it is newer.
   void Offer(const StoreChanges& changes);
-  /// @brief What a peer does not know yet.
+  /// @brief What a peer does not know yet, the oldest first, as much of it as
+  /// fits into one message. What is left it asks for when it has taken this.
   /// @param known newest change that the peer has
   StoreChanges ChangesAfter(std::uint64_t known) const;
 
@@ -79,6 +78,7 @@
   void OnWhole(const StoreAnswer& answer);
   void OnChanges(const StoreAnswer& answer);
   void Take(const std::vector<StoredRow>& rows, std::uint64_t version);
+  void DropUnlisted(const StoreChanges& changes);
   void Apply(const StoredRow& row);
   void Ask();
   void AskAfter(Duration pause);
@@ -97,7 +97,7 @@
   std::uint64_t graves_since_ = 0;  ///< older deletions are forgotten
   std::uint64_t version_ = 0;
   std::uint64_t newest_change_ = 0;
-  bool following_ = true;
+  bool following_ = false;
   bool asking_ = false;
   bool known_ = false;
   bool answers_ = false;
--- /dev/null
+++ b/packages/gateway/src/daemon_rows.cc
@@ -0,0 +1,106 @@
+#include "gentianroute/gateway/daemon_rows.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "gentianroute/observe/log.h"
+
+namespace gentianroute::gateway {
+namespace {
+
+/// Daemons that start together write their rows within the first moments; each
+/// reads the others' so much later.
+constexpr Duration kAfterWriting = std::chrono::milliseconds(400);
+/// Of two daemons the later to write is known to the other by its beats, so the
+/// rows are read again only against what nobody has thought of.
+constexpr Duration kRowPeriod = std::chrono::minutes(5);
+/// After a call that failed.
+constexpr Duration kPause = std::chrono::milliseconds(400);
+
+std::string RowOf(const DaemonState& daemon) {
+  return nlohmann::json{{"address", daemon.address},
+                        {"port", daemon.port},
+                        {"data_centre", daemon.data_centre}}
+      .dump();
+}
+
+std::optional<DaemonState> ReadRow(const StoredRow& row) {
+  const auto json = nlohmann::json::parse(row.value, nullptr, false);
+  if (!json.is_object() || !json.contains("address") ||
+      !json.contains("port") || !json["address"].is_string() ||
+      !json["port"].is_number_unsigned()) {
+    LogEvent("daemon_row_unreadable", LogLevel::kWarning)
+        .Field("daemon", row.key);
+    return std::nullopt;
+  }
+  DaemonState daemon;
+  daemon.name = row.key;
+  daemon.address = json["address"];
+  daemon.port = json["port"];
+  daemon.data_centre = json.value("data_centre", "");
+  return daemon;
+}
+
+}  // namespace
+
+DaemonRows::DaemonRows(EventLoop& loop,
+                       Store& store,
+                       DaemonState own,
+                       OnRows on_rows)
+    : loop_(loop),
+      store_(store),
+      own_(std::move(own)),
+      own_row_(RowOf(own_)),
+      on_rows_(std::move(on_rows)) {}
+
+DaemonRows::~DaemonRows() {
+  loop_.Cancel(timer_);
+}
+
+void DaemonRows::Start() {
+  Read();
+}
+
+void DaemonRows::Read() {
+  store_.Read(StoreTable::kDaemons,
+              [this](const StoreAnswer& answer) { Take(answer); });
+}
+
+void DaemonRows::Take(const StoreAnswer& answer) {
+  if (answer.kind != StoreAnswer::Kind::kRows) {
+    Again(kPause);
+    return;
+  }
+  std::vector<DaemonState> others;
+  for (const StoredRow& row : answer.rows) {
+    if (row.key == own_.name) {
+      written_ = written_ || row.value == own_row_;
+    } else if (auto daemon = ReadRow(row)) {
+      others.push_back(std::move(*daemon));
+    }
+  }
+  on_rows_(others);
+  if (written_) {
+    Again(kRowPeriod);
+  } else {
+    Write();
+  }
+}
+
+void DaemonRows::Write() {
+  store_.Put(StoreTable::kDaemons, own_.name, own_row_,
+             [this](const StoreAnswer& answer) {
+               written_ = answer.kind == StoreAnswer::Kind::kRows;
+               // Reading shows whether a write without an answer was made.
+               Again(kAfterWriting);
+             });
+}
+
+void DaemonRows::Again(Duration pause) {
+  loop_.Cancel(timer_);
+  timer_ = loop_.After(pause, [this] { Read(); });
+}
+
+}  // namespace gentianroute::gateway
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -15,24 +15,26 @@
 
 }  // namespace
 
-void Gateway::Impl::FillBeat(schema::Beat::Builder beat) {
+void Gateway::Impl::FillBeat(schema::Beat::Builder beat, Load load) {
   beat.setDeploymentVersion(deployment_.newest_change());
   beat.setServersVersion(server_rows_.newest_change());
   beat.setStoreContact(static_cast<std::uint8_t>(
       std::max(server_rows_.contact(), deployment_.contact())));
   std::vector<const routing::Server*> busy;
-  servers_.ForEach([&busy](routing::Server& server) {
-    if (server.own().calls > kLeastLoad) {
-      busy.push_back(&server);
-    }
-  });
+  if (load == Load::kTold) {
+    servers_.ForEach([&busy](routing::Server& server) {
+      if (server.own().calls > kLeastLoad) {
+        busy.push_back(&server);
+      }
+    });
+  }
   auto work = beat.initWork(static_cast<unsigned>(busy.size()));
   for (unsigned i = 0; i < busy.size(); ++i) {
-    const routing::ServerLoad& load = busy[i]->own();
+    const routing::ServerLoad& own = busy[i]->own();
     work[i].setServer(busy[i]->record().id);
-    work[i].setCalls(static_cast<float>(load.calls));
-    work[i].setTokens(static_cast<float>(load.tokens));
-    work[i].setUnreadTokens(static_cast<float>(load.unread_tokens));
+    work[i].setCalls(static_cast<float>(own.calls));
+    work[i].setTokens(static_cast<float>(own.tokens));
+    work[i].setUnreadTokens(static_cast<float>(own.unread_tokens));
   }
   struct PoolBacklog {
     std::string_view service;
@@ -132,6 +134,9 @@
       copy.initServers(static_cast<unsigned>(servers.rows.size())));
   copy.setServersVersion(servers.version);
   copy.setServersWhole(servers.whole);
+  copy.setServersListedVersion(servers.listed_version);
+  copy.setServersListed(
+      kj::arrayPtr(servers.listed.data(), servers.listed.size()));
 }
 
 void Gateway::Impl::OnStoreCopy(schema::StoreCopy::Reader copy) {
@@ -148,6 +153,10 @@
   if (copy.getServersVersion() > 0) {
     StoreChanges servers{detail::ReadRows(copy.getServers()),
                          copy.getServersVersion(), copy.getServersWhole()};
+    servers.listed_version = copy.getServersListedVersion();
+    for (const std::uint64_t hash : copy.getServersListed()) {
+      servers.listed.push_back(hash);
+    }
     LogEvent("servers_from_peer")
         .Field("version", servers.version)
         .Field("rows", servers.rows.size());
--- /dev/null
+++ b/packages/gateway/src/membership.cc
@@ -0,0 +1,451 @@
+#include "gentianroute/gateway/membership.h"
+
+#include <algorithm>
+
+#include "gentianroute/decision/rendezvous.h"
+#include "gentianroute/routing/scheduler_rank.h"
+
+namespace gentianroute::gateway {
+namespace {
+
+/// How a daemon's beats to one audience are spaced: so many datagrams a second
+/// to all of it together, so that the cost of a daemon stays what it is however
+/// many there are.
+struct BeatRate {
+  std::int64_t beats_per_second = 0;
+  Duration shortest_period{};
+};
+
+/// Bytes between regions are billed by volume, and what a beat tells there is
+/// 20 ms old on arrival in any case.
+constexpr std::array<BeatRate, 3> kRates = {{
+    {90, std::chrono::milliseconds(100)},
+    {30, std::chrono::milliseconds(100)},
+    {20, std::chrono::milliseconds(300)},
+}};
+/// A daemon that schedules nothing and knows of no request that crashes servers
+/// has little to tell another region: that it lives, and what it has at servers
+/// there.
+constexpr std::int64_t kQuietPeriods = 3;
+/// Heirs are few, so that their number needs no bound by rate. Four of these
+/// are less than a second.
+constexpr Duration kHeirPeriod = std::chrono::milliseconds(150);
+/// Of a pool. One of them may be lost at the same time.
+constexpr std::size_t kHeirs = 2;
+/// Watching is cheap; a silence is noticed so much later than it could be.
+constexpr Duration kLongestRound = std::chrono::milliseconds(200);
+/// A round that comes so much later than it should tells of a process that was
+/// stopped or a host that froze.
+constexpr Duration kStandstill = std::chrono::milliseconds(300);
+/// Lost datagrams come two or three in a row now and then; five are a failure.
+constexpr int kBeatsOfSilence = 5;
+/// Whom a rumour reaches at once, of the own data centre and of the others.
+/// Each who hears it tells as many: of a thousand, less than one waits for a
+/// beat.
+constexpr std::size_t kRumourNear = 8;
+constexpr std::size_t kRumourElsewhere = 2;
+/// Among few daemons everyone hears the news at once.
+constexpr std::size_t kFewPeers = 16;
+/// Load that was told longer ago belongs to requests that have ended.
+constexpr Duration kLoadIsOld = std::chrono::seconds(1);
+/// What all must know at once is told so often, as some datagrams get lost:
+/// that a scheduler is lost, that it is not, that a daemon goes.
+constexpr int kRoundsToEveryone = 3;
+/// Time in which a loss is told with each beat; some beats get lost.
+constexpr Duration kLossIsTold = std::chrono::seconds(3);
+
+bool IsQuiet(const DaemonState& state) {
+  return state.pools.empty() && !state.has_quarantined;
+}
+
+}  // namespace
+
+Membership::Membership(DaemonState own,
+                       std::map<std::string, std::string, std::less<>> regions,
+                       std::uint64_t seed)
+    : own_(std::move(own)), regions_(std::move(regions)), random_(seed) {}
+
+const Membership::Peer* Membership::Find(std::string_view name) const {
+  const auto found = peers_.find(name);
+  return found == peers_.end() ? nullptr : found->second.get();
+}
+
+void Membership::SetDuties(std::vector<PoolKey> pools, bool has_quarantined) {
+  heirs_known_ = heirs_known_ && pools == own_.pools;
+  own_.pools = std::move(pools);
+  own_.has_quarantined = has_quarantined;
+}
+
+void Membership::Leave() {
+  own_.leaving = true;
+  rounds_to_everyone_ = kRoundsToEveryone;
+  OnChanged();
+}
+
+Membership::Peer& Membership::PeerNamed(const std::string& name) {
+  auto& peer = peers_[name];
+  if (peer == nullptr) {
+    peer = std::make_unique<Peer>();
+    ++counts_[static_cast<std::size_t>(peer->nearness)];
+  }
+  return *peer;
+}
+
+void Membership::SetState(Peer& peer, DaemonState state) {
+  --counts_[static_cast<std::size_t>(peer.nearness)];
+  peer.nearness = NearnessOf(state.data_centre);
+  ++counts_[static_cast<std::size_t>(peer.nearness)];
+  peer.state = std::move(state);
+}
+
+const Membership::Peer* Membership::OnRow(const DaemonState& row) {
+  if (IsSelf(row.name)) {
+    return nullptr;
+  }
+  Peer& peer = PeerNamed(row.name);
+  if (peer.alive) {
+    return nullptr;
+  }
+  SetState(peer, row);
+  return &peer;
+}
+
+Membership::Arrival Membership::OnBeat(TimePoint now, DaemonState state) {
+  Peer& peer = PeerNamed(state.name);
+  const DaemonState& before = peer.state;
+  const bool restarted = before.incarnation != state.incarnation;
+  const bool was_alive = std::exchange(peer.alive, true);
+  if (!was_alive || restarted || before.leaving != state.leaving ||
+      before.processor_share != state.processor_share ||
+      before.data_centre != state.data_centre) {
+    OnChanged();
+  }
+  lost_at_.erase(state.name);
+  SetState(peer, std::move(state));
+  peer.heard = now;
+  if (!was_alive) {
+    return Arrival::kNew;
+  }
+  return restarted ? Arrival::kRestarted : Arrival::kKnown;
+}
+
+void Membership::OnChanged() {
+  schedulers_.clear();
+  heirs_known_ = false;
+}
+
+bool Membership::MarkLost(Peer& peer) {
+  if (!std::exchange(peer.alive, false)) {
+    return false;
+  }
+  OnChanged();
+  return true;
+}
+
+bool Membership::OnUnreachable(std::string_view name) {
+  const auto found = peers_.find(name);
+  return found != peers_.end() && MarkLost(*found->second);
+}
+
+Membership::Loss Membership::OnLossTold(TimePoint now,
+                                        std::string_view name,
+                                        std::uint64_t incarnation) {
+  if (IsSelf(name)) {
+    // All who missed it say so at once; one denial reaches all of them.
+    const bool denies =
+        incarnation == own_.incarnation && now - denied_ > kHeirPeriod;
+    if (!denies) {
+      return Loss::kOldNews;
+    }
+    denied_ = now;
+    rounds_to_everyone_ = kRoundsToEveryone;
+    return Loss::kOfThisDaemon;
+  }
+  const auto found = peers_.find(name);
+  if (found == peers_.end()) {
+    return Loss::kOldNews;
+  }
+  Peer& peer = *found->second;
+  // Heard here since the teller began to miss it: it is back already.
+  const bool heard_since =
+      now - peer.heard < kHeirPeriod * (kBeatsOfSilence - 1);
+  if (peer.state.incarnation != incarnation || heard_since) {
+    return Loss::kOldNews;
+  }
+  if (!MarkLost(peer)) {
+    return Loss::kOldNews;
+  }
+  OnLost(now, peer);
+  return Loss::kNews;
+}
+
+void Membership::OnLost(TimePoint now, const Peer& peer) {
+  if (peer.nearness != Nearness::kDataCentre) {
+    return;
+  }
+  lost_at_[peer.state.name] = now;
+  if (SucceedsOneOf(RecentlyLost(now))) {
+    // Daemons elsewhere hear too seldom from a scheduler to miss it soon.
+    rounds_to_everyone_ = kRoundsToEveryone;
+  }
+}
+
+bool Membership::HasStoodStill(TimePoint now) {
+  const TimePoint before = std::exchange(watched_, now);
+  return now - before > kLongestRound + kStandstill;
+}
+
+std::vector<Membership::Lost> Membership::Watch(TimePoint now) {
+  std::vector<Lost> lost;
+  if (HasStoodStill(now)) {
+    // The others' beats wait unread. Judged now, all would seem to be lost.
+    for (const auto& [name, peer] : peers_) {
+      peer->heard = now;
+    }
+    return lost;
+  }
+  for (const auto& [name, peer] : peers_) {
+    if (!peer->alive ||
+        now - peer->heard <= peer->state.next_beat * kBeatsOfSilence) {
+      continue;
+    }
+    MarkLost(*peer);
+    lost.push_back({name, now - peer->heard});
+    OnLost(now, *peer);
+  }
+  return lost;
+}
+
+bool Membership::SucceedsOneOf(const Targets& lost) const {
+  return std::any_of(lost.begin(), lost.end(), [this](const Peer* peer) {
+    const std::vector<PoolKey>& pools = peer->state.pools;
+    return std::any_of(pools.begin(), pools.end(), [this](const PoolKey& pool) {
+      return IsSelf(SchedulerOf(pool));
+    });
+  });
+}
+
+Membership::Targets Membership::RecentlyLost(TimePoint now) const {
+  Targets lost;
+  for (const auto& [name, at] : lost_at_) {
+    if (now - at < kLossIsTold) {
+      lost.push_back(Find(name));
+    }
+  }
+  return lost;
+}
+
+Membership::Nearness Membership::NearnessOf(
+    std::string_view data_centre) const {
+  if (data_centre == own_.data_centre) {
+    return Nearness::kDataCentre;
+  }
+  const auto own = regions_.find(own_.data_centre);
+  const auto other = regions_.find(data_centre);
+  const bool same_region = own != regions_.end() && other != regions_.end() &&
+                           own->second == other->second;
+  return same_region ? Nearness::kRegion : Nearness::kElsewhere;
+}
+
+Duration Membership::PeriodOf(Audience audience, bool quiet) const {
+  if (audience == Audience::kHeirs) {
+    return kHeirPeriod;
+  }
+  const auto index = static_cast<std::size_t>(audience);
+  const BeatRate& rate = kRates[index];
+  const Duration period = std::max(
+      rate.shortest_period, Duration(std::chrono::seconds(1)) * counts_[index] /
+                                rate.beats_per_second);
+  const bool seldom = audience == Audience::kElsewhere && quiet;
+  return seldom ? period * kQuietPeriods : period;
+}
+
+Membership::Audience Membership::AudienceOf(const Peer& peer) const {
+  return static_cast<Audience>(peer.nearness);
+}
+
+bool Membership::IsHeir(const Peer& peer) const {
+  return heirs_.contains(peer.state.name);
+}
+
+Duration Membership::PeriodTo(const Peer& peer) const {
+  // Told as if this daemon were quiet: it may become so before the next beat.
+  const Duration period = PeriodOf(AudienceOf(peer), true);
+  return IsHeir(peer) ? std::min(period, kHeirPeriod) : period;
+}
+
+Duration Membership::UntilNextRound(TimePoint now) const {
+  Duration wait = kLongestRound;
+  for (const TimePoint due : due_) {
+    wait = std::min(wait, std::max(Duration{0}, due - now));
+  }
+  return wait;
+}
+
+void Membership::FindHeirs() {
+  if (std::exchange(heirs_known_, true)) {
+    return;
+  }
+  heirs_.clear();
+  for (const PoolKey& pool : own_.pools) {
+    for (const std::string& name : Ranked(pool, 1 + kHeirs)) {
+      if (!IsSelf(name)) {
+        heirs_.insert(name);
+      }
+    }
+  }
+}
+
+Membership::Targets Membership::BeatTargets(TimePoint now) {
+  // Former heirs have to learn that they will hear less often.
+  const auto former = heirs_;
+  FindHeirs();
+  std::array<bool, kAudiences> is_due{};
+  for (std::size_t i = 0; i < kAudiences; ++i) {
+    is_due[i] = now >= due_[i];
+    if (is_due[i]) {
+      due_[i] = now + PeriodOf(static_cast<Audience>(i), IsQuiet(own_));
+    }
+  }
+  if (rounds_to_everyone_ > 0) {
+    --rounds_to_everyone_;
+    return Everyone();
+  }
+  const bool heirs_due = is_due[static_cast<std::size_t>(Audience::kHeirs)];
+  Targets targets;
+  for (const auto& [name, peer] : peers_) {
+    const bool heir = IsHeir(*peer);
+    if (is_due[static_cast<std::size_t>(AudienceOf(*peer))] ||
+        (heir && heirs_due) || heir != former.contains(name)) {
+      targets.push_back(peer.get());
+    }
+  }
+  return targets;
+}
+
+void Membership::AddSome(Targets& targets,
+                         Targets from,
+                         std::size_t most,
+                         std::mt19937_64& random) {
+  std::shuffle(from.begin(), from.end(), random);
+  from.resize(std::min(from.size(), most));
+  targets.insert(targets.end(), from.begin(), from.end());
+}
+
+Membership::Targets Membership::RumourTargets() {
+  if (peers_.size() <= kFewPeers) {
+    return Everyone();
+  }
+  Targets elsewhere;
+  for (const auto& [name, peer] : peers_) {
+    if (peer->alive && peer->nearness != Nearness::kDataCentre) {
+      elsewhere.push_back(peer.get());
+    }
+  }
+  Targets targets;
+  AddSome(targets, DataCentre(), kRumourNear, random_);
+  AddSome(targets, std::move(elsewhere), kRumourElsewhere, random_);
+  return targets;
+}
+
+Membership::Targets Membership::DataCentre() const {
+  Targets targets;
+  for (const auto& [name, peer] : peers_) {
+    if (peer->nearness == Nearness::kDataCentre) {
+      targets.push_back(peer.get());
+    }
+  }
+  return targets;
+}
+
+Membership::Targets Membership::Everyone() const {
+  Targets targets;
+  for (const auto& [name, peer] : peers_) {
+    targets.push_back(peer.get());
+  }
+  return targets;
+}
+
+bool Membership::TellsLoadElsewhere() const {
+  return PeriodOf(Audience::kElsewhere, IsQuiet(own_)) <= kLoadIsOld;
+}
+
+std::vector<std::string> Membership::Ranked(const PoolKey& pool,
+                                            std::size_t most) const {
+  const std::string key = pool.service + "/" + pool.data_centre;
+  std::vector<std::pair<routing::SchedulerRank, const DaemonState*>> ranked;
+  const auto add = [&](const DaemonState& state) {
+    const bool beside = state.data_centre == pool.data_centre;
+    const auto rank = state.leaving ? routing::SchedulerRank{}
+                                    : routing::SchedulerRank{
+                                          beside, state.processor_share,
+                                          RendezvousWeight(key, state.name)};
+    ranked.emplace_back(rank, &state);
+  };
+  add(own_);
+  for (const auto& [name, peer] : peers_) {
+    if (peer->alive && !peer->state.leaving) {
+      add(peer->state);
+    }
+  }
+  const std::size_t count = std::min(most, ranked.size());
+  std::partial_sort(
+      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+      ranked.end(),
+      [](const auto& a, const auto& b) { return b.first < a.first; });
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < count; ++i) {
+    names.push_back(ranked[i].second->name);
+  }
+  return names;
+}
+
+const std::string& Membership::SchedulerOf(const PoolKey& pool) const {
+  const auto found = schedulers_.find(pool);
+  if (found != schedulers_.end()) {
+    return found->second;
+  }
+  return schedulers_.emplace(pool, Ranked(pool, 1).front()).first->second;
+}
+
+bool Membership::IsStoreReader() const {
+  constexpr std::string_view kKey = "store-reader";
+  const std::uint64_t own = RendezvousWeight(kKey, own_.name);
+  return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const Peer& peer = *entry.second;
+    return peer.alive && !peer.state.leaving &&
+           peer.state.data_centre == own_.data_centre &&
+           peer.state.store != StoreContact::kSilent &&
+           RendezvousWeight(kKey, peer.state.name) > own;
+  });
+}
+
+const Membership::Peer* Membership::SourceOf(
+    std::uint64_t deployment_version,
+    std::uint64_t servers_version) const {
+  const Peer* source = nullptr;
+  std::pair<Nearness, std::uint64_t> best;
+  for (const auto& [name, peer] : peers_) {
+    const bool newer = peer->state.deployment_version > deployment_version ||
+                       peer->state.servers_version > servers_version;
+    if (!peer->alive || !newer) {
+      continue;
+    }
+    // Of equally near ones each daemon takes another, so that all who have the
+    // news hand it on, and not only the one that had it first.
+    const std::pair rank(peer->nearness, RendezvousWeight(own_.name, name));
+    if (source == nullptr || rank < best) {
+      source = peer.get();
+      best = rank;
+    }
+  }
+  return source;
+}
+
+std::size_t Membership::live_daemons() const {
+  return 1 + static_cast<std::size_t>(std::count_if(
+                 peers_.begin(), peers_.end(),
+                 [](const auto& entry) { return entry.second->alive; }));
+}
+
+}  // namespace gentianroute::gateway
--- /dev/null
+++ b/packages/gateway/src/peer_calls.cc
@@ -0,0 +1,193 @@
+#include "gentianroute/gateway/peer_calls.h"
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "gentianroute/gateway/detail/cluster_messages.h"
+#include "gentianroute/observe/log.h"
+
+namespace gentianroute::gateway {
+namespace {
+
+using detail::ReadOutcome;
+using detail::WriteGroup;
+
+/// A copy over a narrow link that others use too takes most of a second; asked
+/// for again before it has come, it would take up the link twice.
+constexpr Duration kCopyTimeout = std::chrono::milliseconds(1500);
+/// One packet of the first try may have been lost.
+constexpr int kMostFailures = 2;
+
+struct LogTaskErrors final : kj::TaskSet::ErrorHandler {
+  void taskFailed(kj::Exception&& exception) override {
+    LogEvent("peer_call_failed", LogLevel::kWarning)
+        .Field("reason", exception.getDescription().cStr());
+  }
+};
+
+}  // namespace
+
+/// A group that a peer runs. Letting go of it cancels the call.
+class PeerCalls::RemoteGroup final : public GroupHold {
+ public:
+  using Done = std::function<void(std::optional<GroupOutcome>)>;
+
+  explicit RemoteGroup(Done done) : done_(std::move(done)) {}
+  ~RemoteGroup() noexcept override {
+    canceler_.cancel("the request has ended");
+  }
+
+  template <typename T>
+  kj::Promise<T> Wrap(kj::Promise<T> call) {
+    return canceler_.wrap(kj::mv(call));
+  }
+  std::weak_ptr<RemoteGroup*> self() const { return self_; }
+  void End(std::optional<GroupOutcome> outcome) {
+    if (auto done = std::exchange(done_, nullptr)) {
+      done(std::move(outcome));
+    }
+  }
+
+ private:
+  Done done_;
+  kj::Canceler canceler_;
+  /// Tells a callback that the group still exists.
+  std::shared_ptr<RemoteGroup*> self_ = std::make_shared<RemoteGroup*>(this);
+};
+
+PeerCalls::PeerCalls(EventLoop& loop, OnUnreachable on_unreachable)
+    : loop_(loop),
+      on_unreachable_(std::move(on_unreachable)),
+      task_errors_(std::make_unique<LogTaskErrors>()),
+      tasks_(std::make_unique<kj::TaskSet>(*task_errors_)) {}
+
+PeerCalls::~PeerCalls() {
+  loop_.Cancel(sweep_timer_);
+}
+
+void PeerCalls::Link(const DaemonState& peer) {
+  Connection& connection = connections_[peer.name];
+  connection.peer = peer;
+  if (connection.rpc == nullptr || connection.broken) {
+    Connect(connection);
+  }
+}
+
+void PeerCalls::Unlink(std::string_view peer) {
+  const auto found = connections_.find(peer);
+  if (found != connections_.end()) {
+    connections_.erase(found);
+  }
+}
+
+void PeerCalls::Connect(Connection& connection) {
+  connection.broken = false;
+  connection.rpc = std::make_unique<RpcConnection>(
+      loop_, connection.peer.address, connection.peer.port,
+      [this, &connection] { OnBroken(connection); });
+}
+
+void PeerCalls::OnBroken(Connection& connection) {
+  connection.broken = true;
+  connection.failures =
+      connection.rpc->has_stood() ? 0 : connection.failures + 1;
+  // The connection must not be destroyed by its own callback.
+  loop_.Cancel(sweep_timer_);
+  sweep_timer_ = loop_.After(Duration{0}, [this] { SweepBroken(); });
+}
+
+void PeerCalls::SweepBroken() {
+  std::vector<std::string> unreachable;
+  for (auto& [name, connection] : connections_) {
+    if (!connection.broken) {
+      continue;
+    }
+    if (connection.failures < kMostFailures) {
+      Connect(connection);
+    } else {
+      unreachable.push_back(name);
+    }
+  }
+  for (const std::string& name : unreachable) {
+    connections_.erase(name);
+    on_unreachable_(name);
+  }
+}
+
+schema::Cluster::Client PeerCalls::Of(const DaemonState& peer) {
+  Link(peer);
+  return connections_.find(peer.name)
+      ->second.rpc->bootstrap()
+      .castAs<schema::Cluster>();
+}
+
+std::unique_ptr<GroupHold> PeerCalls::RunGroup(
+    const DaemonState& peer,
+    const PoolKey& pool,
+    const routing::StageGroup& group,
+    std::function<void(std::optional<GroupOutcome>)> done) {
+  auto remote = std::make_unique<RemoteGroup>(std::move(done));
+  const std::weak_ptr<RemoteGroup*> self = remote->self();
+  auto request = Of(peer).runGroupRequest();
+  WriteGroup(loop_.Now(), pool.service, pool.data_centre, group,
+             request.initGroup());
+  kj::Promise<capnp::Response<schema::Cluster::RunGroupResults>> sent =
+      request.send();
+  // Only the call itself can be cancelled: what hears of its end may let go of
+  // the group, and a promise must not be destroyed by its own callback.
+  tasks_->add(remote->Wrap(kj::mv(sent))
+                  .then(
+                      [self](auto response) {
+                        if (const auto alive = self.lock()) {
+                          (*alive)->End(ReadOutcome(response.getOutcome()));
+                        }
+                      },
+                      [self](kj::Exception&& /*exception*/) {
+                        if (const auto alive = self.lock()) {
+                          (*alive)->End(std::nullopt);
+                        }
+                      }));
+  return remote;
+}
+
+void PeerCalls::Release(const DaemonState& peer,
+                        const PoolKey& pool,
+                        std::span<const std::string> results) {
+  auto request = Of(peer).releaseRequest();
+  request.setService(pool.service);
+  request.setDataCentre(pool.data_centre);
+  auto out = request.initResults(static_cast<unsigned>(results.size()));
+  for (unsigned i = 0; i < out.size(); ++i) {
+    out.set(i, results[i]);
+  }
+  // A lost release costs room for some seconds only; it is not repeated.
+  tasks_->add(request.send().ignoreResult());
+}
+
+void PeerCalls::FetchStoreCopy(
+    const DaemonState& peer,
+    std::uint64_t deployment_version,
+    std::uint64_t servers_version,
+    std::function<void(schema::StoreCopy::Reader)> done) {
+  if (std::exchange(fetching_, true)) {
+    return;
+  }
+  auto request = Of(peer).storeCopyRequest();
+  request.setDeploymentVersion(deployment_version);
+  request.setServersVersion(servers_version);
+  auto timeout = kj::newPromiseAndFulfiller<void>();
+  auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+      kj::mv(timeout.fulfiller));
+  loop_.After(kCopyTimeout, [fulfiller] { (*fulfiller)->fulfill(); });
+  tasks_->add(
+      request.send()
+          .then([done = std::move(done)](auto response) {
+            done(response.getCopy());
+          })
+          .exclusiveJoin(kj::mv(timeout.promise))
+          .then([this] { fetching_ = false; },
+                [this](kj::Exception&& /*broken*/) { fetching_ = false; }));
+}
+
+}  // namespace gentianroute::gateway
--- a/packages/gateway/src/stage_desk.cc
+++ b/packages/gateway/src/stage_desk.cc
@@ -76,7 +76,7 @@
 
 StageDesk::Pool* StageDesk::PoolFor(std::string_view service,
                                     std::string_view data_centre) {
-  const PoolKey key(service, data_centre);
+  const PoolKey key{std::string(service), std::string(data_centre)};
   const auto found = pools_.find(key);
   if (found != pools_.end()) {
     return found->second.get();
@@ -86,7 +86,8 @@
   if (spec == nullptr || !spec->stage) {
     return nullptr;
   }
-  auto pool = std::make_unique<Pool>(key.first, key.second, *spec->stage);
+  auto pool =
+      std::make_unique<Pool>(key.service, key.data_centre, *spec->stage);
   return pools_.emplace(key, std::move(pool)).first->second.get();
 }
 
--- a/packages/gateway/src/stage_work.cc
+++ b/packages/gateway/src/stage_work.cc
@@ -79,7 +79,7 @@
   }
 
   void HandOver() {
-    scheduler_ = work_.cluster_.SchedulerOf(service_, data_centre_);
+    scheduler_ = work_.cluster_.SchedulerOf({service_, data_centre_});
     const bool here =
         work_.cluster_.IsSelf(scheduler_) || schedulers_ >= kMostSchedulers;
     ++schedulers_;
@@ -102,7 +102,7 @@
       return;
     }
     hold_ = work_.cluster_.RunGroupAt(
-        scheduler_, service_, data_centre_, group_,
+        scheduler_, {service_, data_centre_}, group_,
         [this](std::optional<GroupOutcome> outcome) {
           if (outcome) {
             End(std::move(*outcome));
@@ -209,12 +209,11 @@
 
 void StageWork::FlushReleases() {
   for (auto& [pool, results] : std::exchange(released_, {})) {
-    const auto& [service, data_centre] = pool;
-    const std::string scheduler = cluster_.SchedulerOf(service, data_centre);
+    const std::string& scheduler = cluster_.SchedulerOf(pool);
     if (cluster_.IsSelf(scheduler)) {
-      desk_.Release(service, data_centre, std::move(results));
+      desk_.Release(pool.service, pool.data_centre, std::move(results));
     } else {
-      cluster_.ReleaseAt(scheduler, service, data_centre, results);
+      cluster_.ReleaseAt(scheduler, pool, results);
     }
   }
 }
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -1,7 +1,10 @@
 #include "gentianroute/gateway/store_follower.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
+#include <unordered_set>
 #include <utility>
 
 #include "gentianroute/observe/log.h"
@@ -31,6 +34,9 @@
 /// Deletions that peers can still be told of one by one; a peer that lacks
 /// older ones gets the whole table.
 constexpr std::size_t kMostGraves = 1000;
+/// A copy for a peer holds about so much. Whole tables, asked for by a whole
+/// data centre at once, fill the memory and the link of the one that has them.
+constexpr std::size_t kMostCopyBytes = 64 * 1024;
 /// A single lost answer is no outage.
 constexpr std::uint32_t kFailuresOfOutage = 2;
 
@@ -41,6 +47,10 @@
   return kTableNames[static_cast<std::size_t>(table)];
 }
 
+std::uint64_t HashOf(std::string_view key) {
+  return XXH3_64bits(key.data(), key.size());
+}
+
 }  // namespace
 
 StoreFollower::StoreFollower(EventLoop& loop,
@@ -64,7 +74,7 @@
 
 void StoreFollower::SetFollowing(bool following) {
   const bool followed = std::exchange(following_, following);
-  if (following && !followed && !asking_) {
+  if (known_ && following && !followed && !asking_) {
     Ask();
   }
 }
@@ -136,34 +146,83 @@
 }
 
 void StoreFollower::Offer(const StoreChanges& changes) {
-  if (changes.whole) {
-    if (!known_ || changes.version > version_) {
-      Take(changes.rows, changes.version);
-    }
+  if (changes.whole && newest_change_ > 0) {
+    // It has read the store meanwhile, and asks again from where it is.
+    return;
+  }
+  if (changes.whole && !known_) {
+    Take(changes.rows, changes.version);
     return;
   }
+  DropUnlisted(changes);
   for (const StoredRow& row : changes.rows) {
     Apply(row);
   }
   version_ = std::max(version_, changes.version);
 }
 
+void StoreFollower::DropUnlisted(const StoreChanges& changes) {
+  if (changes.listed.empty()) {
+    return;
+  }
+  const std::unordered_set<std::uint64_t> listed(changes.listed.begin(),
+                                                 changes.listed.end());
+  std::vector<StoredRow> gone;
+  for (const auto& [key, row] : rows_) {
+    if (row.version <= changes.listed_version &&
+        !listed.contains(HashOf(key))) {
+      gone.push_back({key, "", row.version, true});
+    }
+  }
+  for (const StoredRow& row : gone) {
+    rows_.erase(row.key);
+    Bury(row);
+    listener_.on_change(row);
+  }
+  // When these were deleted is not known, so nobody can be told of them alone.
+  graves_since_ = std::max(graves_since_, changes.listed_version);
+}
+
 StoreChanges StoreFollower::ChangesAfter(std::uint64_t known) const {
   StoreChanges changes;
   if (!known_ || known >= newest_change_) {
     return changes;
   }
-  changes.version = version_;
-  changes.whole = known < graves_since_;
+  changes.whole = known == 0;
+  if (!changes.whole && known < graves_since_) {
+    changes.listed_version = version_;
+    for (const auto& [key, row] : rows_) {
+      changes.listed.push_back(HashOf(key));
+    }
+  }
+  std::vector<const StoredRow*> newer;
   for (const auto& [key, row] : rows_) {
-    if (changes.whole || row.version > known) {
-      changes.rows.push_back(row);
+    if (row.version > known) {
+      newer.push_back(&row);
     }
   }
   for (const auto& [key, grave] : graves_) {
     if (!changes.whole && grave.version > known) {
-      changes.rows.push_back(grave);
+      newer.push_back(&grave);
+    }
+  }
+  std::sort(newer.begin(), newer.end(),
+            [](const StoredRow* a, const StoredRow* b) {
+              return a->version < b->version;
+            });
+  changes.version = version_;
+  std::size_t bytes = 0;
+  for (const StoredRow* row : newer) {
+    // One write may have set several rows; a part of them is no state that the
+    // store was ever in.
+    const bool same_write =
+        !changes.rows.empty() && changes.rows.back().version == row->version;
+    if (bytes >= kMostCopyBytes && !same_write) {
+      changes.version = changes.rows.back().version;
+      break;
     }
+    bytes += row->key.size() + row->value.size();
+    changes.rows.push_back(*row);
   }
   return changes;
 }
--- /dev/null
+++ b/packages/gateway/tests/daemon_rows_test.cc
@@ -0,0 +1,95 @@
+#include "gentianroute/gateway/daemon_rows.h"
+
+#include <criterion/criterion.h>
+
+#include "fake_store.h"
+
+using namespace gentianroute;
+using namespace gentianroute::gateway;
+
+namespace {
+
+constexpr std::string_view kOtherRow =
+    R"({"address":"10.0.0.2","port":7740,"data_centre":"north"})";
+constexpr Duration kLongerThanAnyPause = std::chrono::milliseconds(700);
+
+struct RowsFixture {
+  EventLoop loop;
+  FakeStore store;
+  std::vector<std::string> read;
+  DaemonRows rows{loop, store, Own(),
+                  [this](const std::vector<DaemonState>& daemons) {
+                    for (const DaemonState& daemon : daemons) {
+                      read.push_back(daemon.name + "@" + daemon.address);
+                    }
+                  }};
+
+  static DaemonState Own() {
+    DaemonState own;
+    own.name = "self";
+    own.address = "10.0.0.1";
+    own.port = 7740;
+    own.data_centre = "north";
+    return own;
+  }
+  void Pass(Duration time) {
+    loop.After(time, [this] { loop.Stop(); });
+    loop.Run();
+  }
+};
+
+}  // namespace
+
+Test(daemon_rows, first_start_writes_a_row_and_reads_again) {
+  RowsFixture fixture;
+  fixture.rows.Start();
+  fixture.store.Answer({}, 1);
+  cr_assert_eq(fixture.store.written.size(), 1);
+  fixture.store.Answer({}, 2);
+  fixture.Pass(kLongerThanAnyPause);
+  fixture.store.Answer({{"other", std::string(kOtherRow), 3, false},
+                        fixture.store.written.front()},
+                       3);
+  cr_assert_eq(fixture.read, std::vector<std::string>{"other@10.0.0.2"});
+  cr_assert_eq(fixture.store.written.size(), 1);
+  fixture.Pass(kLongerThanAnyPause);
+  cr_assert(fixture.store.asked.empty());
+}
+
+// Load: all processes were killed, and hundreds start at once. Their rows are
+// there; each still wrote its own and read all a second time.
+Test(daemon_rows, restart_costs_one_call) {
+  RowsFixture first;
+  first.rows.Start();
+  first.store.Answer({}, 1);
+  const StoredRow own = first.store.written.front();
+  std::vector<std::string> read;
+  FakeStore store;
+  DaemonRows again(first.loop, store, RowsFixture::Own(),
+                   [&read](const std::vector<DaemonState>& daemons) {
+                     read.push_back(daemons.front().name);
+                   });
+  again.Start();
+  store.Answer({{"other", std::string(kOtherRow), 3, false}, own}, 3);
+  first.Pass(kLongerThanAnyPause);
+  cr_assert(store.written.empty());
+  cr_assert(store.asked.empty());
+  cr_assert_eq(read, std::vector<std::string>{"other"});
+}
+
+// A daemon that takes the place of another has its name but another address.
+Test(daemon_rows, row_with_another_address_is_written_anew) {
+  RowsFixture fixture;
+  fixture.rows.Start();
+  fixture.store.Answer({{"self", std::string(kOtherRow), 3, false}}, 3);
+  cr_assert_eq(fixture.store.written.size(), 1);
+}
+
+Test(daemon_rows, call_without_an_answer_is_made_again) {
+  RowsFixture fixture;
+  fixture.rows.Start();
+  fixture.store.Give(StoreAnswer{});
+  cr_assert(fixture.store.asked.empty());
+  fixture.Pass(kLongerThanAnyPause);
+  cr_assert_eq(fixture.store.asked.size(), 1);
+}
--- /dev/null
+++ b/packages/gateway/tests/fake_store.h
@@ -0,0 +1,62 @@
+#ifndef GENTIANROUTE_GATEWAY_TESTS_FAKE_STORE_H_
+#define GENTIANROUTE_GATEWAY_TESTS_FAKE_STORE_H_
+
+#include <algorithm>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "gentianroute/gateway/store.h"
+
+namespace gentianroute::gateway {
+
+/// A store whose answers the test gives.
+class FakeStore final : public Store {
+ public:
+  struct Asked {
+    bool whole = false;
+    std::uint64_t after = 0;
+    Done done;
+  };
+
+  void Read(StoreTable /*table*/, Done done) override {
+    asked.push_back({true, 0, std::move(done)});
+  }
+  void Follow(StoreTable /*table*/,
+              std::uint64_t after,
+              Duration wait,
+              Done done) override {
+    asked.push_back({false, after, std::move(done)});
+    longest_wait = std::max(longest_wait, wait);
+  }
+  void Put(StoreTable /*table*/,
+           std::string_view key,
+           std::string_view value,
+           Done done) override {
+    written.push_back({std::string(key), std::string(value), 0, false});
+    asked.push_back({false, 0, std::move(done)});
+  }
+
+  void Answer(std::vector<StoredRow> rows, std::uint64_t version) {
+    StoreAnswer answer;
+    answer.kind = StoreAnswer::Kind::kRows;
+    answer.rows = std::move(rows);
+    answer.version = version;
+    Give(std::move(answer));
+  }
+  void Give(StoreAnswer answer) {
+    const Asked first = std::move(asked.front());
+    asked.pop_front();
+    first.done(std::move(answer));
+  }
+
+  std::deque<Asked> asked;
+  std::vector<StoredRow> written;
+  Duration longest_wait{0};
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_TESTS_FAKE_STORE_H_
--- /dev/null
+++ b/packages/gateway/tests/membership_test.cc
@@ -0,0 +1,153 @@
+#include "gentianroute/gateway/membership.h"
+
+#include <criterion/criterion.h>
+
+#include "virtual_fleet.h"
+
+using namespace gentianroute;
+using namespace gentianroute::gateway;
+
+namespace {
+
+using Shape = VirtualFleet::Shape;
+
+constexpr Shape kNine{9, 3, 3, 1};
+constexpr Shape kHundreds{195, 6, 3, 2};
+constexpr Shape kTarget{810, 11, 5, 3};
+constexpr double kLoss = 0.03;
+
+/// All started and settled; from then on datagrams get lost.
+struct FleetFixture {
+  explicit FleetFixture(Shape shape) : fleet(shape) {
+    fleet.StartAll();
+    fleet.Pass(2 * kSecond);
+    fleet.Lose(kLoss);
+    fleet.Pass(kSecond);
+  }
+  VirtualFleet fleet;
+  const PoolKey pool{"stage", "dc-1"};
+};
+
+void ExpectLostSchedulerIsPassedBy(Shape shape) {
+  FleetFixture fixture(shape);
+  VirtualFleet& fleet = fixture.fleet;
+  cr_assert(fleet.AgreesOn(fixture.pool));
+  fleet.Kill(fleet.IndexOf(fleet.Of(0).SchedulerOf(fixture.pool)));
+  const Duration taken = fleet.TimeToAgree(fixture.pool, 60 * kSecond);
+  // Its heirs miss five beats of 150 ms, and look each 150 ms.
+  cr_assert_leq(taken / kMs, 1200);
+}
+
+}  // namespace
+
+// Work goes to a lost scheduler until its users know; a request lives 6 s.
+Test(membership, lost_scheduler_of_nine_is_passed_by_soon) {
+  ExpectLostSchedulerIsPassedBy(kNine);
+}
+Test(membership, lost_scheduler_of_hundreds_is_passed_by_as_soon) {
+  ExpectLostSchedulerIsPassedBy(kHundreds);
+}
+Test(membership, lost_scheduler_at_the_target_is_passed_by_as_soon) {
+  ExpectLostSchedulerIsPassedBy(kTarget);
+}
+
+Test(membership, scheduler_lost_with_its_first_heir_is_passed_by) {
+  FleetFixture fixture(kHundreds);
+  VirtualFleet& fleet = fixture.fleet;
+  for (int i = 0; i < 2; ++i) {
+    const std::string next = fleet.Of(0).SchedulerOf(fixture.pool);
+    fleet.Kill(fleet.IndexOf(next));
+    // Who is next is asked of one that believes the first to be lost.
+    fleet.Of(0).OnUnreachable(next);
+  }
+  const Duration taken = fleet.TimeToAgree(fixture.pool, 60 * kSecond);
+  cr_assert_leq(taken / kMs, 3000);
+}
+
+// Load: all daemons start within 0.3 s, as after a loss of power. Told to all
+// of each newcomer, each daemon sent thousands of datagrams of its own accord;
+// the links stood full, and the configuration came late.
+Test(membership, start_of_all_costs_each_a_few_datagrams_for_each_peer) {
+  for (const Shape& shape : {kHundreds, kTarget}) {
+    VirtualFleet fleet(shape);
+    fleet.Lose(kLoss);
+    fleet.StartAll();
+    fleet.Pass(kSecond);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      cr_assert_leq(fleet.sent(i), 4 * fleet.size() + 200);
+      cr_assert_geq(fleet.Of(i).live_daemons(), fleet.size() * 95 / 100);
+    }
+  }
+}
+
+Test(membership, datagrams_of_a_daemon_do_not_grow_with_the_fleet) {
+  for (const Shape& shape : {kHundreds, kTarget}) {
+    FleetFixture fixture(shape);
+    const std::size_t before = fixture.fleet.sent(fixture.fleet.size() - 1);
+    fixture.fleet.Pass(20 * kSecond);
+    const std::size_t sent =
+        fixture.fleet.sent(fixture.fleet.size() - 1) - before;
+    cr_assert_leq(sent / 20, 145);
+  }
+}
+
+Test(membership, lossy_links_lose_no_daemon) {
+  FleetFixture fixture(kHundreds);
+  fixture.fleet.Pass(30 * kSecond);
+  cr_assert_eq(fixture.fleet.false_losses(), 0);
+}
+
+// A frozen scheduler wakes with its timers due and the others' beats unread. It
+// must not take all of them for lost, and must be believed again when it
+// speaks.
+Test(membership, scheduler_that_froze_loses_nobody_and_takes_over_again) {
+  FleetFixture fixture(kHundreds);
+  VirtualFleet& fleet = fixture.fleet;
+  const std::string scheduler = fleet.Of(0).SchedulerOf(fixture.pool);
+  const std::size_t frozen = fleet.IndexOf(scheduler);
+  fleet.Freeze(frozen, 4 * kSecond);
+  fleet.Pass(3 * kSecond);
+  cr_assert_neq(fleet.Of(0).SchedulerOf(fixture.pool), scheduler);
+  fleet.Pass(1100 * kMs);
+  cr_assert_geq(fleet.Of(frozen).live_daemons(), fleet.size() - 1);
+  const Duration taken = fleet.TimeToAgree(fixture.pool, 60 * kSecond);
+  cr_assert_leq(taken / kMs, 1500);
+  cr_assert_eq(fleet.Of(0).SchedulerOf(fixture.pool), scheduler);
+}
+
+Test(membership, restarted_daemon_is_known_again_and_its_old_loss_forgotten) {
+  FleetFixture fixture(kHundreds);
+  VirtualFleet& fleet = fixture.fleet;
+  const std::string scheduler = fleet.Of(0).SchedulerOf(fixture.pool);
+  fleet.Kill(fleet.IndexOf(scheduler));
+  fleet.Pass(1500 * kMs);
+  fleet.Start(fleet.IndexOf(scheduler));
+  const Duration taken = fleet.TimeToAgree(fixture.pool, 60 * kSecond);
+  cr_assert_leq(taken / kMs, 1500);
+  fleet.Pass(3 * kSecond);
+  cr_assert_eq(fleet.Of(0).SchedulerOf(fixture.pool), scheduler);
+}
+
+// The one that knows of a change told everyone in its region, and so did each
+// who heard of it: the square of their number, for each change of one server.
+Test(membership, rumour_reaches_a_few_and_in_a_few_steps_all) {
+  FleetFixture fixture(kTarget);
+  VirtualFleet& fleet = fixture.fleet;
+  std::set<std::size_t> told{0};
+  std::vector<std::size_t> newly{0};
+  for (int step = 0; step < 6 && !newly.empty(); ++step) {
+    std::vector<std::size_t> next;
+    for (const std::size_t i : newly) {
+      const auto targets = fleet.Of(i).RumourTargets();
+      cr_assert_leq(targets.size(), 10);
+      for (const Membership::Peer* peer : targets) {
+        const std::size_t to = fleet.IndexOf(peer->state.name);
+        if (told.insert(to).second) {
+          next.push_back(to);
+        }
+      }
+    }
+    newly = std::move(next);
+  }
+  cr_assert_geq(told.size(), fleet.size() * 99 / 100);
+}
--- a/packages/gateway/tests/store_follower_test.cc
+++ b/packages/gateway/tests/store_follower_test.cc
@@ -2,56 +2,15 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
-#include <deque>
 #include <utility>
 
+#include "fake_store.h"
+
 using namespace gentianroute;
 using namespace gentianroute::gateway;
 
 namespace {
 
-/// A store whose answers the test gives.
-class FakeStore final : public Store {
- public:
-  struct Asked {
-    bool whole = false;
-    std::uint64_t after = 0;
-    Done done;
-  };
-
-  void Read(StoreTable /*table*/, Done done) override {
-    asked.push_back({true, 0, std::move(done)});
-  }
-  void Follow(StoreTable /*table*/,
-              std::uint64_t after,
-              Duration wait,
-              Done done) override {
-    asked.push_back({false, after, std::move(done)});
-    longest_wait = std::max(longest_wait, wait);
-  }
-  void Put(StoreTable /*table*/,
-           std::string_view /*key*/,
-           std::string_view /*value*/,
-           Done /*done*/) override {}
-
-  void Answer(std::vector<StoredRow> rows, std::uint64_t version) {
-    StoreAnswer answer;
-    answer.kind = StoreAnswer::Kind::kRows;
-    answer.rows = std::move(rows);
-    answer.version = version;
-    Give(std::move(answer));
-  }
-  void Give(StoreAnswer answer) {
-    const Asked first = std::move(asked.front());
-    asked.pop_front();
-    first.done(std::move(answer));
-  }
-
-  std::deque<Asked> asked;
-  Duration longest_wait{0};
-};
-
 constexpr Duration kInForceWithin = std::chrono::milliseconds(2500);
 
 struct FollowerFixture {
@@ -65,7 +24,9 @@
                  store,
                  StoreTable::kServers,
                  change_in_force,
-                 Listener()) {}
+                 Listener()) {
+    follower.SetFollowing(true);
+  }
 
   StoreFollower::Listener Listener() {
     return {[this](const std::vector<StoredRow>& /*rows*/) { ++whole_reads; },
@@ -83,6 +44,24 @@
   StoreFollower follower;
 };
 
+/// Another daemon's copy of the same table.
+struct PeerFixture {
+  FakeStore store;
+  std::vector<std::string> changes;
+  StoreFollower follower;
+
+  explicit PeerFixture(FollowerFixture& first)
+      : follower(first.loop,
+                 store,
+                 StoreTable::kServers,
+                 kInForceWithin,
+                 {[](const std::vector<StoredRow>& /*rows*/) {},
+                  [this](const StoredRow& row) {
+                    changes.push_back((row.deleted ? "-" : "+") + row.key);
+                  },
+                  [](bool /*answers*/) {}, [] {}}) {}
+};
+
 constexpr Duration kLongerThanAnyPause = std::chrono::milliseconds(700);
 
 }  // namespace
@@ -204,3 +183,90 @@
   fixture.store.Answer({}, 7);
   cr_assert(fixture.store.longest_wait >= 2 * kHeldNear);
 }
+
+// Load: a whole data centre asks one daemon for thousands of rows. Each answer
+// was the whole table; they waited in its memory for a link that takes seconds
+// over them, until the process was ended for it.
+Test(store_follower, large_table_is_told_in_parts_that_each_are_a_whole_state) {
+  constexpr std::size_t kRows = 3000;
+  const std::string value(200, 'x');
+  std::vector<StoredRow> rows;
+  for (std::size_t i = 0; i < kRows; ++i) {
+    // Two rows share a write.
+    rows.push_back({"server-" + std::to_string(i), value, 10 + i / 2, false});
+  }
+  FollowerFixture source;
+  source.follower.Start();
+  source.store.Answer(rows, 5000);
+  PeerFixture asker(source);
+  std::size_t told = 0;
+  while (asker.follower.newest_change() < source.follower.newest_change()) {
+    const StoreChanges part =
+        source.follower.ChangesAfter(asker.follower.newest_change());
+    cr_assert_leq(part.rows.size(), 400);
+    cr_assert_eq(part.rows.size() % 2, 0);
+    told += part.rows.size();
+    asker.follower.Offer(part);
+  }
+  cr_assert_eq(told, kRows);
+}
+
+// A peer read the table a moment before this daemon did, and lacks what changed
+// between. It was handed the whole table again: all daemons start together, so
+// each asked each for it.
+Test(store_follower, peer_that_read_before_gets_the_changes_and_what_is_left) {
+  FollowerFixture later;
+  later.follower.Start();
+  later.store.Answer({{"a", "", 4, false}, {"c", "", 9, false}}, 9);
+  PeerFixture before(later);
+  before.follower.Start();
+  before.store.Answer({{"a", "", 4, false}, {"b", "", 5, false}}, 7);
+  const StoreChanges changes =
+      later.follower.ChangesAfter(before.follower.newest_change());
+  cr_assert_not(changes.whole);
+  cr_assert_eq(changes.rows.size(), 1);
+  before.follower.Offer(changes);
+  cr_assert_eq(before.changes, (std::vector<std::string>{"-b", "+c"}));
+  cr_assert_eq(before.follower.newest_change(), 9);
+}
+
+// A row that this daemon learnt after the peer had listed its own must stay.
+Test(store_follower, row_newer_than_a_peers_list_is_kept) {
+  FollowerFixture fixture;
+  fixture.follower.Start();
+  fixture.store.Answer({{"a", "", 4, false}, {"new", "", 12, false}}, 12);
+  StoreChanges changes;
+  changes.version = 9;
+  changes.listed_version = 9;
+  changes.listed = {1};
+  fixture.follower.Offer(changes);
+  cr_assert_eq(fixture.changes, std::vector<std::string>{"-a"});
+}
+
+// Load: all daemons start at once, and one of each data centre is to follow the
+// store. A call of each, made before it knew the others, was billed.
+Test(store_follower, does_not_follow_until_it_is_to) {
+  FollowerFixture fixture;
+  PeerFixture other(fixture);
+  other.follower.Start();
+  other.store.Answer({{"a", "", 4, false}}, 7);
+  cr_assert(other.store.asked.empty());
+  other.follower.SetFollowing(true);
+  cr_assert_eq(other.store.asked.size(), 1);
+}
+
+// Daemons start before the first backend server does, and read an empty table.
+// The one that follows the store tells of the servers; the others took that for
+// a copy which they did not need, asked for it for ever, and served nobody.
+Test(store_follower, copy_is_taken_after_an_empty_table_was_read) {
+  FollowerFixture source;
+  source.follower.Start();
+  source.store.Answer({{"a", "", 4, false}}, 7);
+  PeerFixture other(source);
+  other.follower.Start();
+  other.store.Answer({}, 2);
+  other.follower.Offer(
+      source.follower.ChangesAfter(other.follower.newest_change()));
+  cr_assert_eq(other.changes, std::vector<std::string>{"+a"});
+  cr_assert_eq(other.follower.newest_change(), 4);
+}
--- /dev/null
+++ b/packages/gateway/tests/virtual_fleet.h
@@ -0,0 +1,249 @@
+#ifndef GENTIANROUTE_GATEWAY_TESTS_VIRTUAL_FLEET_H_
+#define GENTIANROUTE_GATEWAY_TESTS_VIRTUAL_FLEET_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "gentianroute/gateway/membership.h"
+
+namespace gentianroute::gateway {
+
+inline constexpr Duration kMs = std::chrono::milliseconds(1);
+inline constexpr Duration kSecond = std::chrono::seconds(1);
+inline constexpr TimePoint kStart = TimePoint{} + std::chrono::seconds(10);
+
+/// Daemons on virtual time that tell each other who lives, as `Cluster` does
+/// over its sockets. Datagrams are late and get lost.
+class VirtualFleet {
+ public:
+  struct Shape {
+    std::size_t daemons = 9;
+    std::size_t data_centres = 3;
+    std::size_t regions = 3;
+    std::uint64_t seed = 1;
+  };
+
+  explicit VirtualFleet(Shape shape) : shape_(shape), random_(shape.seed) {
+    for (std::size_t i = 0; i < shape_.data_centres; ++i) {
+      regions_[DataCentre(i)] = "region-" + std::to_string(i % shape_.regions);
+    }
+    for (std::size_t i = 0; i < shape_.daemons; ++i) {
+      index_["daemon-" + std::to_string(i)] = i;
+      daemons_.push_back({});
+    }
+  }
+
+  std::string DataCentre(std::size_t i) const {
+    return "dc-" + std::to_string(i % shape_.data_centres);
+  }
+  /// Its process starts, with all rows in the store already.
+  void Start(std::size_t i) {
+    Daemon& daemon = daemons_[i];
+    daemon.runs = true;
+    ++daemon.incarnation;
+    DaemonState own = RowOf(i);
+    own.incarnation = daemon.incarnation;
+    own.processor_share = i < 3 * shape_.data_centres ? 0.5 : 0.12;
+    daemon.members =
+        std::make_unique<Membership>(own, regions_, shape_.seed * 1000 + i);
+    Membership::Targets unheard;
+    for (std::size_t other = 0; other < daemons_.size(); ++other) {
+      if (const auto* peer = daemon.members->OnRow(RowOf(other))) {
+        unheard.push_back(peer);
+      }
+    }
+    Send(i, unheard);
+    Round(i, daemon.incarnation);
+  }
+  /// All within 0.3 s, in any order.
+  void StartAll() {
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      After(Draw(300) * kMs, [this, i] { Start(i); });
+    }
+  }
+  /// Share of datagrams that get lost from now on.
+  void Lose(double share) { loss_ = share; }
+  void Kill(std::size_t i) { daemons_[i].runs = false; }
+  /// Stops for a time; what comes meanwhile is read after its timers.
+  void Freeze(std::size_t i, Duration time) {
+    daemons_[i].frozen_until = now_ + time;
+  }
+  void Pass(Duration time) {
+    const TimePoint end = now_ + time;
+    while (!events_.empty() && events_.top().at <= end) {
+      auto event = events_.top();
+      events_.pop();
+      now_ = event.at;
+      event.run();
+    }
+    now_ = end;
+  }
+
+  Membership& Of(std::size_t i) { return *daemons_[i].members; }
+  bool runs(std::size_t i) const { return daemons_[i].runs; }
+  std::size_t size() const { return daemons_.size(); }
+  TimePoint now() const { return now_; }
+  std::size_t IndexOf(std::string_view name) const {
+    return index_.find(name)->second;
+  }
+  /// Datagrams that a daemon has sent.
+  std::size_t sent(std::size_t i) const { return daemons_[i].sent; }
+  /// How often a peer was taken for lost that runs.
+  std::size_t false_losses() const { return false_losses_; }
+
+  /// Whether all that run name the same scheduler, one that runs.
+  bool AgreesOn(const PoolKey& pool) {
+    std::set<std::string> named;
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      if (daemons_[i].runs) {
+        named.insert(Of(i).SchedulerOf(pool));
+      }
+    }
+    return named.size() == 1 && runs(IndexOf(*named.begin()));
+  }
+  /// Time until all agree, at most `limit`.
+  Duration TimeToAgree(const PoolKey& pool, Duration limit) {
+    const TimePoint begun = now_;
+    while (!AgreesOn(pool) && now_ - begun < limit) {
+      Pass(50 * kMs);
+    }
+    return now_ - begun;
+  }
+
+ private:
+  struct Daemon {
+    std::unique_ptr<Membership> members;
+    bool runs = false;
+    std::uint64_t incarnation = 0;
+    TimePoint frozen_until{};
+    std::size_t sent = 0;
+  };
+  struct Message {
+    DaemonState state;
+    std::vector<std::pair<std::string, std::uint64_t>> lost;
+  };
+  struct Event {
+    TimePoint at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return std::pair(other.at, other.order) < std::pair(at, order);
+    }
+  };
+
+  std::int64_t Draw(std::int64_t most) {
+    return std::uniform_int_distribution<std::int64_t>(0, most)(random_);
+  }
+  void After(Duration time, std::function<void()> run) {
+    events_.push({now_ + time, ++order_, std::move(run)});
+  }
+  DaemonState RowOf(std::size_t i) const {
+    DaemonState row;
+    row.name = "daemon-" + std::to_string(i);
+    row.data_centre = DataCentre(i);
+    return row;
+  }
+
+  void Round(std::size_t i, std::uint64_t incarnation) {
+    Daemon& daemon = daemons_[i];
+    if (!daemon.runs || daemon.incarnation != incarnation) {
+      return;
+    }
+    if (now_ < daemon.frozen_until) {
+      After(daemon.frozen_until - now_,
+            [this, i, incarnation] { Round(i, incarnation); });
+      return;
+    }
+    for (const Membership::Lost& lost : daemon.members->Watch(now_)) {
+      false_losses_ += runs(IndexOf(lost.name)) ? 1 : 0;
+    }
+    std::vector<PoolKey> pools;
+    const PoolKey pool{"stage", DataCentre(i)};
+    if (daemon.members->IsSelf(daemon.members->SchedulerOf(pool))) {
+      pools.push_back(pool);
+    }
+    daemon.members->SetDuties(pools, false);
+    Send(i, daemon.members->BeatTargets(now_));
+    After(daemon.members->UntilNextRound(now_),
+          [this, i, incarnation] { Round(i, incarnation); });
+  }
+
+  void Send(std::size_t from, const Membership::Targets& targets) {
+    Daemon& daemon = daemons_[from];
+    std::map<Duration, std::shared_ptr<Message>> messages;
+    for (const Membership::Peer* peer : targets) {
+      ++daemon.sent;
+      const bool far = peer->nearness == Membership::Nearness::kElsewhere;
+      if (std::bernoulli_distribution(loss_)(random_)) {
+        continue;
+      }
+      auto& message = messages[daemon.members->PeriodTo(*peer)];
+      if (message == nullptr) {
+        message = MessageOf(*daemon.members, daemon.members->PeriodTo(*peer));
+      }
+      const std::size_t to = IndexOf(peer->state.name);
+      After((far ? 20 : 1) * kMs,
+            [this, to, message] { Receive(to, message); });
+    }
+  }
+
+  std::shared_ptr<Message> MessageOf(const Membership& members,
+                                     Duration period) const {
+    auto message = std::make_shared<Message>();
+    message->state = members.own();
+    message->state.next_beat = period;
+    for (const Membership::Peer* peer : members.RecentlyLost(now_)) {
+      message->lost.emplace_back(peer->state.name, peer->state.incarnation);
+    }
+    return message;
+  }
+
+  void Receive(std::size_t to, const std::shared_ptr<Message>& message) {
+    Daemon& daemon = daemons_[to];
+    if (!daemon.runs) {
+      return;
+    }
+    if (now_ < daemon.frozen_until) {
+      After(daemon.frozen_until - now_ + kMs,
+            [this, to, message] { Receive(to, message); });
+      return;
+    }
+    Membership& members = *daemon.members;
+    const auto arrival = members.OnBeat(now_, message->state);
+    if (arrival != Membership::Arrival::kKnown) {
+      Send(to, {members.Find(message->state.name)});
+    }
+    for (const auto& [name, incarnation] : message->lost) {
+      if (members.OnLossTold(now_, name, incarnation) ==
+          Membership::Loss::kOfThisDaemon) {
+        Send(to, members.BeatTargets(now_));
+      }
+    }
+  }
+
+  Shape shape_;
+  double loss_ = 0;
+  std::mt19937_64 random_;
+  std::map<std::string, std::string, std::less<>> regions_;
+  std::map<std::string, std::size_t, std::less<>> index_;
+  std::vector<Daemon> daemons_;
+  std::priority_queue<Event> events_;
+  std::uint64_t order_ = 0;
+  TimePoint now_ = kStart;
+  std::size_t false_losses_ = 0;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_TESTS_VIRTUAL_FLEET_H_
--- a/packages/loop/include/gentianroute/loop/rpc.h
+++ b/packages/loop/include/gentianroute/loop/rpc.h
@@ -45,6 +45,8 @@
   ~RpcConnection();
 
   bool connected() const;
+  /// @brief Whether it was ever connected.
+  bool has_stood() const;
   /// @brief The far end's capability. Calls on it wait for the connection while
   /// that is being made, and fail once it is broken.
   capnp::Capability::Client bootstrap();
--- a/packages/loop/src/rpc.cc
+++ b/packages/loop/src/rpc.cc
@@ -209,7 +209,8 @@
     CloseConnecting();
   }
 
-  bool connected() const { return link_.get() != nullptr && !broken_; }
+  bool has_stood() const { return link_.get() != nullptr; }
+  bool connected() const { return has_stood() && !broken_; }
   capnp::Capability::Client bootstrap() {
     if (broken_) {
       return KJ_EXCEPTION(DISCONNECTED, "not connected");
@@ -301,6 +302,9 @@
 bool RpcConnection::connected() const {
   return impl_->connected();
 }
+bool RpcConnection::has_stood() const {
+  return impl_->has_stood();
+}
 capnp::Capability::Client RpcConnection::bootstrap() {
   return impl_->bootstrap();
 }
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -22,8 +22,14 @@
   allMs @3 :Float32;
 }
 
+struct LostDaemon {
+  # A daemon that those of its data centre hear no more.
+  name @0 :Text;
+  incarnation @1 :UInt64;
+}
+
 struct Beat {
-  # Sent to each peer every period, as a datagram; soft state only.
+  # Sent to peers now and then, as a datagram; soft state only.
   daemon @0 :Text;
   incarnation @1 :UInt64;
   address @2 :Text;
@@ -37,6 +43,8 @@
   backlogs @10 :List(StageBacklog);
   quarantined @11 :List(Peer.Quarantine);
   processorShare @12 :Float32;        # cores that this daemon may use
+  lost @13 :List(LostDaemon);         # of the sender's data centre, a short time ago
+  nextMs @14 :UInt32;                 # within this the receiver hears the sender again
 }
 
 struct Group {
@@ -70,11 +78,15 @@
 }
 
 struct StoreCopy {
-  # What a peer last read in the store, as far as it is newer.
+  # What a peer last read in the store, as far as it is newer: the oldest of it,
+  # if all of it would be too much for one message.
   deployment @0 :List(Row);
   servers @1 :List(Row);
-  serversVersion @2 :UInt64;          # of the store, when the peer read it; 0: nothing
-  serversWhole @3 :Bool;              # all rows, not the changes only
+  serversVersion @2 :UInt64;          # that the copy is complete up to; 0: nothing
+  serversWhole @3 :Bool;              # for one that knows nothing yet
+  serversListed @4 :List(UInt64);     # hashes of the keys of all rows; empty: the
+                                      # deletions are among the rows
+  serversListedVersion @5 :UInt64;    # at which those were all
 }
 
 interface Cluster {
