Keep daemons that schedule nothing silent beyond their data centre

Hypothesis: elsewhere only those have to be known who schedule a pool, and one of each data centre from whom the store's news can be had. Change: such a daemon tells everyone three times when it begins or ceases to; the others beat elsewhere only where that is often enough for their load to be of use (small fleets). A beat promises when the next one comes; who was promised none misses nothing. A copy from beyond the data centre waits 250 ms for the own reader. Shared budgets count all daemons elsewhere, heard or not. Tests: who is heard elsewhere, with and without stage services; live count.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -221,6 +221,7 @@
       return;
     }
     table_ = std::make_shared<routing::RouteTable>(std::move(*deployment));
+    cluster_.SetStageServices(table_->StageServices());
     desk_.SetTable(table_);
     stages_.SetTable(table_);
     LogEvent("deployment_in_force")
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -33,18 +34,20 @@
   std::uint64_t servers_version = 0;
   std::vector<PoolKey> pools;    ///< that it schedules
   bool has_quarantined = false;  ///< knows of a request that crashes servers
-  Duration next_beat{};          ///< within this the receiver hears it again
+  /// Within this the receiver hears it again; 0: it need not.
+  Duration next_beat{};
 };
 
 /// @brief The daemons of one deployment as one of them believes them to be, and
 /// whom it tells what. No I/O: the time is an argument.
 ///
 /// Beats go often to the daemons of the own data centre, whose number does not
-/// grow with the fleet, and seldom to the others. A daemon that schedules a
-/// pool beats fast to its heirs, who would be next; the one who takes over
-/// tells all. So a lost scheduler is passed by soon at any size, and what a
-/// daemon sends hardly grows. News goes by rumour: a few hear it at once and
-/// tell a few more.
+/// grow with the fleet, and seldom to the others: in a large fleet only daemons
+/// that schedule a pool are known elsewhere. Such a daemon tells everyone when
+/// it begins to, and beats fast to its heirs, who would be next; the one who
+/// takes over tells everyone. So a lost scheduler is passed by soon at any
+/// size, and what a daemon sends hardly grows. News goes by rumour: a few hear
+/// it at once and tell a few more.
 class Membership {
  public:
   /// @brief How near another daemon is; the nearest first.
@@ -60,7 +63,8 @@
 
   /// @param regions region of each data centre
   /// @param seed of the choice whom a rumour reaches
-  Membership(DaemonState own,
+  Membership(TimePoint now,
+             DaemonState own,
              std::map<std::string, std::string, std::less<>> regions,
              std::uint64_t seed);
 
@@ -68,6 +72,9 @@
   /// @brief What this daemon does for others, as far as it says how often they
   /// have to hear of it.
   void SetDuties(std::vector<PoolKey> pools, bool has_quarantined);
+  /// @brief Services whose pool in the own data centre a daemon of it
+  /// schedules.
+  void SetStageServices(std::vector<std::string> services);
   /// @brief This daemon goes; it schedules no pool from now on, and the next
   /// rounds tell everyone.
   void Leave();
@@ -75,13 +82,13 @@
   /// @brief The peer of this name; null if nothing is known of it.
   const Peer* Find(std::string_view name) const;
 
-  /// @brief A row of the store says where a daemon is.
-  /// @return the peer, if it was not known or has not been heard: it should be
-  /// told that this daemon lives
-  const Peer* OnRow(const DaemonState& row);
+  /// @brief Rows of the store say where daemons are.
+  /// @return the peers that should be told that this daemon lives
+  Targets OnRows(std::span<const DaemonState> rows);
 
   enum class Arrival : std::uint8_t { kKnown, kNew, kRestarted };
-  /// @brief A peer's beat has come.
+  /// @brief A peer's beat has come. One that is new or has restarted should be
+  /// told that this daemon lives, if it IsToldOf() this daemon.
   Arrival OnBeat(TimePoint now, DaemonState state);
 
   /// @brief A peer takes no connection, though its beats may be recent: its
@@ -109,11 +116,14 @@
   /// those who hear of it from here only.
   Targets RecentlyLost(TimePoint now) const;
 
+  /// @brief Whether a peer gets this daemon's beats.
+  bool IsToldOf(const Peer& peer) const;
   /// @brief Time until the next round of beats, and of watching.
   Duration UntilNextRound(TimePoint now) const;
   /// @brief Whom this round of beats goes to.
   Targets BeatTargets(TimePoint now);
-  /// @brief Time from one beat to this peer to the next, at most.
+  /// @brief Time from one beat to this peer to the next, at most; 0 if it gets
+  /// none regularly, and is not to miss them.
   Duration PeriodTo(const Peer& peer) const;
   /// @brief Whom news goes to at once, chosen anew each time.
   Targets RumourTargets();
@@ -121,9 +131,9 @@
   Targets DataCentre() const;
   /// @brief All known peers.
   Targets Everyone() const;
-  /// @brief Whether beats to daemons elsewhere come often enough for what they
-  /// say of load to be of use there.
-  bool TellsLoadElsewhere() const;
+  /// @brief Whether beats to a peer come often enough for what they say of load
+  /// to be of use there.
+  bool TellsLoadTo(const Peer& peer) const;
 
   /// @brief The daemon that schedules a pool: the same in the eyes of all that
   /// see the same daemons.
@@ -137,7 +147,10 @@
   const Peer* SourceOf(std::uint64_t deployment_version,
                        std::uint64_t servers_version) const;
 
-  std::size_t live_daemons() const;  ///< this one included
+  /// @brief Daemons that share what all have together, this one included. Those
+  /// elsewhere count whether they are heard or not, as most keep silent there;
+  /// so a share is rather too small than too large.
+  std::size_t live_daemons() const;
 
  private:
   /// Whom beats go to at one rate; the first three as in Nearness.
@@ -158,6 +171,9 @@
   /// The best of all that live for a pool, the first its scheduler.
   std::vector<std::string> Ranked(const PoolKey& pool, std::size_t most) const;
   void FindHeirs();
+  /// Whether this daemon is one that those elsewhere have to know.
+  bool SpeaksForDataCentre(TimePoint now) const;
+  bool IsQuiet() const;
   bool MarkLost(Peer& peer);
   void OnLost(TimePoint now, const Peer& peer);
   void OnChanged();
@@ -176,6 +192,9 @@
   std::array<std::int64_t, 3> counts_{};  ///< of peers, by nearness
   std::array<TimePoint, kAudiences> due_{};
   int rounds_to_everyone_ = 0;
+  TimePoint started_{};
+  std::vector<std::string> stage_services_;
+  bool speaks_ = false;  ///< for its data centre, to those elsewhere
   TimePoint watched_{};
   TimePoint denied_{};  ///< its own loss
   std::set<std::string, std::less<>> heirs_;
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -20,6 +20,9 @@
 
 /// A question that brought nothing new is not asked again at each beat.
 constexpr Duration kAskAgainAfter = std::chrono::milliseconds(200);
+/// The readers of all data centres hear of a change within this of each other;
+/// a copy from elsewhere is billed.
+constexpr Duration kReaderFirst = std::chrono::milliseconds(250);
 /// Up to so many peers are linked to as soon as they are heard.
 constexpr std::size_t kFewPeers = 16;
 
@@ -125,7 +128,8 @@
                  ClusterHandler& handler)
     : loop_(loop),
       handler_(handler),
-      members_(OwnState(settings, static_cast<std::uint64_t>(loop.Wall())),
+      members_(loop.Now(),
+               OwnState(settings, static_cast<std::uint64_t>(loop.Wall())),
                settings.regions,
                static_cast<std::uint64_t>(loop.Wall())),
       rows_(
@@ -151,14 +155,12 @@
   rows_.Start();
 }
 
+void Cluster::SetStageServices(std::vector<std::string> services) {
+  members_.SetStageServices(std::move(services));
+}
+
 void Cluster::OnRows(const std::vector<DaemonState>& daemons) {
-  Membership::Targets unheard;
-  for (const DaemonState& daemon : daemons) {
-    if (const Membership::Peer* peer = members_.OnRow(daemon)) {
-      unheard.push_back(peer);
-    }
-  }
-  Send(unheard);
+  Send(members_.OnRows(daemons));
 }
 
 void Cluster::AnnounceLeaving() {
@@ -180,11 +182,10 @@
 }
 
 void Cluster::Send(const Membership::Targets& targets) {
-  const bool load_elsewhere = members_.TellsLoadElsewhere();
   std::map<std::pair<Load, Duration>, kj::Array<kj::byte>> messages;
   for (const Membership::Peer* peer : targets) {
-    const bool near = peer->nearness == Membership::Nearness::kDataCentre;
-    const Load load = near || load_elsewhere ? Load::kTold : Load::kLeftOut;
+    const Load load =
+        members_.TellsLoadTo(*peer) ? Load::kTold : Load::kLeftOut;
     const Duration next = members_.PeriodTo(*peer);
     kj::Array<kj::byte>& bytes = messages[{load, next}];
     if (bytes == nullptr) {
@@ -279,7 +280,9 @@
   calls_.Unlink(peer.state.name);
   // It may have missed this daemon's last beat. Only it is told: telling all of
   // each newcomer costs the cube of their number when all start at once.
-  Send({&peer});
+  if (members_.IsToldOf(peer)) {
+    Send({&peer});
+  }
 }
 
 void Cluster::Watch(TimePoint now) {
@@ -344,6 +347,17 @@
       [this](schema::StoreCopy::Reader copy) { handler_.OnStoreCopy(copy); });
 }
 
+bool Cluster::IsLeftToTheReader(
+    TimePoint now,
+    const Membership::Peer& source,
+    std::pair<std::uint64_t, std::uint64_t> versions) {
+  if (std::exchange(behind_versions_, versions) != versions) {
+    behind_since_ = now;
+  }
+  return source.nearness != Membership::Nearness::kDataCentre &&
+         now - behind_since_ < kReaderFirst;
+}
+
 std::unique_ptr<GroupHold> Cluster::RunGroupAt(
     std::string_view peer,
     const PoolKey& pool,
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -24,9 +24,11 @@
     {20, std::chrono::milliseconds(300)},
 }};
 /// A daemon that schedules nothing and knows of no request that crashes servers
-/// has little to tell another region: that it lives, and what it has at servers
-/// there.
+/// has little to tell another region: what it has at servers there.
 constexpr std::int64_t kQuietPeriods = 3;
+/// The daemons of a data centre know each other so long after a start of all.
+/// Before, each would take itself for the one that schedules.
+constexpr Duration kSettled = std::chrono::milliseconds(400);
 /// Heirs are few, so that their number needs no bound by rate. Four of these
 /// are less than a second.
 constexpr Duration kHeirPeriod = std::chrono::milliseconds(150);
@@ -47,23 +49,26 @@
 /// Among few daemons everyone hears the news at once.
 constexpr std::size_t kFewPeers = 16;
 /// Load that was told longer ago belongs to requests that have ended.
-constexpr Duration kLoadIsOld = std::chrono::seconds(1);
+constexpr Duration kLoadIsOld = std::chrono::seconds(2);
+/// One daemon of a data centre without stage services is known elsewhere too,
+/// so that the store's news can be had from there.
+constexpr std::string_view kNoService;
 /// What all must know at once is told so often, as some datagrams get lost:
 /// that a scheduler is lost, that it is not, that a daemon goes.
 constexpr int kRoundsToEveryone = 3;
 /// Time in which a loss is told with each beat; some beats get lost.
 constexpr Duration kLossIsTold = std::chrono::seconds(3);
 
-bool IsQuiet(const DaemonState& state) {
-  return state.pools.empty() && !state.has_quarantined;
-}
-
 }  // namespace
 
-Membership::Membership(DaemonState own,
+Membership::Membership(TimePoint now,
+                       DaemonState own,
                        std::map<std::string, std::string, std::less<>> regions,
                        std::uint64_t seed)
-    : own_(std::move(own)), regions_(std::move(regions)), random_(seed) {}
+    : own_(std::move(own)),
+      regions_(std::move(regions)),
+      random_(seed),
+      started_(now) {}
 
 const Membership::Peer* Membership::Find(std::string_view name) const {
   const auto found = peers_.find(name);
@@ -76,6 +81,10 @@
   own_.has_quarantined = has_quarantined;
 }
 
+void Membership::SetStageServices(std::vector<std::string> services) {
+  stage_services_ = std::move(services);
+}
+
 void Membership::Leave() {
   own_.leaving = true;
   rounds_to_everyone_ = kRoundsToEveryone;
@@ -98,16 +107,18 @@
   peer.state = std::move(state);
 }
 
-const Membership::Peer* Membership::OnRow(const DaemonState& row) {
-  if (IsSelf(row.name)) {
-    return nullptr;
-  }
-  Peer& peer = PeerNamed(row.name);
-  if (peer.alive) {
-    return nullptr;
+Membership::Targets Membership::OnRows(std::span<const DaemonState> rows) {
+  Targets unheard;
+  for (const DaemonState& row : rows) {
+    Peer& peer = PeerNamed(row.name);
+    if (!peer.alive) {
+      SetState(peer, row);
+      unheard.push_back(&peer);
+    }
   }
-  SetState(peer, row);
-  return &peer;
+  // Who is told depends on how many there are.
+  std::erase_if(unheard, [this](const Peer* peer) { return !IsToldOf(*peer); });
+  return unheard;
 }
 
 Membership::Arrival Membership::OnBeat(TimePoint now, DaemonState state) {
@@ -205,8 +216,9 @@
     return lost;
   }
   for (const auto& [name, peer] : peers_) {
-    if (!peer->alive ||
-        now - peer->heard <= peer->state.next_beat * kBeatsOfSilence) {
+    const Duration promised = peer->state.next_beat;
+    if (!peer->alive || promised == Duration{0} ||
+        now - peer->heard <= promised * kBeatsOfSilence) {
       continue;
     }
     MarkLost(*peer);
@@ -269,9 +281,38 @@
 }
 
 Duration Membership::PeriodTo(const Peer& peer) const {
+  if (IsHeir(peer)) {
+    return std::min(kHeirPeriod, PeriodOf(AudienceOf(peer), false));
+  }
+  const bool is_regular =
+      peer.nearness == Nearness::kDataCentre || speaks_ || TellsLoadTo(peer);
   // Told as if this daemon were quiet: it may become so before the next beat.
-  const Duration period = PeriodOf(AudienceOf(peer), true);
-  return IsHeir(peer) ? std::min(period, kHeirPeriod) : period;
+  return is_regular ? PeriodOf(AudienceOf(peer), true) : Duration{0};
+}
+
+bool Membership::IsToldOf(const Peer& peer) const {
+  return peer.nearness == Nearness::kDataCentre || !IsQuiet() ||
+         TellsLoadTo(peer);
+}
+
+bool Membership::TellsLoadTo(const Peer& peer) const {
+  return PeriodOf(AudienceOf(peer), IsQuiet()) <= kLoadIsOld;
+}
+
+bool Membership::IsQuiet() const {
+  return own_.pools.empty() && !own_.has_quarantined && !speaks_;
+}
+
+bool Membership::SpeaksForDataCentre(TimePoint now) const {
+  if (now - started_ < kSettled || own_.leaving) {
+    return false;
+  }
+  const auto is_first_for = [this](const std::string& service) {
+    return IsSelf(SchedulerOf({service, own_.data_centre}));
+  };
+  return is_first_for(std::string(kNoService)) ||
+         std::any_of(stage_services_.begin(), stage_services_.end(),
+                     is_first_for);
 }
 
 Duration Membership::UntilNextRound(TimePoint now) const {
@@ -297,6 +338,10 @@
 }
 
 Membership::Targets Membership::BeatTargets(TimePoint now) {
+  const bool speaks = SpeaksForDataCentre(now);
+  if (std::exchange(speaks_, speaks) != speaks) {
+    rounds_to_everyone_ = kRoundsToEveryone;
+  }
   // Former heirs have to learn that they will hear less often.
   const auto former = heirs_;
   FindHeirs();
@@ -304,7 +349,7 @@
   for (std::size_t i = 0; i < kAudiences; ++i) {
     is_due[i] = now >= due_[i];
     if (is_due[i]) {
-      due_[i] = now + PeriodOf(static_cast<Audience>(i), IsQuiet(own_));
+      due_[i] = now + PeriodOf(static_cast<Audience>(i), IsQuiet());
     }
   }
   if (rounds_to_everyone_ > 0) {
@@ -315,8 +360,9 @@
   Targets targets;
   for (const auto& [name, peer] : peers_) {
     const bool heir = IsHeir(*peer);
-    if (is_due[static_cast<std::size_t>(AudienceOf(*peer))] ||
-        (heir && heirs_due) || heir != former.contains(name)) {
+    const bool round =
+        is_due[static_cast<std::size_t>(AudienceOf(*peer))] && IsToldOf(*peer);
+    if (round || (heir && heirs_due) || heir != former.contains(name)) {
       targets.push_back(peer.get());
     }
   }
@@ -366,10 +412,6 @@
   return targets;
 }
 
-bool Membership::TellsLoadElsewhere() const {
-  return PeriodOf(Audience::kElsewhere, IsQuiet(own_)) <= kLoadIsOld;
-}
-
 std::vector<std::string> Membership::Ranked(const PoolKey& pool,
                                             std::size_t most) const {
   const std::string key = pool.service + "/" + pool.data_centre;
@@ -444,8 +486,10 @@
 
 std::size_t Membership::live_daemons() const {
   return 1 + static_cast<std::size_t>(std::count_if(
-                 peers_.begin(), peers_.end(),
-                 [](const auto& entry) { return entry.second->alive; }));
+                 peers_.begin(), peers_.end(), [](const auto& entry) {
+                   const Peer& peer = *entry.second;
+                   return peer.alive || peer.nearness != Nearness::kDataCentre;
+                 }));
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/tests/membership_test.cc
+++ b/packages/gateway/tests/membership_test.cc
@@ -91,6 +91,42 @@
   }
 }
 
+// Daemons whose data centre has lost the store take its news from elsewhere;
+// with no stage service there is no scheduler there that they would know.
+Test(membership, one_of_each_data_centre_is_known_without_stage_services) {
+  VirtualFleet fleet(kHundreds);
+  fleet.SetStageServices({});
+  fleet.StartAll();
+  fleet.Pass(3 * kSecond);
+  std::set<std::string> known;
+  for (const Membership::Peer* peer : fleet.Of(0).Everyone()) {
+    if (peer->alive) {
+      known.insert(peer->state.data_centre);
+    }
+  }
+  cr_assert_eq(known.size(), kHundreds.data_centres);
+}
+
+// Bytes between regions are billed. In a large fleet a daemon that schedules
+// nothing has nothing to say there that would not be old on arrival.
+Test(membership, daemons_that_schedule_nothing_keep_silent_elsewhere) {
+  FleetFixture fixture(kHundreds);
+  VirtualFleet& fleet = fixture.fleet;
+  const std::string scheduler = fleet.Of(0).SchedulerOf(fixture.pool);
+  std::size_t heard = 0;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    const Membership::Peer* peer =
+        fleet.Of(0).Find("daemon-" + std::to_string(i));
+    const bool elsewhere =
+        peer != nullptr && peer->nearness == Membership::Nearness::kElsewhere;
+    heard += elsewhere && peer->alive ? 1 : 0;
+  }
+  cr_assert_leq(heard, 8);
+  cr_assert(fleet.Of(0).Find(scheduler)->alive);
+  // They still count where all share a budget.
+  cr_assert_eq(fleet.Of(0).live_daemons(), fleet.size());
+}
+
 Test(membership, lossy_links_lose_no_daemon) {
   FleetFixture fixture(kHundreds);
   fixture.fleet.Pass(30 * kSecond);
--- a/packages/gateway/tests/virtual_fleet.h
+++ b/packages/gateway/tests/virtual_fleet.h
@@ -23,6 +23,9 @@
 inline constexpr Duration kSecond = std::chrono::seconds(1);
 inline constexpr TimePoint kStart = TimePoint{} + std::chrono::seconds(10);
 
+/// Stages have work so long after a start.
+inline constexpr Duration kFirstWork = std::chrono::milliseconds(800);
+
 /// Daemons on virtual time that tell each other who lives, as `Cluster` does
 /// over its sockets. Datagrams are late and get lost.
 class VirtualFleet {
@@ -47,23 +50,29 @@
   std::string DataCentre(std::size_t i) const {
     return "dc-" + std::to_string(i % shape_.data_centres);
   }
+  /// Of the daemons that start from now on.
+  void SetStageServices(std::vector<std::string> services) {
+    stage_services_ = std::move(services);
+  }
   /// Its process starts, with all rows in the store already.
   void Start(std::size_t i) {
     Daemon& daemon = daemons_[i];
     daemon.runs = true;
+    daemon.started = now_;
     ++daemon.incarnation;
     DaemonState own = RowOf(i);
     own.incarnation = daemon.incarnation;
     own.processor_share = i < 3 * shape_.data_centres ? 0.5 : 0.12;
-    daemon.members =
-        std::make_unique<Membership>(own, regions_, shape_.seed * 1000 + i);
-    Membership::Targets unheard;
+    daemon.members = std::make_unique<Membership>(now_, own, regions_,
+                                                  shape_.seed * 1000 + i);
+    daemon.members->SetStageServices(stage_services_);
+    std::vector<DaemonState> rows;
     for (std::size_t other = 0; other < daemons_.size(); ++other) {
-      if (const auto* peer = daemon.members->OnRow(RowOf(other))) {
-        unheard.push_back(peer);
+      if (other != i) {
+        rows.push_back(RowOf(other));
       }
     }
-    Send(i, unheard);
+    Send(i, daemon.members->OnRows(rows));
     Round(i, daemon.incarnation);
   }
   /// All within 0.3 s, in any order.
@@ -126,6 +135,7 @@
     std::unique_ptr<Membership> members;
     bool runs = false;
     std::uint64_t incarnation = 0;
+    TimePoint started{};
     TimePoint frozen_until{};
     std::size_t sent = 0;
   };
@@ -170,7 +180,8 @@
     }
     std::vector<PoolKey> pools;
     const PoolKey pool{"stage", DataCentre(i)};
-    if (daemon.members->IsSelf(daemon.members->SchedulerOf(pool))) {
+    if (now_ - daemon.started > kFirstWork && !stage_services_.empty() &&
+        daemon.members->IsSelf(daemon.members->SchedulerOf(pool))) {
       pools.push_back(pool);
     }
     daemon.members->SetDuties(pools, false);
@@ -221,8 +232,9 @@
     }
     Membership& members = *daemon.members;
     const auto arrival = members.OnBeat(now_, message->state);
-    if (arrival != Membership::Arrival::kKnown) {
-      Send(to, {members.Find(message->state.name)});
+    const Membership::Peer* peer = members.Find(message->state.name);
+    if (arrival != Membership::Arrival::kKnown && members.IsToldOf(*peer)) {
+      Send(to, {peer});
     }
     for (const auto& [name, incarnation] : message->lost) {
       if (members.OnLossTold(now_, name, incarnation) ==
@@ -234,6 +246,7 @@
 
   Shape shape_;
   double loss_ = 0;
+  std::vector<std::string> stage_services_{"stage"};
   std::mt19937_64 random_;
   std::map<std::string, std::string, std::less<>> regions_;
   std::map<std::string, std::size_t, std::less<>> index_;
--- a/packages/routing/include/gentianroute/routing/route_table.h
+++ b/packages/routing/include/gentianroute/routing/route_table.h
@@ -29,6 +29,8 @@
 
   /// @return null if there is no such service
   const ServiceSpec* Service(std::string_view name) const;
+  /// @brief Names of the services that make stages.
+  std::vector<std::string> StageServices() const;
 
   const Deployment& deployment() const { return deployment_; }
   std::uint64_t version() const { return deployment_.version; }
--- a/packages/routing/src/route_table.cc
+++ b/packages/routing/src/route_table.cc
@@ -64,6 +64,16 @@
   return found == by_service_.end() ? nullptr : found->second;
 }
 
+std::vector<std::string> RouteTable::StageServices() const {
+  std::vector<std::string> names;
+  for (const ServiceSpec& service : deployment_.services) {
+    if (service.stage) {
+      names.push_back(service.name);
+    }
+  }
+  return names;
+}
+
 std::string_view PickService(const Route& route, double draw) {
   std::uint64_t total = 0;
   for (const WeightedService& service : route.services) {
