Let a daemon that starts late learn at once who schedules elsewhere

Schedulers told everyone of themselves three times within the first second; a daemon that started after that heard of them with their next beat, 10 s later at 300 daemons, and put its stages at the wrong daemons meanwhile. Change: who reads the rows tells all that it has not heard; those whom it has to know answer, the others don't. A beat that promises none to follow makes nobody relied on. Membership is parted into beliefs and beats. Test: all killed and back over 3 s, agreement a second later; it failed before.

--- a/packages/base/include/gentianroute/base/time.h
+++ b/packages/base/include/gentianroute/base/time.h
@@ -39,13 +39,13 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-/// @brief A duration of fractional milliseconds, to the microsecond below.
 /// @brief Whole milliseconds, rounded towards zero; for lines and wire formats.
 inline std::int64_t WholeMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
 }
 
+/// @brief A duration of fractional milliseconds, to the microsecond below.
 inline Duration FromMilliseconds(double milliseconds) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(milliseconds));
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -83,7 +83,8 @@
   const Peer* Find(std::string_view name) const;
 
   /// @brief Rows of the store say where daemons are.
-  /// @return the peers that should be told that this daemon lives
+  /// @return those that have not been heard; they should be told that this
+  /// daemon lives, and those whom it has to know answer
   Targets OnRows(std::span<const DaemonState> rows);
 
   enum class Arrival : std::uint8_t { kKnown, kNew, kRestarted };
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -3,59 +3,20 @@
 #include <algorithm>
 
 #include "gentianroute/decision/rendezvous.h"
+#include "gentianroute/gateway/detail/membership_times.h"
 #include "gentianroute/routing/scheduler_rank.h"
 
 namespace gentianroute::gateway {
 namespace {
 
-/// How a daemon's beats to one audience are spaced: so many datagrams a second
-/// to all of it together, so that the cost of a daemon stays what it is however
-/// many there are.
-struct BeatRate {
-  std::int64_t beats_per_second = 0;
-  Duration shortest_period{};
-};
+using detail::kBeatsOfSilence;
+using detail::kHeirPeriod;
+using detail::kLongestRound;
+using detail::kRoundsToEveryone;
 
-/// Bytes between regions are billed by volume, and what a beat tells there is
-/// 20 ms old on arrival in any case.
-constexpr std::array<BeatRate, 3> kRates = {{
-    {90, std::chrono::milliseconds(100)},
-    {30, std::chrono::milliseconds(100)},
-    {20, std::chrono::milliseconds(300)},
-}};
-/// A daemon that schedules nothing and knows of no request that crashes servers
-/// has little to tell another region: what it has at servers there.
-constexpr std::int64_t kQuietPeriods = 3;
-/// The daemons of a data centre know each other so long after a start of all.
-/// Before, each would take itself for the one that schedules.
-constexpr Duration kSettled = std::chrono::milliseconds(400);
-/// Heirs are few, so that their number needs no bound by rate. Four of these
-/// are less than a second.
-constexpr Duration kHeirPeriod = std::chrono::milliseconds(150);
-/// Of a pool. One of them may be lost at the same time.
-constexpr std::size_t kHeirs = 2;
-/// Watching is cheap; a silence is noticed so much later than it could be.
-constexpr Duration kLongestRound = std::chrono::milliseconds(200);
 /// A round that comes so much later than it should tells of a process that was
 /// stopped or a host that froze.
 constexpr Duration kStandstill = std::chrono::milliseconds(300);
-/// Lost datagrams come two or three in a row now and then; five are a failure.
-constexpr int kBeatsOfSilence = 5;
-/// Whom a rumour reaches at once, of the own data centre and of the others.
-/// Each who hears it tells as many: of a thousand, less than one waits for a
-/// beat.
-constexpr std::size_t kRumourNear = 8;
-constexpr std::size_t kRumourElsewhere = 2;
-/// Among few daemons everyone hears the news at once.
-constexpr std::size_t kFewPeers = 16;
-/// Load that was told longer ago belongs to requests that have ended.
-constexpr Duration kLoadIsOld = std::chrono::seconds(2);
-/// One daemon of a data centre without stage services is known elsewhere too,
-/// so that the store's news can be had from there.
-constexpr std::string_view kNoService;
-/// What all must know at once is told so often, as some datagrams get lost:
-/// that a scheduler is lost, that it is not, that a daemon goes.
-constexpr int kRoundsToEveryone = 3;
 /// Time in which a loss is told with each beat; some beats get lost.
 constexpr Duration kLossIsTold = std::chrono::seconds(3);
 
@@ -116,8 +77,6 @@
       unheard.push_back(&peer);
     }
   }
-  // Who is told depends on how many there are.
-  std::erase_if(unheard, [this](const Peer* peer) { return !IsToldOf(*peer); });
   return unheard;
 }
 
@@ -125,8 +84,11 @@
   Peer& peer = PeerNamed(state.name);
   const DaemonState& before = peer.state;
   const bool restarted = before.incarnation != state.incarnation;
-  const bool was_alive = std::exchange(peer.alive, true);
-  if (!was_alive || restarted || before.leaving != state.leaving ||
+  // One that will not be heard again can't be missed, so it is not relied on.
+  const bool is_relied_on =
+      state.next_beat > Duration{0} || state.data_centre == own_.data_centre;
+  const bool was_alive = std::exchange(peer.alive, is_relied_on);
+  if (was_alive != peer.alive || restarted || before.leaving != state.leaving ||
       before.processor_share != state.processor_share ||
       before.data_centre != state.data_centre) {
     OnChanged();
@@ -134,10 +96,10 @@
   lost_at_.erase(state.name);
   SetState(peer, std::move(state));
   peer.heard = now;
-  if (!was_alive) {
-    return Arrival::kNew;
+  if (restarted) {
+    return was_alive ? Arrival::kRestarted : Arrival::kNew;
   }
-  return restarted ? Arrival::kRestarted : Arrival::kKnown;
+  return peer.alive && !was_alive ? Arrival::kNew : Arrival::kKnown;
 }
 
 void Membership::OnChanged() {
@@ -259,159 +221,6 @@
   return same_region ? Nearness::kRegion : Nearness::kElsewhere;
 }
 
-Duration Membership::PeriodOf(Audience audience, bool quiet) const {
-  if (audience == Audience::kHeirs) {
-    return kHeirPeriod;
-  }
-  const auto index = static_cast<std::size_t>(audience);
-  const BeatRate& rate = kRates[index];
-  const Duration period = std::max(
-      rate.shortest_period, Duration(std::chrono::seconds(1)) * counts_[index] /
-                                rate.beats_per_second);
-  const bool seldom = audience == Audience::kElsewhere && quiet;
-  return seldom ? period * kQuietPeriods : period;
-}
-
-Membership::Audience Membership::AudienceOf(const Peer& peer) const {
-  return static_cast<Audience>(peer.nearness);
-}
-
-bool Membership::IsHeir(const Peer& peer) const {
-  return heirs_.contains(peer.state.name);
-}
-
-Duration Membership::PeriodTo(const Peer& peer) const {
-  if (IsHeir(peer)) {
-    return std::min(kHeirPeriod, PeriodOf(AudienceOf(peer), false));
-  }
-  const bool is_regular =
-      peer.nearness == Nearness::kDataCentre || speaks_ || TellsLoadTo(peer);
-  // Told as if this daemon were quiet: it may become so before the next beat.
-  return is_regular ? PeriodOf(AudienceOf(peer), true) : Duration{0};
-}
-
-bool Membership::IsToldOf(const Peer& peer) const {
-  return peer.nearness == Nearness::kDataCentre || !IsQuiet() ||
-         TellsLoadTo(peer);
-}
-
-bool Membership::TellsLoadTo(const Peer& peer) const {
-  return PeriodOf(AudienceOf(peer), IsQuiet()) <= kLoadIsOld;
-}
-
-bool Membership::IsQuiet() const {
-  return own_.pools.empty() && !own_.has_quarantined && !speaks_;
-}
-
-bool Membership::SpeaksForDataCentre(TimePoint now) const {
-  if (now - started_ < kSettled || own_.leaving) {
-    return false;
-  }
-  const auto is_first_for = [this](const std::string& service) {
-    return IsSelf(SchedulerOf({service, own_.data_centre}));
-  };
-  return is_first_for(std::string(kNoService)) ||
-         std::any_of(stage_services_.begin(), stage_services_.end(),
-                     is_first_for);
-}
-
-Duration Membership::UntilNextRound(TimePoint now) const {
-  Duration wait = kLongestRound;
-  for (const TimePoint due : due_) {
-    wait = std::min(wait, std::max(Duration{0}, due - now));
-  }
-  return wait;
-}
-
-void Membership::FindHeirs() {
-  if (std::exchange(heirs_known_, true)) {
-    return;
-  }
-  heirs_.clear();
-  for (const PoolKey& pool : own_.pools) {
-    for (const std::string& name : Ranked(pool, 1 + kHeirs)) {
-      if (!IsSelf(name)) {
-        heirs_.insert(name);
-      }
-    }
-  }
-}
-
-Membership::Targets Membership::BeatTargets(TimePoint now) {
-  const bool speaks = SpeaksForDataCentre(now);
-  if (std::exchange(speaks_, speaks) != speaks) {
-    rounds_to_everyone_ = kRoundsToEveryone;
-  }
-  // Former heirs have to learn that they will hear less often.
-  const auto former = heirs_;
-  FindHeirs();
-  std::array<bool, kAudiences> is_due{};
-  for (std::size_t i = 0; i < kAudiences; ++i) {
-    is_due[i] = now >= due_[i];
-    if (is_due[i]) {
-      due_[i] = now + PeriodOf(static_cast<Audience>(i), IsQuiet());
-    }
-  }
-  if (rounds_to_everyone_ > 0) {
-    --rounds_to_everyone_;
-    return Everyone();
-  }
-  const bool heirs_due = is_due[static_cast<std::size_t>(Audience::kHeirs)];
-  Targets targets;
-  for (const auto& [name, peer] : peers_) {
-    const bool heir = IsHeir(*peer);
-    const bool round =
-        is_due[static_cast<std::size_t>(AudienceOf(*peer))] && IsToldOf(*peer);
-    if (round || (heir && heirs_due) || heir != former.contains(name)) {
-      targets.push_back(peer.get());
-    }
-  }
-  return targets;
-}
-
-void Membership::AddSome(Targets& targets,
-                         Targets from,
-                         std::size_t most,
-                         std::mt19937_64& random) {
-  std::shuffle(from.begin(), from.end(), random);
-  from.resize(std::min(from.size(), most));
-  targets.insert(targets.end(), from.begin(), from.end());
-}
-
-Membership::Targets Membership::RumourTargets() {
-  if (peers_.size() <= kFewPeers) {
-    return Everyone();
-  }
-  Targets elsewhere;
-  for (const auto& [name, peer] : peers_) {
-    if (peer->alive && peer->nearness != Nearness::kDataCentre) {
-      elsewhere.push_back(peer.get());
-    }
-  }
-  Targets targets;
-  AddSome(targets, DataCentre(), kRumourNear, random_);
-  AddSome(targets, std::move(elsewhere), kRumourElsewhere, random_);
-  return targets;
-}
-
-Membership::Targets Membership::DataCentre() const {
-  Targets targets;
-  for (const auto& [name, peer] : peers_) {
-    if (peer->nearness == Nearness::kDataCentre) {
-      targets.push_back(peer.get());
-    }
-  }
-  return targets;
-}
-
-Membership::Targets Membership::Everyone() const {
-  Targets targets;
-  for (const auto& [name, peer] : peers_) {
-    targets.push_back(peer.get());
-  }
-  return targets;
-}
-
 std::vector<std::string> Membership::Ranked(const PoolKey& pool,
                                             std::size_t most) const {
   const std::string key = pool.service + "/" + pool.data_centre;
--- a/packages/gateway/tests/membership_test.cc
+++ b/packages/gateway/tests/membership_test.cc
@@ -91,6 +91,24 @@
   }
 }
 
+// Load: all processes were killed and come back over some seconds. A daemon
+// that came after the schedulers elsewhere had told everyone of themselves did
+// not know them until their next beat, ten seconds later in a fleet of
+// hundreds.
+Test(membership, daemon_that_starts_late_knows_the_schedulers_elsewhere) {
+  FleetFixture fixture(kHundreds);
+  VirtualFleet& fleet = fixture.fleet;
+  fleet.Lose(0);
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    fleet.Kill(i);
+  }
+  fleet.StartAll(3000);
+  fleet.Pass(4 * kSecond);
+  for (const char* data_centre : {"dc-0", "dc-1", "dc-2", "dc-3"}) {
+    cr_assert(fleet.AgreesOn({"stage", data_centre}));
+  }
+}
+
 // Daemons whose data centre has lost the store take its news from elsewhere;
 // with no stage service there is no scheduler there that they would know.
 Test(membership, one_of_each_data_centre_is_known_without_stage_services) {
--- a/packages/gateway/tests/virtual_fleet.h
+++ b/packages/gateway/tests/virtual_fleet.h
@@ -75,10 +75,10 @@
     Send(i, daemon.members->OnRows(rows));
     Round(i, daemon.incarnation);
   }
-  /// All within 0.3 s, in any order.
-  void StartAll() {
+  /// In any order.
+  void StartAll(std::int64_t within_ms = 300) {
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
-      After(Draw(300) * kMs, [this, i] { Start(i); });
+      After(Draw(within_ms) * kMs, [this, i] { Start(i); });
     }
   }
   /// Share of datagrams that get lost from now on.
