--- a/packages/gateway/src/membership_beats.cc
+++ b/packages/gateway/src/membership_beats.cc
@@ -20,8 +20,8 @@
   Duration shortest_period{};
 };
 
-/// Bytes between regions are billed by volume, and what a beat tells there is
-/// 20 ms old on arrival in any case.
+/// By nearness. Bytes between regions are billed by volume, and what a beat
+/// tells there is 20 ms old on arrival in any case.
 constexpr std::array<BeatRate, 3> kRates = {{
     {90, std::chrono::milliseconds(100)},
     {30, std::chrono::milliseconds(100)},
@@ -33,7 +33,7 @@
 /// The daemons of a data centre know each other so long after a start of all.
 /// Before, each would take itself for the one that schedules.
 constexpr Duration kSettled = std::chrono::milliseconds(400);
-/// Of a pool. One of them may be lost at the same time.
+/// Heirs of a pool. One may be lost together with the scheduler.
 constexpr std::size_t kHeirs = 2;
 /// Whom a rumour reaches at once, of the own data centre and of the others.
 /// Each who hears it tells as many: of a thousand, less than one waits for a
@@ -44,8 +44,9 @@
 constexpr std::size_t kFewPeers = 16;
 /// Load that was told longer ago belongs to requests that have ended.
 constexpr Duration kLoadIsOld = std::chrono::seconds(2);
-/// One daemon of a data centre without stage services is known elsewhere too,
-/// so that the store's news can be had from there.
+/// Stands for a pool that each data centre has: so one daemon of it is known
+/// elsewhere also where there are no stage services, and the store's news can
+/// be had from there.
 constexpr std::string_view kNoService;
 
 }  // namespace
