--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -122,11 +122,6 @@
   kj::Array<kj::byte> BeatBytes(Load load, Duration next);
   void SendNews(News news);
   void Watch(TimePoint now);
-  /// Whether what a peer beyond the data centre knows is likely to come from
-  /// the reader of this one at once.
-  bool IsLeftToTheReader(TimePoint now,
-                         const Membership::Peer& source,
-                         std::pair<std::uint64_t, std::uint64_t> versions);
   void OnUnreachable(const std::string& peer);
   void OnGone(const std::string& peer);
 
@@ -135,11 +130,6 @@
   Membership members_;
   DaemonRows rows_;
   PeerCalls calls_;
-  std::pair<std::uint64_t, std::uint64_t> asked_versions_;
-  TimePoint asked_at_{};
-  /// What was known when a newer version was first heard of.
-  std::pair<std::uint64_t, std::uint64_t> behind_versions_;
-  TimePoint behind_since_{};
   bool news_due_ = false;
   News news_ = News::kRumour;
   std::unique_ptr<DatagramSocket> datagrams_;
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <random>
 #include <set>
 #include <span>
@@ -148,6 +147,8 @@
   const Peer* SourceOf(std::uint64_t deployment_version,
                        std::uint64_t servers_version) const;
 
+  /// @brief Whether there are so few daemons that each may know all at once.
+  bool IsSmall() const;
   /// @brief Daemons that share what all have together, this one included. Those
   /// elsewhere count whether they are heard or not, as most keep silent there;
   /// so a share is rather too small than too large.
@@ -181,10 +182,10 @@
   bool SucceedsOneOf(const Targets& lost) const;
   /// Whether this daemon itself stood still and has not yet read what came.
   bool HasStoodStill(TimePoint now);
-  static void AddSome(Targets& targets,
-                      Targets from,
-                      std::size_t most,
-                      std::mt19937_64& random);
+  /// Peers for which a predicate of one holds.
+  template <typename Predicate>
+  Targets Where(Predicate holds) const;
+  void AddSome(Targets& targets, Targets from, std::size_t most);
 
   DaemonState own_;
   std::map<std::string, std::string, std::less<>> regions_;
--- a/packages/gateway/include/gentianroute/gateway/peer_calls.h
+++ b/packages/gateway/include/gentianroute/gateway/peer_calls.h
@@ -50,8 +50,8 @@
                const PoolKey& pool,
                std::span<const std::string> results);
 
-  /// @brief Asks a peer for what it knows of the store beyond these versions;
-  /// not if such a question is under way.
+  /// @brief Asks a peer for what it knows of the store beyond these versions.
+  /// @pre no such question is under way
   void FetchStoreCopy(const DaemonState& peer,
                       std::uint64_t deployment_version,
                       std::uint64_t servers_version,
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -78,6 +78,8 @@
   void OnWhole(const StoreAnswer& answer);
   void OnChanges(const StoreAnswer& answer);
   void Take(const std::vector<StoredRow>& rows, std::uint64_t version);
+  /// Rows and deletions, the oldest first.
+  std::vector<const StoredRow*> NewerThan(std::uint64_t known) const;
   void DropUnlisted(const StoreChanges& changes);
   void Apply(const StoredRow& row);
   void Ask();
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -18,14 +18,6 @@
 using detail::ReadGroup;
 using detail::WriteOutcome;
 
-/// A question that brought nothing new is not asked again at each beat.
-constexpr Duration kAskAgainAfter = std::chrono::milliseconds(200);
-/// The readers of all data centres hear of a change within this of each other;
-/// a copy from elsewhere is billed.
-constexpr Duration kReaderFirst = std::chrono::milliseconds(250);
-/// Up to so many peers are linked to as soon as they are heard.
-constexpr std::size_t kFewPeers = 16;
-
 DaemonState OwnState(const GatewaySettings& settings,
                      std::uint64_t incarnation) {
   DaemonState own;
@@ -245,7 +237,7 @@
   }
   // Work for a scheduler must find its link standing. Among few daemons each
   // may schedule; among many, those that do say so.
-  if (members_.live_daemons() <= kFewPeers || !peer.state.pools.empty()) {
+  if (members_.IsSmall() || !peer.state.pools.empty()) {
     calls_.Link(peer.state);
   }
   for (const auto lost : beat.getLost()) {
@@ -330,11 +322,7 @@
 
 void Cluster::FetchStoreCopy(std::uint64_t deployment_version,
                              std::uint64_t servers_version) {
-  const std::pair versions(deployment_version, servers_version);
-  const TimePoint now = loop_.Now();
-  const bool is_repeated =
-      asked_versions_ == versions && now - asked_at_ < kAskAgainAfter;
-  if (calls_.fetching() || is_repeated) {
+  if (calls_.fetching()) {
     return;
   }
   const Membership::Peer* source =
@@ -347,17 +335,6 @@
       [this](schema::StoreCopy::Reader copy) { handler_.OnStoreCopy(copy); });
 }
 
-bool Cluster::IsLeftToTheReader(
-    TimePoint now,
-    const Membership::Peer& source,
-    std::pair<std::uint64_t, std::uint64_t> versions) {
-  if (std::exchange(behind_versions_, versions) != versions) {
-    behind_since_ = now;
-  }
-  return source.nearness != Membership::Nearness::kDataCentre &&
-         now - behind_since_ < kReaderFirst;
-}
-
 std::unique_ptr<GroupHold> Cluster::RunGroupAt(
     std::string_view peer,
     const PoolKey& pool,
--- a/packages/gateway/src/membership_beats.cc
+++ b/packages/gateway/src/membership_beats.cc
@@ -40,7 +40,8 @@
 /// beat.
 constexpr std::size_t kRumourNear = 8;
 constexpr std::size_t kRumourElsewhere = 2;
-/// Among few daemons everyone hears the news at once.
+/// Among few daemons everyone hears the news at once, and is linked to as soon
+/// as it is heard.
 constexpr std::size_t kFewPeers = 16;
 /// Load that was told longer ago belongs to requests that have ended.
 constexpr Duration kLoadIsOld = std::chrono::seconds(2);
@@ -129,6 +130,17 @@
   }
 }
 
+template <typename Predicate>
+Membership::Targets Membership::Where(Predicate holds) const {
+  Targets targets;
+  for (const auto& [name, peer] : peers_) {
+    if (holds(*peer)) {
+      targets.push_back(peer.get());
+    }
+  }
+  return targets;
+}
+
 Membership::Targets Membership::BeatTargets(TimePoint now) {
   const bool speaks = SpeaksForDataCentre(now);
   if (std::exchange(speaks_, speaks) != speaks) {
@@ -150,59 +162,45 @@
     return Everyone();
   }
   const bool heirs_due = is_due[static_cast<std::size_t>(Audience::kHeirs)];
-  Targets targets;
-  for (const auto& [name, peer] : peers_) {
-    const bool heir = IsHeir(*peer);
+  return Where([&](const Peer& peer) {
+    const bool heir = IsHeir(peer);
     const bool round =
-        is_due[static_cast<std::size_t>(AudienceOf(*peer))] && IsToldOf(*peer);
-    if (round || (heir && heirs_due) || heir != former.contains(name)) {
-      targets.push_back(peer.get());
-    }
-  }
-  return targets;
+        is_due[static_cast<std::size_t>(AudienceOf(peer))] && IsToldOf(peer);
+    return round || (heir && heirs_due) ||
+           heir != former.contains(peer.state.name);
+  });
 }
 
-void Membership::AddSome(Targets& targets,
-                         Targets from,
-                         std::size_t most,
-                         std::mt19937_64& random) {
-  std::shuffle(from.begin(), from.end(), random);
+void Membership::AddSome(Targets& targets, Targets from, std::size_t most) {
+  std::shuffle(from.begin(), from.end(), random_);
   from.resize(std::min(from.size(), most));
   targets.insert(targets.end(), from.begin(), from.end());
 }
 
+bool Membership::IsSmall() const {
+  return peers_.size() <= kFewPeers;
+}
+
 Membership::Targets Membership::RumourTargets() {
-  if (peers_.size() <= kFewPeers) {
+  if (IsSmall()) {
     return Everyone();
   }
-  Targets elsewhere;
-  for (const auto& [name, peer] : peers_) {
-    if (peer->alive && peer->nearness != Nearness::kDataCentre) {
-      elsewhere.push_back(peer.get());
-    }
-  }
   Targets targets;
-  AddSome(targets, DataCentre(), kRumourNear, random_);
-  AddSome(targets, std::move(elsewhere), kRumourElsewhere, random_);
+  AddSome(targets, DataCentre(), kRumourNear);
+  AddSome(targets, Where([](const Peer& peer) {
+            return peer.alive && peer.nearness != Nearness::kDataCentre;
+          }),
+          kRumourElsewhere);
   return targets;
 }
 
 Membership::Targets Membership::DataCentre() const {
-  Targets targets;
-  for (const auto& [name, peer] : peers_) {
-    if (peer->nearness == Nearness::kDataCentre) {
-      targets.push_back(peer.get());
-    }
-  }
-  return targets;
+  return Where(
+      [](const Peer& peer) { return peer.nearness == Nearness::kDataCentre; });
 }
 
 Membership::Targets Membership::Everyone() const {
-  Targets targets;
-  for (const auto& [name, peer] : peers_) {
-    targets.push_back(peer.get());
-  }
-  return targets;
+  return Where([](const Peer& /*peer*/) { return true; });
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/peer_calls.cc
+++ b/packages/gateway/src/peer_calls.cc
@@ -170,9 +170,7 @@
     std::uint64_t deployment_version,
     std::uint64_t servers_version,
     std::function<void(schema::StoreCopy::Reader)> done) {
-  if (std::exchange(fetching_, true)) {
-    return;
-  }
+  fetching_ = true;
   auto request = Of(peer).storeCopyRequest();
   request.setDeploymentVersion(deployment_version);
   request.setServersVersion(servers_version);
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -32,7 +32,7 @@
 constexpr Duration kFirstPause = std::chrono::milliseconds(60);
 constexpr Duration kLongestPause = std::chrono::milliseconds(500);
 /// Deletions that peers can still be told of one by one; a peer that lacks
-/// older ones gets the whole table.
+/// older ones gets the list of what is left.
 constexpr std::size_t kMostGraves = 1000;
 /// A copy for a peer holds about so much. Whole tables, asked for by a whole
 /// data centre at once, fill the memory and the link of the one that has them.
@@ -183,6 +183,28 @@
   graves_since_ = std::max(graves_since_, changes.listed_version);
 }
 
+std::vector<const StoredRow*> StoreFollower::NewerThan(
+    std::uint64_t known) const {
+  std::vector<const StoredRow*> newer;
+  const auto add = [&newer, known](const auto& rows) {
+    for (const auto& [key, row] : rows) {
+      if (row.version > known) {
+        newer.push_back(&row);
+      }
+    }
+  };
+  add(rows_);
+  // One that knows nothing has nothing to delete.
+  if (known > 0) {
+    add(graves_);
+  }
+  std::sort(newer.begin(), newer.end(),
+            [](const StoredRow* a, const StoredRow* b) {
+              return a->version < b->version;
+            });
+  return newer;
+}
+
 StoreChanges StoreFollower::ChangesAfter(std::uint64_t known) const {
   StoreChanges changes;
   if (!known_ || known >= newest_change_) {
@@ -195,24 +217,9 @@
       changes.listed.push_back(HashOf(key));
     }
   }
-  std::vector<const StoredRow*> newer;
-  for (const auto& [key, row] : rows_) {
-    if (row.version > known) {
-      newer.push_back(&row);
-    }
-  }
-  for (const auto& [key, grave] : graves_) {
-    if (!changes.whole && grave.version > known) {
-      newer.push_back(&grave);
-    }
-  }
-  std::sort(newer.begin(), newer.end(),
-            [](const StoredRow* a, const StoredRow* b) {
-              return a->version < b->version;
-            });
   changes.version = version_;
   std::size_t bytes = 0;
-  for (const StoredRow* row : newer) {
+  for (const StoredRow* row : NewerThan(known)) {
     // One write may have set several rows; a part of them is no state that the
     // store was ever in.
     const bool same_write =
--- a/packages/gateway/tests/daemon_rows_test.cc
+++ b/packages/gateway/tests/daemon_rows_test.cc
@@ -11,7 +11,6 @@
 
 constexpr std::string_view kOtherRow =
     R"({"address":"10.0.0.2","port":7740,"data_centre":"north"})";
-constexpr Duration kLongerThanAnyPause = std::chrono::milliseconds(700);
 
 struct RowsFixture {
   EventLoop loop;
@@ -32,10 +31,7 @@
     own.data_centre = "north";
     return own;
   }
-  void Pass(Duration time) {
-    loop.After(time, [this] { loop.Stop(); });
-    loop.Run();
-  }
+  void Pass(Duration time) { PassTime(loop, time); }
 };
 
 }  // namespace
--- a/packages/gateway/tests/fake_store.h
+++ b/packages/gateway/tests/fake_store.h
@@ -9,9 +9,18 @@
 #include <vector>
 
 #include "gentianroute/gateway/store.h"
+#include "gentianroute/loop/event_loop.h"
 
 namespace gentianroute::gateway {
 
+inline constexpr Duration kLongerThanAnyPause = std::chrono::milliseconds(700);
+
+/// Lets timers run that are due within a time.
+inline void PassTime(EventLoop& loop, Duration time) {
+  loop.After(time, [&loop] { loop.Stop(); });
+  loop.Run();
+}
+
 /// A store whose answers the test gives.
 class FakeStore final : public Store {
  public:
--- a/packages/gateway/tests/store_follower_test.cc
+++ b/packages/gateway/tests/store_follower_test.cc
@@ -35,11 +35,7 @@
             },
             [](bool /*answers*/) {}, [this] { ++silences; }};
   }
-  /// Lets timers run that are due within a time.
-  void Pass(Duration time) {
-    loop.After(time, [this] { loop.Stop(); });
-    loop.Run();
-  }
+  void Pass(Duration time) { PassTime(loop, time); }
 
   StoreFollower follower;
 };
@@ -62,8 +58,6 @@
                   [](bool /*answers*/) {}, [] {}}) {}
 };
 
-constexpr Duration kLongerThanAnyPause = std::chrono::milliseconds(700);
-
 }  // namespace
 
 Test(store_follower, reads_once_and_follows_from_there) {
