Divide the retry burst by the present number of daemons

Cause: RetryBudgets fixed each service's burst at its first request. Daemons that start together know few others, so each kept a part for a smaller fleet: with 65 daemons and a slack of 170 the sum over all could pass 7,000 at the worst (each alone at its start) and 2,500 (a fleet of three that grew).

Change: the part follows the number of daemons at each use, tokens above it are dropped, and a budget starts with one retry.

--- a/packages/decision/include/gentianroute/decision/retry_budget.h
+++ b/packages/decision/include/gentianroute/decision/retry_budget.h
@@ -21,6 +21,12 @@
   explicit RetryBudget(Options options)
       : options_(options), tokens_(options.burst) {}
 
+  /// @brief Changes the largest number of tokens. It never adds any.
+  void SetBurst(double burst) {
+    options_.burst = burst;
+    tokens_ = std::min(tokens_, burst);
+  }
+
   void OnSuccess() {
     tokens_ = std::min(options_.burst, tokens_ + options_.ratio);
   }
--- a/packages/gateway/include/gentianroute/gateway/retry_budgets.h
+++ b/packages/gateway/include/gentianroute/gateway/retry_budgets.h
@@ -14,7 +14,9 @@
 /// @brief This daemon's share of the retry budget of each service.
 ///
 /// All daemons together may send as many retries as a given ratio of the
-/// service's requests, plus a burst that they divide equally.
+/// service's requests, plus a burst that they divide equally. The part of each
+/// follows the number of daemons. A daemon that has just started knows none of
+/// the others, so it begins with a single retry.
 class RetryBudgets {
  public:
   /// Share of the budget that is used. The rest is a margin, which keeps the
@@ -37,16 +39,17 @@
 
  private:
   RetryBudget& Of(std::string_view service, std::size_t daemons) {
-    const auto found = budgets_.find(service);
-    if (found != budgets_.end()) {
-      return found->second;
-    }
     const double burst = slack_ * kUsedShare /
                          static_cast<double>(std::max<std::size_t>(1, daemons));
-    return budgets_
-        .emplace(std::string(service),
-                 RetryBudget({ratio_ * kUsedShare, std::max(1.0, burst)}))
-        .first->second;
+    auto found = budgets_.find(service);
+    if (found == budgets_.end()) {
+      found = budgets_
+                  .emplace(std::string(service),
+                           RetryBudget({ratio_ * kUsedShare, 1.0}))
+                  .first;
+    }
+    found->second.SetBurst(std::max(1.0, burst));
+    return found->second;
   }
 
   double ratio_;
