--- a/packages/base/include/gentianroute/base/error_kind.h
+++ b/packages/base/include/gentianroute/base/error_kind.h
@@ -37,6 +37,7 @@
   kNotReady = 207,
   kTooManyConnections = 208,
   kDeadlineBeforeStart = 209,
+  kNoPermittedRegion = 210,
   // 3xx: failed after a stage ran.
   kStageFailed = 301,
   kDeadlineExceeded = 302,
--- a/packages/base/include/gentianroute/base/time.h
+++ b/packages/base/include/gentianroute/base/time.h
@@ -52,6 +52,13 @@
       std::chrono::duration<double, std::milli>(milliseconds));
 }
 
+/// @brief Converts fractional seconds to a duration, rounded towards zero to a
+/// microsecond.
+inline Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
 }  // namespace gentianroute
 
 #endif  // GENTIANROUTE_BASE_TIME_H_
--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -86,6 +86,11 @@
     return members_.SchedulerOf(pool);
   }
   bool IsSelf(std::string_view daemon) const { return members_.IsSelf(daemon); }
+  /// @return empty if the daemon is unknown
+  std::string_view DataCentreOf(std::string_view daemon) const {
+    return members_.DataCentreOf(daemon);
+  }
+  const Membership& members() const { return members_; }
   std::size_t live_daemons() const { return members_.live_daemons(); }
   bool IsStoreReader() const { return members_.IsStoreReader(); }
 
--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/cold_senders.h
@@ -0,0 +1,32 @@
+#ifndef GENTIANROUTE_GATEWAY_COLD_SENDERS_H_
+#define GENTIANROUTE_GATEWAY_COLD_SENDERS_H_
+
+#include <cstddef>
+
+#include "gentianroute/gateway/membership.h"
+#include "gentianroute/routing/cold_server_limiter.h"
+
+namespace gentianroute::gateway {
+
+/// @brief Chooses the senders of a cold server among the daemons of its data
+/// centre, by rendezvous over those that live.
+///
+/// Daemons of one data centre know each other at any size of the fleet, and
+/// each server has other senders, which spreads servers that return together.
+class ColdSenders final : public routing::ColdServerSenders {
+ public:
+  /// @param members must outlive this object
+  explicit ColdSenders(const Membership& members) : members_(members) {}
+
+  bool IsSender(const routing::ServerRecord& server,
+                std::size_t count) const override {
+    return members_.IsAmongFirst(server.id, server.data_centre, count);
+  }
+
+ private:
+  const Membership& members_;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_COLD_SENDERS_H_
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/cold_senders.h"
 #include "gentianroute/gateway/detail/row_messages.h"
 #include "gentianroute/gateway/gateway.h"
 #include "gentianroute/gateway/request_flow.h"
@@ -66,15 +67,27 @@
                      settings_.max_propagation_time,
                      ServersListener()),
         cluster_(loop, settings_, store, *this),
+        cold_senders_(cluster_.members()),
+        placement_rules_{
+            topology_,
+            {},
+            routing::ColdServerLimiter(settings_.cold_server_tolerance,
+                                       cold_senders_)},
         releaser_(loop, client, translator),
-        stage_scheduler_(loop, client, translator, servers_, releaser_),
+        stage_scheduler_(loop,
+                         client,
+                         translator,
+                         servers_,
+                         placement_rules_,
+                         releaser_),
         stage_router_(loop, cluster_, stage_scheduler_, servers_, topology_),
         retry_budgets_(settings_.retry_ratio, settings_.retry_slack),
         start_queue_(loop.Now()),
-        flow_context_{loop,           client,        translator, servers_,
-                      topology_,      stage_router_, cluster_,   retry_budgets_,
-                      service_times_, weights_,      suspects_,  recorder_,
-                      drain_} {
+        flow_context_{loop,           client,    translator,
+                      servers_,       topology_, placement_rules_,
+                      stage_router_,  cluster_,  retry_budgets_,
+                      service_times_, weights_,  suspects_,
+                      recorder_,      drain_} {
     servers_.SetOnClosed(
         [this](routing::Server& server) { OnServerClosed(server); });
     Listen();
@@ -132,17 +145,14 @@
 
  private:
   StoreFollower::Listener DeploymentListener() {
-    return {[this](const std::vector<StoredRow>& rows) {
-              for (const StoredRow& row : rows) {
-                OnDeploymentRow(row);
-              }
-            },
-            [this](const StoredRow& row) {
-              OnDeploymentRow(row);
-              cluster_.SendUpdate(Cluster::UpdateScope::kGossip);
-            },
-            [](bool /*answers*/) {},
-            [this] { cluster_.SendUpdate(Cluster::UpdateScope::kDataCentre); }};
+    return {
+        [this](const std::vector<StoredRow>& rows) { OnOperatorRows(rows); },
+        [this](const StoredRow& row) {
+          OnOperatorRow(row);
+          cluster_.SendUpdate(Cluster::UpdateScope::kGossip);
+        },
+        [](bool /*answers*/) {},
+        [this] { cluster_.SendUpdate(Cluster::UpdateScope::kDataCentre); }};
   }
   StoreFollower::Listener ServersListener() {
     return {[this](const std::vector<StoredRow>& rows) { OnServerRows(rows); },
@@ -218,27 +228,13 @@
   /// Removes the load that a peer has reported from the servers.
   void RemovePeerLoads(std::string_view peer);
 
-  void OnDeploymentRow(const StoredRow& row) {
-    std::string error;
-    auto deployment = translator_.ReadDeployment(row.value, error);
-    if (!deployment) {
-      LogEvent("deployment_unreadable", LogLevel::kError)
-          .Field("row_version", row.version)
-          .Field("reason", error);
-      return;
-    }
-    if (table_ != nullptr && deployment->version <= table_->version()) {
-      return;
-    }
-    table_ = std::make_shared<routing::RouteTable>(std::move(*deployment));
-    cluster_.SetStageServices(table_->StageServices());
-    stage_scheduler_.SetTable(table_);
-    stage_router_.SetTable(table_);
-    LogEvent("deployment_in_force")
-        .Field("version", table_->version())
-        .Field("routes", table_->deployment().routes.size());
-    ServeStartQueueLater();
-  }
+  /// Applies the whole table of the operators.
+  void OnOperatorRows(const std::vector<StoredRow>& rows);
+  void OnOperatorRow(const StoredRow& row);
+  void OnDeploymentRow(const StoredRow& row);
+  void ApplyDeployment(routing::Deployment deployment);
+  void BeginEvacuation(std::string_view data_centre);
+  void EndEvacuation(std::string_view data_centre);
 
   /// Schedules ServeStartQueue() in the event loop, so that the rows being read
   /// are applied first.
@@ -291,7 +287,7 @@
     suspects_.OnIncarnation(
         now, record->id,
         static_cast<std::uint64_t>(record->started_at_unix_ms));
-    servers_.Put(std::move(*record));
+    servers_.Put(now, std::move(*record));
   }
 
   void OnServerClosed(routing::Server& server) {
@@ -357,6 +353,8 @@
   StoreFollower deployment_;
   StoreFollower server_rows_;
   Cluster cluster_;
+  ColdSenders cold_senders_;
+  routing::PlacementRules placement_rules_;
   ResultReleaser releaser_;
   StageScheduler stage_scheduler_;
   StageRouter stage_router_;
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -88,6 +88,8 @@
   bool IsSelf(std::string_view daemon) const { return daemon == own_.name; }
   /// @brief Returns the peer of this name; null if it is unknown.
   const Peer* Find(std::string_view name) const;
+  /// @return empty if the daemon is unknown
+  std::string_view DataCentreOf(std::string_view daemon) const;
 
   /// @brief Adds the daemons that have a row in the store.
   /// @return the peers that are not alive yet. The caller sends them a
@@ -155,6 +157,13 @@
   /// @complexity linear in the number of daemons after a change of them,
   /// otherwise logarithmic
   const std::string& SchedulerOf(const PoolKey& pool) const;
+  /// @brief Whether this daemon is among the `count` daemons that rank first
+  /// for a key in a data centre. Daemons elsewhere are only if the data centre
+  /// has none at all: whether its daemons live is unknown there in a large
+  /// fleet.
+  bool IsAmongFirst(std::string_view key,
+                    std::string_view data_centre,
+                    std::size_t count) const;
   /// @brief Whether this daemon reads the store's changes for its data centre.
   /// It does unless a live daemon there that ranks higher reads them or can do
   /// so.
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -23,6 +23,7 @@
 #include "gentianroute/loop/relay_server.h"
 #include "gentianroute/routing/drain_times.h"
 #include "gentianroute/routing/event_framer.h"
+#include "gentianroute/routing/placement.h"
 #include "gentianroute/routing/request_weight.h"
 #include "gentianroute/routing/route_table.h"
 #include "gentianroute/routing/server_directory.h"
@@ -37,6 +38,7 @@
   const Translator& translator;
   routing::ServerDirectory& servers;
   const routing::Topology& topology;
+  const routing::PlacementRules& placement_rules;
   StageRouter& stage_router;
   Cluster& cluster;
   RetryBudgets& retry_budgets;
@@ -72,6 +74,9 @@
                     List& all);
   ~RequestFlow();
 
+  /// @brief Applies the permitted regions of a newer deployment. Those that the
+  /// request started with stay in force too, since its caller expects them.
+  void OnDeploymentChanged(const routing::RouteTable& table);
   /// @brief Ends the request because the daemon stops, with an answer that says
   /// whether it may have run.
   void OnShutdown();
@@ -88,6 +93,8 @@
   /// @return the error to refuse it with, if any
   std::optional<ErrorKind> Admit();
   std::optional<ErrorKind> CheckKey();
+  /// Refuses the request if it may not go to any server.
+  bool RefuseIfNoPlace();
   /// Refuses the request if its stages have no servers or can't finish before
   /// StagesDeadline().
   bool RefuseIfStagesLate();
@@ -108,6 +115,9 @@
   void OnStageFailure(std::uint32_t stage, routing::StageFailure failure);
 
   void SendToServer();
+  /// Sends the request later if servers accept it once they are less cold.
+  /// @return false if it can't wait or no server is cold
+  bool WaitForColdServer(const routing::ServerChoice& choice);
   routing::ServerChoice ChooseServer() const;
   bool IsGeneration() const;
   /// The request as it is sent to a server, head and body.
@@ -197,6 +207,8 @@
   TimerId answer_timer_;  ///< for the first byte, then for silence
   TimerId stages_timer_;
 
+  /// Where its work may go; set once the route is known.
+  std::optional<routing::Placement> placement_;
   std::optional<routing::StagePlan> plan_;
   std::map<std::uint32_t, std::unique_ptr<GroupHandle>> running_stages_;
   /// Data centres of the results, by stage.
--- a/packages/gateway/include/gentianroute/gateway/request_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/request_recorder.h
@@ -12,6 +12,7 @@
 #include "gentianroute/observe/duration_histogram.h"
 #include "gentianroute/observe/metric_writer.h"
 #include "gentianroute/routing/deployment.h"
+#include "gentianroute/routing/placement.h"
 
 namespace gentianroute::gateway {
 
@@ -60,6 +61,7 @@
   /// Tokens of shared parts that the server may not have in its cache.
   double uncached_shared_tokens = 0;
   double score_ms = 0;  ///< score of the chosen server, the lowest of all
+  routing::PlacementCounts verdicts{};  ///< on the open servers
   Duration time_left{};
 };
 
@@ -84,6 +86,8 @@
 
   std::map<std::string, std::uint64_t, std::less<>> outcomes_;
   std::map<std::string, std::uint64_t, std::less<>> retries_;
+  /// Requests for which a server could not be chosen, by the reason.
+  std::array<std::uint64_t, routing::kPlacementVerdicts> limited_{};
   std::array<DurationHistogram, kRouteKinds> first_byte_times_;
   std::array<DurationHistogram, kRouteKinds> total_times_;
 };
--- a/packages/gateway/include/gentianroute/gateway/settings.h
+++ b/packages/gateway/include/gentianroute/gateway/settings.h
@@ -8,6 +8,7 @@
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/loop/relay_client.h"
+#include "gentianroute/routing/cold_server_limiter.h"
 
 namespace gentianroute::gateway {
 
@@ -30,6 +31,7 @@
   double retry_ratio = 0.2;
   /// Additional retries in each window of 10 s, over all daemons.
   double retry_slack = 50;
+  routing::ColdServerTolerance cold_server_tolerance;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/include/gentianroute/gateway/stage_router.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_router.h
@@ -11,6 +11,7 @@
 
 #include "gentianroute/gateway/cluster.h"
 #include "gentianroute/gateway/stage_scheduler.h"
+#include "gentianroute/routing/placement.h"
 #include "gentianroute/routing/pool_choice.h"
 #include "gentianroute/routing/route_table.h"
 #include "gentianroute/routing/server_directory.h"
@@ -44,12 +45,15 @@
 
   using Done = std::function<void(StageOutcome)>;
   /// @brief Runs one stage of a request.
+  /// @param placement limits the pools and schedulers that may get the work;
+  /// must outlive the returned handle
   /// @param inputs locations and sizes of the inputs
   /// @param reader_data_centre data centre of the probable reader of the
   /// results; empty if unknown
   /// @return handle that cancels the work when it is destroyed; `done` is not
   /// called then
   std::unique_ptr<GroupHandle> Run(std::string_view service,
+                                   const routing::Placement& placement,
                                    routing::StageGroup group,
                                    std::vector<routing::PlacedBytes> inputs,
                                    std::string_view reader_data_centre,
@@ -61,7 +65,9 @@
                std::vector<std::string> results);
 
   /// @brief Estimated time until all stages of a new plan are done.
-  Duration EstimatedTime(TimePoint now, const routing::StagePlan& plan);
+  Duration EstimatedTime(TimePoint now,
+                         const routing::StagePlan& plan,
+                         const routing::Placement& placement);
   /// @brief Minimum time of the stages after this one, without queueing.
   Duration MinTimeAfter(const routing::StagePlan& plan,
                         std::uint32_t stage) const;
@@ -70,12 +76,19 @@
                             std::uint32_t stage) const;
   /// @brief Time until the pools that the plan needs have finished their
   /// present backlogs, including groups that are late.
-  Duration BacklogTime(TimePoint now, const routing::StagePlan& plan);
-  /// @brief Whether every service that the plan needs has an open server.
-  bool HasServers(const routing::StagePlan& plan) const;
+  Duration BacklogTime(TimePoint now,
+                       const routing::StagePlan& plan,
+                       const routing::Placement& placement);
+  /// @brief Whether every service that the plan needs has an open server that
+  /// may get the work.
+  bool HasServers(const routing::StagePlan& plan,
+                  const routing::Placement& placement) const;
 
   /// @brief Submits the groups of a lost daemon again.
   void OnPeerLost(std::string_view peer);
+  /// @brief Moves the groups that wait where their placement no longer permits
+  /// them, after a change of the permitted regions.
+  void OnPlacementChanged();
 
  private:
   class RoutedGroup;
@@ -83,9 +96,10 @@
   void FlushReleases();
   /// @return null if the service is not a stage service
   const routing::StageCapacity* CapacityOf(std::string_view service) const;
-  /// Pools of a service that have listed servers.
+  /// Pools of a service that have listed servers and may get the work.
   std::vector<routing::PoolState> PoolsOf(TimePoint now,
-                                          std::string_view service);
+                                          std::string_view service,
+                                          const routing::Placement& placement);
 
   EventLoop& loop_;
   Cluster& cluster_;
--- a/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/relay_client.h"
 #include "gentianroute/loop/relay_fetches.h"
+#include "gentianroute/routing/placement.h"
 #include "gentianroute/routing/route_table.h"
 #include "gentianroute/routing/server_directory.h"
 #include "gentianroute/routing/stage_pool.h"
@@ -29,6 +31,7 @@
                  RelayClient& client,
                  const Translator& translator,
                  routing::ServerDirectory& servers,
+                 const routing::PlacementRules& placement_rules,
                  ResultReleaser& releaser);
   ~StageScheduler();
 
@@ -47,8 +50,11 @@
       const std::function<void(std::string_view service,
                                std::string_view data_centre,
                                routing::Backlog backlog)>& visit) const;
+  /// @brief Applies a change of the evacuated data centres to the queued work.
+  void OnEvacuationsChanged();
   /// @brief Releases results that nobody reads any more, in the state of their
-  /// pool and at the servers that store them.
+  /// pool and at the servers that store them. Does nothing while nothing may
+  /// be sent to the data centre; the results expire there.
   void Release(std::string_view service,
                std::string_view data_centre,
                std::vector<std::string> results);
@@ -76,12 +82,16 @@
                  const StageAnswer& answer);
   /// Calls back for the groups that have ended and releases orphaned results.
   void DeliverFinished(Pool& pool);
+  /// The servers of a pool; none while its data centre is being evacuated.
   std::vector<routing::ServerPtr> ServersOf(const Pool& pool) const;
+  /// Keeps calls from the cold servers that may get none from this daemon now.
+  void HoldColdServers(Pool& pool, std::span<const routing::ServerPtr> servers);
 
   EventLoop& loop_;
   RelayFetches fetches_;
   const Translator& translator_;
   routing::ServerDirectory& servers_;
+  const routing::PlacementRules& placement_rules_;
   ResultReleaser& releaser_;
   routing::RouteTablePtr table_;
   std::map<PoolKey, std::unique_ptr<Pool>> pools_;
--- a/packages/gateway/include/gentianroute/gateway/translator.h
+++ b/packages/gateway/include/gentianroute/gateway/translator.h
@@ -66,12 +66,20 @@
   std::span<const std::string> inputs;  ///< results that the piece reads
 };
 
+/// @brief What a row of the operators' table holds.
+struct OperatorRow {
+  enum class Kind : std::uint8_t { kDeployment, kEvacuation, kUnknown };
+  Kind kind = Kind::kUnknown;
+  std::string data_centre;  ///< that is evacuated while the row exists
+};
+
 /// @brief Converts between the platform's wire formats and the types above.
 /// Names that are specific to the platform occur only in its implementations.
 class Translator {
  public:
   virtual ~Translator() = default;
 
+  virtual OperatorRow ReadOperatorRow(std::string_view key) const = 0;
   /// @param error set to the reason if nothing is returned
   virtual std::optional<routing::Deployment> ReadDeployment(
       std::string_view row,
--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -34,6 +34,10 @@
   out.setPriority(group.priority);
   out.setWeight(static_cast<float>(group.weight));
   out.setResultBytes(group.result_bytes);
+  if (group.submitted_at != TimePoint{}) {
+    out.setWaitedMs(
+        static_cast<std::uint32_t>(MillisecondsUntil(group.submitted_at, now)));
+  }
 }
 
 routing::StageGroup ReadGroup(TimePoint now, schema::Group::Reader in) {
@@ -51,6 +55,7 @@
   group.priority = in.getPriority();
   group.weight = in.getWeight();
   group.result_bytes = in.getResultBytes();
+  group.submitted_at = now - std::chrono::milliseconds(in.getWaitedMs());
   return group;
 }
 
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -14,6 +14,15 @@
 /// A smaller load is a rounding error of many additions and subtractions.
 constexpr double kMinReportedLoad = 0.5;
 
+std::vector<std::uint64_t> HashesIn(capnp::List<std::uint64_t>::Reader list) {
+  std::vector<std::uint64_t> hashes;
+  hashes.reserve(list.size());
+  for (const std::uint64_t hash : list) {
+    hashes.push_back(hash);
+  }
+  return hashes;
+}
+
 }  // namespace
 
 void Gateway::Impl::FillHeartbeat(schema::Beat::Builder heartbeat,
@@ -129,6 +138,11 @@
                                   std::uint64_t servers_version,
                                   schema::StoreCopy::Builder copy) {
   const StoreChanges deployment = deployment_.ChangesAfter(deployment_version);
+  copy.setDeploymentVersion(deployment.version);
+  copy.setDeploymentWhole(deployment.is_full);
+  copy.setDeploymentListedVersion(deployment.live_keys_version);
+  copy.setDeploymentListed(kj::arrayPtr(deployment.live_key_hashes.data(),
+                                        deployment.live_key_hashes.size()));
   deployment_writer_.Write(
       deployment.rows,
       copy.initDeployment(static_cast<unsigned>(deployment.rows.size())));
@@ -144,23 +158,27 @@
 }
 
 void Gateway::Impl::OnStoreCopy(schema::StoreCopy::Reader copy) {
-  StoreChanges deployment;
-  deployment.rows = detail::ReadRows(copy.getDeployment());
-  for (const StoredRow& row : deployment.rows) {
-    deployment.version = std::max(deployment.version, row.version);
-  }
-  if (!deployment.rows.empty()) {
-    LogEvent("deployment_from_peer").Field("row_version", deployment.version);
-    deployment.is_full = !deployment_.is_loaded();
+  if (copy.getDeploymentVersion() > 0) {
+    const StoreChanges deployment{
+        detail::ReadRows(copy.getDeployment()),
+        copy.getDeploymentVersion(),
+        copy.getDeploymentWhole(),
+        HashesIn(copy.getDeploymentListed()),
+        copy.getDeploymentListedVersion(),
+    };
+    LogEvent("deployment_from_peer")
+        .Field("version", deployment.version)
+        .Field("rows", deployment.rows.size());
     deployment_.MergePeerCopy(deployment);
   }
   if (copy.getServersVersion() > 0) {
-    StoreChanges servers{detail::ReadRows(copy.getServers()),
-                         copy.getServersVersion(), copy.getServersWhole()};
-    servers.live_keys_version = copy.getServersListedVersion();
-    for (const std::uint64_t hash : copy.getServersListed()) {
-      servers.live_key_hashes.push_back(hash);
-    }
+    const StoreChanges servers{
+        detail::ReadRows(copy.getServers()),
+        copy.getServersVersion(),
+        copy.getServersWhole(),
+        HashesIn(copy.getServersListed()),
+        copy.getServersListedVersion(),
+    };
     LogEvent("servers_from_peer")
         .Field("version", servers.version)
         .Field("rows", servers.rows.size());
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -36,6 +36,14 @@
   return found == peers_.end() ? nullptr : found->second.get();
 }
 
+std::string_view Membership::DataCentreOf(std::string_view daemon) const {
+  if (IsSelf(daemon)) {
+    return own_.data_centre;
+  }
+  const Peer* peer = Find(daemon);
+  return peer == nullptr ? std::string_view{} : peer->state.data_centre;
+}
+
 void Membership::UpdateOwnState(std::vector<PoolKey> pools,
                                 bool has_quarantined) {
   standbys_valid_ = standbys_valid_ && pools == own_.pools;
@@ -266,6 +274,24 @@
   return schedulers_.emplace(pool, TopRanked(pool, 1).front()).first->second;
 }
 
+bool Membership::IsAmongFirst(std::string_view key,
+                              std::string_view data_centre,
+                              std::size_t count) const {
+  const bool is_beside = own_.data_centre == data_centre;
+  const std::uint64_t own = RendezvousWeight(key, own_.name);
+  std::size_t ahead = 0;
+  for (const auto& [name, peer] : peers_) {
+    const bool peer_is_beside = peer->state.data_centre == data_centre;
+    if (!is_beside && peer_is_beside) {
+      return false;
+    }
+    const bool counts =
+        !is_beside || (peer_is_beside && peer->alive && !peer->state.leaving);
+    ahead += counts && RendezvousWeight(key, name) > own ? 1 : 0;
+  }
+  return ahead < count;
+}
+
 bool Membership::IsStoreReader() const {
   constexpr std::string_view kKey = "store-reader";
   const std::uint64_t own = RendezvousWeight(kKey, own_.name);
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -8,6 +8,7 @@
 #include "gentianroute/base/problem.h"
 #include "gentianroute/gateway/detail/request_attempt.h"
 #include "gentianroute/gateway/detail/request_limits.h"
+#include "gentianroute/observe/log.h"
 
 // Admission, time limits, refusal and end of a request.
 
@@ -86,6 +87,14 @@
   service_name_ =
       routing::PickService(*route_, HashToUnitInterval(request_.id));
   service_ = table_->FindService(service_name_);
+  placement_.emplace(context_.placement_rules,
+                     organisation_ == nullptr
+                         ? route_->permitted_regions
+                         : route_->permitted_regions.IntersectedWith(
+                               organisation_->permitted_regions));
+  if (placement_->regions().PermitsNone()) {
+    return ErrorKind::kNoPermittedRegion;
+  }
   fingerprint_ = FingerprintOf(request_.key.value_or(""),
                                exchange_->head().target, exchange_->body());
   const TimePoint now = context_.loop.Now();
@@ -119,7 +128,7 @@
   plan_.emplace(route_->stages, request_.stage_pieces);
   context_.retry_budgets.OnRequest(service_name_,
                                    context_.cluster.live_daemons());
-  if (RefuseIfStagesLate() || RefuseIfDraining()) {
+  if (RefuseIfNoPlace() || RefuseIfStagesLate() || RefuseIfDraining()) {
     return;
   }
   deadline_timer_ = context_.loop.At(deadline_, [this] { OnTimeout(); });
@@ -151,13 +160,32 @@
   context_.recorder.OnAdmitted(admitted);
 }
 
+bool RequestFlow::RefuseIfNoPlace() {
+  const auto& servers = context_.servers.ServersOf(service_name_);
+  bool has_open = false;
+  for (const routing::ServerPtr& server : servers) {
+    has_open |= server->open();
+    if (server->open() && placement_->Accepts(server->record().data_centre)) {
+      return false;
+    }
+  }
+  if (!has_open) {
+    // Servers that are being replaced may be back when the stages are done.
+    return false;
+  }
+  Refuse(ErrorKind::kNoServer,
+         "all servers are evacuated or outside the permitted regions");
+  return true;
+}
+
 bool RequestFlow::RefuseIfStagesLate() {
-  if (!context_.stage_router.HasServers(*plan_)) {
+  if (!context_.stage_router.HasServers(*plan_, *placement_)) {
     Refuse(ErrorKind::kNoServer, "a stage has no server");
     return true;
   }
   const TimePoint now = context_.loop.Now();
-  expected_stage_time_ = context_.stage_router.EstimatedTime(now, *plan_);
+  expected_stage_time_ =
+      context_.stage_router.EstimatedTime(now, *plan_, *placement_);
   if (now + expected_stage_time_ > StagesDeadline()) {
     Refuse(ErrorKind::kOverloaded, "the stages can't be done in time");
     return true;
@@ -221,9 +249,9 @@
     return;
   }
   // A caller that retried before the backlog is done would meet the same queue.
-  const Duration busy =
-      plan_ ? context_.stage_router.BacklogTime(context_.loop.Now(), *plan_)
-            : Duration{0};
+  const Duration busy = plan_ ? context_.stage_router.BacklogTime(
+                                    context_.loop.Now(), *plan_, *placement_)
+                              : Duration{0};
   Refuse(kind, detail, std::max(busy, kDefaultRetryAfter));
 }
 
@@ -281,6 +309,32 @@
   Refuse(ErrorKind::kDeadlineExceeded, "the time limit passed", std::nullopt);
 }
 
+void RequestFlow::OnDeploymentChanged(const routing::RouteTable& table) {
+  if (!placement_) {
+    return;
+  }
+  const routing::Route* route =
+      table.Find(request_.host, exchange_->head().target);
+  const routing::Organisation* organisation =
+      organisation_ == nullptr ? nullptr
+                               : table.FindOrganisation(*request_.key);
+  routing::PermittedRegions regions = placement_->regions();
+  if (route != nullptr) {
+    regions = regions.IntersectedWith(route->permitted_regions);
+  }
+  if (organisation != nullptr) {
+    regions = regions.IntersectedWith(organisation->permitted_regions);
+  }
+  if (regions == placement_->regions()) {
+    return;
+  }
+  LogEvent("regions_changed", LogLevel::kWarning)
+      .ForRequest(request_.id, LogPriority::kHigh)
+      .Field("version", table.version());
+  *placement_ =
+      routing::Placement(context_.placement_rules, std::move(regions));
+}
+
 void RequestFlow::OnShutdown() {
   Refuse(ErrorKind::kShuttingDown, "the daemon is stopping");
 }
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -26,7 +26,9 @@
 /// at most once: if the server closes it as idle while the request is on its
 /// way, it is unknown whether the request has run.
 constexpr Duration kMaxIdleNonRepeatable = std::chrono::milliseconds(1500);
-/// The same for repeatable requests.
+/// How often a request is tried again that only cold servers could run.
+constexpr Duration kColdServerRetryPeriod = std::chrono::milliseconds(50);
+/// Like kMaxIdleNonRepeatable, for repeatable requests.
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(4);
 
 }  // namespace
@@ -42,11 +44,11 @@
       context_.service_times.Of(service_name_);
   if (IsGeneration()) {
     const auto inputs = PlacedResults(plan_->FinalStages(), 1);
-    return routing::ChooseModelServer(now, servers, tried_, request_.prompt,
-                                      inputs, *service_->model, estimate,
-                                      context_.topology);
+    return routing::ChooseModelServer(now, servers, *placement_, tried_,
+                                      request_.prompt, inputs, *service_->model,
+                                      estimate, context_.topology);
   }
-  return routing::ChoosePlainServer(now, servers, tried_, estimate,
+  return routing::ChoosePlainServer(now, servers, *placement_, tried_, estimate,
                                     context_.topology);
 }
 
@@ -76,7 +78,9 @@
 void RequestFlow::SendToServer() {
   const routing::ServerChoice choice = ChooseServer();
   if (choice.server == nullptr) {
-    Refuse(ErrorKind::kNoServer, "no server can accept the request");
+    if (!WaitForColdServer(choice)) {
+      Refuse(ErrorKind::kNoServer, "no server can accept the request");
+    }
     return;
   }
   tried_.push_back(choice.server->record().id);
@@ -102,6 +106,7 @@
       choice.server->prompt_cache().UncachedSharedTokens(request_.prompt);
   sent.score_ms = choice.score_ms;
   sent.time_left = TimeLeft();
+  sent.verdicts = choice.verdicts;
   context_.recorder.OnSent(sent);
   AssignServer(choice.server);
   ++attempts_;
@@ -113,6 +118,23 @@
   StartFirstByteTimer();
 }
 
+bool RequestFlow::WaitForColdServer(const routing::ServerChoice& choice) {
+  const auto cold =
+      choice
+          .verdicts[static_cast<std::size_t>(routing::PlacementVerdict::kCold)];
+  if (cold == 0 ||
+      context_.loop.Now() + kColdServerRetryPeriod + MinAnswerTime() >
+          deadline_) {
+    return false;
+  }
+  context_.loop.Cancel(answer_timer_);
+  answer_timer_ = context_.loop.After(kColdServerRetryPeriod, [this] {
+    const Ptr keep(this);
+    SendToServer();
+  });
+  return true;
+}
+
 void RequestFlow::StartFirstByteTimer() {
   context_.loop.Cancel(answer_timer_);
   if (!repeatable()) {
@@ -144,6 +166,7 @@
   UnassignServer();
   server_ = server;
   sent_at_ = context_.loop.Now();
+  server_->warm_up().OnSent(sent_at_);
   pending_prefill_tokens_ = server_->pending_prefill_tokens();
   waves_ = routing::WavesAt(*server_);
   placed_load_.calls = 1;
--- a/packages/gateway/src/request_flow_stages.cc
+++ b/packages/gateway/src/request_flow_stages.cc
@@ -51,9 +51,10 @@
                        ? *organisation_->priority
                        : route_->priority;
   group.weight = weight_;
+  group.submitted_at = context_.loop.Now();
   plan_->Start(stage);
   running_stages_[stage] = context_.stage_router.Run(
-      spec.service, std::move(group),
+      spec.service, *placement_, std::move(group),
       PlacedResults(spec.after, plan_->pieces(stage)), home_data_centre_,
       [this, stage](StageOutcome outcome) {
         OnStageEnd(stage, std::move(outcome));
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -10,6 +10,11 @@
 constexpr auto kRouteKindNames =
     std::to_array<std::string_view>({"idempotent", "non_idempotent", "stream"});
 
+/// Log fields with the number of servers that could not be chosen, and labels
+/// of the metrics, by PlacementVerdict.
+constexpr auto kLimitNames = std::to_array<std::string_view>(
+    {"accepted", "outside_regions", "evacuated", "cold"});
+
 /// Whether the request was answered or cancelled by its caller.
 bool IsExpectedOutcome(std::string_view outcome) {
   return outcome == "answered" || outcome == "caller_gone";
@@ -31,8 +36,11 @@
 }
 
 void RequestRecorder::OnSent(const RequestSent& sent) {
-  LogEvent("request_sent")
-      .ForRequest(sent.id, LogPriority::kLow)
+  for (std::size_t i = 1; i < sent.verdicts.size(); ++i) {
+    limited_[i] += sent.verdicts[i] > 0 ? 1 : 0;
+  }
+  LogEvent event("request_sent");
+  event.ForRequest(sent.id, LogPriority::kLow)
       .Field("server", sent.server)
       .Field("data_centre", sent.data_centre)
       .Field("server_calls", static_cast<std::int64_t>(sent.server_calls))
@@ -44,6 +52,11 @@
              static_cast<std::int64_t>(sent.uncached_shared_tokens))
       .Field("score_ms", static_cast<std::int64_t>(sent.score_ms))
       .Field("left_ms", WholeMilliseconds(sent.time_left));
+  for (std::size_t i = 1; i < sent.verdicts.size(); ++i) {
+    if (sent.verdicts[i] > 0) {
+      event.Field(kLimitNames[i], sent.verdicts[i]);
+    }
+  }
 }
 
 void RequestRecorder::OnEnd(const RequestEnd& end) {
@@ -98,6 +111,14 @@
     const MetricLabel label{"what", what};
     writer.AddSample("gentianroute_gateway_repeats_total", {&label, 1}, count);
   }
+  writer.AddMetric("gentianroute_gateway_limited_sends_total", "counter",
+                   "Requests sent while servers could not be chosen, by the "
+                   "reason.");
+  for (std::size_t i = 1; i < limited_.size(); ++i) {
+    const MetricLabel label{"reason", kLimitNames[i]};
+    writer.AddSample("gentianroute_gateway_limited_sends_total", {&label, 1},
+                     limited_[i]);
+  }
   writer.AddMetric("gentianroute_gateway_first_seconds", "histogram",
                    "Time to the first part of an answer.");
   for (std::size_t i = 0; i < kRouteKinds; ++i) {
--- a/packages/gateway/src/stage_router.cc
+++ b/packages/gateway/src/stage_router.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "gentianroute/observe/log.h"
@@ -24,11 +25,13 @@
  public:
   RoutedGroup(StageRouter& router,
               std::string_view service,
+              const routing::Placement& placement,
               routing::StageGroup group,
               routing::PoolWork pool_work,
               Done done)
       : router_(router),
         service_(service),
+        placement_(placement),
         group_(std::move(group)),
         pool_work_(std::move(pool_work)),
         done_(std::move(done)) {
@@ -46,8 +49,21 @@
       ResubmitLater();
     }
   }
+  void OnPlacementChanged() {
+    const bool permitted = placement_.PermitsDataIn(data_centre_) &&
+                           (scheduler_.empty() || MayHandOver(scheduler_));
+    if (!permitted) {
+      ResubmitLater();
+    }
+  }
 
  private:
+  /// Whether a daemon may get the group: the data centre of its pool may be
+  /// permitted while the daemon that schedules the pool is elsewhere.
+  bool MayHandOver(std::string_view daemon) const {
+    return placement_.PermitsDataIn(router_.cluster_.DataCentreOf(daemon));
+  }
+
   void ResubmitLater() {
     scheduler_.clear();
     router_.loop_.Cancel(timer_);
@@ -55,9 +71,13 @@
   }
 
   void Submit() {
+    handle_.reset();
     const TimePoint now = router_.loop_.Now();
     const routing::StageCapacity* capacity = router_.CapacityOf(service_);
-    const auto pools = router_.PoolsOf(now, service_);
+    auto pools = router_.PoolsOf(now, service_, placement_);
+    std::erase_if(pools, [this](const routing::PoolState& pool) {
+      return closed_pools_.contains(pool.data_centre);
+    });
     pool_work_.time_left = group_.soft_deadline - now;
     const routing::PoolState* pool =
         capacity == nullptr ? nullptr
@@ -82,7 +102,8 @@
   void SubmitToScheduler() {
     scheduler_ = router_.cluster_.SchedulerOf({service_, data_centre_});
     const bool here = router_.cluster_.IsSelf(scheduler_) ||
-                      scheduler_attempts_ >= kMaxSchedulerAttempts;
+                      scheduler_attempts_ >= kMaxSchedulerAttempts ||
+                      !MayHandOver(scheduler_);
     ++scheduler_attempts_;
     LogEvent("stage_handed")
         .ForRequest(group_.request, LogPriority::kLow)
@@ -99,14 +120,14 @@
       scheduler_.clear();
       handle_ = router_.local_scheduler_.Run(
           service_, data_centre_, group_,
-          [this](GroupOutcome outcome) { End(std::move(outcome)); });
+          [this](GroupOutcome outcome) { OnOutcome(std::move(outcome)); });
       return;
     }
     handle_ = router_.cluster_.RunGroupAt(
         scheduler_, {service_, data_centre_}, group_,
         [this](std::optional<GroupOutcome> outcome) {
           if (outcome) {
-            End(std::move(*outcome));
+            OnOutcome(std::move(*outcome));
             return;
           }
           LogEvent("scheduler_broke_off", LogLevel::kWarning)
@@ -117,6 +138,23 @@
         });
   }
 
+  void OnOutcome(GroupOutcome outcome) {
+    if (outcome.failure != routing::StageFailure::kNoServer) {
+      End(std::move(outcome));
+      return;
+    }
+    // The pool's servers are gone or its data centre is being evacuated. Each
+    // pool is tried once, so that this ends.
+    closed_pools_.insert(data_centre_);
+    scheduler_attempts_ = 0;
+    LogEvent("stage_moved", LogLevel::kWarning)
+        .ForRequest(group_.request, LogPriority::kHigh)
+        .Field("stage", group_.stage)
+        .Field("service", service_)
+        .Field("from", data_centre_);
+    ResubmitLater();
+  }
+
   void End(GroupOutcome outcome) {
     const Done done = std::move(done_);
     done({std::move(outcome), data_centre_});
@@ -124,12 +162,15 @@
 
   StageRouter& router_;
   std::string service_;
+  const routing::Placement& placement_;
   routing::StageGroup group_;
   routing::PoolWork pool_work_;
   Done done_;
   std::string data_centre_;
   std::string scheduler_;
   std::uint32_t scheduler_attempts_ = 0;
+  /// Data centres whose pools have no server for the group.
+  std::set<std::string> closed_pools_;
   std::unique_ptr<GroupHandle> handle_;
   TimerId timer_;
 };
@@ -166,8 +207,10 @@
   return spec != nullptr && spec->stage ? &*spec->stage : nullptr;
 }
 
-std::vector<routing::PoolState> StageRouter::PoolsOf(TimePoint now,
-                                                     std::string_view service) {
+std::vector<routing::PoolState> StageRouter::PoolsOf(
+    TimePoint now,
+    std::string_view service,
+    const routing::Placement& placement) {
   std::map<std::string, std::uint32_t> open;
   for (const routing::ServerPtr& server : servers_.ServersOf(service)) {
     const bool usable = server->open() && !server->history().IsAvoided(now);
@@ -177,14 +220,16 @@
     pool_states_.SetServers(service, data_centre, servers);
   }
   std::vector<routing::PoolState> pools = pool_states_.PoolsOf(now, service);
-  std::erase_if(pools, [&open](const routing::PoolState& pool) {
-    return !open.contains(pool.data_centre);
+  std::erase_if(pools, [&open, &placement](const routing::PoolState& pool) {
+    return !open.contains(pool.data_centre) ||
+           !placement.Accepts(pool.data_centre);
   });
   return pools;
 }
 
 std::unique_ptr<GroupHandle> StageRouter::Run(
     std::string_view service,
+    const routing::Placement& placement,
     routing::StageGroup group,
     std::vector<routing::PlacedBytes> inputs,
     std::string_view reader_data_centre,
@@ -197,8 +242,9 @@
   pool_work.inputs = std::move(inputs);
   pool_work.result_bytes = group.result_bytes * group.pieces;
   pool_work.reader_data_centre = reader_data_centre;
-  return std::make_unique<RoutedGroup>(*this, service, std::move(group),
-                                       std::move(pool_work), std::move(done));
+  return std::make_unique<RoutedGroup>(*this, service, placement,
+                                       std::move(group), std::move(pool_work),
+                                       std::move(done));
 }
 
 void StageRouter::Release(std::string_view service,
@@ -223,7 +269,8 @@
 }
 
 Duration StageRouter::EstimatedTime(TimePoint now,
-                                    const routing::StagePlan& plan) {
+                                    const routing::StagePlan& plan,
+                                    const routing::Placement& placement) {
   std::vector<Duration> done(plan.stages(), Duration{0});
   Duration last{0};
   for (std::uint32_t stage = 0; stage < plan.stages(); ++stage) {
@@ -235,7 +282,7 @@
     if (plan.pieces(stage) == 0 || capacity == nullptr) {
       continue;
     }
-    const auto pools = PoolsOf(now, service);
+    const auto pools = PoolsOf(now, service, placement);
     const routing::PoolWork pool_work{plan.pieces(stage), capacity->piece_time};
     const routing::PoolState* pool =
         routing::ChoosePool(pools, pool_work, *capacity, topology_);
@@ -267,12 +314,13 @@
 }
 
 Duration StageRouter::BacklogTime(TimePoint now,
-                                  const routing::StagePlan& plan) {
+                                  const routing::StagePlan& plan,
+                                  const routing::Placement& placement) {
   Duration longest{0};
   for (std::uint32_t stage = 0; stage < plan.stages(); ++stage) {
     Duration shortest = Duration::max();
     for (const routing::PoolState& pool :
-         PoolsOf(now, plan.spec(stage).service)) {
+         PoolsOf(now, plan.spec(stage).service, placement)) {
       if (pool.servers > 0) {
         shortest = std::min(shortest, pool.backlog.all / pool.servers);
       }
@@ -284,12 +332,16 @@
   return longest;
 }
 
-bool StageRouter::HasServers(const routing::StagePlan& plan) const {
+bool StageRouter::HasServers(const routing::StagePlan& plan,
+                             const routing::Placement& placement) const {
   for (std::uint32_t stage = 0; stage < plan.stages(); ++stage) {
     const auto& servers = servers_.ServersOf(plan.spec(stage).service);
-    const bool open = std::any_of(
-        servers.begin(), servers.end(),
-        [](const routing::ServerPtr& server) { return server->open(); });
+    const bool open =
+        std::any_of(servers.begin(), servers.end(),
+                    [&placement](const routing::ServerPtr& server) {
+                      return server->open() &&
+                             placement.Accepts(server->record().data_centre);
+                    });
     if (plan.pieces(stage) > 0 && !open) {
       return false;
     }
@@ -303,4 +355,10 @@
   }
 }
 
+void StageRouter::OnPlacementChanged() {
+  for (RoutedGroup* group : std::vector<RoutedGroup*>(groups_)) {
+    group->OnPlacementChanged();
+  }
+}
+
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -11,6 +11,8 @@
 /// A pool's backlog is reported to the peers for this long after work was last
 /// submitted to it.
 constexpr Duration kPoolIdleTimeout = std::chrono::seconds(2);
+/// How often a cold server is checked for being allowed another call.
+constexpr Duration kColdServerCheckPeriod = std::chrono::milliseconds(25);
 /// Lower bound of the time limit of a piece; no stage server answers sooner.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(1);
 
@@ -53,11 +55,13 @@
                                RelayClient& client,
                                const Translator& translator,
                                routing::ServerDirectory& servers,
+                               const routing::PlacementRules& placement_rules,
                                ResultReleaser& releaser)
     : loop_(loop),
       fetches_(loop, client),
       translator_(translator),
       servers_(servers),
+      placement_rules_(placement_rules),
       releaser_(releaser) {}
 
 StageScheduler::~StageScheduler() {
@@ -117,6 +121,9 @@
 std::vector<routing::ServerPtr> StageScheduler::ServersOf(
     const Pool& pool) const {
   std::vector<routing::ServerPtr> servers;
+  if (placement_rules_.evacuations.Contains(pool.data_centre)) {
+    return servers;
+  }
   for (const routing::ServerPtr& server : servers_.ServersOf(pool.service)) {
     if (server->record().data_centre == pool.data_centre) {
       servers.push_back(server);
@@ -126,7 +133,9 @@
 }
 
 void StageScheduler::Dispatch(Pool& pool) {
-  const auto calls = pool.pool.Dispatch(loop_.Now(), ServersOf(pool));
+  const auto servers = ServersOf(pool);
+  HoldColdServers(pool, servers);
+  const auto calls = pool.pool.Dispatch(loop_.Now(), servers);
   for (const routing::StageCall& call : calls) {
     Send(pool, call);
   }
@@ -138,8 +147,28 @@
   }
 }
 
+void StageScheduler::HoldColdServers(
+    Pool& pool,
+    std::span<const routing::ServerPtr> servers) {
+  const TimePoint now = loop_.Now();
+  for (const routing::ServerPtr& server : servers) {
+    if (!placement_rules_.cold_servers.MaySend(now, *server)) {
+      pool.pool.Hold(server->record().id, now + kColdServerCheckPeriod);
+    }
+  }
+}
+
+void StageScheduler::OnEvacuationsChanged() {
+  for (const auto& [key, pool] : pools_) {
+    if (pool->pool.waiting_pieces() > 0) {
+      DispatchLater(*pool);
+    }
+  }
+}
+
 void StageScheduler::Send(Pool& pool, const routing::StageCall& call) {
   const TimePoint now = loop_.Now();
+  call.server->warm_up().OnSent(now);
   std::vector<StagePieceRequest> pieces;
   pieces.reserve(call.pieces.size());
   for (const routing::StagePiece& piece : call.pieces) {
@@ -233,14 +262,15 @@
     pool.callbacks.erase(found);
     done({end.failure, std::move(end.results)});
   }
-  std::vector<std::string> orphans = pool.pool.TakeOrphans();
-  pool.pool.OnReleased(orphans);
-  releaser_.Release(std::move(orphans));
+  Release(pool.service, pool.data_centre, pool.pool.TakeOrphans());
 }
 
 void StageScheduler::Release(std::string_view service,
                              std::string_view data_centre,
                              std::vector<std::string> results) {
+  if (placement_rules_.evacuations.Contains(data_centre)) {
+    return;
+  }
   Pool* pool = PoolFor(service, data_centre);
   if (pool != nullptr) {
     pool->pool.OnReleased(results);
--- a/packages/routing/include/gentianroute/routing/deployment.h
+++ b/packages/routing/include/gentianroute/routing/deployment.h
@@ -10,6 +10,7 @@
 
 #include "gentianroute/base/caller_limits.h"
 #include "gentianroute/base/time.h"
+#include "gentianroute/routing/permitted_regions.h"
 
 namespace gentianroute::routing {
 
@@ -46,6 +47,7 @@
   std::vector<StageSpec> stages;
   bool is_public = false;  ///< callers need no key
   bool resumable = false;
+  PermittedRegions permitted_regions;
 
   /// @brief How long callers wait for the first byte of an answer.
   ///
@@ -91,16 +93,25 @@
   }
 };
 
+/// @brief How servers of a service behave after a start.
+struct WarmUpSpec {
+  Duration duration{};  ///< a server is cold and slow for this time
+  /// Requests that a cold server bears without crashing; 0: no limit.
+  double requests_per_second = 0;
+};
+
 struct ServiceSpec {
   std::string name;
   std::optional<ModelCapacity> model;
   std::optional<StageCapacity> stage;
+  WarmUpSpec warm_up;
 };
 
 struct Organisation {
   std::string name;
   std::vector<std::string> keys;
   std::optional<std::uint32_t> priority;  ///< overrides that of the route
+  PermittedRegions permitted_regions;
 };
 
 /// @brief One complete version of the configuration set by operators.
--- /dev/null
+++ b/packages/routing/include/gentianroute/routing/placement.h
@@ -0,0 +1,86 @@
+#ifndef GENTIANROUTE_ROUTING_PLACEMENT_H_
+#define GENTIANROUTE_ROUTING_PLACEMENT_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "gentianroute/base/time.h"
+#include "gentianroute/routing/cold_server_limiter.h"
+#include "gentianroute/routing/evacuations.h"
+#include "gentianroute/routing/permitted_regions.h"
+#include "gentianroute/routing/server.h"
+#include "gentianroute/routing/topology.h"
+
+namespace gentianroute::routing {
+
+/// @brief What limits the placement of all requests of a daemon.
+struct PlacementRules {
+  const Topology& topology;
+  Evacuations evacuations;
+  ColdServerLimiter cold_servers;
+};
+
+/// @brief Whether work may be placed at a server or data centre, and why not.
+enum class PlacementVerdict : std::uint8_t {
+  kAccepted,
+  kOutsideRegions,  ///< in a region that the request may not enter
+  kEvacuated,
+  kCold,  ///< the server is cold and may get no request from this daemon now
+};
+inline constexpr std::size_t kPlacementVerdicts = 4;
+
+/// @brief Number of servers with each verdict.
+using PlacementCounts = std::array<std::uint32_t, kPlacementVerdicts>;
+
+/// @brief Where the work of one request may go.
+///
+/// Every choice of a server, a data centre or a daemon for a request consults
+/// this, so that no path to a server can miss one of the rules.
+class Placement {
+ public:
+  /// @param rules must outlive this object; later changes take effect at once
+  Placement(const PlacementRules& rules, PermittedRegions regions)
+      : rules_(&rules), regions_(std::move(regions)) {}
+
+  const PermittedRegions& regions() const { return regions_; }
+
+  /// @brief Whether daemons in a data centre may get the request or parts of
+  /// it.
+  bool PermitsDataIn(std::string_view data_centre) const {
+    return regions_.PermitsAll() ||
+           regions_.Permits(rules_->topology.RegionOf(data_centre));
+  }
+  /// @brief Whether servers in a data centre may get new work.
+  PlacementVerdict Check(std::string_view data_centre) const {
+    if (!PermitsDataIn(data_centre)) {
+      return PlacementVerdict::kOutsideRegions;
+    }
+    return rules_->evacuations.Contains(data_centre)
+               ? PlacementVerdict::kEvacuated
+               : PlacementVerdict::kAccepted;
+  }
+  bool Accepts(std::string_view data_centre) const {
+    return Check(data_centre) == PlacementVerdict::kAccepted;
+  }
+  /// @brief Whether a server may get a request now.
+  PlacementVerdict Check(TimePoint now, const Server& server) const {
+    const PlacementVerdict verdict = Check(server.record().data_centre);
+    if (verdict != PlacementVerdict::kAccepted) {
+      return verdict;
+    }
+    return rules_->cold_servers.MaySend(now, server)
+               ? PlacementVerdict::kAccepted
+               : PlacementVerdict::kCold;
+  }
+
+ private:
+  const PlacementRules* rules_;
+  PermittedRegions regions_;
+};
+
+}  // namespace gentianroute::routing
+
+#endif  // GENTIANROUTE_ROUTING_PLACEMENT_H_
--- a/packages/routing/include/gentianroute/routing/server.h
+++ b/packages/routing/include/gentianroute/routing/server.h
@@ -10,6 +10,7 @@
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/prompt_cache.h"
+#include "gentianroute/routing/warm_up.h"
 
 namespace gentianroute::routing {
 
@@ -22,7 +23,7 @@
   std::string data_centre;
   std::uint32_t slots = 1;
   bool leaving = false;
-  Duration warm_up_left{};              ///< remaining time of slow answers
+  Duration warm_up_left{};  ///< time that it stays cold; 0: it is warm
   std::int64_t started_at_unix_ms = 0;  ///< 0 if unknown
 
   friend bool operator==(const ServerRecord&, const ServerRecord&) = default;
@@ -138,6 +139,8 @@
 
   ServerHistory& history() { return history_; }
   const ServerHistory& history() const { return history_; }
+  WarmUp& warm_up() { return warm_up_; }
+  const WarmUp& warm_up() const { return warm_up_; }
   PromptCache& prompt_cache() { return prompt_cache_; }
   const PromptCache& prompt_cache() const { return prompt_cache_; }
 
@@ -152,6 +155,7 @@
   ServerLoad own_;
   ServerLoad peers_;  ///< as last reported by the peers
   ServerHistory history_;
+  WarmUp warm_up_;
   PromptCache prompt_cache_;
   TimePoint last_received_{};
 };
--- a/packages/routing/include/gentianroute/routing/server_choice.h
+++ b/packages/routing/include/gentianroute/routing/server_choice.h
@@ -8,6 +8,7 @@
 
 #include "gentianroute/routing/deployment.h"
 #include "gentianroute/routing/placed_bytes.h"
+#include "gentianroute/routing/placement.h"
 #include "gentianroute/routing/prompt.h"
 #include "gentianroute/routing/server.h"
 #include "gentianroute/routing/service_time_estimate.h"
@@ -19,6 +20,7 @@
 struct ServerChoice {
   ServerPtr server;  ///< null if no server can be used
   double score_ms = 0;
+  PlacementCounts verdicts{};  ///< on the open servers
 };
 
 /// @brief Chooses the server of a plain service with the shortest estimated
@@ -26,9 +28,11 @@
 ///
 /// Accounts for load spikes, and for servers that slow down or fail a share of
 /// their requests while their health check passes.
+/// @param placement servers that it does not accept are not chosen
 /// @param tried ids of servers that this request has already been sent to
 ServerChoice ChoosePlainServer(TimePoint now,
                                std::span<const ServerPtr> servers,
+                               const Placement& placement,
                                std::span<const std::string> tried,
                                const ServiceTimeEstimate& estimate,
                                const Topology& topology);
@@ -45,9 +49,11 @@
 /// reach the same server, its home, without coordination, and hit that server's
 /// prompt cache. Queued prompts count against a server with the time that their
 /// prefill takes.
+/// @param placement servers that it does not accept are not chosen
 /// @param inputs stage results that the server has to fetch
 ServerChoice ChooseModelServer(TimePoint now,
                                std::span<const ServerPtr> servers,
+                               const Placement& placement,
                                std::span<const std::string> tried,
                                const Prompt& prompt,
                                std::span<const PlacedBytes> inputs,
--- a/packages/routing/include/gentianroute/routing/server_directory.h
+++ b/packages/routing/include/gentianroute/routing/server_directory.h
@@ -19,7 +19,7 @@
   static constexpr Duration kReregistrationGrace = std::chrono::seconds(2);
 
   /// @brief Adds or updates a server. A new incarnation replaces the old one.
-  void Put(ServerRecord record);
+  void Put(TimePoint now, ServerRecord record);
   /// @brief Handles the removal of an entry from the host list.
   ///
   /// Entries can't be renewed during a store outage, so those of live servers
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -34,6 +34,9 @@
   std::uint32_t priority = 0;  ///< 0 is the most urgent
   double weight = 1;           ///< relative to the other requests of its route
   double result_bytes = 0;     ///< estimated size of one result
+  /// First submission to any pool, so that a group that is moved to another
+  /// pool keeps its place in the order; zero: it is submitted now.
+  TimePoint submitted_at{};
 };
 
 /// @brief Server time needed by queued and running work, summed over servers.
@@ -110,7 +113,12 @@
   void Cancel(StageGroupId group);
   const StageGroup* Find(StageGroupId group) const;
 
+  /// @brief Sends no new call to a server until a time.
+  void Hold(std::string_view server, TimePoint until);
   /// @brief Returns the calls to send now to servers with a free slot.
+  ///
+  /// Without any open server, the groups that still have queued pieces end with
+  /// kNoServer. Groups whose pieces all run already continue.
   std::vector<StageCall> Dispatch(TimePoint now,
                                   std::span<const ServerPtr> servers);
   /// @param results with kAnswered, one for each piece in the order of the call
@@ -163,6 +171,8 @@
   /// so that their callers learn it now and not at the deadline.
   /// @return the remaining groups, the most urgent first
   std::vector<StageGroupId> EndLateGroups(TimePoint now, std::size_t servers);
+  /// Ends the groups that have queued pieces because no server is open.
+  void EndWaitingGroups();
   Duration RunningTime(TimePoint now) const;
   std::vector<ServerPtr> FreeServers(TimePoint now,
                                      std::span<const ServerPtr> servers);
--- a/packages/routing/include/gentianroute/routing/topology.h
+++ b/packages/routing/include/gentianroute/routing/topology.h
@@ -31,15 +31,15 @@
     if (from == to) {
       return kInDataCentre;
     }
-    return Region(from) == Region(to) ? kInRegion : kBetweenRegions;
+    return RegionOf(from) == RegionOf(to) ? kInRegion : kBetweenRegions;
   }
-
- private:
-  std::string_view Region(std::string_view data_centre) const {
+  /// @return the data centre itself if its region is unknown
+  std::string_view RegionOf(std::string_view data_centre) const {
     const auto found = region_of_.find(data_centre);
     return found == region_of_.end() ? data_centre : found->second;
   }
 
+ private:
   std::string own_;
   std::map<std::string, std::string, std::less<>> region_of_;
 };
--- a/packages/routing/src/server_choice.cc
+++ b/packages/routing/src/server_choice.cc
@@ -35,27 +35,55 @@
          history.FailureRate(now) * kFailureCostMs;
 }
 
-double WarmUpPenaltyMs(const Server& server) {
-  // A warming-up server is slow but usable; a call is expected to lose a tenth
-  // of the remaining warm-up time.
+double WarmUpPenaltyMs(TimePoint now, const Server& server) {
+  // A cold server is slow but usable; a call is expected to lose a tenth of the
+  // remaining time.
   constexpr double kShare = 0.1;
-  return kShare * Milliseconds(server.record().warm_up_left);
+  return kShare * Milliseconds(server.warm_up().TimeLeft(now));
+}
+
+/// The servers in the data centres to which the request may go.
+std::vector<ServerPtr> ServersInReach(std::span<const ServerPtr> servers,
+                                      const Placement& placement,
+                                      PlacementCounts& verdicts) {
+  std::vector<ServerPtr> in_reach;
+  in_reach.reserve(servers.size());
+  for (const ServerPtr& server : servers) {
+    const PlacementVerdict verdict =
+        placement.Check(server->record().data_centre);
+    if (verdict == PlacementVerdict::kAccepted) {
+      in_reach.push_back(server);
+    } else if (server->open()) {
+      ++verdicts[static_cast<std::size_t>(verdict)];
+    }
+  }
+  return in_reach;
 }
 
 /// The usable server with the lowest score. The score is in milliseconds and
 /// takes the position of a server.
+/// @param verdicts on servers that are not among these
 template <typename Score>
-ServerChoice BestServer(std::span<const ServerPtr> servers,
+ServerChoice BestServer(TimePoint now,
+                        std::span<const ServerPtr> servers,
+                        const Placement& placement,
                         std::span<const std::string> tried,
-                        const Score& score) {
-  ServerChoice best{nullptr, std::numeric_limits<double>::max()};
+                        const Score& score,
+                        const PlacementCounts& verdicts = {}) {
+  ServerChoice best{nullptr, std::numeric_limits<double>::max(), verdicts};
   for (std::size_t i = 0; i < servers.size(); ++i) {
     if (!servers[i]->open() || WasTried(tried, *servers[i])) {
       continue;
     }
+    const PlacementVerdict verdict = placement.Check(now, *servers[i]);
+    ++best.verdicts[static_cast<std::size_t>(verdict)];
+    if (verdict != PlacementVerdict::kAccepted) {
+      continue;
+    }
     const double ms = score(i);
     if (ms < best.score_ms) {
-      best = {servers[i], ms};
+      best.server = servers[i];
+      best.score_ms = ms;
     }
   }
   return best;
@@ -71,7 +99,7 @@
   const double busy = server.calls() / slots;
   return Milliseconds(topology.RoundTrip(server.record().data_centre)) +
          service_ms * WavesAt(server) + busy + FailurePenaltyMs(now, server) +
-         WarmUpPenaltyMs(server);
+         WarmUpPenaltyMs(now, server);
 }
 
 /// Rank of each server in the rendezvous hash of a subject, by position; the
@@ -146,7 +174,7 @@
          (own_prefill + prefill_queue + stream_delay) *
              server.history().Slowness(now) +
          stream_time * (excess_calls / slots + memory_excess) +
-         FailurePenaltyMs(now, server) + WarmUpPenaltyMs(server);
+         FailurePenaltyMs(now, server) + WarmUpPenaltyMs(now, server);
 }
 
 }  // namespace
@@ -159,30 +187,37 @@
 
 ServerChoice ChoosePlainServer(TimePoint now,
                                std::span<const ServerPtr> servers,
+                               const Placement& placement,
                                std::span<const std::string> tried,
                                const ServiceTimeEstimate& estimate,
                                const Topology& topology) {
-  return BestServer(servers, tried, [&](std::size_t i) {
+  return BestServer(now, servers, placement, tried, [&](std::size_t i) {
     return PlainScore(now, *servers[i], estimate, topology);
   });
 }
 
 ServerChoice ChooseModelServer(TimePoint now,
                                std::span<const ServerPtr> servers,
+                               const Placement& placement,
                                std::span<const std::string> tried,
                                const Prompt& prompt,
                                std::span<const PlacedBytes> inputs,
                                const ModelCapacity& capacity,
                                const ServiceTimeEstimate& estimate,
                                const Topology& topology) {
+  // The home of a subject is one of the servers that its requests may use.
+  PlacementCounts verdicts{};
+  const std::vector<ServerPtr> in_reach =
+      ServersInReach(servers, placement, verdicts);
   const std::vector<double> prefill_ms =
-      SharedPrefillMs(servers, prompt, estimate);
-  return BestServer(servers, tried, [&](std::size_t i) {
-    return ModelScore(now, *servers[i], prompt, capacity, estimate, topology) +
+      SharedPrefillMs(in_reach, prompt, estimate);
+  const auto score = [&](std::size_t i) {
+    return ModelScore(now, *in_reach[i], prompt, capacity, estimate, topology) +
            prefill_ms[i] +
-           TransferCostMs(inputs, servers[i]->record().data_centre,
+           TransferCostMs(inputs, in_reach[i]->record().data_centre,
                           kModelTransferMsPerMegabyte);
-  });
+  };
+  return BestServer(now, in_reach, placement, tried, score, verdicts);
 }
 
 }  // namespace gentianroute::routing
--- a/packages/routing/src/server_directory.cc
+++ b/packages/routing/src/server_directory.cc
@@ -6,11 +6,12 @@
 
 namespace gentianroute::routing {
 
-void ServerDirectory::Put(ServerRecord record) {
+void ServerDirectory::Put(TimePoint now, ServerRecord record) {
   expired_.erase(record.id);
   const auto found = by_id_.find(record.id);
   if (found == by_id_.end()) {
     ServerPtr server(new Server(std::move(record)));
+    server->warm_up().OnReport(now, server->record().warm_up_left);
     by_service_[server->record().service].push_back(server);
     by_id_.emplace(server->record().id, server);
     return;
@@ -23,11 +24,12 @@
       server.record().port == record.port;
   if (!same_incarnation) {
     Erase(record.id);
-    Put(std::move(record));
+    Put(now, std::move(record));
     return;
   }
   const bool starts_leaving = record.leaving && !server.record().leaving;
   server.SetRecord(std::move(record));
+  server.warm_up().OnReport(now, server.record().warm_up_left);
   if (starts_leaving) {
     Close(server);
   }
@@ -61,7 +63,7 @@
     Remove(now, id);
   }
   for (ServerRecord& record : records) {
-    Put(std::move(record));
+    Put(now, std::move(record));
   }
 }
 
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -52,7 +52,8 @@
   const StageGroupId id{++last_group_};
   Group& entry = groups_[id];
   entry.group = std::move(group);
-  entry.submitted_at = now;
+  entry.submitted_at =
+      entry.group.submitted_at == TimePoint{} ? now : entry.group.submitted_at;
   entry.results.resize(entry.group.pieces);
   for (std::uint32_t i = entry.group.pieces; i > 0; --i) {
     entry.waiting.push_back(i - 1);
@@ -126,6 +127,22 @@
   return kept;
 }
 
+void StagePool::EndWaitingGroups() {
+  std::vector<StageGroupId> waiting;
+  for (const auto& [id, entry] : groups_) {
+    if (!entry.waiting.empty()) {
+      waiting.push_back(id);
+    }
+  }
+  for (const StageGroupId id : waiting) {
+    FinishGroup(id, StageFailure::kNoServer);
+  }
+}
+
+void StagePool::Hold(std::string_view server, TimePoint until) {
+  server_states_[std::string(server)].hold_until = until;
+}
+
 Duration StagePool::RunningTime(TimePoint now) const {
   Duration running{0};
   for (const auto& [id, state] : server_states_) {
@@ -166,9 +183,7 @@
   }
   const std::size_t open = CountOpenServers(servers);
   if (open == 0) {
-    while (!groups_.empty()) {
-      FinishGroup(groups_.begin()->first, StageFailure::kNoServer);
-    }
+    EndWaitingGroups();
     return calls;
   }
   const std::vector<StageGroupId> order = EndLateGroups(now, open);
--- a/packages/routing/tests/routing_fixture.h
+++ b/packages/routing/tests/routing_fixture.h
@@ -3,8 +3,10 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "gentianroute/routing/placement.h"
 #include "gentianroute/routing/server.h"
 #include "gentianroute/routing/stage_pool.h"
 #include "gentianroute/routing/topology.h"
@@ -31,6 +33,27 @@
   return Topology("north", {{"north", "N"}, {"north-b", "N"}, {"south", "S"}});
 }
 
+/// Chooses this daemon as a sender of all cold servers, or of none.
+struct FixedColdSenders final : ColdServerSenders {
+  bool is_sender = true;
+  bool IsSender(const ServerRecord& /*server*/,
+                std::size_t /*count*/) const override {
+    return is_sender;
+  }
+};
+
+/// Rules and a placement of a request, without limits unless a test adds some.
+struct PlacementFixture {
+  Topology topology = TwoRegions();
+  FixedColdSenders senders;
+  PlacementRules rules{topology, {}, ColdServerLimiter({}, senders)};
+  Placement placement{rules, {}};
+
+  void PermitOnly(std::vector<std::string> regions) {
+    placement = Placement(rules, PermittedRegions(std::move(regions)));
+  }
+};
+
 /// A stage pool with the call and piece times specified for the target
 /// deployments.
 struct PoolFixture {
--- a/packages/routing/tests/server_choice_test.cc
+++ b/packages/routing/tests/server_choice_test.cc
@@ -24,6 +24,7 @@
   ModelCapacity capacity{64, 450'000};
   ServiceTimeEstimate estimate;
   Topology topology = TwoRegions();
+  PlacementFixture limits;
 
   ModelFixture() {
     for (int i = 0; i < 6; ++i) {
@@ -33,8 +34,8 @@
   ServerPtr Choose(const Prompt& prompt,
                    std::span<const PlacedBytes> inputs = {},
                    std::span<const std::string> tried = {}) const {
-    return ChooseModelServer(kStart, servers, tried, prompt, inputs, capacity,
-                             estimate, topology)
+    return ChooseModelServer(kStart, servers, limits.placement, tried, prompt,
+                             inputs, capacity, estimate, topology)
         .server;
   }
 };
@@ -44,8 +45,8 @@
 Test(server_choice, plain_request_stays_in_its_data_centre) {
   const std::vector<ServerPtr> servers = {MakeServer("far", "south", 6),
                                           MakeServer("near", "north", 6)};
-  const ServerChoice choice =
-      ChoosePlainServer(kStart, servers, {}, {}, TwoRegions());
+  const ServerChoice choice = ChoosePlainServer(
+      kStart, servers, PlacementFixture().placement, {}, {}, TwoRegions());
   cr_assert(choice.server == servers[1]);
 }
 
@@ -53,8 +54,8 @@
   const std::vector<ServerPtr> servers = {MakeServer("far", "south", 6),
                                           MakeServer("near", "north", 6)};
   servers[1]->own().calls = 18;
-  const ServerChoice choice =
-      ChoosePlainServer(kStart, servers, {}, {}, TwoRegions());
+  const ServerChoice choice = ChoosePlainServer(
+      kStart, servers, PlacementFixture().placement, {}, {}, TwoRegions());
   cr_assert(choice.server == servers[0]);
 }
 
@@ -67,11 +68,13 @@
     servers[1]->history().OnAnswer(kStart, false, 1.0);
   }
   const Topology topology = TwoRegions();
-  cr_assert(ChoosePlainServer(kStart, servers, {}, {}, topology).server ==
-            servers[0]);
+  cr_assert(ChoosePlainServer(kStart, servers, PlacementFixture().placement, {},
+                              {}, topology)
+                .server == servers[0]);
   const TimePoint later = kStart + std::chrono::seconds(30);
-  cr_assert(ChoosePlainServer(later, servers, {}, {}, topology).server ==
-            servers[1]);
+  cr_assert(ChoosePlainServer(later, servers, PlacementFixture().placement, {},
+                              {}, topology)
+                .server == servers[1]);
 }
 
 Test(server_choice, leaving_tried_and_unlisted_servers_are_not_taken) {
@@ -82,8 +85,8 @@
   servers[0]->SetRecord(leaving);
   servers[2]->Unlist();
   const std::vector<std::string> tried = {"tried"};
-  const ServerChoice choice =
-      ChoosePlainServer(kStart, servers, tried, {}, TwoRegions());
+  const ServerChoice choice = ChoosePlainServer(
+      kStart, servers, PlacementFixture().placement, tried, {}, TwoRegions());
   cr_assert(choice.server == nullptr);
 }
 
--- a/packages/routing/tests/server_directory_test.cc
+++ b/packages/routing/tests/server_directory_test.cc
@@ -20,10 +20,10 @@
 
 Test(server_directory, leaving_server_is_closed_at_once) {
   ServerDirectory servers;
-  servers.Put(Record("a"));
+  servers.Put(kStart, Record("a"));
   ServerRecord leaving = Record("a");
   leaving.leaving = true;
-  servers.Put(leaving);
+  servers.Put(kStart, leaving);
   cr_assert_not(servers.Find("a")->open());
 }
 
@@ -31,10 +31,10 @@
 // for the earlier incarnation may apply to it.
 Test(server_directory, new_incarnation_is_another_server) {
   ServerDirectory servers;
-  servers.Put(Record("a", 1));
+  servers.Put(kStart, Record("a", 1));
   const ServerPtr before(servers.Find("a"));
   before->own().calls = 3;
-  servers.Put(Record("a", 2));
+  servers.Put(kStart, Record("a", 2));
   cr_assert(servers.Find("a") != before.get());
   cr_assert_eq(servers.Find("a")->own().calls, 0);
   cr_assert_not(before->open());
@@ -42,17 +42,17 @@
 
 Test(server_directory, address_of_another_service_is_another_server) {
   ServerDirectory servers;
-  servers.Put(Record("a"));
+  servers.Put(kStart, Record("a"));
   ServerRecord moved = Record("a");
   moved.service = "other";
-  servers.Put(moved);
+  servers.Put(kStart, moved);
   cr_assert(servers.ServersOf("stage").empty());
   cr_assert_eq(servers.ServersOf("other").size(), 1);
 }
 
 Test(server_directory, removed_server_is_not_listed) {
   ServerDirectory servers;
-  servers.Put(Record("a"));
+  servers.Put(kStart, Record("a"));
   servers.Remove(kStart, "a");
   cr_assert(servers.ServersOf("stage").empty());
 }
@@ -62,18 +62,18 @@
 // register again within two seconds of the end of the outage.
 Test(server_directory, expired_server_stays_during_the_grace_period) {
   ServerDirectory servers;
-  servers.Put(Record("a"));
+  servers.Put(kStart, Record("a"));
   servers.OnStoreRecovered(kStart);
   servers.Remove(kStart + 10 * kMs, "a");
   cr_assert_eq(servers.ServersOf("stage").size(), 1);
-  servers.Put(Record("a"));
+  servers.Put(kStart, Record("a"));
   servers.Expire(kStart + std::chrono::seconds(3));
   cr_assert_eq(servers.ServersOf("stage").size(), 1);
 }
 
 Test(server_directory, expired_server_without_renewal_is_removed) {
   ServerDirectory servers;
-  servers.Put(Record("a"));
+  servers.Put(kStart, Record("a"));
   servers.OnStoreRecovered(kStart);
   servers.Remove(kStart + 10 * kMs, "a");
   servers.Expire(kStart + std::chrono::seconds(2));
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -62,6 +62,7 @@
   priority @10 :UInt32;
   resultBytes @11 :Float64;           # estimated size of the result of one piece
   weight @12 :Float32;                # weight of the request within its route
+  waitedMs @13 :UInt32;               # time since the group was first submitted
 }
 
 struct GroupOutcome {
@@ -87,6 +88,11 @@
   serversListed @4 :List(UInt64);     # hashes of the keys of all rows; empty if
                                       # `servers` contains the deletions itself
   serversListedVersion @5 :UInt64;    # version at which serversListed was complete
+  # The same for the table of the deployment.
+  deploymentVersion @6 :UInt64;
+  deploymentWhole @7 :Bool;
+  deploymentListed @8 :List(UInt64);
+  deploymentListedVersion @9 :UInt64;
 }
 
 interface Cluster {
