--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -268,7 +268,7 @@
 void StageScheduler::Release(std::string_view service,
                              std::string_view data_centre,
                              std::vector<std::string> results) {
-  if (placement_rules_.evacuations.Contains(data_centre)) {
+  if (results.empty() || placement_rules_.evacuations.Contains(data_centre)) {
     return;
   }
   Pool* pool = PoolFor(service, data_centre);
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -145,6 +145,7 @@
   struct Group {
     StageGroup group;
     TimePoint submitted_at{};
+    double value = 0;                    ///< to its caller if it is on time
     std::vector<std::uint32_t> waiting;  ///< segments, descending
     std::uint32_t running = 0;
     std::uint32_t done = 0;
@@ -222,6 +223,8 @@
   std::vector<std::string> orphans_;
   std::size_t waiting_pieces_ = 0;
   TimePoint next_expiry_at_{};
+  /// Next search for late groups if no server is free before.
+  TimePoint next_late_check_at_{};
   std::uint64_t last_group_ = 0;
   std::uint64_t last_call_ = 0;
 };
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -54,6 +54,9 @@
   entry.group = std::move(group);
   entry.submitted_at =
       entry.group.submitted_at == TimePoint{} ? now : entry.group.submitted_at;
+  entry.value = entry.group.weight *
+                std::pow(kPriorityValueRatio,
+                         -static_cast<double>(entry.group.priority));
   entry.results.resize(entry.group.pieces);
   for (std::uint32_t i = entry.group.pieces; i > 0; --i) {
     entry.waiting.push_back(i - 1);
@@ -93,11 +96,9 @@
       continue;
     }
     const StageGroup& group = entry.group;
-    const double value =
-        group.weight *
-        std::pow(kPriorityValueRatio, -static_cast<double>(group.priority));
     waiting.push_back({id.value, entry.submitted_at, group.soft_deadline,
-                       WaitingTime(entry), capacity_.TypicalCallTime(), value});
+                       WaitingTime(entry), capacity_.TypicalCallTime(),
+                       entry.value});
   }
   return OrderWork(now, std::move(waiting), RunningTime(now), servers);
 }
@@ -186,8 +187,14 @@
     EndWaitingGroups();
     return calls;
   }
-  const std::vector<StageGroupId> order = EndLateGroups(now, open);
   const std::vector<ServerPtr> free = FreeServers(now, servers);
+  if (free.empty() && now < next_late_check_at_) {
+    // Groups arrive every millisecond under load, and ordering a long queue
+    // for each of them would take most of a small daemon's processor.
+    return calls;
+  }
+  next_late_check_at_ = now + kDispatchInterval;
+  const std::vector<StageGroupId> order = EndLateGroups(now, open);
   for (std::size_t i = 0; i < free.size() && waiting_pieces_ > 0; ++i) {
     // Free servers share the queued pieces, but no call gets less than half a
     // batch: a server that stays free serves the next request immediately.
--- a/packages/routing/src/work_order.cc
+++ b/packages/routing/src/work_order.cc
@@ -21,6 +21,32 @@
          std::exp2(Seconds(now - work.submitted_at) / kAgeingDoublingSeconds);
 }
 
+/// Late work and its density, which is expensive to compute in comparisons.
+struct LateWork {
+  double density = 0;
+  std::uint64_t id = 0;
+  std::size_t index = 0;
+};
+
+/// Appends late work, that of the highest aged value density first.
+void AppendByAgedDensity(TimePoint now,
+                         const std::vector<WaitingWork>& late,
+                         std::vector<WaitingWork>& order) {
+  std::vector<LateWork> ranked;
+  ranked.reserve(late.size());
+  for (std::size_t i = 0; i < late.size(); ++i) {
+    ranked.push_back({AgedValueDensity(now, late[i]), late[i].id, i});
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const LateWork& a, const LateWork& b) {
+              return a.density != b.density ? a.density > b.density
+                                            : a.id < b.id;
+            });
+  for (const LateWork& next : ranked) {
+    order.push_back(late[next.index]);
+  }
+}
+
 /// The work that can meet its soft deadline, and the work that was late or
 /// displaced.
 class FeasibleSchedule {
@@ -117,14 +143,7 @@
   }
   std::vector<WaitingWork> order = on_time.TakeScheduled();
   std::sort(order.begin(), order.end(), HasEarlierDeadline);
-  std::sort(late.begin(), late.end(),
-            [now](const WaitingWork& a, const WaitingWork& b) {
-              const double density_a = AgedValueDensity(now, a);
-              const double density_b = AgedValueDensity(now, b);
-              return density_a != density_b ? density_a > density_b
-                                            : a.id < b.id;
-            });
-  order.insert(order.end(), late.begin(), late.end());
+  AppendByAgedDensity(now, late, order);
   return order;
 }
 
--- a/packages/routing/tests/stage_pool_test.cc
+++ b/packages/routing/tests/stage_pool_test.cc
@@ -254,3 +254,57 @@
   cr_assert_eq(backlog.on_time.count(), Duration(215 * kMs).count());
   cr_assert_gt(backlog.all.count(), backlog.on_time.count());
 }
+
+// The data centre of a pool is evacuated while a call runs there. The call ends
+// there; groups that wait for the pool are returned at once, so that their
+// requests can use another one.
+Test(stage_pool, pool_without_servers_running_groups_end_and_others_return) {
+  PoolFixture fixture(4);
+  fixture.servers = {MakeServer("a")};
+  const StageGroupId running = fixture.Submit("r1", 4);
+  const auto calls = fixture.pool.Dispatch(kStart, fixture.servers);
+  const StageGroupId waiting = fixture.Submit("r2", 4);
+  fixture.pool.Dispatch(kStart + 10 * kMs, {});
+  const auto returned = fixture.pool.TakeFinished();
+  cr_assert_eq(returned.size(), 1);
+  cr_assert(returned[0].group == waiting);
+  cr_assert(returned[0].failure == StageFailure::kNoServer);
+  fixture.Answer(calls[0], kStart + 200 * kMs);
+  const auto ended = fixture.pool.TakeFinished();
+  cr_assert_eq(ended.size(), 1);
+  cr_assert(ended[0].group == running);
+  cr_assert_not(ended[0].failure.has_value());
+}
+
+// Guards against a group that is moved from another pool losing its place among
+// late groups, which run by value and age.
+Test(stage_pool, late_group_is_moved_here_it_keeps_its_age) {
+  PoolFixture fixture(4);
+  fixture.servers = {MakeServer("a")};
+  const TimePoint now = kStart + std::chrono::seconds(3);
+  StageGroup moved;
+  moved.request = "moved";
+  moved.pieces = 4;
+  moved.work_class = "route:0";
+  moved.soft_deadline = kStart;
+  moved.deadline = now + std::chrono::seconds(6);
+  moved.submitted_at = kStart;
+  StageGroup fresh = moved;
+  fresh.request = "fresh";
+  fresh.submitted_at = {};
+  fixture.pool.Submit(now, fresh);
+  const StageGroupId first = fixture.pool.Submit(now, moved);
+  const auto calls = fixture.pool.Dispatch(now, fixture.servers);
+  cr_assert(calls[0].pieces[0].group == first);
+}
+
+// Guards against calls to a server that is cold and may get none now.
+Test(stage_pool, held_server_gets_no_call_until_its_time) {
+  PoolFixture fixture(4);
+  fixture.servers = {MakeServer("a")};
+  fixture.Submit("r1", 4);
+  fixture.pool.Hold("a", kStart + 50 * kMs);
+  cr_assert(fixture.pool.Dispatch(kStart, fixture.servers).empty());
+  cr_assert_eq(fixture.pool.Dispatch(kStart + 50 * kMs, fixture.servers).size(),
+               1);
+}
