Move late groups to a faster pool

Groups choose a pool by the work that is on time; the work that is late stays in the queue until its deadline.

Change: the scheduler gives groups that are late, not started and small in their results back to their daemon, with the data centre whose pool starts them sooner by at least the time of a call. A group moves once and keeps its age.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -88,6 +88,13 @@
                       stage_router_,  cluster_,  retry_budgets_,
                       service_times_, weights_,  suspects_,
                       recorder_,      drain_} {
+    stage_scheduler_.SetFasterPool([this](std::string_view service,
+                                          std::string_view data_centre,
+                                          Duration wait, Duration server_time) {
+      return stage_router_.FasterPool(loop_.Now(), service, data_centre,
+                                      routing::Placement(placement_rules_, {}),
+                                      wait, server_time);
+    });
     servers_.SetOnClosed(
         [this](routing::Server& server) { OnServerClosed(server); });
     Listen();
--- a/packages/gateway/include/gentianroute/gateway/group_outcome.h
+++ b/packages/gateway/include/gentianroute/gateway/group_outcome.h
@@ -14,6 +14,7 @@
 struct GroupOutcome {
   std::optional<routing::StageFailure> failure;  ///< empty if it succeeded
   std::vector<std::string> results;
+  std::string move_to;  ///< with kMoved: data centre of the faster pool
 };
 using GroupDone = std::function<void(GroupOutcome)>;
 
--- a/packages/gateway/include/gentianroute/gateway/stage_router.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_router.h
@@ -44,6 +44,15 @@
                  routing::Backlog backlog);
 
   using Done = std::function<void(StageOutcome)>;
+  /// @brief Names the data centre whose pool of a service starts a group of
+  /// another pool sooner, and adds the group to its estimated backlog. Empty if
+  /// no pool does.
+  std::string FasterPool(TimePoint now,
+                         std::string_view service,
+                         std::string_view data_centre,
+                         const routing::Placement& placement,
+                         Duration wait,
+                         Duration server_time);
   /// @brief Runs one stage of a request.
   /// @param placement limits the pools and schedulers that may get the work;
   /// must outlive the returned handle
--- a/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
@@ -35,6 +35,15 @@
                  ResultReleaser& releaser);
   ~StageScheduler();
 
+  /// @brief Names the data centre whose pool of a service starts a group
+  /// sooner than after `wait` in this one; empty if none does.
+  using FasterPool = std::function<std::string(std::string_view service,
+                                               std::string_view data_centre,
+                                               Duration wait,
+                                               Duration server_time)>;
+  void SetFasterPool(FasterPool faster_pool) {
+    faster_pool_ = std::move(faster_pool);
+  }
   void SetTable(routing::RouteTablePtr table);
   /// @brief Runs a group in the pool of a service in a data centre.
   /// @param done called once, after Run() has returned, unless the handle is
@@ -60,6 +69,7 @@
                std::vector<std::string> results);
   std::uint64_t calls_sent() const { return calls_sent_; }
   std::uint64_t pieces_sent() const { return pieces_sent_; }
+  std::uint64_t groups_moved() const { return groups_moved_; }
 
  private:
   class Handle;
@@ -80,6 +90,8 @@
   void OnCallEnd(Pool& pool,
                  routing::StageCallId call,
                  const StageAnswer& answer);
+  /// Returns late groups to their daemons if another pool is faster.
+  void MoveLateGroups(Pool& pool);
   /// Calls back for the groups that have ended and releases orphaned results.
   void DeliverFinished(Pool& pool);
   /// The servers of a pool; none while its data centre is being evacuated.
@@ -93,10 +105,12 @@
   routing::ServerDirectory& servers_;
   const routing::PlacementRules& placement_rules_;
   ResultReleaser& releaser_;
+  FasterPool faster_pool_;
   routing::RouteTablePtr table_;
   std::map<PoolKey, std::unique_ptr<Pool>> pools_;
   std::uint64_t calls_sent_ = 0;
   std::uint64_t pieces_sent_ = 0;
+  std::uint64_t groups_moved_ = 0;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -34,6 +34,7 @@
   out.setPriority(group.priority);
   out.setWeight(static_cast<float>(group.weight));
   out.setResultBytes(group.result_bytes);
+  out.setStays(group.stays);
   if (group.submitted_at != TimePoint{}) {
     out.setWaitedMs(
         static_cast<std::uint32_t>(MillisecondsUntil(group.submitted_at, now)));
@@ -55,6 +56,7 @@
   group.priority = in.getPriority();
   group.weight = in.getWeight();
   group.result_bytes = in.getResultBytes();
+  group.stays = in.getStays();
   group.submitted_at = now - std::chrono::milliseconds(in.getWaitedMs());
   return group;
 }
@@ -68,6 +70,7 @@
   for (unsigned i = 0; i < results.size(); ++i) {
     results.set(i, outcome.results[i]);
   }
+  out.setMoveTo(outcome.move_to);
 }
 
 GroupOutcome ReadOutcome(schema::GroupOutcome::Reader in) {
@@ -78,6 +81,7 @@
   for (const auto result : in.getResults()) {
     outcome.results.emplace_back(result);
   }
+  outcome.move_to = in.getMoveTo();
   return outcome;
 }
 
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -34,6 +34,9 @@
         static_cast<double>(stage_scheduler_.calls_sent()));
   gauge("gentianroute_gateway_stage_pieces", "Stage pieces sent.",
         static_cast<double>(stage_scheduler_.pieces_sent()));
+  gauge("gentianroute_gateway_stage_groups_moved",
+        "Groups that were moved to a faster pool.",
+        static_cast<double>(stage_scheduler_.groups_moved()));
   exchange.Respond(detail::kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
                    writer.text());
 }
--- a/packages/gateway/src/request_flow_stages.cc
+++ b/packages/gateway/src/request_flow_stages.cc
@@ -13,8 +13,8 @@
 using detail::kMaxRecomputations;
 
 std::string_view NameOf(std::optional<routing::StageFailure> failure) {
-  constexpr std::array<std::string_view, 4> kNames = {"late", "input_gone",
-                                                      "failed", "no_server"};
+  constexpr std::array<std::string_view, 5> kNames = {
+      "late", "input_gone", "failed", "no_server", "moved"};
   return failure ? kNames[static_cast<std::size_t>(*failure)] : "done";
 }
 
@@ -102,6 +102,7 @@
     case StageFailure::kLate:
       Refuse(ErrorKind::kDeadlineTooShort, "a stage can't be done in time");
       return;
+    case StageFailure::kMoved:  // handled by the stage router
     case StageFailure::kNoServer:
       Refuse(ErrorKind::kNoServer, "a stage has no server");
       return;
--- a/packages/gateway/src/stage_router.cc
+++ b/packages/gateway/src/stage_router.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <span>
 #include <utility>
 
 #include "gentianroute/observe/log.h"
@@ -80,9 +81,7 @@
     });
     pool_work_.time_left = group_.soft_deadline - now;
     const routing::PoolState* pool =
-        capacity == nullptr ? nullptr
-                            : routing::ChoosePool(pools, pool_work_, *capacity,
-                                                  router_.topology_);
+        capacity == nullptr ? nullptr : Choose(pools, *capacity);
     if (pool == nullptr) {
       timer_ = router_.loop_.After(Duration{0}, [this] {
         End({routing::StageFailure::kNoServer, {}});
@@ -99,6 +98,17 @@
     SubmitToScheduler();
   }
 
+  const routing::PoolState* Choose(std::span<const routing::PoolState> pools,
+                                   const routing::StageCapacity& capacity) {
+    const std::string target = std::exchange(move_to_, {});
+    for (const routing::PoolState& pool : pools) {
+      if (pool.data_centre == target && pool.servers > 0) {
+        return &pool;
+      }
+    }
+    return routing::ChoosePool(pools, pool_work_, capacity, router_.topology_);
+  }
+
   void SubmitToScheduler() {
     scheduler_ = router_.cluster_.SchedulerOf({service_, data_centre_});
     const bool here = router_.cluster_.IsSelf(scheduler_) ||
@@ -139,19 +149,28 @@
   }
 
   void OnOutcome(GroupOutcome outcome) {
-    if (outcome.failure != routing::StageFailure::kNoServer) {
+    using routing::StageFailure;
+    const bool moves = outcome.failure == StageFailure::kNoServer ||
+                       outcome.failure == StageFailure::kMoved;
+    if (!moves) {
       End(std::move(outcome));
       return;
     }
-    // The pool's servers are gone or its data centre is being evacuated. Each
-    // pool is tried once, so that this ends.
-    closed_pools_.insert(data_centre_);
+    if (outcome.failure == StageFailure::kNoServer) {
+      // The pool's servers are gone or its data centre is being evacuated. Each
+      // pool is tried once, so that this ends.
+      closed_pools_.insert(data_centre_);
+    }
+    // A group that was moved twice would wait in transit.
+    group_.stays = true;
+    move_to_ = std::move(outcome.move_to);
     scheduler_attempts_ = 0;
     LogEvent("stage_moved", LogLevel::kWarning)
         .ForRequest(group_.request, LogPriority::kHigh)
         .Field("stage", group_.stage)
         .Field("service", service_)
-        .Field("from", data_centre_);
+        .Field("from", data_centre_)
+        .Field("to", move_to_);
     ResubmitLater();
   }
 
@@ -169,6 +188,7 @@
   std::string data_centre_;
   std::string scheduler_;
   std::uint32_t scheduler_attempts_ = 0;
+  std::string move_to_;  ///< data centre of the next pool; empty: any
   /// Data centres whose pools have no server for the group.
   std::set<std::string> closed_pools_;
   std::unique_ptr<GroupHandle> handle_;
@@ -227,6 +247,26 @@
   return pools;
 }
 
+std::string StageRouter::FasterPool(TimePoint now,
+                                    std::string_view service,
+                                    std::string_view data_centre,
+                                    const routing::Placement& placement,
+                                    Duration wait,
+                                    Duration server_time) {
+  const routing::StageCapacity* capacity = CapacityOf(service);
+  if (capacity == nullptr) {
+    return {};
+  }
+  const auto pools = PoolsOf(now, service, placement);
+  const routing::PoolState* faster =
+      routing::FasterPool(pools, data_centre, wait, *capacity, topology_);
+  if (faster == nullptr) {
+    return {};
+  }
+  pool_states_.OnWorkSubmitted(service, faster->data_centre, server_time);
+  return faster->data_centre;
+}
+
 std::unique_ptr<GroupHandle> StageRouter::Run(
     std::string_view service,
     const routing::Placement& placement,
--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -11,6 +11,8 @@
 /// A pool's backlog is reported to the peers for this long after work was last
 /// submitted to it.
 constexpr Duration kPoolIdleTimeout = std::chrono::seconds(2);
+/// Limits the processor time of one dispatch.
+constexpr std::size_t kMaxMovesPerDispatch = 16;
 /// How often a cold server is checked for being allowed another call.
 constexpr Duration kColdServerCheckPeriod = std::chrono::milliseconds(25);
 /// Lower bound of the time limit of a piece; no stage server answers sooner.
@@ -139,6 +141,7 @@
   for (const routing::StageCall& call : calls) {
     Send(pool, call);
   }
+  MoveLateGroups(pool);
   DeliverFinished(pool);
   loop_.Cancel(pool.timer);
   if (pool.pool.waiting_pieces() > 0) {
@@ -147,6 +150,30 @@
   }
 }
 
+void StageScheduler::MoveLateGroups(Pool& pool) {
+  // The last group waits longest: if no pool is faster for it, none is for the
+  // others.
+  const std::vector<routing::LateGroup> late_groups = pool.pool.late_groups();
+  const std::size_t count = std::min(late_groups.size(), kMaxMovesPerDispatch);
+  for (std::size_t i = 0; i < count; ++i) {
+    const routing::LateGroup& late = late_groups[late_groups.size() - 1 - i];
+    const auto found = pool.callbacks.find(late.group);
+    if (found == pool.callbacks.end()) {
+      continue;
+    }
+    std::string target = faster_pool_(pool.service, pool.data_centre, late.wait,
+                                      late.server_time);
+    if (target.empty()) {
+      return;
+    }
+    const GroupDone done = std::move(found->second);
+    pool.callbacks.erase(found);
+    pool.pool.Cancel(late.group);
+    ++groups_moved_;
+    done({routing::StageFailure::kMoved, {}, std::move(target)});
+  }
+}
+
 void StageScheduler::HoldColdServers(
     Pool& pool,
     std::span<const routing::ServerPtr> servers) {
--- a/packages/routing/include/gentianroute/routing/pool_choice.h
+++ b/packages/routing/include/gentianroute/routing/pool_choice.h
@@ -54,6 +54,19 @@
                             const StageCapacity& capacity,
                             const Topology& topology);
 
+/// @brief Finds a pool in which a group that is late in its own pool starts
+/// sooner, by at least the time of a call.
+///
+/// Queued work that can't be on time is passed by newer work and waits until
+/// its deadline, while the servers of other pools become idle after a burst.
+/// @param wait time until the group starts in its own pool
+/// @return null if there is none
+const PoolState* FasterPool(std::span<const PoolState> pools,
+                            std::string_view own_data_centre,
+                            Duration wait,
+                            const StageCapacity& capacity,
+                            const Topology& topology);
+
 /// @brief State of all pools: the last report of each scheduler, and the work
 /// submitted since.
 class PoolStateTable {
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -34,6 +34,7 @@
   std::uint32_t priority = 0;  ///< 0 is the most urgent
   double weight = 1;           ///< relative to the other requests of its route
   double result_bytes = 0;     ///< estimated size of one result
+  bool stays = false;          ///< must not be moved to another pool
   /// First submission to any pool, so that a group that is moved to another
   /// pool keeps its place in the order; zero: it is submitted now.
   TimePoint submitted_at{};
@@ -51,6 +52,7 @@
   kInputGone,  ///< an input result no longer exists
   kFailed,     ///< its pieces failed too many times
   kNoServer,   ///< no server accepts work
+  kMoved,      ///< another pool can start it sooner
 };
 
 struct StagePiece {
@@ -88,6 +90,13 @@
   kBroken,   ///< no answer: its pieces may have run, and are run again
 };
 
+/// @brief A queued group that is expected to be late in this pool.
+struct LateGroup {
+  StageGroupId group;
+  Duration wait{};         ///< until its pieces start here
+  Duration server_time{};  ///< that its pieces need
+};
+
 struct StageGroupResult {
   StageGroupId group;
   std::optional<StageFailure> failure;
@@ -131,6 +140,9 @@
   /// storage.
   void OnReleased(std::span<const std::string> results);
 
+  /// @brief Groups that the last Dispatch() expects to be late and that may be
+  /// moved to another pool: none of their pieces has started.
+  const std::vector<LateGroup>& late_groups() const { return late_groups_; }
   /// @brief Groups that have ended since the previous call of this function.
   std::vector<StageGroupResult> TakeFinished();
   /// @brief Results of groups that have already ended, to be released unread.
@@ -183,6 +195,7 @@
                      std::span<const StageGroupId> order);
   bool HasStorage(const ServerState& state, double bytes) const;
   bool HasLargeResults(const StageGroup& group) const;
+  static bool MayMove(const Group& entry);
   /// Whether a call may take pieces of a group. A group that fits into one call
   /// is not split: the results of a part of it would occupy storage without use
   /// until the rest is computed.
@@ -219,6 +232,7 @@
   std::unordered_map<std::string, StoredResult> stored_results_;
   /// Time of one piece by work class, learned from calls.
   std::map<std::string, Duration, std::less<>> piece_times_;
+  std::vector<LateGroup> late_groups_;
   std::vector<StageGroupResult> finished_;
   std::vector<std::string> orphans_;
   std::size_t waiting_pieces_ = 0;
--- a/packages/routing/include/gentianroute/routing/work_order.h
+++ b/packages/routing/include/gentianroute/routing/work_order.h
@@ -16,6 +16,9 @@
   Duration server_time{};     ///< server time that it needs
   Duration min_duration{};    ///< shortest time from its start to its end
   double value = 0;           ///< value to its caller if it is on time
+  /// Set by OrderWork(): it can't be on time, or more valuable work displaces
+  /// it.
+  bool is_late = false;
 };
 
 /// @brief Orders work to maximise the value that is done on time.
--- a/packages/routing/src/pool_choice.cc
+++ b/packages/routing/src/pool_choice.cc
@@ -57,6 +57,28 @@
   return best;
 }
 
+const PoolState* FasterPool(std::span<const PoolState> pools,
+                            std::string_view own_data_centre,
+                            Duration wait,
+                            const StageCapacity& capacity,
+                            const Topology& topology) {
+  const PoolState* fastest = nullptr;
+  Duration shortest = wait - capacity.TypicalCallTime();
+  for (const PoolState& pool : pools) {
+    if (pool.servers == 0 || pool.data_centre == own_data_centre) {
+      continue;
+    }
+    const Duration there =
+        pool.backlog.all / static_cast<std::int64_t>(pool.servers) +
+        topology.RoundTrip(own_data_centre, pool.data_centre);
+    if (there < shortest) {
+      fastest = &pool;
+      shortest = there;
+    }
+  }
+  return fastest;
+}
+
 void PoolStateTable::Report(TimePoint now, PoolState state) {
   Entry& entry = entries_[{state.service, state.data_centre}];
   entry.state.backlog = state.backlog;
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -29,6 +29,9 @@
 /// Storage is reserved only for results above this share of a server's storage;
 /// smaller ones always find some.
 constexpr double kLargeResultShare = 0.02;
+/// Groups with larger results stay where they were placed: the results would
+/// have to be transferred between data centres.
+constexpr double kMaxMovedBytes = 1e6;
 /// How often expired results are searched for.
 constexpr Duration kExpiryPeriod = std::chrono::milliseconds(200);
 /// Failed attempts that a group may have, beside one for each of its pieces.
@@ -54,9 +57,9 @@
   entry.group = std::move(group);
   entry.submitted_at =
       entry.group.submitted_at == TimePoint{} ? now : entry.group.submitted_at;
-  entry.value = entry.group.weight *
-                std::pow(kPriorityValueRatio,
-                         -static_cast<double>(entry.group.priority));
+  entry.value =
+      entry.group.weight *
+      std::pow(kPriorityValueRatio, -static_cast<double>(entry.group.priority));
   entry.results.resize(entry.group.pieces);
   for (std::uint32_t i = entry.group.pieces; i > 0; --i) {
     entry.waiting.push_back(i - 1);
@@ -112,6 +115,7 @@
 std::vector<StageGroupId> StagePool::EndLateGroups(TimePoint now,
                                                    std::size_t servers) {
   std::vector<StageGroupId> kept;
+  late_groups_.clear();
   Duration ahead = RunningTime(now);
   for (const WaitingWork& next : ByUrgency(now, servers)) {
     const StageGroupId id{next.id};
@@ -121,6 +125,10 @@
     if (end > entry.group.deadline) {
       FinishGroup(id, StageFailure::kLate);
     } else {
+      if (next.is_late && MayMove(entry)) {
+        late_groups_.push_back(
+            {id, ahead / static_cast<std::int64_t>(servers), next.server_time});
+      }
       ahead += next.server_time;
       kept.push_back(id);
     }
@@ -128,6 +136,13 @@
   return kept;
 }
 
+bool StagePool::MayMove(const Group& entry) {
+  const double bytes =
+      entry.group.result_bytes * static_cast<double>(entry.group.pieces);
+  return !entry.group.stays && bytes <= kMaxMovedBytes &&
+         entry.waiting.size() == entry.group.pieces;
+}
+
 void StagePool::EndWaitingGroups() {
   std::vector<StageGroupId> waiting;
   for (const auto& [id, entry] : groups_) {
@@ -178,6 +193,7 @@
 std::vector<StageCall> StagePool::Dispatch(TimePoint now,
                                            std::span<const ServerPtr> servers) {
   std::vector<StageCall> calls;
+  late_groups_.clear();
   ExpireResults(now);
   if (waiting_pieces_ == 0) {
     return calls;
--- a/packages/routing/src/work_order.cc
+++ b/packages/routing/src/work_order.cc
@@ -37,13 +37,13 @@
   for (std::size_t i = 0; i < late.size(); ++i) {
     ranked.push_back({AgedValueDensity(now, late[i]), late[i].id, i});
   }
-  std::sort(ranked.begin(), ranked.end(),
-            [](const LateWork& a, const LateWork& b) {
-              return a.density != b.density ? a.density > b.density
-                                            : a.id < b.id;
-            });
+  std::sort(
+      ranked.begin(), ranked.end(), [](const LateWork& a, const LateWork& b) {
+        return a.density != b.density ? a.density > b.density : a.id < b.id;
+      });
   for (const LateWork& next : ranked) {
     order.push_back(late[next.index]);
+    order.back().is_late = true;
   }
 }
 
--- a/packages/routing/tests/pool_choice_test.cc
+++ b/packages/routing/tests/pool_choice_test.cc
@@ -113,3 +113,26 @@
       board.PoolsOf(kStart + 100 * kMs, "stage")[0].backlog.on_time.count(),
       Duration(100 * kMs).count());
 }
+
+// A burst has filled the pool of one data centre with late work while the pool
+// beside it is idle again: the late work has to move, and not back once the
+// queues are about equal.
+Test(pool_choice, late_group_of_a_full_pool_moves_to_an_idle_one) {
+  const std::vector<PoolState> pools = {
+      Pool("north", 3, std::chrono::seconds(9)),
+      Pool("north-b", 2, 200 * kMs),
+      Pool("south", 2, 100 * kMs),
+  };
+  const PoolState* faster = FasterPool(pools, "north", std::chrono::seconds(3),
+                                       kCapacity, TwoRegions());
+  cr_assert_str_eq(faster->data_centre.c_str(), "south");
+  cr_assert_null(
+      FasterPool(pools, "north", 300 * kMs, kCapacity, TwoRegions()));
+}
+
+Test(pool_choice, late_group_does_not_move_to_a_pool_without_servers) {
+  const std::vector<PoolState> pools = {
+      Pool("north", 3, std::chrono::seconds(9)), Pool("north-b", 0, {})};
+  cr_assert_null(FasterPool(pools, "north", std::chrono::seconds(3), kCapacity,
+                            TwoRegions()));
+}
--- a/packages/routing/tests/stage_pool_test.cc
+++ b/packages/routing/tests/stage_pool_test.cc
@@ -308,3 +308,40 @@
   cr_assert_eq(fixture.pool.Dispatch(kStart + 50 * kMs, fixture.servers).size(),
                1);
 }
+
+// A burst of more than the pool can do on time: the groups that will be late
+// are offered to other pools, with the time that they wait here. Groups that
+// have started, that were moved before, or whose results are large stay.
+Test(stage_pool, burst_beyond_capacity_late_groups_may_move) {
+  constexpr double kLargeResult = 3e6;
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("a")};
+  for (int i = 0; i < 12; ++i) {
+    fixture.Submit("r", 10, std::chrono::seconds(1));
+  }
+  fixture.Submit("large", 10, std::chrono::seconds(1), 0, kLargeResult);
+  fixture.pool.Dispatch(kStart, fixture.servers);
+  const auto& late = fixture.pool.late_groups();
+  cr_assert_geq(late.size(), 6);
+  cr_assert_leq(late.size(), 10);
+  for (const LateGroup& group : late) {
+    cr_assert(fixture.pool.Find(group.group)->request == "r");
+    cr_assert_geq(group.wait, 500 * kMs);
+  }
+}
+
+Test(stage_pool, group_was_moved_before_it_stays) {
+  PoolFixture fixture(10);
+  fixture.servers = {MakeServer("a")};
+  StageGroup group;
+  group.request = "moved";
+  group.pieces = 4;
+  group.stays = true;
+  group.soft_deadline = kStart;
+  group.deadline = kStart + std::chrono::seconds(6);
+  fixture.pool.Submit(kStart, group);
+  fixture.pool.Submit(kStart, group);
+  fixture.pool.Submit(kStart, group);
+  fixture.pool.Dispatch(kStart, fixture.servers);
+  cr_assert(fixture.pool.late_groups().empty());
+}
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -63,11 +63,13 @@
   resultBytes @11 :Float64;           # estimated size of the result of one piece
   weight @12 :Float32;                # weight of the request within its route
   waitedMs @13 :UInt32;               # time since the group was first submitted
+  stays @14 :Bool;                    # must not be moved to another pool
 }
 
 struct GroupOutcome {
   failure @0 :UInt16;                 # 0: done; otherwise 1 + failure kind
   results @1 :List(Text);
+  moveTo @2 :Text;                    # data centre of a faster pool
 }
 
 struct Row {
