--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -7,12 +7,12 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "gentianroute/base/id.h"
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/deployment.h"
+#include "gentianroute/routing/result_storage.h"
 #include "gentianroute/routing/server.h"
 #include "gentianroute/routing/work_order.h"
 
@@ -113,9 +113,14 @@
 /// can still join the next call and more urgent ones can overtake them.
 class StagePool {
  public:
-  explicit StagePool(StageCapacity capacity) : capacity_(capacity) {}
+  explicit StagePool(StageCapacity capacity)
+      : capacity_(capacity),
+        storage_(capacity.result_storage_bytes, capacity.result_lifetime) {}
 
-  void SetCapacity(StageCapacity capacity) { capacity_ = capacity; }
+  void SetCapacity(StageCapacity capacity) {
+    capacity_ = capacity;
+    storage_.SetLimits(capacity.result_storage_bytes, capacity.result_lifetime);
+  }
 
   StageGroupId Submit(TimePoint now, StageGroup group);
   /// @brief Drops the queued pieces of a group whose request has ended.
@@ -138,7 +143,9 @@
 
   /// @brief Notes that nobody reads these results any more; frees their
   /// storage.
-  void OnReleased(std::span<const std::string> results);
+  void OnReleased(std::span<const std::string> results) {
+    storage_.OnReleased(results);
+  }
 
   /// @brief Groups that the last Dispatch() expects to be late and that may be
   /// moved to another pool: none of their pieces has started.
@@ -172,12 +179,6 @@
     std::uint32_t calls = 0;
     TimePoint hold_until{};
     TimePoint busy_until{};
-    double used_bytes = 0;  ///< of stored and running results
-  };
-  struct StoredResult {  ///< a result that occupies storage at its server
-    std::string server;
-    double bytes = 0;
-    TimePoint expires_at{};
   };
   std::vector<WaitingWork> ByUrgency(TimePoint now, std::size_t servers) const;
   /// Ends the groups whose deadline can't be met behind the work ahead of them,
@@ -193,22 +194,18 @@
                      const ServerPtr& server,
                      std::size_t max_pieces,
                      std::span<const StageGroupId> order);
-  bool HasStorage(const ServerState& state, double bytes) const;
-  bool HasLargeResults(const StageGroup& group) const;
   static bool MayMove(const Group& entry);
   /// Whether a call may take pieces of a group. A group that fits into one call
   /// is not split: the results of a part of it would occupy storage without use
   /// until the rest is computed.
-  bool CanAddToCall(const ServerState& state,
+  bool CanAddToCall(std::string_view server,
                     const Group& entry,
                     std::size_t free_pieces) const;
   void AddPieces(StageGroupId id,
                  Group& entry,
-                 ServerState& state,
+                 std::string_view server,
                  std::size_t max_pieces,
                  StageCall& call);
-  void FreeStorage(std::string_view server, double bytes);
-  void ExpireResults(TimePoint now);
   bool CanFinishOnTime(TimePoint now, const StageGroup& group) const;
   Duration PieceTime(const StageGroup& group) const;
   /// Server time of a group's queued pieces, assuming full calls.
@@ -226,17 +223,16 @@
   void FinishGroup(StageGroupId group, std::optional<StageFailure> failure);
 
   StageCapacity capacity_;
+  ResultStorage storage_;
   std::map<StageGroupId, Group> groups_;
   std::map<StageCallId, Running> running_;
   std::map<std::string, ServerState, std::less<>> server_states_;
-  std::unordered_map<std::string, StoredResult> stored_results_;
   /// Time of one piece by work class, learned from calls.
   std::map<std::string, Duration, std::less<>> piece_times_;
   std::vector<LateGroup> late_groups_;
   std::vector<StageGroupResult> finished_;
   std::vector<std::string> orphans_;
   std::size_t waiting_pieces_ = 0;
-  TimePoint next_expiry_at_{};
   /// Next search for late groups if no server is free before.
   TimePoint next_late_check_at_{};
   std::uint64_t last_group_ = 0;
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -26,14 +26,9 @@
 /// How often Dispatch() is repeated while pieces are queued, to find servers
 /// whose hold has ended.
 constexpr Duration kDispatchInterval = std::chrono::milliseconds(25);
-/// Storage is reserved only for results above this share of a server's storage;
-/// smaller ones always find some.
-constexpr double kLargeResultShare = 0.02;
 /// Groups with larger results stay where they were placed: the results would
 /// have to be transferred between data centres.
 constexpr double kMaxMovedBytes = 1e6;
-/// How often expired results are searched for.
-constexpr Duration kExpiryPeriod = std::chrono::milliseconds(200);
 /// Failed attempts that a group may have, beside one for each of its pieces.
 constexpr std::uint32_t kMaxFailedAttempts = 6;
 /// Weight of the newest call in the learned time of a piece.
@@ -194,7 +189,7 @@
                                            std::span<const ServerPtr> servers) {
   std::vector<StageCall> calls;
   late_groups_.clear();
-  ExpireResults(now);
+  storage_.Expire(now);
   if (waiting_pieces_ == 0) {
     return calls;
   }
@@ -237,17 +232,18 @@
   bool reserves_storage = false;
   for (const StageGroupId id : order) {
     Group& entry = groups_.at(id);
-    const bool large = HasLargeResults(entry.group);
+    const bool large = storage_.IsLarge(entry.group.result_bytes);
     if (entry.waiting.empty() || (reserves_storage && large)) {
       continue;
     }
-    if (!CanAddToCall(state, entry, max_pieces - call.pieces.size())) {
+    if (!CanAddToCall(server->record().id, entry,
+                      max_pieces - call.pieces.size())) {
       // Less urgent large groups must not take the storage that this one waits
       // for.
       reserves_storage = reserves_storage || large;
       continue;
     }
-    AddPieces(id, entry, state, max_pieces, call);
+    AddPieces(id, entry, server->record().id, max_pieces, call);
   }
   if (call.pieces.empty()) {
     return call;
@@ -263,90 +259,46 @@
   return call;
 }
 
-bool StagePool::HasLargeResults(const StageGroup& group) const {
-  return capacity_.result_storage_bytes > 0 &&
-         group.result_bytes >
-             capacity_.result_storage_bytes * kLargeResultShare;
-}
-
-bool StagePool::CanAddToCall(const ServerState& state,
+bool StagePool::CanAddToCall(std::string_view server,
                              const Group& entry,
                              std::size_t free_pieces) const {
   const std::size_t pieces = entry.waiting.size();
   const double bytes = entry.group.result_bytes * static_cast<double>(pieces);
   const bool is_started = pieces < entry.group.pieces;
   const bool fits_nowhere =
-      pieces > capacity_.batch || (capacity_.result_storage_bytes > 0 &&
-                                   bytes > capacity_.result_storage_bytes);
+      pieces > capacity_.batch || !storage_.FitsOneServer(bytes);
   if (is_started || fits_nowhere) {
-    return free_pieces > 0 && HasStorage(state, entry.group.result_bytes);
+    return free_pieces > 0 &&
+           storage_.HasRoom(server, entry.group.result_bytes);
   }
-  return pieces <= free_pieces && HasStorage(state, bytes);
+  return pieces <= free_pieces && storage_.HasRoom(server, bytes);
 }
 
 void StagePool::AddPieces(StageGroupId id,
                           Group& entry,
-                          ServerState& state,
+                          std::string_view server,
                           std::size_t max_pieces,
                           StageCall& call) {
   const double bytes = entry.group.result_bytes;
   while (!entry.waiting.empty() && call.pieces.size() < max_pieces &&
-         HasStorage(state, bytes)) {
+         storage_.HasRoom(server, bytes)) {
     call.pieces.push_back({id, entry.waiting.back(), bytes});
-    state.used_bytes += bytes;
+    storage_.Reserve(server, bytes);
     entry.waiting.pop_back();
     ++entry.running;
     --waiting_pieces_;
   }
 }
 
-bool StagePool::HasStorage(const ServerState& state, double bytes) const {
-  // A server that holds no results takes one of any size.
-  return capacity_.result_storage_bytes <= 0 || state.used_bytes <= 0 ||
-         state.used_bytes + bytes <= capacity_.result_storage_bytes;
-}
-
-void StagePool::FreeStorage(std::string_view server, double bytes) {
-  const auto found = server_states_.find(server);
-  if (found != server_states_.end()) {
-    found->second.used_bytes = std::max(0.0, found->second.used_bytes - bytes);
-  }
-}
-
 void StagePool::RecordResult(TimePoint now,
                              const Server& server,
                              const StagePiece& piece,
                              const PieceResult& result) {
   if (result.result.empty()) {
-    FreeStorage(server.record().id, piece.result_bytes);
+    storage_.Free(server.record().id, piece.result_bytes);
     return;
   }
-  stored_results_[result.result] = {server.record().id, piece.result_bytes,
-                                    now + capacity_.result_lifetime};
-}
-
-void StagePool::OnReleased(std::span<const std::string> results) {
-  for (const std::string& result : results) {
-    const auto found = stored_results_.find(result);
-    if (found != stored_results_.end()) {
-      FreeStorage(found->second.server, found->second.bytes);
-      stored_results_.erase(found);
-    }
-  }
-}
-
-void StagePool::ExpireResults(TimePoint now) {
-  if (now < next_expiry_at_) {
-    return;
-  }
-  next_expiry_at_ = now + kExpiryPeriod;
-  std::vector<std::string> old;
-  for (const auto& [result, made] : stored_results_) {
-    if (made.expires_at <= now) {
-      old.push_back(result);
-    }
-  }
-  OnReleased(old);
+  storage_.OnStored(now, result.result, server.record().id, piece.result_bytes);
 }
 
 bool StagePool::CanFinishOnTime(TimePoint now, const StageGroup& group) const {
