--- a/packages/routing/include/gentianroute/routing/result_storage.h
+++ b/packages/routing/include/gentianroute/routing/result_storage.h
@@ -39,11 +39,6 @@
   /// results takes one of any size.
   bool HasRoom(std::string_view server, double bytes) const;
 
-  /// @brief Whether a server has room for so few results of this size that a
-  /// call to it should wait: fewer than `wanted`, and than half of what it
-  /// holds at most.
-  bool IsShort(std::string_view server, double bytes, double wanted) const;
-
   void Reserve(std::string_view server, double bytes);
   /// @brief Gives back what was reserved for a result that was not made.
   void Free(std::string_view server, double bytes);
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -195,12 +195,6 @@
                      std::size_t max_pieces,
                      std::span<const StageGroupId> order);
   static bool MayMove(const Group& entry);
-  /// Whether a call to a server would be small for lack of room although the
-  /// queue would fill it. Its overhead would take the server's time for few
-  /// pieces, and room is released every few milliseconds.
-  bool ShouldWaitForRoom(const Server& server,
-                         std::span<const StageGroupId> order,
-                         std::size_t half_batch) const;
   /// Whether a call may take pieces of a group. A group that fits into one call
   /// is not split: the results of a part of it would occupy storage without use
   /// until the rest is computed.
--- a/packages/routing/src/result_storage.cc
+++ b/packages/routing/src/result_storage.cc
@@ -25,19 +25,6 @@
          used + bytes <= bytes_per_server_;
 }
 
-bool ResultStorage::IsShort(std::string_view server,
-                            double bytes,
-                            double wanted) const {
-  if (bytes_per_server_ <= 0 || bytes <= 0) {
-    return false;
-  }
-  const auto found = used_bytes_.find(server);
-  const double used = found == used_bytes_.end() ? 0.0 : found->second;
-  const double results = (bytes_per_server_ - used) / bytes;
-  const double most = bytes_per_server_ / bytes;
-  return used > 0 && results < std::min(wanted, most / 2);
-}
-
 void ResultStorage::Reserve(std::string_view server, double bytes) {
   const auto found = used_bytes_.find(server);
   if (found == used_bytes_.end()) {
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -212,9 +212,6 @@
     const std::size_t free_left = free.size() - i;
     const std::size_t share = (waiting_pieces_ + free_left - 1) / free_left;
     const std::size_t half = (capacity_.batch + 1) / 2;
-    if (ShouldWaitForRoom(*free[i], order, half)) {
-      continue;
-    }
     const std::size_t max_pieces =
         std::min<std::size_t>(capacity_.batch, std::max(share, half));
     StageCall call = FillCall(now, free[i], max_pieces, order);
@@ -262,22 +259,6 @@
   return call;
 }
 
-bool StagePool::ShouldWaitForRoom(const Server& server,
-                                  std::span<const StageGroupId> order,
-                                  std::size_t half_batch) const {
-  if (waiting_pieces_ < capacity_.batch) {
-    return false;
-  }
-  for (const StageGroupId id : order) {
-    const Group& entry = groups_.at(id);
-    if (!entry.waiting.empty()) {
-      return storage_.IsShort(server.record().id, entry.group.result_bytes,
-                              static_cast<double>(half_batch));
-    }
-  }
-  return false;
-}
-
 bool StagePool::CanAddToCall(std::string_view server,
                              const Group& entry,
                              std::size_t free_pieces) const {
--- a/packages/routing/tests/stage_pool_test.cc
+++ b/packages/routing/tests/stage_pool_test.cc
@@ -345,33 +345,3 @@
   fixture.pool.Dispatch(kStart, fixture.servers);
   cr_assert(fixture.pool.late_groups().empty());
 }
-
-// A burst fills the storage of a server: a call for the few results that still
-// fit would take its time for the overhead of a call. It waits until half a
-// batch fits.
-Test(stage_pool, burst_short_of_storage_calls_wait_for_half_a_batch) {
-  constexpr double kResultBytes = 3e6;
-  PoolFixture fixture(10, 18 * kResultBytes);
-  fixture.servers = {MakeServer("a")};
-  for (int i = 0; i < 8; ++i) {
-    fixture.Submit("r", 2, std::chrono::seconds(2), 0, kResultBytes);
-  }
-  const auto first = fixture.pool.Dispatch(kStart, fixture.servers);
-  cr_assert_eq(first[0].pieces.size(), 10);
-  for (int i = 0; i < 8; ++i) {
-    fixture.Submit("r", 2, std::chrono::seconds(2), 0, kResultBytes);
-  }
-  const TimePoint second_at = kStart + 280 * kMs;
-  fixture.Answer(first[0], second_at);
-  const auto second = fixture.pool.Dispatch(second_at, fixture.servers);
-  cr_assert_eq(second[0].pieces.size(), 8);
-  const TimePoint third_at = kStart + 560 * kMs;
-  fixture.Answer(second[0], third_at);
-  // Room for one group of two only.
-  fixture.pool.OnReleased(std::vector<std::string>{"1.0", "1.1"});
-  cr_assert(fixture.pool.Dispatch(third_at, fixture.servers).empty());
-  fixture.pool.OnReleased(std::vector<std::string>{"2.0", "2.1", "3.0", "3.1"});
-  const auto third = fixture.pool.Dispatch(third_at, fixture.servers);
-  cr_assert_eq(third.size(), 1);
-  cr_assert_geq(third[0].pieces.size(), 5);
-}
