Say once where a request may go, and what a group's age is

Cause: pieces that stood twice in the placement change. - The regions of route and organisation were intersected at admission and again for a newer deployment: now RegionsOf(). - "An open server that may get the work" stood in StageRouter::HasServers and in RequestFlow::RefuseIfNoPlace: now routing::HasPlace(). - StagePool kept a group's first submission beside the group's own field: now the field alone. - Late groups were copied at each dispatch and cleared in two places: they are taken, as finished groups and orphans are. - The operators' rows were read three times for a whole table: now once. - The test and the bench of cold servers each counted the arrivals in a second, and the bench had its own copy of WarmUp's interval.

--- a/benchmarks/cold_server_bench.cc
+++ b/benchmarks/cold_server_bench.cc
@@ -32,6 +32,7 @@
   TimePoint cold_since{};
   TimePoint last_sent{};
   bool ever_sent = false;
+  routing::WarmUp warm_up;
 };
 
 /// One way to bound the requests.
@@ -99,8 +100,7 @@
                const routing::ServerRecord& server,
                const View& view) override {
     const auto share = routing::ColdServerShare::Of(kRate, kTolerance);
-    const TimePoint last = view.ever_sent ? view.last_sent : view.cold_since;
-    return now - last >= share.interval &&
+    return view.warm_up.MaySend(now, share.interval) &&
            ColdSenders(members).IsSender(server, share.senders);
   }
 };
@@ -193,6 +193,7 @@
       if (is_new) {
         views[s].cold_since =
             fleet_.now() - begin < kSecond ? begin : fleet_.now();
+        views[s].warm_up.OnReport(views[s].cold_since, kColdTime);
       }
       if (way_.MaySend(fleet_.now(), fleet_.MembershipOf(daemon), servers_[s],
                        views[s])) {
@@ -206,6 +207,7 @@
         0, open.size() - 1)(random_)];
     views[chosen].last_sent = fleet_.now();
     views[chosen].ever_sent = true;
+    views[chosen].warm_up.OnSent(fleet_.now());
     arrivals_[chosen].push_back(fleet_.now());
   }
   Outcome Summarise() const {
@@ -213,14 +215,8 @@
     std::size_t total = 0;
     for (const auto& times : arrivals_) {
       total += times.size();
-      std::size_t from = 0;
-      for (std::size_t to = 0; to < times.size(); ++to) {
-        while (times[to] - times[from] > kSecond) {
-          ++from;
-        }
-        outcome.most_in_a_second =
-            std::max(outcome.most_in_a_second, to - from + 1);
-      }
+      outcome.most_in_a_second =
+          std::max(outcome.most_in_a_second, MostInAnySecond(times));
     }
     outcome.per_server_and_second =
         static_cast<double>(total) / kColdServers / Seconds(kColdTime);
--- a/packages/gateway/src/gateway_operators.cc
+++ b/packages/gateway/src/gateway_operators.cc
@@ -12,24 +12,22 @@
 void Gateway::Impl::OnOperatorRows(const std::vector<StoredRow>& rows) {
   std::set<std::string, std::less<>> ended =
       placement_rules_.evacuations.data_centres();
-  for (const StoredRow& row : rows) {
-    ended.erase(translator_.ReadOperatorRow(row.key).data_centre);
-  }
-  for (const std::string& data_centre : ended) {
-    EndEvacuation(data_centre);
-  }
+  std::vector<const StoredRow*> deployments;
   // Evacuations first: requests are accepted once the deployment is known.
   for (const StoredRow& row : rows) {
     const OperatorRow holds = translator_.ReadOperatorRow(row.key);
     if (holds.kind == OperatorRow::Kind::kEvacuation) {
+      ended.erase(holds.data_centre);
       BeginEvacuation(holds.data_centre);
+    } else if (holds.kind == OperatorRow::Kind::kDeployment) {
+      deployments.push_back(&row);
     }
   }
-  for (const StoredRow& row : rows) {
-    if (translator_.ReadOperatorRow(row.key).kind ==
-        OperatorRow::Kind::kDeployment) {
-      OnDeploymentRow(row);
-    }
+  for (const std::string& data_centre : ended) {
+    EndEvacuation(data_centre);
+  }
+  for (const StoredRow* row : deployments) {
+    OnDeploymentRow(*row);
   }
 }
 
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -33,6 +33,20 @@
   return Fingerprint{XXH3_64bits_withSeed(body.data(), body.size(), hash)};
 }
 
+/// The regions that a route and an organisation both permit. Each limits
+/// nothing if it is null.
+routing::PermittedRegions RegionsOf(const routing::Route* route,
+                                    const routing::Organisation* organisation) {
+  routing::PermittedRegions regions;
+  if (route != nullptr) {
+    regions = regions.IntersectedWith(route->permitted_regions);
+  }
+  if (organisation != nullptr) {
+    regions = regions.IntersectedWith(organisation->permitted_regions);
+  }
+  return regions;
+}
+
 /// Maps an id to a uniformly distributed number in [0, 1).
 double HashToUnitInterval(std::string_view id) {
   constexpr double kHashRange = 18446744073709551616.0;  // 2^64
@@ -88,10 +102,7 @@
       routing::PickService(*route_, HashToUnitInterval(request_.id));
   service_ = table_->FindService(service_name_);
   placement_.emplace(context_.placement_rules,
-                     organisation_ == nullptr
-                         ? route_->permitted_regions
-                         : route_->permitted_regions.IntersectedWith(
-                               organisation_->permitted_regions));
+                     RegionsOf(route_, organisation_));
   if (placement_->regions().PermitsNone()) {
     return ErrorKind::kNoPermittedRegion;
   }
@@ -162,15 +173,12 @@
 
 bool RequestFlow::RefuseIfNoPlace() {
   const auto& servers = context_.servers.ServersOf(service_name_);
-  bool has_open = false;
-  for (const routing::ServerPtr& server : servers) {
-    has_open |= server->open();
-    if (server->open() && placement_->Accepts(server->record().data_centre)) {
-      return false;
-    }
-  }
-  if (!has_open) {
-    // Servers that are being replaced may be back when the stages are done.
+  // Without any open server, those that are being replaced may be back when
+  // the stages are done.
+  const bool has_open = std::any_of(
+      servers.begin(), servers.end(),
+      [](const routing::ServerPtr& server) { return server->open(); });
+  if (!has_open || routing::HasPlace(servers, *placement_)) {
     return false;
   }
   Refuse(ErrorKind::kNoServer,
@@ -318,13 +326,8 @@
   const routing::Organisation* organisation =
       organisation_ == nullptr ? nullptr
                                : table.FindOrganisation(*request_.key);
-  routing::PermittedRegions regions = placement_->regions();
-  if (route != nullptr) {
-    regions = regions.IntersectedWith(route->permitted_regions);
-  }
-  if (organisation != nullptr) {
-    regions = regions.IntersectedWith(organisation->permitted_regions);
-  }
+  routing::PermittedRegions regions =
+      placement_->regions().IntersectedWith(RegionsOf(route, organisation));
   if (regions == placement_->regions()) {
     return;
   }
--- a/packages/gateway/src/stage_router.cc
+++ b/packages/gateway/src/stage_router.cc
@@ -195,13 +195,7 @@
                              const routing::Placement& placement) const {
   for (std::uint32_t stage = 0; stage < plan.stages(); ++stage) {
     const auto& servers = servers_.ServersOf(plan.spec(stage).service);
-    const bool open =
-        std::any_of(servers.begin(), servers.end(),
-                    [&placement](const routing::ServerPtr& server) {
-                      return server->open() &&
-                             placement.Accepts(server->record().data_centre);
-                    });
-    if (plan.pieces(stage) > 0 && !open) {
+    if (plan.pieces(stage) > 0 && !routing::HasPlace(servers, placement)) {
       return false;
     }
   }
--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -153,7 +153,8 @@
 void StageScheduler::MoveLateGroups(Pool& pool) {
   // The last group waits longest: if no pool is faster for it, none is for the
   // others.
-  const std::vector<routing::LateGroup> late_groups = pool.pool.late_groups();
+  const std::vector<routing::LateGroup> late_groups =
+      pool.pool.TakeLateGroups();
   const std::size_t count = std::min(late_groups.size(), kMaxMovesPerDispatch);
   for (std::size_t i = 0; i < count; ++i) {
     const routing::LateGroup& late = late_groups[late_groups.size() - 1 - i];
--- a/packages/gateway/tests/cold_senders_test.cc
+++ b/packages/gateway/tests/cold_senders_test.cc
@@ -6,7 +6,6 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <memory>
 #include <vector>
@@ -50,17 +49,7 @@
   void Forget(std::size_t i) { views_.erase(i); }
   std::size_t arrivals() const { return arrivals_.size(); }
   /// Most arrivals in any second.
-  std::size_t MaxPerSecond() const {
-    std::size_t most = 0;
-    std::size_t from = 0;
-    for (std::size_t to = 0; to < arrivals_.size(); ++to) {
-      while (arrivals_[to] - arrivals_[from] > kSecond) {
-        ++from;
-      }
-      most = std::max(most, to - from + 1);
-    }
-    return most;
-  }
+  std::size_t MaxPerSecond() const { return MostInAnySecond(arrivals_); }
 
  private:
   struct View {
--- a/packages/gateway/tests/virtual_fleet.h
+++ b/packages/gateway/tests/virtual_fleet.h
@@ -10,6 +10,7 @@
 #include <queue>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -26,6 +27,19 @@
 /// Time from a start until the stage pools have work.
 inline constexpr Duration kTimeToFirstWork = std::chrono::milliseconds(800);
 
+/// Most of the times, in ascending order, that lie within any second.
+inline std::size_t MostInAnySecond(std::span<const TimePoint> times) {
+  std::size_t most = 0;
+  std::size_t from = 0;
+  for (std::size_t to = 0; to < times.size(); ++to) {
+    while (times[to] - times[from] > kSecond) {
+      ++from;
+    }
+    most = std::max(most, to - from + 1);
+  }
+  return most;
+}
+
 /// Daemons in virtual time that exchange heartbeats, as `Cluster` does over its
 /// sockets. Datagrams are delayed and get lost.
 class VirtualFleet {
--- a/packages/routing/include/gentianroute/routing/placement.h
+++ b/packages/routing/include/gentianroute/routing/placement.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string_view>
 #include <utility>
 
@@ -81,6 +82,10 @@
   PermittedRegions regions_;
 };
 
+/// @brief Whether any of the servers is open and in a data centre that accepts
+/// the work.
+bool HasPlace(std::span<const ServerPtr> servers, const Placement& placement);
+
 }  // namespace gentianroute::routing
 
 #endif  // GENTIANROUTE_ROUTING_PLACEMENT_H_
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -36,7 +36,7 @@
   double result_bytes = 0;     ///< estimated size of one result
   bool stays = false;          ///< must not be moved to another pool
   /// First submission to any pool, so that a group that is moved to another
-  /// pool keeps its place in the order; zero: it is submitted now.
+  /// pool keeps its place in the order; zero until Submit().
   TimePoint submitted_at{};
 };
 
@@ -149,7 +149,7 @@
 
   /// @brief Groups that the last Dispatch() expects to be late and that may be
   /// moved to another pool: none of their pieces has started.
-  const std::vector<LateGroup>& late_groups() const { return late_groups_; }
+  std::vector<LateGroup> TakeLateGroups();
   /// @brief Groups that have ended since the previous call of this function.
   std::vector<StageGroupResult> TakeFinished();
   /// @brief Results of groups that have already ended, to be released unread.
@@ -163,7 +163,6 @@
  private:
   struct Group {
     StageGroup group;
-    TimePoint submitted_at{};
     double value = 0;                    ///< to its caller if it is on time
     std::vector<std::uint32_t> waiting;  ///< segments, descending
     std::uint32_t running = 0;
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -50,8 +50,9 @@
   const StageGroupId id{++last_group_};
   Group& entry = groups_[id];
   entry.group = std::move(group);
-  entry.submitted_at =
-      entry.group.submitted_at == TimePoint{} ? now : entry.group.submitted_at;
+  if (entry.group.submitted_at == TimePoint{}) {
+    entry.group.submitted_at = now;
+  }
   entry.value =
       entry.group.weight *
       std::pow(kPriorityValueRatio, -static_cast<double>(entry.group.priority));
@@ -94,7 +95,7 @@
       continue;
     }
     const StageGroup& group = entry.group;
-    waiting.push_back({id.value, entry.submitted_at, group.soft_deadline,
+    waiting.push_back({id.value, group.submitted_at, group.soft_deadline,
                        WaitingTime(entry), capacity_.TypicalCallTime(),
                        entry.value});
   }
@@ -110,7 +111,6 @@
 std::vector<StageGroupId> StagePool::EndLateGroups(TimePoint now,
                                                    std::size_t servers) {
   std::vector<StageGroupId> kept;
-  late_groups_.clear();
   Duration ahead = RunningTime(now);
   for (const WaitingWork& next : ByUrgency(now, servers)) {
     const StageGroupId id{next.id};
@@ -456,6 +456,10 @@
   return std::exchange(finished_, {});
 }
 
+std::vector<LateGroup> StagePool::TakeLateGroups() {
+  return std::exchange(late_groups_, {});
+}
+
 std::vector<std::string> StagePool::TakeOrphans() {
   return std::exchange(orphans_, {});
 }
--- a/packages/routing/tests/stage_pool_test.cc
+++ b/packages/routing/tests/stage_pool_test.cc
@@ -321,7 +321,7 @@
   }
   fixture.Submit("large", 10, std::chrono::seconds(1), 0, kLargeResult);
   fixture.pool.Dispatch(kStart, fixture.servers);
-  const auto& late = fixture.pool.late_groups();
+  const auto late = fixture.pool.TakeLateGroups();
   cr_assert_geq(late.size(), 6);
   cr_assert_leq(late.size(), 10);
   for (const LateGroup& group : late) {
@@ -343,5 +343,5 @@
   fixture.pool.Submit(kStart, group);
   fixture.pool.Submit(kStart, group);
   fixture.pool.Dispatch(kStart, fixture.servers);
-  cr_assert(fixture.pool.late_groups().empty());
+  cr_assert(fixture.pool.TakeLateGroups().empty());
 }
