Bound what slow readers hold of a daemon's memory

Cause: a caller that reads slowly made the daemon keep up to 8 MB of its answer, with no bound over all callers; fifteen of them are the whole memory of a host of 120 MB, and a process beyond its memory is ended with all its requests.

--- a/packages/gateway/include/gentianroute/gateway/settings.h
+++ b/packages/gateway/include/gentianroute/gateway/settings.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_GATEWAY_SETTINGS_H_
 #define GENTIANROUTE_GATEWAY_SETTINGS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -26,7 +27,11 @@
   Duration drain_grace = std::chrono::seconds(8);  ///< after the stop signal
   /// Maximum time until a change in the store takes effect in this daemon.
   Duration max_propagation_time = std::chrono::milliseconds(2500);
+  /// Whether the whole fleet starts for the first time.
+  bool first_start = false;
   double processor_share = 1;  ///< number of cores that this daemon may use
+  /// Memory that the process may use; 0: not limited.
+  std::size_t memory_bytes = 0;
   /// Maximum retries per request to a service, over all daemons.
   double retry_ratio = 0.2;
   /// Additional retries in each window of 10 s, over all daemons.
--- a/packages/loop/include/gentianroute/loop/relay_server.h
+++ b/packages/loop/include/gentianroute/loop/relay_server.h
@@ -85,6 +85,16 @@
   /// @brief Number of requests that are being read or handled.
   std::size_t active_requests() const;
 
+  /// @brief Bytes of responses that clients have not read yet, and that are
+  /// kept in memory for them.
+  std::size_t unsent_bytes() const;
+  /// @brief Closes connections until no more than `max_bytes` are unsent, those
+  /// first for which most is kept.
+  /// @return the number of closed connections
+  /// @complexity n log n in the number of connections beyond the limit, linear
+  /// otherwise
+  std::size_t LimitUnsentBytes(std::size_t max_bytes);
+
   /// @brief Sends `Connection: close` with every response from now on, and
   /// closes the connection after it.
   void AnnounceClose();
--- a/packages/loop/src/relay_server.cc
+++ b/packages/loop/src/relay_server.cc
@@ -1,5 +1,6 @@
 #include "gentianroute/loop/relay_server.h"
 
+#include <algorithm>
 #include <boost/intrusive/list.hpp>
 #include <utility>
 #include <vector>
@@ -84,6 +85,7 @@
       WaitForRequest();
     }
 
+    std::size_t unsent_bytes() const { return socket_->unsent_bytes(); }
     bool busy() const { return exchange_ != nullptr || request_started_; }
 
     void Close() {
@@ -323,6 +325,36 @@
     }
   }
 
+  std::size_t unsent_bytes() const {
+    std::size_t bytes = 0;
+    for (const Connection& connection : connections_) {
+      bytes += connection.unsent_bytes();
+    }
+    return bytes;
+  }
+
+  std::size_t LimitUnsentBytes(std::size_t max_bytes) {
+    std::size_t unsent = unsent_bytes();
+    if (unsent <= max_bytes) {
+      return 0;
+    }
+    std::vector<Connection*> largest_first;
+    for (Connection& connection : connections_) {
+      largest_first.push_back(&connection);
+    }
+    std::sort(largest_first.begin(), largest_first.end(),
+              [](const Connection* a, const Connection* b) {
+                return a->unsent_bytes() > b->unsent_bytes();
+              });
+    std::size_t closed = 0;
+    while (unsent > max_bytes) {
+      Connection& largest = *largest_first[closed++];
+      unsent -= largest.unsent_bytes();
+      largest.Close();
+    }
+    return closed;
+  }
+
   std::size_t active_requests() const {
     std::size_t count = 0;
     for (const Connection& connection : connections_) {
@@ -385,6 +417,12 @@
 std::size_t RelayServer::active_requests() const {
   return impl_->active_requests();
 }
+std::size_t RelayServer::unsent_bytes() const {
+  return impl_->unsent_bytes();
+}
+std::size_t RelayServer::LimitUnsentBytes(std::size_t max_bytes) {
+  return impl_->LimitUnsentBytes(max_bytes);
+}
 void RelayServer::AnnounceClose() {
   impl_->closing_ = true;
 }
