Choose model servers by the pace that all daemons observe

A daemon sends each server a request every few seconds, and its history fades in 3 s, so that it never learns which ones are slow. Change: each daemon measures the time between events of the streams it relays (EventPace), adds it up per server (ServerPace), and tells its neighbours in heartbeats. A server is a candidate by its pace: time to the first event is scaled by it, and a server at 1.45 of the average or more is charged the longer stream.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -23,6 +23,7 @@
 #include "gentianroute/loop/relay_server.h"
 #include "gentianroute/routing/drain_times.h"
 #include "gentianroute/routing/event_framer.h"
+#include "gentianroute/routing/event_pace.h"
 #include "gentianroute/routing/placement.h"
 #include "gentianroute/routing/request_weight.h"
 #include "gentianroute/routing/route_table.h"
@@ -139,6 +140,8 @@
   /// Handles the first byte of a streamed body from the current server: updates
   /// the service time estimate and releases the stage results.
   void OnFirstByte();
+  /// Adds a measurement of the current server's stream to its pace.
+  void RecordPace(std::optional<routing::EventPace::Sample> sample);
   /// Starts the timer that detects a server that stops in the middle of a
   /// stream.
   void StartSilenceTimer();
@@ -229,6 +232,8 @@
   /// Tokens that the server had to prefill for earlier requests when this one
   /// was sent.
   double pending_prefill_tokens_ = 0;
+  /// Pace of the server when the request was sent, see ServerChoice.
+  double pace_ = 1;
   /// Result of routing::WavesAt() when the request was sent.
   double waves_ = 1;
   std::vector<std::string> tried_;  ///< ids of servers, in order
@@ -244,6 +249,7 @@
   bool answer_begun_ = false;  ///< a streamed answer to the caller
   bool streaming_ = false;     ///< the current server has sent events
   routing::EventFramer events_;
+  routing::EventPace event_pace_;  ///< of the current server's stream
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -108,12 +108,14 @@
   sent.time_left = TimeLeft();
   sent.verdicts = choice.verdicts;
   context_.recorder.OnSent(sent);
+  pace_ = choice.pace;
   AssignServer(choice.server);
   ++attempts_;
   may_have_run_ = true;
   answer_ = {};
   body_.clear();
   streaming_ = false;
+  event_pace_ = {};
   attempt_ = std::make_unique<Attempt>(*this, std::move(call));
   StartFirstByteTimer();
 }
@@ -209,9 +211,17 @@
     streaming_ = true;
     OnFirstByte();
   }
+  RecordPace(event_pace_.OnPart(last_byte_at_, part));
   RelayPart(part);
 }
 
+void RequestFlow::RecordPace(std::optional<routing::EventPace::Sample> sample) {
+  if (sample && IsGeneration()) {
+    server_->pace().OnEvents(context_.loop.Now(), sample->events,
+                             sample->taken);
+  }
+}
+
 Duration RequestFlow::TimeAtServer(TimePoint now) const {
   return now - sent_at_ -
          context_.topology.RoundTrip(server_->record().data_centre);
@@ -228,8 +238,8 @@
   const double uncertain = server_->prompt_cache().UncachedSharedTokens(prompt);
   server_->history().OnAnswer(
       now, true,
-      Seconds(taken) /
-          Seconds(estimate.TimeToFirstEvent(prefill_tokens + uncertain)));
+      Seconds(taken) / (pace_ * Seconds(estimate.TimeToFirstEvent(
+                                    prefill_tokens + uncertain))));
   if (uncertain <= kMaxUncertainShare * prefill_tokens) {
     estimate.OnFirstEvent(prefill_tokens, taken);
   }
@@ -284,6 +294,7 @@
   if (answer_begun_ && answer_.status < kFirstNonSuccessStatus) {
     context_.service_times.Of(service_name_)
         .OnStreamEnd(TokensExpected(), now - first_byte_at_);
+    RecordPace(event_pace_.OnEnd());
     UnassignServer();
     exchange_->Write(events_.TakePartial());
     exchange_->End();
--- a/packages/routing/include/gentianroute/routing/server.h
+++ b/packages/routing/include/gentianroute/routing/server.h
@@ -10,6 +10,7 @@
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/prompt_cache.h"
+#include "gentianroute/routing/server_pace.h"
 #include "gentianroute/routing/warm_up.h"
 
 namespace gentianroute::routing {
@@ -139,6 +140,8 @@
 
   ServerHistory& history() { return history_; }
   const ServerHistory& history() const { return history_; }
+  ServerPace& pace() { return pace_; }
+  const ServerPace& pace() const { return pace_; }
   WarmUp& warm_up() { return warm_up_; }
   const WarmUp& warm_up() const { return warm_up_; }
   PromptCache& prompt_cache() { return prompt_cache_; }
@@ -155,6 +158,7 @@
   ServerLoad own_;
   ServerLoad peers_;  ///< as last reported by the peers
   ServerHistory history_;
+  ServerPace pace_;
   WarmUp warm_up_;
   PromptCache prompt_cache_;
   TimePoint last_received_{};
--- a/packages/routing/include/gentianroute/routing/server_choice.h
+++ b/packages/routing/include/gentianroute/routing/server_choice.h
@@ -21,6 +21,8 @@
   ServerPtr server;  ///< null if no server can be used
   double score_ms = 0;
   PlacementCounts verdicts{};  ///< on the open servers
+  /// Time of an event there as a multiple of the average; 1 if unknown.
+  double pace = 1;
 };
 
 /// @brief Chooses the server of a plain service with the shortest estimated
@@ -48,7 +50,8 @@
 /// servers for a subject by the same rendezvous hash, so that its requests
 /// reach the same server, its home, without coordination, and hit that server's
 /// prompt cache. Queued prompts count against a server with the time that their
-/// prefill takes.
+/// prefill takes, and a slow server with the time by which it prolongs the
+/// stream.
 /// @param placement servers that it does not accept are not chosen
 /// @param inputs stage results that the server has to fetch
 ServerChoice ChooseModelServer(TimePoint now,
--- a/packages/routing/src/server_choice.cc
+++ b/packages/routing/src/server_choice.cc
@@ -23,6 +23,10 @@
 /// servers.
 constexpr double kNotHomePenaltyMs = 15.0;
 constexpr double kRankStepMs = 1.5;
+/// A server is slow if its events take more than this multiple of the average.
+/// Smaller differences must not move subjects: estimates of daemons differ, and
+/// each move costs another prefill of the subject.
+constexpr double kSlowPace = 1.45;
 
 bool WasTried(std::span<const std::string> tried, const Server& server) {
   return std::find(tried.begin(), tried.end(), server.record().id) !=
@@ -148,8 +152,26 @@
   return ms;
 }
 
+/// Observations of all servers together.
+PaceSample AveragePace(TimePoint now, std::span<const ServerPtr> servers) {
+  PaceSample average;
+  for (const ServerPtr& server : servers) {
+    average += server->pace().All(now);
+  }
+  return average;
+}
+
+/// Time from the first to the last event at a server of average pace.
+Duration ExpectedStreamTime(const Prompt& prompt,
+                            const ServiceTimeEstimate& estimate) {
+  const double tokens = std::min(prompt.tokens_expected, prompt.tokens_out);
+  return tokens > 0 ? estimate.DecodeTime(tokens) : estimate.StreamTime();
+}
+
+/// @param pace time of an event at the server, as a multiple of the average
 double ModelScore(TimePoint now,
                   const Server& server,
+                  double pace,
                   const Prompt& prompt,
                   const ModelCapacity& capacity,
                   const ServiceTimeEstimate& estimate,
@@ -170,9 +192,16 @@
   const double stream_time = Milliseconds(estimate.StreamTime());
   const double own_prefill =
       Milliseconds(estimate.TimeToFirstEvent(prompt.OwnTokens()));
+  // A slow server pauses longer between events, and ends a long stream after
+  // its deadline.
+  const double extra_stream_time =
+      pace < kSlowPace
+          ? 0.0
+          : Milliseconds(ExpectedStreamTime(prompt, estimate)) * (pace - 1.0);
   return Milliseconds(topology.RoundTrip(server.record().data_centre)) +
-         (own_prefill + prefill_queue + stream_delay) *
+         (own_prefill + prefill_queue + stream_delay) * pace *
              server.history().Slowness(now) +
+         extra_stream_time +
          stream_time * (excess_calls / slots + memory_excess) +
          FailurePenaltyMs(now, server) + WarmUpPenaltyMs(now, server);
 }
@@ -211,13 +240,23 @@
       ServersInReach(servers, placement, verdicts);
   const std::vector<double> prefill_ms =
       SharedPrefillMs(in_reach, prompt, estimate);
+  const PaceSample average = AveragePace(now, in_reach);
+  const auto pace = [&](const Server& server) {
+    return ServerPace::Factor(server.pace().All(now), average);
+  };
   const auto score = [&](std::size_t i) {
-    return ModelScore(now, *in_reach[i], prompt, capacity, estimate, topology) +
+    return ModelScore(now, *in_reach[i], pace(*in_reach[i]), prompt, capacity,
+                      estimate, topology) +
            prefill_ms[i] +
            TransferCostMs(inputs, in_reach[i]->record().data_centre,
                           kModelTransferMsPerMegabyte);
   };
-  return BestServer(now, in_reach, placement, tried, score, verdicts);
+  ServerChoice choice =
+      BestServer(now, in_reach, placement, tried, score, verdicts);
+  if (choice.server != nullptr) {
+    choice.pace = pace(*choice.server);
+  }
+  return choice;
 }
 
 }  // namespace gentianroute::routing
--- a/packages/routing/tests/server_choice_test.cc
+++ b/packages/routing/tests/server_choice_test.cc
@@ -185,3 +185,22 @@
   }
   cr_assert(fixture.Choose(prompt) != home);
 }
+
+// A third of the servers generate at less than half the speed of the others.
+// Their streams would pause too long and end after their deadline, while the
+// faster servers have room.
+Test(server_choice, subject_leaves_a_home_that_generates_slowly) {
+  ModelFixture fixture;
+  const Prompt prompt = PromptAbout("subject", "r0");
+  const ServerPtr home = fixture.Choose(prompt);
+  for (const ServerPtr& server : fixture.servers) {
+    const Duration event_time = server == home ? 60 * kMs : 20 * kMs;
+    server->pace().OnEvents(kStart, 200, event_time * 200);
+  }
+  const ServerPtr other = fixture.Choose(prompt);
+  cr_assert(other != home);
+  for (int i = 1; i < 20; ++i) {
+    cr_assert(fixture.Choose(PromptAbout("subject", "r" + std::to_string(i))) ==
+              other);
+  }
+}
