--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -57,6 +57,10 @@
                              std::uint64_t servers_version,
                              schema::StoreCopy::Builder copy) = 0;
   virtual void OnStoreCopy(schema::StoreCopy::Reader copy) = 0;
+  /// @brief The daemons of the own data centre are known.
+  /// @param rank position of this daemon in the order in which they read the
+  /// store
+  virtual void OnNeighboursListed(std::size_t rank) = 0;
 };
 
 /// @brief Communication between the daemons of one deployment.
@@ -109,8 +113,9 @@
                  std::span<const std::string> results);
 
   /// @brief Peers that get an update immediately, ordered from fewest to most.
-  /// The others get it by gossip or with the next regular heartbeat.
-  enum class UpdateScope : std::uint8_t { kGossip, kDataCentre };
+  /// The others get it by gossip or with the next regular heartbeat. kForward
+  /// is for updates that a peer has sent.
+  enum class UpdateScope : std::uint8_t { kForward, kGossip, kDataCentre };
   /// @brief Sends a heartbeat with this daemon's changed state immediately.
   void SendUpdate(UpdateScope scope);
 
@@ -122,7 +127,18 @@
  private:
   class Service;
 
-  void OnRows(const std::vector<DaemonState>& daemons);
+  void OnRows(std::string_view data_centre,
+              const std::vector<DaemonState>& daemons);
+  /// Reads the rows of the data centres whose daemons no neighbour has listed.
+  void ReadOtherDataCentres();
+  /// Asks a peer for the daemons that it knows.
+  void FetchDaemonList(const Membership::Peer& peer);
+  /// Fetches a peer's list of daemons if it contains new ones, now or when the
+  /// next list may be fetched.
+  void FetchListIfLonger(const Membership::Peer& peer);
+  /// Fetches a neighbour's list if there is no contact to a data centre.
+  void FetchListIfOutOfContact();
+  void OnDaemonList(std::span<const ListedDaemon> daemons);
   void OnDatagram(std::span<const std::byte> message);
   void OnHeartbeat(schema::Beat::Reader heartbeat);
   void OnLossReport(schema::LostDaemon::Reader lost,
@@ -142,11 +158,19 @@
   Membership members_;
   DaemonRows rows_;
   PeerCalls calls_;
+  std::vector<std::string> other_data_centres_;
+  bool neighbours_listed_ = false;
+  bool first_start_;
+  TimePoint last_list_fetch_{};
+  /// Time between lists that are fetched because contact is missing.
+  Duration contact_fetch_interval_;
   bool update_pending_ = false;
-  UpdateScope update_scope_ = UpdateScope::kGossip;
+  UpdateScope update_scope_ = UpdateScope::kForward;
   std::unique_ptr<DatagramSocket> datagrams_;
   std::unique_ptr<RpcServer> server_;
   TimerId heartbeat_timer_;
+  TimerId list_timer_;
+  TimerId list_fetch_timer_;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/include/gentianroute/gateway/daemon_rows.h
+++ b/packages/gateway/include/gentianroute/gateway/daemon_rows.h
@@ -2,7 +2,9 @@
 #define GENTIANROUTE_GATEWAY_DAEMON_ROWS_H_
 
 #include <functional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gentianroute/gateway/membership.h"
@@ -13,30 +15,46 @@
 
 /// @brief The rows of the store by which daemons discover each other.
 ///
-/// Each daemon writes its own address once and reads those of the others once:
-/// a daemon that starts later finds this one by its row and sends it a
-/// heartbeat. An unchanged row from an earlier start is not written again,
-/// since calls to the store are billed and all daemons may start at once.
+/// The table has a part for each data centre. Each daemon writes its own
+/// address into the part of its data centre once, and reads that part once: a
+/// daemon that starts later finds this one by its row and sends it a heartbeat.
+/// A part accepts a limited rate of writes and a read of it takes its size, so
+/// that neither may grow with the fleet. The daemons of the other data centres
+/// are learnt from a neighbour; only the first daemons of a data centre read
+/// those parts.
 class DaemonRows {
  public:
-  /// @brief Called with the daemons whose rows were read, except this one.
-  using OnRows = std::function<void(const std::vector<DaemonState>& daemons)>;
+  /// @brief Called with the daemons of a data centre whose rows were read,
+  /// except this one.
+  using OnRows = std::function<void(std::string_view data_centre,
+                                    const std::vector<DaemonState>& daemons)>;
 
-  DaemonRows(EventLoop& loop, Store& store, DaemonState own, OnRows on_rows);
+  /// @param first_start whether the whole fleet starts for the first time, so
+  /// that there is no row of this daemon yet
+  DaemonRows(EventLoop& loop,
+             Store& store,
+             DaemonState own,
+             bool first_start,
+             OnRows on_rows);
   ~DaemonRows();
 
   void Start();
+  /// @brief Reads the part of another data centre.
+  void ReadOther(const std::string& data_centre);
 
  private:
   void Read();
   void OnRead(const StoreAnswer& answer);
   void Write();
-  void ReadAfter(Duration delay);
+  void After(Duration delay, void (DaemonRows::*step)());
+  /// The daemons in the rows of an answer, except this one.
+  std::vector<DaemonState> ReadRows(const StoreAnswer& answer);
 
   EventLoop& loop_;
   Store& store_;
   DaemonState own_;
   std::string own_row_;
+  bool first_start_;
   OnRows on_rows_;
   bool written_ = false;
   TimerId timer_;
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -1,7 +1,10 @@
 #ifndef GENTIANROUTE_GATEWAY_DETAIL_GATEWAY_IMPL_H_
 #define GENTIANROUTE_GATEWAY_DETAIL_GATEWAY_IMPL_H_
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -41,6 +44,25 @@
 inline constexpr Duration kResponseFlushTime = std::chrono::milliseconds(50);
 inline constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(50);
 inline constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(250);
+/// Answers that callers have not read yet may take this part of the memory.
+inline constexpr std::size_t kUnsentMemoryDivisor = 4;
+/// After this time a daemon reads the store's tables even if it has not learnt
+/// its neighbours.
+inline constexpr Duration kMaxStartWait = std::chrono::seconds(3);
+
+/// Time until a daemon that starts reads the store's tables itself. The first
+/// two of a data centre do so at once, and the others copy from them: when all
+/// start together, reading takes the square of the size of the fleet.
+inline Duration TableReadDelay(std::size_t rank) {
+  constexpr std::size_t kFirstReaders = 2;
+  constexpr std::size_t kMaxSteps = 15;
+  constexpr Duration kFirstDelay = std::chrono::milliseconds(300);
+  constexpr Duration kStep = std::chrono::milliseconds(50);
+  return rank < kFirstReaders
+             ? Duration{0}
+             : kFirstDelay +
+                   kStep * static_cast<std::int64_t>(std::min(rank, kMaxSteps));
+}
 
 }  // namespace detail
 
@@ -98,9 +120,10 @@
     servers_.SetOnClosed(
         [this](routing::Server& server) { OnServerClosed(server); });
     Listen();
-    deployment_.Start();
-    server_rows_.Start();
     cluster_.Start();
+    // Without the rows of the daemons, for example while the store refuses
+    // calls, the tables are requested without regard to the rank.
+    loop_.After(detail::kMaxStartWait, [this] { StartFollowing(Duration{0}); });
     loop_.After(StartQueue::kMaxWait, [this] { ServeStartQueue(); });
     maintenance_timer_ =
         loop_.Every(detail::kMaintenancePeriod, [this] { RunMaintenance(); });
@@ -149,6 +172,9 @@
                      std::uint64_t servers_version,
                      schema::StoreCopy::Builder copy) override;
   void OnStoreCopy(schema::StoreCopy::Reader copy) override;
+  void OnNeighboursListed(std::size_t rank) override {
+    StartFollowing(detail::TableReadDelay(rank));
+  }
 
  private:
   StoreFollower::Listener DeploymentListener() {
@@ -156,7 +182,7 @@
         [this](const std::vector<StoredRow>& rows) { OnOperatorRows(rows); },
         [this](const StoredRow& row) {
           OnOperatorRow(row);
-          cluster_.SendUpdate(Cluster::UpdateScope::kGossip);
+          SendRowUpdate();
         },
         [](bool /*answers*/) {},
         [this] { cluster_.SendUpdate(Cluster::UpdateScope::kDataCentre); }};
@@ -165,16 +191,21 @@
     return {[this](const std::vector<StoredRow>& rows) { OnServerRows(rows); },
             [this](const StoredRow& row) {
               OnServerRow(row);
-              cluster_.SendUpdate(Cluster::UpdateScope::kGossip);
+              SendRowUpdate();
             },
             [this](bool answers) {
-              if (answers && server_rows_.is_loaded()) {
+              if (answers && server_rows_.is_complete()) {
                 servers_.OnStoreRecovered(loop_.Now());
               }
             },
             [this] { cluster_.SendUpdate(Cluster::UpdateScope::kDataCentre); }};
   }
 
+  void SendRowUpdate() {
+    cluster_.SendUpdate(merging_copy_ ? Cluster::UpdateScope::kForward
+                                      : Cluster::UpdateScope::kGossip);
+  }
+
   void Listen() {
     RelayServer::Options callers{settings_.callers.address,
                                  settings_.callers.port,
@@ -208,7 +239,7 @@
   /// Whether the deployment and the host list are known, so that requests can
   /// be routed.
   bool is_configured() const {
-    return table_ != nullptr && server_rows_.is_loaded();
+    return table_ != nullptr && server_rows_.is_complete();
   }
   bool ready() const { return is_configured() && !draining_; }
 
@@ -232,8 +263,10 @@
   }
 
   void AnswerMetrics(RelayExchange& exchange);
-  /// Removes the load that a peer has reported from the servers.
-  void RemovePeerLoads(std::string_view peer);
+  /// Adds what a heartbeat tells about servers, in place of the peer's last
+  /// report.
+  void ApplyPeerReport(const std::string& peer, schema::Beat::Reader heartbeat);
+  void RemovePeerReport(std::string_view peer);
 
   /// Applies the whole table of the operators.
   void OnOperatorRows(const std::vector<StoredRow>& rows);
@@ -303,14 +336,41 @@
     }
   }
 
+  /// Callers that read slowly must not use up the memory of the process, which
+  /// would end the requests of all others.
+  void LimitUnsentAnswers() {
+    if (settings_.memory_bytes == 0) {
+      return;
+    }
+    const std::size_t limit =
+        settings_.memory_bytes / detail::kUnsentMemoryDivisor;
+    const std::size_t closed = callers_->LimitUnsentBytes(limit);
+    if (closed > 0) {
+      LogEvent("slow_readers_closed", LogLevel::kWarning)
+          .Field("connections", closed)
+          .Field("limit_bytes", limit);
+    }
+  }
+
   void RunMaintenance() {
     const TimePoint now = loop_.Now();
+    LimitUnsentAnswers();
     servers_.Expire(now);
     suspects_.Sweep(now);
     UpdateFollowing();
     FetchNewerRows();
   }
 
+  /// Reads the store's tables after a delay, unless copies of peers arrive
+  /// before.
+  void StartFollowing(Duration delay) {
+    if (std::exchange(started_following_, true)) {
+      return;
+    }
+    deployment_.StartAfter(delay);
+    server_rows_.StartAfter(delay);
+  }
+
   /// Follows the store's tables only while this daemon is the one that reads
   /// the store for its data centre.
   void UpdateFollowing() {
@@ -375,14 +435,17 @@
   std::unique_ptr<RelayServer> callers_;
   std::unique_ptr<RelayServer> readiness_;
   std::unique_ptr<RelayServer> metrics_;
-  /// Load of each peer on each server, by the name of the peer and the id of
-  /// the server.
-  std::map<std::string,
-           std::map<std::string, routing::ServerLoad, std::less<>>,
-           std::less<>>
-      peer_loads_;
+  /// What a peer last told about servers. Refers to their incarnations, since a
+  /// restarted server has none of the load.
+  struct PeerReport {
+    std::vector<std::pair<routing::ServerPtr, routing::ServerLoad>> loads;
+    std::vector<std::pair<routing::ServerPtr, routing::PaceSample>> paces;
+  };
+  std::map<std::string, PeerReport, std::less<>> peer_reports_;
   /// Last reported state of each peer's contact to the store, by its name.
   std::map<std::string, StoreContact, std::less<>> store_contacts_;
+  bool started_following_ = false;
+  bool merging_copy_ = false;  ///< rows that a peer has sent are being applied
   bool draining_ = false;
   TimerId maintenance_timer_;
 };
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -33,11 +33,27 @@
   std::uint64_t servers_version = 0;
   std::vector<PoolKey> pools;    ///< whose scheduler it is
   bool has_quarantined = false;  ///< reports quarantined requests
+  /// Daemons that it knows, including itself, alive or not.
+  std::size_t known_daemons = 0;
   /// Maximum time until the next heartbeat to the receiver; 0 if the daemon
   /// sends it none regularly.
   Duration heartbeat_interval{};
 };
 
+/// @brief A daemon as listed by the store or by a peer.
+struct ListedDaemon {
+  DaemonState state;
+  /// Whether the peer receives its heartbeats; true if that is unknown.
+  bool may_be_alive = true;
+};
+
+/// @brief Lists the daemons in the rows of a data centre.
+///
+/// Only daemons that schedule pools exchange heartbeats with other data
+/// centres. They are among those with the largest share of a processor, so that
+/// only these count as possibly alive.
+std::vector<ListedDaemon> ListRows(std::span<const DaemonState> rows);
+
 /// @brief One daemon's view of the daemons of its deployment: which of them are
 /// alive, and which of them it sends heartbeats to and when. Does no I/O; the
 /// current time is passed in.
@@ -91,11 +107,33 @@
   /// @return empty if the daemon is unknown
   std::string_view DataCentreOf(std::string_view daemon) const;
 
-  /// @brief Adds the daemons that have a row in the store.
-  /// @return the peers that are not alive yet. The caller sends them a
-  /// heartbeat; those that have to send heartbeats to this daemon reply with
-  /// one.
-  Targets OnRows(std::span<const DaemonState> rows);
+  /// @brief Adds the daemons that have a row in the store or that a peer knows.
+  /// @return the peers to greet with a heartbeat: those that are not known to
+  /// be alive, and either may have to send heartbeats to this daemon or get
+  /// heartbeats from it. Those that have to send heartbeats reply with one.
+  Targets OnListed(std::span<const ListedDaemon> daemons);
+  /// @brief Returns all known daemons except this one, for a neighbour that has
+  /// just started.
+  std::vector<ListedDaemon> List() const;
+  /// @brief Whether a peer of the own data centre knows daemons that this one
+  /// does not.
+  bool KnowsMore(const Peer& peer) const {
+    return peer.distance == Distance::kSameDataCentre &&
+           peer.state.known_daemons > known_daemons();
+  }
+  /// @brief Whether no daemon of one of the other data centres is alive, as far
+  /// as this one knows.
+  /// @complexity linear in the number of daemons
+  bool LacksContact() const;
+  /// @brief A random live peer of the own data centre; null if there is none.
+  const Peer* RandomNeighbour();
+  /// @brief Whether most daemons of another data centre are unknown, judged by
+  /// the size of the own one.
+  bool LacksDaemonsOf(std::string_view data_centre) const;
+  std::size_t known_daemons() const { return 1 + peers_.size(); }
+  /// @brief Position of this daemon among those of its data centre, alive or
+  /// not, in the order in which they read the store.
+  std::size_t StoreReaderRank() const;
 
   enum class Arrival : std::uint8_t { kKnown, kNew, kRestarted };
   /// @brief Records a heartbeat of a peer. The caller replies with a heartbeat
@@ -132,6 +170,11 @@
   /// @brief Whether this daemon sends heartbeats to a peer, beyond broadcast
   /// rounds.
   bool SendsHeartbeatsTo(const Peer& peer) const;
+  /// @brief Whether this daemon replies at once to the first heartbeat of a
+  /// peer. The next broadcast round, if there is one, is the reply to all.
+  bool RepliesTo(const Peer& peer) const {
+    return broadcast_rounds_ == 0 && SendsHeartbeatsTo(peer);
+  }
   /// @brief Returns the time until the next heartbeat round, which also checks
   /// for lost peers.
   Duration UntilNextRound(TimePoint now) const;
@@ -141,9 +184,11 @@
   /// @brief Returns the maximum time between heartbeats to a peer; 0 if it gets
   /// none regularly and must not expect any.
   Duration HeartbeatIntervalTo(const Peer& peer) const;
+  /// @brief Whether a daemon has an update from the store or from a peer.
+  enum class GossipRole : std::uint8_t { kOrigin, kForwarder };
   /// @brief Returns the peers that get an update immediately: all of them in a
   /// small fleet, otherwise a random selection, different in each call.
-  Targets GossipTargets();
+  Targets GossipTargets(GossipRole role);
   /// @brief Returns all known peers of the own data centre, alive or not.
   Targets DataCentrePeers() const;
   /// @brief Returns all known peers, alive or not.
@@ -190,10 +235,16 @@
     kStandbys
   };
   static constexpr std::size_t kRecipientClasses = 4;
+  static constexpr std::string_view kStoreReaderKey = "store-reader";
 
   Peer& FindOrAddPeer(const std::string& name);
   void SetState(Peer& peer, DaemonState state);
   Distance DistanceTo(std::string_view data_centre) const;
+  /// Number of peers at a distance; an estimate from the own data centre until
+  /// the daemons of the others are listed.
+  std::int64_t CountAt(Distance distance) const;
+  /// One live peer of each other data centre.
+  Targets OneOfEachOther();
   Duration IntervalOf(RecipientClass recipients, bool idle) const;
   RecipientClass RecipientClassOf(const Peer& peer) const;
   bool IsStandby(const Peer& peer) const;
@@ -222,6 +273,8 @@
   std::mt19937_64 random_;
   std::map<std::string, std::unique_ptr<Peer>, std::less<>> peers_;
   std::array<std::int64_t, 3> peer_counts_{};  ///< indexed by Distance
+  /// Other data centres, indexed by Distance.
+  std::array<std::int64_t, 3> data_centre_counts_{};
   std::array<TimePoint, kRecipientClasses> next_round_at_{};
   int broadcast_rounds_ = 0;
   TimePoint started_{};
--- a/packages/gateway/include/gentianroute/gateway/peer_calls.h
+++ b/packages/gateway/include/gentianroute/gateway/peer_calls.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gentianroute/gateway/group_outcome.h"
 #include "gentianroute/gateway/membership.h"
@@ -59,6 +60,10 @@
                       std::uint64_t servers_version,
                       std::function<void(schema::StoreCopy::Reader)> done);
   bool fetching() const { return fetching_; }
+  /// @brief Asks a peer for the daemons that it knows.
+  void FetchDaemonList(
+      const DaemonState& peer,
+      std::function<void(const std::vector<ListedDaemon>&)> done);
 
  private:
   class RemoteGroup;
--- a/packages/gateway/include/gentianroute/gateway/store.h
+++ b/packages/gateway/include/gentianroute/gateway/store.h
@@ -15,7 +15,7 @@
 enum class StoreTable : std::uint8_t {
   kDeployment,  ///< deployment as set by operators; one row
   kServers,     ///< one row for each backend server
-  kDaemons,     ///< one row for each daemon
+  kDaemons,     ///< one row for each daemon; a part for each data centre
 };
 
 /// @brief Row of a table, or its deletion.
@@ -45,8 +45,9 @@
   using Done = std::function<void(StoreAnswer)>;
 
   virtual ~Store() = default;
-  /// @brief Reads a consistent snapshot of a table.
-  virtual void Read(StoreTable table, Done done) = 0;
+  /// @brief Reads a consistent snapshot of one part of a table.
+  /// @param part empty in tables that have only one
+  virtual void Read(StoreTable table, std::string_view part, Done done) = 0;
   /// @brief Waits for changes after a version and returns them.
   /// @param wait maximum time for which the store holds the call while there
   /// are none
@@ -57,6 +58,7 @@
   /// @brief Writes a row unconditionally. The row may have been written even if
   /// the call fails.
   virtual void Put(StoreTable table,
+                   std::string_view part,
                    std::string_view key,
                    std::string_view value,
                    Done done) = 0;
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -17,7 +17,8 @@
 struct StoreChanges {
   std::vector<StoredRow> rows;
   std::uint64_t version = 0;  ///< the rows are complete up to it; 0: no rows
-  bool is_full = false;       ///< contains the whole table
+  bool is_full = false;       ///< for a receiver that has no rows
+  bool is_partial = false;    ///< there are newer rows than these
   /// Hashes of the keys of all rows that existed at `live_keys_version`, for a
   /// receiver whose version is older than the oldest kept deletion. Empty if
   /// `rows` contains the deletions itself.
@@ -55,6 +56,8 @@
   ~StoreFollower();
 
   void Start();
+  /// @brief Reads the table after a delay, unless a peer's copy arrives before.
+  void StartAfter(Duration delay);
   /// @brief Sets whether this daemon follows the table's changes itself.
   void SetFollowing(bool following);
   /// @brief Merges rows that a peer has read. Older ones are ignored.
@@ -65,7 +68,9 @@
   /// @param known version of the newest change that the peer has
   StoreChanges ChangesAfter(std::uint64_t known) const;
 
-  bool is_loaded() const { return is_loaded_; }
+  /// @brief Whether the copy has had all rows of the table at some time. It
+  /// lacks some while a peer's copy arrives in parts.
+  bool is_complete() const { return is_complete_; }
   bool reachable() const { return reachable_; }
   StoreContact contact() const;
   /// @brief Returns the time since the last successful call.
@@ -77,6 +82,7 @@
 
  private:
   void ReadTable();
+  void MergeRows(const StoreChanges& changes);
   void FollowChanges();
   void OnTable(const StoreAnswer& answer);
   void OnChanges(const StoreAnswer& answer);
@@ -104,7 +110,8 @@
   std::uint64_t newest_change_ = 0;
   bool following_ = false;
   bool call_pending_ = false;
-  bool is_loaded_ = false;
+  bool is_loaded_ = false;  ///< some rows are known
+  bool is_complete_ = false;
   bool reachable_ = false;
   std::uint32_t failures_ = 0;
   TimePoint answered_at_{};
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -18,6 +18,25 @@
 using detail::ReadGroup;
 using detail::WriteOutcome;
 
+/// Daemons of a data centre that read the rows of the others at once.
+constexpr std::size_t kFirstReaders = 2;
+/// Time after which further daemons read them too, unless a neighbour has
+/// listed the others. Grows with the rank.
+constexpr Duration kOtherRowsDelay = std::chrono::milliseconds(500);
+/// Time in which all daemons have written their rows when the whole fleet
+/// starts for the first time.
+constexpr Duration kFirstWritesTime = std::chrono::milliseconds(1000);
+constexpr Duration kOtherRowsDelayStep = std::chrono::milliseconds(100);
+constexpr std::size_t kMaxDelaySteps = 30;
+/// Lists of daemons are fetched no more often than this.
+constexpr Duration kListFetchInterval = std::chrono::milliseconds(100);
+/// Neighbours are told at once that this daemon has learnt of more than this
+/// part of those that it knew. Regular heartbeats tell them of fewer.
+constexpr std::size_t kToldGrowthDivisor = 8;
+/// Without contact to another data centre, lists are fetched ever more rarely:
+/// it may be lost for long.
+constexpr Duration kMaxContactFetchInterval = std::chrono::seconds(60);
+
 DaemonState OwnState(const GatewaySettings& settings,
                      std::uint64_t incarnation) {
   DaemonState own;
@@ -55,6 +74,7 @@
   state.servers_version = heartbeat.getServersVersion();
   state.pools = PoolsOf(heartbeat);
   state.has_quarantined = heartbeat.getQuarantined().size() > 0;
+  state.known_daemons = heartbeat.getDaemonsKnown();
   state.heartbeat_interval = std::chrono::milliseconds(heartbeat.getNextMs());
   return state;
 }
@@ -103,6 +123,22 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> knownDaemons(KnownDaemonsContext context) override {
+    const std::vector<ListedDaemon> list = cluster_.members_.List();
+    auto out =
+        context.getResults().initDaemons(static_cast<unsigned>(list.size()));
+    for (unsigned i = 0; i < out.size(); ++i) {
+      const DaemonState& state = list[i].state;
+      out[i].setName(state.name);
+      out[i].setAddress(state.address);
+      out[i].setPort(state.port);
+      out[i].setDataCentre(state.data_centre);
+      out[i].setProcessorShare(static_cast<float>(state.processor_share));
+      out[i].setAlive(list[i].may_be_alive);
+    }
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> storeCopy(StoreCopyContext context) override {
     const auto params = context.getParams();
     cluster_.handler_.FillStoreCopy(params.getDeploymentVersion(),
@@ -125,12 +161,22 @@
                OwnState(settings, static_cast<std::uint64_t>(loop.WallTime())),
                settings.regions,
                static_cast<std::uint64_t>(loop.WallTime())),
-      rows_(
-          loop,
-          store,
-          members_.own(),
-          [this](const std::vector<DaemonState>& daemons) { OnRows(daemons); }),
-      calls_(loop, [this](const std::string& peer) { OnUnreachable(peer); }) {
+      rows_(loop,
+            store,
+            members_.own(),
+            settings.first_start,
+            [this](std::string_view data_centre,
+                   const std::vector<DaemonState>& daemons) {
+              OnRows(data_centre, daemons);
+            }),
+      calls_(loop, [this](const std::string& peer) { OnUnreachable(peer); }),
+      first_start_(settings.first_start),
+      contact_fetch_interval_(kListFetchInterval) {
+  for (const auto& [data_centre, region] : settings.regions) {
+    if (data_centre != settings.data_centre) {
+      other_data_centres_.push_back(data_centre);
+    }
+  }
   datagrams_ = std::make_unique<DatagramSocket>(
       loop_, settings.peers.address, settings.peers.port,
       [this](std::span<const std::byte> message) { OnDatagram(message); });
@@ -141,6 +187,8 @@
 
 Cluster::~Cluster() {
   loop_.Cancel(heartbeat_timer_);
+  loop_.Cancel(list_timer_);
+  loop_.Cancel(list_fetch_timer_);
 }
 
 void Cluster::Start() {
@@ -152,8 +200,87 @@
   members_.SetStageServices(std::move(services));
 }
 
-void Cluster::OnRows(const std::vector<DaemonState>& daemons) {
-  Send(members_.OnRows(daemons));
+void Cluster::OnRows(std::string_view data_centre,
+                     const std::vector<DaemonState>& daemons) {
+  Send(members_.OnListed(ListRows(daemons)));
+  if (data_centre != members_.own().data_centre) {
+    SendUpdate(UpdateScope::kForward);
+    return;
+  }
+  if (std::exchange(neighbours_listed_, true)) {
+    return;
+  }
+  const std::size_t rank = members_.StoreReaderRank();
+  handler_.OnNeighboursListed(rank);
+  Duration delay = first_start_ ? kFirstWritesTime : Duration{0};
+  if (rank >= kFirstReaders) {
+    const auto steps =
+        static_cast<std::int64_t>(std::min(rank, kMaxDelaySteps));
+    delay += kOtherRowsDelay + kOtherRowsDelayStep * steps;
+  }
+  list_timer_ = loop_.After(delay, [this] { ReadOtherDataCentres(); });
+}
+
+void Cluster::ReadOtherDataCentres() {
+  for (const std::string& data_centre : other_data_centres_) {
+    if (members_.LacksDaemonsOf(data_centre)) {
+      rows_.ReadOther(data_centre);
+    }
+  }
+  // A call may fail, and a neighbour may list the others meanwhile.
+  list_timer_ = loop_.After(kOtherRowsDelayStep * kMaxDelaySteps,
+                            [this] { ReadOtherDataCentres(); });
+}
+
+void Cluster::FetchDaemonList(const Membership::Peer& peer) {
+  last_list_fetch_ = loop_.Now();
+  contact_fetch_interval_ =
+      std::min(contact_fetch_interval_ * 2, kMaxContactFetchInterval);
+  calls_.FetchDaemonList(peer.state,
+                         [this](const std::vector<ListedDaemon>& daemons) {
+                           OnDaemonList(daemons);
+                         });
+}
+
+void Cluster::FetchListIfLonger(const Membership::Peer& peer) {
+  if (!members_.KnowsMore(peer)) {
+    return;
+  }
+  const Duration since = loop_.Now() - last_list_fetch_;
+  loop_.Cancel(list_fetch_timer_);
+  list_fetch_timer_ =
+      loop_.After(std::max(Duration{0}, kListFetchInterval - since),
+                  [this, name = peer.state.name] {
+                    const Membership::Peer* source = members_.Find(name);
+                    if (members_.KnowsMore(*source)) {
+                      FetchDaemonList(*source);
+                    }
+                  });
+}
+
+void Cluster::FetchListIfOutOfContact() {
+  const Duration since = loop_.Now() - last_list_fetch_;
+  if (since < contact_fetch_interval_ || !members_.LacksContact()) {
+    return;
+  }
+  if (const Membership::Peer* neighbour = members_.RandomNeighbour()) {
+    FetchDaemonList(*neighbour);
+  }
+}
+
+void Cluster::OnDaemonList(std::span<const ListedDaemon> daemons) {
+  const std::size_t before = members_.known_daemons();
+  Send(members_.OnListed(daemons));
+  LogEvent("daemons_listed")
+      .Field("daemons", daemons.size())
+      .Field("new", members_.known_daemons() - before);
+  const std::size_t added = members_.known_daemons() - before;
+  if (added > 0) {
+    contact_fetch_interval_ = kListFetchInterval;
+  }
+  if (added > before / kToldGrowthDivisor) {
+    SendUpdate(UpdateScope::kForward);
+  }
 }
 
 void Cluster::AnnounceLeaving() {
@@ -165,6 +292,7 @@
   const TimePoint now = loop_.Now();
   DetectLostPeers(now);
   Send(members_.HeartbeatTargets(now));
+  FetchListIfOutOfContact();
   heartbeat_timer_ = loop_.After(members_.UntilNextRound(now),
                                  [this] { RunHeartbeatRound(); });
 }
@@ -203,6 +331,8 @@
   heartbeat.setProcessorShare(static_cast<float>(own.processor_share));
   heartbeat.setNextMs(static_cast<std::uint32_t>(WholeMilliseconds(next)));
   handler_.FillHeartbeat(heartbeat, load);
+  heartbeat.setDaemonsKnown(
+      static_cast<std::uint32_t>(members_.known_daemons()));
   members_.UpdateOwnState(PoolsOf(heartbeat.asReader()),
                           heartbeat.asReader().getQuarantined().size() > 0);
   const auto lost = members_.RecentlyLost(loop_.Now());
@@ -242,6 +372,7 @@
   if (members_.IsSmallFleet() || !peer.state.pools.empty()) {
     calls_.EnsureConnected(peer.state);
   }
+  FetchListIfLonger(peer);
   for (const auto lost : heartbeat.getLost()) {
     OnLossReport(lost, name);
   }
@@ -275,7 +406,7 @@
   // The peer may have missed this daemon's last heartbeat. Only the peer gets a
   // reply: informing all others of each new peer would take a cubic number of
   // datagrams when all daemons start at once.
-  if (members_.SendsHeartbeatsTo(peer)) {
+  if (members_.RepliesTo(peer)) {
     Send({&peer});
   }
 }
@@ -308,14 +439,17 @@
   }
   loop_.After(Duration{0}, [this] {
     update_pending_ = false;
-    SendUpdateNow(std::exchange(update_scope_, UpdateScope::kGossip));
+    SendUpdateNow(std::exchange(update_scope_, UpdateScope::kForward));
   });
 }
 
 void Cluster::SendUpdateNow(UpdateScope scope) {
   switch (scope) {
+    case UpdateScope::kForward:
+      Send(members_.GossipTargets(Membership::GossipRole::kForwarder));
+      return;
     case UpdateScope::kGossip:
-      Send(members_.GossipTargets());
+      Send(members_.GossipTargets(Membership::GossipRole::kOrigin));
       return;
     case UpdateScope::kDataCentre:
       Send(members_.DataCentrePeers());
--- a/packages/gateway/src/daemon_rows.cc
+++ b/packages/gateway/src/daemon_rows.cc
@@ -1,8 +1,12 @@
 #include "gentianroute/gateway/daemon_rows.h"
 
+#include <xxhash.h>
+
 #include <chrono>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include "gentianroute/observe/log.h"
@@ -18,11 +22,22 @@
 constexpr Duration kReadInterval = std::chrono::minutes(5);
 /// Delay after a failed call.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(400);
+/// Period over which the daemons of a data centre spread their writes when all
+/// start together. A part of the store takes some hundred writes a second and
+/// refuses more.
+constexpr std::int64_t kWriteSpreadMs = 500;
+
+Duration WriteDelay(std::string_view daemon) {
+  const std::uint64_t hash = XXH3_64bits(daemon.data(), daemon.size());
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(hash % kWriteSpreadMs));
+}
 
 std::string RowOf(const DaemonState& daemon) {
   return nlohmann::json{{"address", daemon.address},
                         {"port", daemon.port},
-                        {"data_centre", daemon.data_centre}}
+                        {"data_centre", daemon.data_centre},
+                        {"processor_share", daemon.processor_share}}
       .dump();
 }
 
@@ -40,6 +55,9 @@
   daemon.address = json["address"];
   daemon.port = json["port"];
   daemon.data_centre = json.value("data_centre", "");
+  if (json.contains("processor_share") && json["processor_share"].is_number()) {
+    daemon.processor_share = json["processor_share"];
+  }
   return daemon;
 }
 
@@ -48,11 +66,13 @@
 DaemonRows::DaemonRows(EventLoop& loop,
                        Store& store,
                        DaemonState own,
+                       bool first_start,
                        OnRows on_rows)
     : loop_(loop),
       store_(store),
       own_(std::move(own)),
       own_row_(RowOf(own_)),
+      first_start_(first_start),
       on_rows_(std::move(on_rows)) {}
 
 DaemonRows::~DaemonRows() {
@@ -60,19 +80,32 @@
 }
 
 void DaemonRows::Start() {
-  Read();
+  if (first_start_) {
+    After(WriteDelay(own_.name), &DaemonRows::Write);
+  } else {
+    Read();
+  }
 }
 
 void DaemonRows::Read() {
-  store_.Read(StoreTable::kDaemons,
+  store_.Read(StoreTable::kDaemons, own_.data_centre,
               [this](const StoreAnswer& answer) { OnRead(answer); });
 }
 
 void DaemonRows::OnRead(const StoreAnswer& answer) {
   if (answer.kind != StoreAnswer::Kind::kRows) {
-    ReadAfter(kRetryDelay);
+    After(kRetryDelay, &DaemonRows::Read);
     return;
   }
+  on_rows_(own_.data_centre, ReadRows(answer));
+  if (written_) {
+    After(kReadInterval, &DaemonRows::Read);
+  } else {
+    Write();
+  }
+}
+
+std::vector<DaemonState> DaemonRows::ReadRows(const StoreAnswer& answer) {
   std::vector<DaemonState> others;
   for (const StoredRow& row : answer.rows) {
     if (row.key == own_.name) {
@@ -81,27 +114,31 @@
       others.push_back(std::move(*daemon));
     }
   }
-  on_rows_(others);
-  if (written_) {
-    ReadAfter(kReadInterval);
-  } else {
-    Write();
-  }
+  return others;
+}
+
+void DaemonRows::ReadOther(const std::string& data_centre) {
+  store_.Read(StoreTable::kDaemons, data_centre,
+              [this, data_centre](const StoreAnswer& answer) {
+                if (answer.kind == StoreAnswer::Kind::kRows) {
+                  on_rows_(data_centre, ReadRows(answer));
+                }
+              });
 }
 
 void DaemonRows::Write() {
-  store_.Put(StoreTable::kDaemons, own_.name, own_row_,
+  store_.Put(StoreTable::kDaemons, own_.data_centre, own_.name, own_row_,
              [this](const StoreAnswer& answer) {
                written_ = answer.kind == StoreAnswer::Kind::kRows;
                // The next read shows whether a write took effect whose call
                // failed.
-               ReadAfter(kReadDelayAfterWrite);
+               After(kReadDelayAfterWrite, &DaemonRows::Read);
              });
 }
 
-void DaemonRows::ReadAfter(Duration delay) {
+void DaemonRows::After(Duration delay, void (DaemonRows::*step)()) {
   loop_.Cancel(timer_);
-  timer_ = loop_.After(delay, [this] { Read(); });
+  timer_ = loop_.After(delay, [this, step] { (this->*step)(); });
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -13,6 +13,10 @@
 
 /// A smaller load is a rounding error of many additions and subtractions.
 constexpr double kMinReportedLoad = 0.5;
+/// Servers whose pace a heartbeat reports, those with the most observations.
+constexpr std::size_t kMaxReportedPaces = 16;
+/// Fewer observations say little, and would fill the heartbeats.
+constexpr double kMinReportedEvents = 4.0;
 
 std::vector<std::uint64_t> HashesIn(capnp::List<std::uint64_t>::Reader list) {
   std::vector<std::uint64_t> hashes;
@@ -23,6 +27,32 @@
   return hashes;
 }
 
+struct ReportedPace {
+  const routing::Server* server = nullptr;
+  routing::PaceSample sample;
+};
+
+void KeepMostObserved(std::vector<ReportedPace>& paces) {
+  if (paces.size() <= kMaxReportedPaces) {
+    return;
+  }
+  std::nth_element(paces.begin(), paces.begin() + kMaxReportedPaces,
+                   paces.end(),
+                   [](const ReportedPace& a, const ReportedPace& b) {
+                     return a.sample.events > b.sample.events;
+                   });
+  paces.resize(kMaxReportedPaces);
+}
+
+void WritePaces(std::span<const ReportedPace> paces,
+                capnp::List<schema::ServerPace>::Builder out) {
+  for (unsigned i = 0; i < paces.size(); ++i) {
+    out[i].setServer(paces[i].server->record().id);
+    out[i].setEvents(static_cast<float>(paces[i].sample.events));
+    out[i].setLogSum(static_cast<float>(paces[i].sample.log_sum));
+  }
+}
+
 }  // namespace
 
 void Gateway::Impl::FillHeartbeat(schema::Beat::Builder heartbeat,
@@ -31,14 +61,22 @@
   heartbeat.setServersVersion(server_rows_.newest_change());
   heartbeat.setStoreContact(static_cast<std::uint8_t>(
       std::max(server_rows_.contact(), deployment_.contact())));
+  const TimePoint now = loop_.Now();
   std::vector<const routing::Server*> busy;
+  std::vector<ReportedPace> paces;
   if (load == LoadReport::kIncluded) {
-    servers_.ForEach([&busy](routing::Server& server) {
+    servers_.ForEach([&](routing::Server& server) {
       if (server.own().calls > kMinReportedLoad) {
         busy.push_back(&server);
       }
+      const routing::PaceSample sample = server.pace().Own(now);
+      if (sample.events >= kMinReportedEvents) {
+        paces.push_back({&server, sample});
+      }
     });
+    KeepMostObserved(paces);
   }
+  WritePaces(paces, heartbeat.initPaces(static_cast<unsigned>(paces.size())));
   auto work = heartbeat.initWork(static_cast<unsigned>(busy.size()));
   for (unsigned i = 0; i < busy.size(); ++i) {
     const routing::ServerLoad& own = busy[i]->own();
@@ -53,7 +91,6 @@
     routing::Backlog backlog;
   };
   std::vector<PoolBacklog> backlogs;
-  const TimePoint now = loop_.Now();
   stage_scheduler_.ForEachPool(
       now, [&](std::string_view service, std::string_view data_centre,
                routing::Backlog backlog) {
@@ -81,17 +118,7 @@
 void Gateway::Impl::OnHeartbeat(schema::Beat::Reader heartbeat) {
   const TimePoint now = loop_.Now();
   const std::string name = heartbeat.getDaemon();
-  RemovePeerLoads(name);
-  auto& loads = peer_loads_[name];
-  for (const auto work : heartbeat.getWork()) {
-    const routing::ServerLoad load{work.getCalls(), work.getTokens(),
-                                   work.getUnreadTokens()};
-    const std::string id = work.getServer();
-    if (routing::Server* server = servers_.Find(id)) {
-      server->peers() += load;
-      loads[id] = load;
-    }
-  }
+  ApplyPeerReport(name, heartbeat);
   for (const auto backlog : heartbeat.getBacklogs()) {
     const std::string service = backlog.getService();
     const std::string data_centre = backlog.getDataCentre();
@@ -116,22 +143,44 @@
   FetchNewerRows();
 }
 
+void Gateway::Impl::ApplyPeerReport(const std::string& peer,
+                                    schema::Beat::Reader heartbeat) {
+  RemovePeerReport(peer);
+  PeerReport& report = peer_reports_[peer];
+  for (const auto work : heartbeat.getWork()) {
+    const routing::ServerLoad load{work.getCalls(), work.getTokens(),
+                                   work.getUnreadTokens()};
+    if (routing::Server* server = servers_.Find(work.getServer().cStr())) {
+      server->peers() += load;
+      report.loads.emplace_back(server, load);
+    }
+  }
+  for (const auto pace : heartbeat.getPaces()) {
+    const routing::PaceSample sample{pace.getEvents(), pace.getLogSum()};
+    if (routing::Server* server = servers_.Find(pace.getServer().cStr())) {
+      server->pace().peers() += sample;
+      report.paces.emplace_back(server, sample);
+    }
+  }
+}
+
 void Gateway::Impl::OnPeerLost(std::string_view peer) {
-  RemovePeerLoads(peer);
+  RemovePeerReport(peer);
   stage_router_.OnPeerLost(peer);
 }
 
-void Gateway::Impl::RemovePeerLoads(std::string_view peer) {
-  const auto found = peer_loads_.find(peer);
-  if (found == peer_loads_.end()) {
+void Gateway::Impl::RemovePeerReport(std::string_view peer) {
+  const auto found = peer_reports_.find(peer);
+  if (found == peer_reports_.end()) {
     return;
   }
-  for (const auto& [id, load] : found->second) {
-    if (routing::Server* server = servers_.Find(id)) {
-      server->peers() -= load;
-    }
+  for (const auto& [server, load] : found->second.loads) {
+    server->peers() -= load;
+  }
+  for (const auto& [server, sample] : found->second.paces) {
+    server->pace().peers() -= sample;
   }
-  peer_loads_.erase(found);
+  peer_reports_.erase(found);
 }
 
 void Gateway::Impl::FillStoreCopy(std::uint64_t deployment_version,
@@ -140,6 +189,7 @@
   const StoreChanges deployment = deployment_.ChangesAfter(deployment_version);
   copy.setDeploymentVersion(deployment.version);
   copy.setDeploymentWhole(deployment.is_full);
+  copy.setDeploymentPartial(deployment.is_partial);
   copy.setDeploymentListedVersion(deployment.live_keys_version);
   copy.setDeploymentListed(kj::arrayPtr(deployment.live_key_hashes.data(),
                                         deployment.live_key_hashes.size()));
@@ -152,17 +202,20 @@
       copy.initServers(static_cast<unsigned>(servers.rows.size())));
   copy.setServersVersion(servers.version);
   copy.setServersWhole(servers.is_full);
+  copy.setServersPartial(servers.is_partial);
   copy.setServersListedVersion(servers.live_keys_version);
   copy.setServersListed(kj::arrayPtr(servers.live_key_hashes.data(),
                                      servers.live_key_hashes.size()));
 }
 
 void Gateway::Impl::OnStoreCopy(schema::StoreCopy::Reader copy) {
+  merging_copy_ = true;
   if (copy.getDeploymentVersion() > 0) {
     const StoreChanges deployment{
         detail::ReadRows(copy.getDeployment()),
         copy.getDeploymentVersion(),
         copy.getDeploymentWhole(),
+        copy.getDeploymentPartial(),
         HashesIn(copy.getDeploymentListed()),
         copy.getDeploymentListedVersion(),
     };
@@ -176,6 +229,7 @@
         detail::ReadRows(copy.getServers()),
         copy.getServersVersion(),
         copy.getServersWhole(),
+        copy.getServersPartial(),
         HashesIn(copy.getServersListed()),
         copy.getServersListedVersion(),
     };
@@ -184,6 +238,10 @@
         .Field("rows", servers.rows.size());
     server_rows_.MergePeerCopy(servers);
   }
+  merging_copy_ = false;
+  ServeStartQueueLater();
+  // The rest of a large table, without waiting for the next heartbeat.
+  loop_.After(Duration{0}, [this] { FetchNewerRows(); });
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -20,8 +20,27 @@
 /// Time for which heartbeats report a loss; single heartbeats may be dropped.
 constexpr Duration kLossReportTime = std::chrono::seconds(3);
 
+/// Daemons of a data centre that may schedule its pools.
+constexpr std::size_t kMaxSchedulers = 16;
+
 }  // namespace
 
+std::vector<ListedDaemon> ListRows(std::span<const DaemonState> rows) {
+  std::vector<ListedDaemon> listed;
+  listed.reserve(rows.size());
+  for (const DaemonState& row : rows) {
+    listed.push_back({row});
+  }
+  std::stable_sort(listed.begin(), listed.end(),
+                   [](const ListedDaemon& a, const ListedDaemon& b) {
+                     return a.state.processor_share > b.state.processor_share;
+                   });
+  for (std::size_t i = kMaxSchedulers; i < listed.size(); ++i) {
+    listed[i].may_be_alive = false;
+  }
+  return listed;
+}
+
 Membership::Membership(TimePoint now,
                        DaemonState own,
                        std::map<std::string, std::string, std::less<>> regions,
@@ -29,7 +48,20 @@
     : own_(std::move(own)),
       regions_(std::move(regions)),
       random_(seed),
-      started_(now) {}
+      started_(now) {
+  for (const auto& [data_centre, region] : regions_) {
+    const bool is_other = data_centre != own_.data_centre;
+    const auto index = static_cast<std::size_t>(DistanceTo(data_centre));
+    data_centre_counts_[index] += is_other ? 1 : 0;
+  }
+}
+
+std::int64_t Membership::CountAt(Distance distance) const {
+  const auto index = static_cast<std::size_t>(distance);
+  const auto own = static_cast<std::size_t>(Distance::kSameDataCentre);
+  return std::max(peer_counts_[index],
+                  data_centre_counts_[index] * (1 + peer_counts_[own]));
+}
 
 const Membership::Peer* Membership::Find(std::string_view name) const {
   const auto found = peers_.find(name);
@@ -77,16 +109,55 @@
   peer.state = std::move(state);
 }
 
-Membership::Targets Membership::OnRows(std::span<const DaemonState> rows) {
-  Targets not_alive;
-  for (const DaemonState& row : rows) {
-    Peer& peer = FindOrAddPeer(row.name);
-    if (!peer.alive) {
-      SetState(peer, row);
-      not_alive.push_back(&peer);
+Membership::Targets Membership::OnListed(
+    std::span<const ListedDaemon> daemons) {
+  Targets greeted;
+  for (const ListedDaemon& daemon : daemons) {
+    if (IsSelf(daemon.state.name)) {
+      continue;
+    }
+    Peer& peer = FindOrAddPeer(daemon.state.name);
+    if (peer.alive) {
+      continue;
+    }
+    SetState(peer, daemon.state);
+    // Most daemons of other data centres never exchange heartbeats with this
+    // one. Greeting them would take a square number of datagrams when all
+    // daemons start together.
+    if (peer.distance == Distance::kSameDataCentre || daemon.may_be_alive ||
+        RepliesTo(peer)) {
+      greeted.push_back(&peer);
+    }
+  }
+  return greeted;
+}
+
+bool Membership::LacksDaemonsOf(std::string_view data_centre) const {
+  const auto known =
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return entry.second->state.data_centre == data_centre;
+      });
+  const auto own = static_cast<std::size_t>(Distance::kSameDataCentre);
+  return 2 * known < 1 + peer_counts_[own];
+}
+
+bool Membership::LacksContact() const {
+  std::set<std::string_view> in_contact = {own_.data_centre};
+  for (const auto& [name, other] : peers_) {
+    if (other->alive) {
+      in_contact.insert(other->state.data_centre);
     }
   }
-  return not_alive;
+  return in_contact.size() < regions_.size();
+}
+
+std::vector<ListedDaemon> Membership::List() const {
+  std::vector<ListedDaemon> list;
+  list.reserve(peers_.size());
+  for (const auto& [name, peer] : peers_) {
+    list.push_back({peer->state, peer->alive});
+  }
+  return list;
 }
 
 Membership::Arrival Membership::OnHeartbeat(TimePoint now, DaemonState state) {
@@ -292,15 +363,23 @@
   return ahead < count;
 }
 
+std::size_t Membership::StoreReaderRank() const {
+  const std::uint64_t own = RendezvousWeight(kStoreReaderKey, own_.name);
+  return static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return entry.second->state.data_centre == own_.data_centre &&
+               RendezvousWeight(kStoreReaderKey, entry.first) > own;
+      }));
+}
+
 bool Membership::IsStoreReader() const {
-  constexpr std::string_view kKey = "store-reader";
-  const std::uint64_t own = RendezvousWeight(kKey, own_.name);
+  const std::uint64_t own = RendezvousWeight(kStoreReaderKey, own_.name);
   return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const Peer& peer = *entry.second;
     return peer.alive && !peer.state.leaving &&
            peer.state.data_centre == own_.data_centre &&
            peer.state.store != StoreContact::kUnreachable &&
-           RendezvousWeight(kKey, peer.state.name) > own;
+           RendezvousWeight(kStoreReaderKey, peer.state.name) > own;
   });
 }
 
--- a/packages/gateway/src/membership_heartbeats.cc
+++ b/packages/gateway/src/membership_heartbeats.cc
@@ -42,9 +42,13 @@
 /// wait for a regular heartbeat.
 constexpr std::size_t kGossipFanoutDataCentre = 8;
 constexpr std::size_t kGossipFanoutElsewhere = 2;
+/// Daemons of a data centre that forward an update to other data centres, on
+/// average. These usually have it from the store already, so that the number of
+/// such messages must not grow with the fleet.
+constexpr double kForwardersElsewhere = 4;
 /// Up to this number of peers each update goes to all of them, and a connection
 /// to each is opened at its first heartbeat.
-constexpr std::size_t kSmallFleetPeers = 16;
+constexpr std::int64_t kSmallFleetPeers = 16;
 /// Load figures older than this belong to requests that have ended.
 constexpr Duration kMaxLoadAge = std::chrono::seconds(2);
 /// Name of a placeholder service that every data centre has. Its scheduler
@@ -60,9 +64,10 @@
   }
   const auto index = static_cast<std::size_t>(recipients);
   const HeartbeatRate& rate = kHeartbeatRates[index];
-  const Duration interval = std::max(
-      rate.min_interval, Duration(std::chrono::seconds(1)) *
-                             peer_counts_[index] / rate.heartbeats_per_second);
+  const Duration interval =
+      std::max(rate.min_interval, Duration(std::chrono::seconds(1)) *
+                                      CountAt(static_cast<Distance>(index)) /
+                                      rate.heartbeats_per_second);
   const bool is_reduced = recipients == RecipientClass::kOtherRegion && idle;
   return is_reduced ? interval * kIdleIntervalFactor : interval;
 }
@@ -188,16 +193,49 @@
   targets.insert(targets.end(), from.begin(), from.end());
 }
 
+const Membership::Peer* Membership::RandomNeighbour() {
+  Targets chosen;
+  AddRandom(chosen, SelectPeers([](const Peer& peer) {
+              return peer.alive && peer.distance == Distance::kSameDataCentre;
+            }),
+            1);
+  return chosen.empty() ? nullptr : chosen.front();
+}
+
 bool Membership::IsSmallFleet() const {
-  return peers_.size() <= kSmallFleetPeers;
+  return CountAt(Distance::kSameDataCentre) + CountAt(Distance::kSameRegion) +
+             CountAt(Distance::kOtherRegion) <=
+         kSmallFleetPeers;
 }
 
-Membership::Targets Membership::GossipTargets() {
+Membership::Targets Membership::OneOfEachOther() {
+  Targets candidates = SelectPeers([](const Peer& peer) {
+    return peer.alive && peer.distance != Distance::kSameDataCentre;
+  });
+  std::shuffle(candidates.begin(), candidates.end(), random_);
+  std::set<std::string_view> chosen;
+  std::erase_if(candidates, [&chosen](const Peer* peer) {
+    return !chosen.insert(peer->state.data_centre).second;
+  });
+  return candidates;
+}
+
+Membership::Targets Membership::GossipTargets(GossipRole role) {
   if (IsSmallFleet()) {
     return AllPeers();
   }
   Targets targets;
+  if (role == GossipRole::kOrigin) {
+    targets = OneOfEachOther();
+  }
   AddRandom(targets, DataCentrePeers(), kGossipFanoutDataCentre);
+  const auto neighbours = static_cast<double>(
+      peer_counts_[static_cast<std::size_t>(Distance::kSameDataCentre)]);
+  const double share = kForwardersElsewhere / (1.0 + neighbours);
+  if (role == GossipRole::kOrigin ||
+      !std::bernoulli_distribution(std::min(1.0, share))(random_)) {
+    return targets;
+  }
   AddRandom(targets, SelectPeers([](const Peer& peer) {
               return peer.alive && peer.distance != Distance::kSameDataCentre;
             }),
--- a/packages/gateway/src/peer_calls.cc
+++ b/packages/gateway/src/peer_calls.cc
@@ -166,6 +166,25 @@
   tasks_->add(request.send().ignoreResult());
 }
 
+void PeerCalls::FetchDaemonList(
+    const DaemonState& peer,
+    std::function<void(const std::vector<ListedDaemon>&)> done) {
+  tasks_->add(ClientOf(peer).knownDaemonsRequest().send().then(
+      [done = std::move(done)](auto response) {
+        std::vector<ListedDaemon> listed;
+        for (const auto daemon : response.getDaemons()) {
+          ListedDaemon& entry = listed.emplace_back();
+          entry.state.name = daemon.getName();
+          entry.state.address = daemon.getAddress();
+          entry.state.port = daemon.getPort();
+          entry.state.data_centre = daemon.getDataCentre();
+          entry.state.processor_share = daemon.getProcessorShare();
+          entry.may_be_alive = daemon.getAlive();
+        }
+        done(listed);
+      }));
+}
+
 void PeerCalls::FetchStoreCopy(
     const DaemonState& peer,
     std::uint64_t deployment_version,
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -75,15 +75,19 @@
   SendNextCall();
 }
 
+void StoreFollower::StartAfter(Duration delay) {
+  ScheduleCall(delay);
+}
+
 void StoreFollower::SetFollowing(bool following) {
   const bool followed = std::exchange(following_, following);
-  if (is_loaded_ && following && !followed && !call_pending_) {
+  if (is_complete_ && following && !followed && !call_pending_) {
     SendNextCall();
   }
 }
 
 void StoreFollower::SendNextCall() {
-  if (!is_loaded_) {
+  if (!is_complete_) {
     ReadTable();
   } else if (following_) {
     FollowChanges();
@@ -92,7 +96,8 @@
 
 void StoreFollower::ReadTable() {
   call_pending_ = true;
-  store_.Read(table_, [this](const StoreAnswer& answer) { OnTable(answer); });
+  store_.Read(table_, "",
+              [this](const StoreAnswer& answer) { OnTable(answer); });
 }
 
 void StoreFollower::FollowChanges() {
@@ -114,6 +119,7 @@
     return;
   }
   ReplaceTable(answer.rows, answer.version);
+  is_complete_ = true;
   SendNextCall();
 }
 
@@ -150,6 +156,11 @@
 }
 
 void StoreFollower::MergePeerCopy(const StoreChanges& changes) {
+  MergeRows(changes);
+  is_complete_ = is_complete_ || (is_loaded_ && !changes.is_partial);
+}
+
+void StoreFollower::MergeRows(const StoreChanges& changes) {
   if (changes.is_full && newest_change_ > 0) {
     // The table was read from the store during the call; the next request to a
     // peer starts from its version.
@@ -217,6 +228,7 @@
     return changes;
   }
   changes.is_full = known == 0;
+  changes.is_partial = !is_complete_;
   if (!changes.is_full && known < tombstones_since_) {
     changes.live_keys_version = version_;
     for (const auto& [key, row] : rows_) {
@@ -232,6 +244,7 @@
         !changes.rows.empty() && changes.rows.back().version == row->version;
     if (bytes >= kMaxCopyBytes && !same_write) {
       changes.version = changes.rows.back().version;
+      changes.is_partial = true;
       break;
     }
     bytes += row->key.size() + row->value.size();
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -13,6 +13,13 @@
   unreadTokens @3 :Float32;
 }
 
+struct ServerPace {
+  # Observations of the time that a model server takes for an event of a stream.
+  server @0 :Text;
+  events @1 :Float32;                 # number of events observed, decayed
+  logSum @2 :Float32;                 # sum of ln(milliseconds) over these
+}
+
 struct StageBacklog {
   # Work queued for the stage servers of one service in one data centre, as
   # reported by the daemon that schedules them.
@@ -45,6 +52,8 @@
   processorShare @12 :Float32;        # cores that this daemon may use
   lost @13 :List(LostDaemon);         # lost recently in the sender's data centre
   nextMs @14 :UInt32;                 # maximum time until the next heartbeat
+  paces @15 :List(ServerPace);        # with the load only
+  daemonsKnown @16 :UInt32;           # including the sender, alive or not
 }
 
 struct Group {
@@ -95,10 +104,23 @@
   deploymentWhole @7 :Bool;
   deploymentListed @8 :List(UInt64);
   deploymentListedVersion @9 :UInt64;
+  deploymentPartial @10 :Bool;        # more rows follow in the next copy
+  serversPartial @11 :Bool;
+}
+
+struct KnownDaemon {
+  # Address of a daemon, for one that has just started.
+  name @0 :Text;
+  address @1 :Text;
+  port @2 :UInt16;
+  dataCentre @3 :Text;
+  alive @4 :Bool;                     # the sender receives its heartbeats
+  processorShare @5 :Float32;
 }
 
 interface Cluster {
   runGroup @0 (group :Group) -> (outcome :GroupOutcome);
   release @2 (service :Text, dataCentre :Text, results :List(Text)) -> ();
+  knownDaemons @3 () -> (daemons :List(KnownDaemon));
   storeCopy @1 (deploymentVersion :UInt64, serversVersion :UInt64) -> (copy :StoreCopy);
 }
