--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -3,6 +3,7 @@
 
 #include <cluster.capnp.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -129,8 +130,11 @@
 
   void OnRows(std::string_view data_centre,
               const std::vector<DaemonState>& daemons);
+  /// Lists of daemons are fetched no more often than this.
+  static constexpr Duration kListFetchInterval = std::chrono::milliseconds(100);
+
   /// Reads the rows of the data centres whose daemons no neighbour has listed.
-  void ReadOtherDataCentres();
+  void ReadOtherDataCentres(Duration repeat_after);
   /// Asks a peer for the daemons that it knows.
   void FetchDaemonList(const Membership::Peer& peer);
   /// Fetches a peer's list of daemons if it contains new ones, now or when the
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -54,11 +54,10 @@
 /// two of a data centre do so at once, and the others copy from them: when all
 /// start together, reading takes the square of the size of the fleet.
 inline Duration TableReadDelay(std::size_t rank) {
-  constexpr std::size_t kFirstReaders = 2;
   constexpr std::size_t kMaxSteps = 15;
   constexpr Duration kFirstDelay = std::chrono::milliseconds(300);
   constexpr Duration kStep = std::chrono::milliseconds(50);
-  return rank < kFirstReaders
+  return rank < Membership::kFirstReaders
              ? Duration{0}
              : kFirstDelay +
                    kStep * static_cast<std::int64_t>(std::min(rank, kMaxSteps));
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -131,6 +131,9 @@
   /// the size of the own one.
   bool LacksDaemonsOf(std::string_view data_centre) const;
   std::size_t known_daemons() const { return 1 + peers_.size(); }
+  /// Daemons of a data centre that read the store for their neighbours when
+  /// they start. One of them may be down.
+  static constexpr std::size_t kFirstReaders = 2;
   /// @brief Position of this daemon among those of its data centre, alive or
   /// not, in the order in which they read the store.
   std::size_t StoreReaderRank() const;
--- a/packages/gateway/tests/virtual_fleet.h
+++ b/packages/gateway/tests/virtual_fleet.h
@@ -86,12 +86,13 @@
     Send(i, daemon.members->OnListed(RowsOf([this, i](std::size_t other) {
       return DataCentre(other) == DataCentre(i);
     })));
-    const auto rank =
-        static_cast<std::int64_t>(daemon.members->StoreReaderRank());
-    After(rank < kFirstReaders ? 5 * kMs : (500 + 100 * rank) * kMs,
-          [this, i, incarnation = daemon.incarnation] {
-            ReadOthers(i, incarnation);
-          });
+    const std::size_t rank = daemon.members->StoreReaderRank();
+    const auto steps = static_cast<std::int64_t>(rank);
+    After(
+        rank < Membership::kFirstReaders ? 5 * kMs : (500 + 100 * steps) * kMs,
+        [this, i, incarnation = daemon.incarnation] {
+          ReadOthers(i, incarnation);
+        });
     Round(i, daemon.incarnation);
   }
   /// Starts all daemons at random times within a period.
@@ -179,8 +180,6 @@
     }
   };
 
-  /// Daemons of a data centre that read the rows of the others.
-  static constexpr std::int64_t kFirstReaders = 2;
   template <typename Predicate>
   std::vector<ListedDaemon> RowsOf(Predicate predicate) const {
     std::map<std::string, std::vector<DaemonState>> rows;
