--- a/packages/loop/tests/relay_server_test.cc
+++ b/packages/loop/tests/relay_server_test.cc
@@ -69,17 +69,19 @@
 // fifteen of them were the whole memory of a small host.
 Test(relay_server, unsent_answers_beyond_the_limit_close_the_largest_first) {
   ServerFixture fixture;
+  constexpr std::size_t kClients = 6;
   std::vector<std::unique_ptr<Client>> clients;
-  for (int i = 0; i < 6; ++i) {
+  clients.reserve(kClients);
+  for (std::size_t i = 0; i < kClients; ++i) {
     clients.push_back(std::make_unique<Client>(
         fixture.loop, fixture.server.port(), "/large"));
   }
   fixture.RunFor(kExchangeTime);
-  cr_assert_eq(fixture.large.size(), 6);
+  cr_assert_eq(fixture.large.size(), kClients);
   fixture.WriteToAll(4);
   fixture.large.front()->Write(std::string(ServerFixture::kPart, 'x'));
   const std::size_t unsent = fixture.server.unsent_bytes();
-  cr_assert_gt(unsent, 6 * ServerFixture::kPart);
+  cr_assert_gt(unsent, kClients * ServerFixture::kPart);
   const std::size_t limit = unsent - ServerFixture::kPart;
   cr_assert_eq(fixture.server.LimitUnsentBytes(limit), 1);
   cr_assert_leq(fixture.server.unsent_bytes(), limit);
