Let the virtual fleet run the product's rules for lists of daemons

Found in reading the change as a whole: when a list of daemons is fetched and when a daemon of some rank reads the store stood in Cluster and a second time, with small variations, in the virtual fleet, so that its tests proved the copy. The delay by rank stood a third time in the gateway. The other data centres were kept in Cluster though Membership has them, and LacksContact() went over all peers in each heartbeat round. Change: DaemonListFetches (no I/O) and detail::ReaderDelay, used by both; Membership names the unlisted data centres, and keeps the answer of LacksContact() until who is alive changes, as it does for schedulers. Behaviour of the product as before. The virtual fleet now caps the delay by rank and the interval without contact, as the product does.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -3,7 +3,6 @@
 
 #include <cluster.capnp.h>
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -15,6 +14,7 @@
 #include <vector>
 
 #include "gentianroute/base/time.h"
+#include "gentianroute/gateway/daemon_list_fetches.h"
 #include "gentianroute/gateway/daemon_rows.h"
 #include "gentianroute/gateway/group_outcome.h"
 #include "gentianroute/gateway/membership.h"
@@ -130,9 +130,6 @@
 
   void OnRows(std::string_view data_centre,
               const std::vector<DaemonState>& daemons);
-  /// Lists of daemons are fetched no more often than this.
-  static constexpr Duration kListFetchInterval = std::chrono::milliseconds(100);
-
   /// Reads the rows of the data centres whose daemons no neighbour has listed.
   void ReadOtherDataCentres(Duration repeat_after);
   /// Asks a peer for the daemons that it knows.
@@ -162,12 +159,9 @@
   Membership members_;
   DaemonRows rows_;
   PeerCalls calls_;
-  std::vector<std::string> other_data_centres_;
+  DaemonListFetches list_fetches_{members_};
   bool neighbours_listed_ = false;
   bool first_start_;
-  TimePoint last_list_fetch_{};
-  /// Time between lists that are fetched because contact is missing.
-  Duration contact_fetch_interval_;
   bool update_pending_ = false;
   UpdateScope update_scope_ = UpdateScope::kForward;
   std::unique_ptr<DatagramSocket> datagrams_;
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -1,10 +1,8 @@
 #ifndef GENTIANROUTE_GATEWAY_DETAIL_GATEWAY_IMPL_H_
 #define GENTIANROUTE_GATEWAY_DETAIL_GATEWAY_IMPL_H_
 
-#include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -12,6 +10,7 @@
 
 #include "gentianroute/gateway/cluster.h"
 #include "gentianroute/gateway/cold_senders.h"
+#include "gentianroute/gateway/detail/reader_delay.h"
 #include "gentianroute/gateway/detail/row_messages.h"
 #include "gentianroute/gateway/gateway.h"
 #include "gentianroute/gateway/request_flow.h"
@@ -50,19 +49,6 @@
 /// its neighbours.
 inline constexpr Duration kMaxStartWait = std::chrono::seconds(3);
 
-/// Time until a daemon that starts reads the store's tables itself. The first
-/// two of a data centre do so at once, and the others copy from them: when all
-/// start together, reading takes the square of the size of the fleet.
-inline Duration TableReadDelay(std::size_t rank) {
-  constexpr std::size_t kMaxSteps = 15;
-  constexpr Duration kFirstDelay = std::chrono::milliseconds(300);
-  constexpr Duration kStep = std::chrono::milliseconds(50);
-  return rank < Membership::kFirstReaders
-             ? Duration{0}
-             : kFirstDelay +
-                   kStep * static_cast<std::int64_t>(std::min(rank, kMaxSteps));
-}
-
 }  // namespace detail
 
 /// @brief The components of one daemon, and the events passed between them.
@@ -172,7 +158,7 @@
                      schema::StoreCopy::Builder copy) override;
   void OnStoreCopy(schema::StoreCopy::Reader copy) override;
   void OnNeighboursListed(std::size_t rank) override {
-    StartFollowing(detail::TableReadDelay(rank));
+    StartFollowing(detail::kTableReadDelay.For(rank));
   }
 
  private:
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <span>
@@ -123,17 +124,15 @@
   }
   /// @brief Whether no daemon of one of the other data centres is alive, as far
   /// as this one knows.
-  /// @complexity linear in the number of daemons
+  /// @complexity linear in the number of daemons after a change of those that
+  /// are alive, otherwise constant
   bool LacksContact() const;
   /// @brief A random live peer of the own data centre; null if there is none.
   const Peer* RandomNeighbour();
-  /// @brief Whether most daemons of another data centre are unknown, judged by
-  /// the size of the own one.
-  bool LacksDaemonsOf(std::string_view data_centre) const;
+  /// @brief Returns the other data centres of which most daemons are unknown,
+  /// judged by the size of the own one.
+  std::vector<std::string> UnlistedDataCentres() const;
   std::size_t known_daemons() const { return 1 + peers_.size(); }
-  /// Daemons of a data centre that read the store for their neighbours when
-  /// they start. One of them may be down.
-  static constexpr std::size_t kFirstReaders = 2;
   /// @brief Position of this daemon among those of its data centre, alive or
   /// not, in the order in which they read the store.
   std::size_t StoreReaderRank() const;
@@ -240,6 +239,7 @@
   static constexpr std::size_t kRecipientClasses = 4;
   static constexpr std::string_view kStoreReaderKey = "store-reader";
 
+  bool LacksDaemonsOf(std::string_view data_centre) const;
   Peer& FindOrAddPeer(const std::string& name);
   void SetState(Peer& peer, DaemonState state);
   Distance DistanceTo(std::string_view data_centre) const;
@@ -262,6 +262,7 @@
   bool IsIdle() const;
   bool MarkLost(Peer& peer);
   void OnLost(TimePoint now, const Peer& peer);
+  /// Drops what was computed from the daemons that are alive.
   void InvalidateRanks();
   bool TakesOverFrom(const Targets& lost) const;
   /// Whether this process was suspended, so that received datagrams may be
@@ -290,6 +291,7 @@
   /// Time of loss of lost peers of the own data centre.
   std::map<std::string, TimePoint, std::less<>> lost_at_;
   mutable std::map<PoolKey, std::string> schedulers_;
+  mutable std::optional<bool> lacks_contact_;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -151,13 +151,7 @@
               OnRows(data_centre, daemons);
             }),
       calls_(loop, [this](const std::string& peer) { OnUnreachable(peer); }),
-      first_start_(settings.first_start),
-      contact_fetch_interval_(kListFetchInterval) {
-  for (const auto& [data_centre, region] : settings.regions) {
-    if (data_centre != settings.data_centre) {
-      other_data_centres_.push_back(data_centre);
-    }
-  }
+      first_start_(settings.first_start) {
   datagrams_ = std::make_unique<DatagramSocket>(
       loop_, settings.peers.address, settings.peers.port,
       [this](std::span<const std::byte> message) { OnDatagram(message); });
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -141,14 +141,28 @@
   return 2 * known < 1 + peer_counts_[own];
 }
 
+std::vector<std::string> Membership::UnlistedDataCentres() const {
+  std::vector<std::string> unlisted;
+  for (const auto& [data_centre, region] : regions_) {
+    if (data_centre != own_.data_centre && LacksDaemonsOf(data_centre)) {
+      unlisted.push_back(data_centre);
+    }
+  }
+  return unlisted;
+}
+
 bool Membership::LacksContact() const {
+  if (lacks_contact_) {
+    return *lacks_contact_;
+  }
   std::set<std::string_view> in_contact = {own_.data_centre};
   for (const auto& [name, other] : peers_) {
     if (other->alive) {
       in_contact.insert(other->state.data_centre);
     }
   }
-  return in_contact.size() < regions_.size();
+  lacks_contact_ = in_contact.size() < regions_.size();
+  return *lacks_contact_;
 }
 
 std::vector<ListedDaemon> Membership::List() const {
@@ -185,6 +199,7 @@
 
 void Membership::InvalidateRanks() {
   schedulers_.clear();
+  lacks_contact_.reset();
   standbys_valid_ = false;
 }
 
--- a/packages/gateway/tests/virtual_fleet.h
+++ b/packages/gateway/tests/virtual_fleet.h
@@ -16,6 +16,8 @@
 #include <utility>
 #include <vector>
 
+#include "gentianroute/gateway/daemon_list_fetches.h"
+#include "gentianroute/gateway/detail/reader_delay.h"
 #include "gentianroute/gateway/membership.h"
 
 namespace gentianroute::gateway {
@@ -75,24 +77,21 @@
     Daemon& daemon = daemons_[i];
     daemon.runs = true;
     daemon.started = now_;
-    daemon.last_list_fetch = {};
-    daemon.contact_fetch_interval = kListFetchInterval;
     ++daemon.incarnation;
     DaemonState own = RowOf(i);
     own.incarnation = daemon.incarnation;
     daemon.members = std::make_unique<Membership>(now_, own, regions_,
                                                   shape_.seed * 1000 + i);
+    daemon.list_fetches = std::make_unique<DaemonListFetches>(*daemon.members);
     daemon.members->SetStageServices(stage_services_);
     Send(i, daemon.members->OnListed(RowsOf([this, i](std::size_t other) {
       return DataCentre(other) == DataCentre(i);
     })));
     const std::size_t rank = daemon.members->StoreReaderRank();
-    const auto steps = static_cast<std::int64_t>(rank);
-    After(
-        rank < Membership::kFirstReaders ? 5 * kMs : (500 + 100 * steps) * kMs,
-        [this, i, incarnation = daemon.incarnation] {
-          ReadOthers(i, incarnation);
-        });
+    After(detail::kOtherRowsDelay.For(rank) + kStoreCallTime,
+          [this, i, incarnation = daemon.incarnation] {
+            ReadOthers(i, incarnation);
+          });
     Round(i, daemon.incarnation);
   }
   /// Starts all daemons at random times within a period.
@@ -154,7 +153,7 @@
   }
 
  private:
-  static constexpr Duration kListFetchInterval = std::chrono::milliseconds(100);
+  static constexpr Duration kStoreCallTime = std::chrono::milliseconds(5);
 
   struct Daemon {
     std::unique_ptr<Membership> members;
@@ -162,9 +161,8 @@
     std::uint64_t incarnation = 0;
     TimePoint started{};
     TimePoint frozen_until{};
-    TimePoint last_list_fetch{};
+    std::unique_ptr<DaemonListFetches> list_fetches;
     bool list_fetch_planned = false;
-    Duration contact_fetch_interval = kListFetchInterval;
     std::size_t sent = 0;
   };
   struct Message {
@@ -202,17 +200,16 @@
     if (!RunsStill(i, incarnation)) {
       return;
     }
-    const Membership& members = MembershipOf(i);
+    const auto unlisted = MembershipOf(i).UnlistedDataCentres();
     Send(i, MembershipOf(i).OnListed(RowsOf([&](std::size_t other) {
-      return DataCentre(other) != DataCentre(i) &&
-             members.LacksDaemonsOf(DataCentre(other));
+      return std::find(unlisted.begin(), unlisted.end(), DataCentre(other)) !=
+             unlisted.end();
     })));
     Send(i, MembershipOf(i).GossipTargets(Membership::GossipRole::kForwarder));
   }
   void FetchList(std::size_t to, const std::string& from) {
     Daemon& daemon = daemons_[to];
-    daemon.last_list_fetch = now_;
-    daemon.contact_fetch_interval *= 2;
+    daemon.list_fetches->OnFetch(now_);
     After(2 * kMs,
           [this, to, source = IndexOf(from), incarnation = daemon.incarnation] {
             if (RunsStill(to, incarnation) && daemons_[source].runs) {
@@ -220,15 +217,24 @@
             }
           });
   }
+  void PlanListFetch(std::size_t to, const Membership::Peer& peer) {
+    Daemon& daemon = daemons_[to];
+    const auto wait = daemon.list_fetches->UntilFetchFrom(now_, peer);
+    if (!wait || std::exchange(daemon.list_fetch_planned, true)) {
+      return;
+    }
+    After(*wait, [this, to, &peer, incarnation = daemon.incarnation] {
+      daemons_[to].list_fetch_planned = false;
+      if (RunsStill(to, incarnation) && daemons_[to].members->KnowsMore(peer)) {
+        FetchList(to, peer.state.name);
+      }
+    });
+  }
   void OnList(std::size_t to, const std::vector<ListedDaemon>& list) {
     Daemon& daemon = daemons_[to];
     const std::size_t before = daemon.members->known_daemons();
     Send(to, daemon.members->OnListed(list));
-    const std::size_t added = daemon.members->known_daemons() - before;
-    if (added > 0) {
-      daemon.contact_fetch_interval = kListFetchInterval;
-    }
-    if (added > before / 8) {
+    if (daemon.list_fetches->OnListed(before)) {
       Send(to,
            daemon.members->GossipTargets(Membership::GossipRole::kForwarder));
     }
@@ -270,8 +276,7 @@
     }
     daemon.members->UpdateOwnState(pools, false);
     Send(i, daemon.members->HeartbeatTargets(now_));
-    if (now_ - daemon.last_list_fetch >= daemon.contact_fetch_interval &&
-        daemon.members->LacksContact()) {
+    if (daemon.list_fetches->IsContactFetchDue(now_)) {
       if (const Membership::Peer* peer = daemon.members->RandomNeighbour()) {
         FetchList(i, peer->state.name);
       }
@@ -329,19 +334,7 @@
     if (arrival != Membership::Arrival::kKnown && members.RepliesTo(*peer)) {
       Send(to, {peer});
     }
-    const Duration since = now_ - daemon.last_list_fetch;
-    if (members.KnowsMore(*peer)) {
-      if (!std::exchange(daemon.list_fetch_planned, true)) {
-        After(std::max(Duration{0}, kListFetchInterval - since),
-              [this, to, peer, incarnation = daemon.incarnation] {
-                daemons_[to].list_fetch_planned = false;
-                if (RunsStill(to, incarnation) &&
-                    daemons_[to].members->KnowsMore(*peer)) {
-                  FetchList(to, peer->state.name);
-                }
-              });
-      }
-    }
+    PlanListFetch(to, *peer);
     for (const auto& [name, incarnation] : message->lost) {
       if (members.OnLossReport(now_, name, incarnation) ==
           Membership::LossReport::kAboutSelf) {
