Let the follower of a table say where a changed row is from

Found in reading the change as a whole: whether a change came from the store or from a peer was a flag in the gateway, set around the merge of a copy, though the follower that applies the row knows it; a merge that threw would have left it set. Start() without a delay was called by tests only, and lacked the check for a call in progress that the product's start has. Each heartbeat and each choice of a model server computed the decay of servers that this daemon has never observed, which are most of thousands. Change: on_change takes a ChangeSource; one Start(delay), which the tests use too; an unobserved server has an empty sample at once. Behaviour as before; assertions of the tests as before. An unused include is gone.

--- a/packages/gateway/include/gentianroute/gateway/daemon_rows.h
+++ b/packages/gateway/include/gentianroute/gateway/daemon_rows.h
@@ -2,7 +2,6 @@
 #define GENTIANROUTE_GATEWAY_DAEMON_ROWS_H_
 
 #include <functional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -165,18 +165,18 @@
   StoreFollower::Listener DeploymentListener() {
     return {
         [this](const std::vector<StoredRow>& rows) { OnOperatorRows(rows); },
-        [this](const StoredRow& row) {
+        [this](const StoredRow& row, ChangeSource source) {
           OnOperatorRow(row);
-          SendRowUpdate();
+          SendRowUpdate(source);
         },
         [](bool /*answers*/) {},
         [this] { cluster_.SendUpdate(Cluster::UpdateScope::kDataCentre); }};
   }
   StoreFollower::Listener ServersListener() {
     return {[this](const std::vector<StoredRow>& rows) { OnServerRows(rows); },
-            [this](const StoredRow& row) {
+            [this](const StoredRow& row, ChangeSource source) {
               OnServerRow(row);
-              SendRowUpdate();
+              SendRowUpdate(source);
             },
             [this](bool answers) {
               if (answers && server_rows_.is_complete()) {
@@ -186,9 +186,10 @@
             [this] { cluster_.SendUpdate(Cluster::UpdateScope::kDataCentre); }};
   }
 
-  void SendRowUpdate() {
-    cluster_.SendUpdate(merging_copy_ ? Cluster::UpdateScope::kForward
-                                      : Cluster::UpdateScope::kGossip);
+  void SendRowUpdate(ChangeSource source) {
+    cluster_.SendUpdate(source == ChangeSource::kPeer
+                            ? Cluster::UpdateScope::kForward
+                            : Cluster::UpdateScope::kGossip);
   }
 
   void Listen() {
@@ -352,8 +353,8 @@
     if (std::exchange(started_following_, true)) {
       return;
     }
-    deployment_.StartAfter(delay);
-    server_rows_.StartAfter(delay);
+    deployment_.Start(delay);
+    server_rows_.Start(delay);
   }
 
   /// Follows the store's tables only while this daemon is the one that reads
@@ -430,7 +431,6 @@
   /// Last reported state of each peer's contact to the store, by its name.
   std::map<std::string, StoreContact, std::less<>> store_contacts_;
   bool started_following_ = false;
-  bool merging_copy_ = false;  ///< rows that a peer has sent are being applied
   bool draining_ = false;
   TimerId maintenance_timer_;
 };
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -26,6 +26,9 @@
   std::uint64_t live_keys_version = 0;
 };
 
+/// @brief Where a daemon has a changed row from.
+enum class ChangeSource : std::uint8_t { kStore, kPeer };
+
 /// @brief Keeps a copy of one of the store's tables.
 ///
 /// Reads the whole table once. One daemon of each data centre then follows the
@@ -36,7 +39,8 @@
  public:
   /// @param rows all current rows of the table
   using OnRows = std::function<void(const std::vector<StoredRow>& rows)>;
-  using OnChange = std::function<void(const StoredRow& row)>;
+  using OnChange =
+      std::function<void(const StoredRow& row, ChangeSource source)>;
 
   struct Listener {
     OnRows on_rows;      ///< the whole table was read
@@ -55,9 +59,8 @@
                 Listener listener);
   ~StoreFollower();
 
-  void Start();
   /// @brief Reads the table after a delay, unless a peer's copy arrives before.
-  void StartAfter(Duration delay);
+  void Start(Duration delay);
   /// @brief Sets whether this daemon follows the table's changes itself.
   void SetFollowing(bool following);
   /// @brief Merges rows that a peer has read. Older ones are ignored.
@@ -90,7 +93,7 @@
   /// Rows and deletions, oldest first.
   std::vector<const StoredRow*> NewerThan(std::uint64_t known) const;
   void RemoveMissingKeys(const StoreChanges& changes);
-  void Apply(const StoredRow& row);
+  void Apply(const StoredRow& row, ChangeSource source);
   void SendNextCall();
   void ScheduleCall(Duration delay);
   void AddTombstone(const StoredRow& row);
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -209,7 +209,6 @@
 }
 
 void Gateway::Impl::OnStoreCopy(schema::StoreCopy::Reader copy) {
-  merging_copy_ = true;
   if (copy.getDeploymentVersion() > 0) {
     const StoreChanges deployment{
         detail::ReadRows(copy.getDeployment()),
@@ -238,7 +237,6 @@
         .Field("rows", servers.rows.size());
     server_rows_.MergePeerCopy(servers);
   }
-  merging_copy_ = false;
   ServeStartQueueLater();
   // The rest of a large table, without waiting for the next heartbeat.
   loop_.After(Duration{0}, [this] { FetchNewerRows(); });
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -71,11 +71,7 @@
   loop_.Cancel(timer_);
 }
 
-void StoreFollower::Start() {
-  SendNextCall();
-}
-
-void StoreFollower::StartAfter(Duration delay) {
+void StoreFollower::Start(Duration delay) {
   ScheduleCall(delay);
 }
 
@@ -144,7 +140,7 @@
   const std::uint64_t known = version_;
   for (const StoredRow& row : answer.rows) {
     if (row.version > known) {
-      Apply(row);
+      Apply(row, ChangeSource::kStore);
     }
   }
   version_ = std::max(version_, answer.version);
@@ -172,7 +168,7 @@
   }
   RemoveMissingKeys(changes);
   for (const StoredRow& row : changes.rows) {
-    Apply(row);
+    Apply(row, ChangeSource::kPeer);
   }
   version_ = std::max(version_, changes.version);
 }
@@ -193,7 +189,7 @@
   for (const StoredRow& row : gone) {
     rows_.erase(row.key);
     AddTombstone(row);
-    listener_.on_change(row);
+    listener_.on_change(row, ChangeSource::kPeer);
   }
   // The versions of these deletions are unknown, so peers can't be told of them
   // one by one.
@@ -273,7 +269,7 @@
   listener_.on_rows(rows);
 }
 
-void StoreFollower::Apply(const StoredRow& row) {
+void StoreFollower::Apply(const StoredRow& row, ChangeSource source) {
   const auto found = rows_.find(row.key);
   if (found != rows_.end() && found->second.version >= row.version) {
     return;
@@ -290,7 +286,7 @@
     rows_[row.key] = row;
     newest_change_ = std::max(newest_change_, row.version);
   }
-  listener_.on_change(row);
+  listener_.on_change(row, source);
 }
 
 void StoreFollower::AddTombstone(const StoredRow& row) {
--- a/packages/gateway/tests/store_follower_test.cc
+++ b/packages/gateway/tests/store_follower_test.cc
@@ -13,6 +13,12 @@
 
 constexpr Duration kMaxPropagationTime = std::chrono::milliseconds(2500);
 
+/// Starts a follower and runs the loop until it has called the store.
+void StartFollower(EventLoop& loop, StoreFollower& follower) {
+  follower.Start(Duration{0});
+  RunLoopFor(loop, Duration{0});
+}
+
 struct FollowerFixture {
   EventLoop loop;
   FakeStore store;
@@ -30,39 +36,43 @@
 
   StoreFollower::Listener Listener() {
     return {[this](const std::vector<StoredRow>& /*rows*/) { ++full_reads; },
-            [this](const StoredRow& row) {
+            [this](const StoredRow& row, ChangeSource /*source*/) {
               changes.push_back((row.deleted ? "-" : "+") + row.key);
             },
             [](bool /*answers*/) {}, [this] { ++call_failures; }};
   }
   void RunFor(Duration time) { RunLoopFor(loop, time); }
+  void Start() { StartFollower(loop, follower); }
 
   StoreFollower follower;
 };
 
 /// Another daemon's copy of the same table.
 struct PeerFixture {
+  EventLoop& loop;
   FakeStore store;
   std::vector<std::string> changes;
   StoreFollower follower;
 
   explicit PeerFixture(FollowerFixture& first)
-      : follower(first.loop,
+      : loop(first.loop),
+        follower(first.loop,
                  store,
                  StoreTable::kServers,
                  kMaxPropagationTime,
                  {[](const std::vector<StoredRow>& /*rows*/) {},
-                  [this](const StoredRow& row) {
+                  [this](const StoredRow& row, ChangeSource /*source*/) {
                     changes.push_back((row.deleted ? "-" : "+") + row.key);
                   },
                   [](bool /*answers*/) {}, [] {}}) {}
+  void Start() { StartFollower(loop, follower); }
 };
 
 }  // namespace
 
 Test(store_follower, reads_table_once_and_follows_from_its_version) {
   FollowerFixture fixture;
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
   cr_assert(fixture.follower.is_complete());
   cr_assert_eq(fixture.store.calls.front().after, 7);
@@ -74,7 +84,7 @@
 // call when another daemon has taken over.
 Test(store_follower, daemon_that_does_not_follow_makes_no_more_calls) {
   FollowerFixture fixture;
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.RespondWithRows({}, 7);
   fixture.follower.SetFollowing(false);
   fixture.store.RespondWithRows({}, 8);
@@ -88,7 +98,7 @@
 // has dropped its history. Applying it would restore an old configuration.
 Test(store_follower, older_version_from_the_store_is_ignored) {
   FollowerFixture fixture;
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.RespondWithRows({{"a", "new", 9, false}}, 9);
   StoreAnswer gone;
   gone.kind = StoreAnswer::Kind::kHistoryGone;
@@ -100,7 +110,7 @@
 
 Test(store_follower, lost_history_is_followed_by_a_full_read) {
   FollowerFixture fixture;
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.RespondWithRows({{"a", "", 4, false}, {"b", "", 5, false}}, 7);
   StoreAnswer gone;
   gone.kind = StoreAnswer::Kind::kHistoryGone;
@@ -118,7 +128,7 @@
      failed_call_is_noticed_while_another_daemon_can_still_take_over) {
   constexpr Duration kAnswerMargin = std::chrono::milliseconds(400);
   FollowerFixture fixture;
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.RespondWithRows({}, 7);
   cr_assert(2 * (fixture.store.max_wait + kAnswerMargin) < kMaxPropagationTime);
   cr_assert(fixture.follower.contact() == StoreContact::kReachable);
@@ -129,7 +139,7 @@
 
 Test(store_follower, failed_call_is_repeated_after_a_pause) {
   FollowerFixture fixture;
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.Respond(StoreAnswer{});
   cr_assert(fixture.store.calls.empty());
   fixture.RunFor(kLongerThanAnyDelay);
@@ -138,7 +148,7 @@
 
 Test(store_follower, peer_receives_only_the_rows_it_lacks) {
   FollowerFixture fixture;
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.RespondWithRows({{"a", "", 4, false}, {"b", "", 5, false}}, 7);
   fixture.store.RespondWithRows({{"c", "", 8, false}, {"b", "", 9, true}}, 9);
   const StoreChanges changes = fixture.follower.ChangesAfter(7);
@@ -150,7 +160,7 @@
 
 Test(store_follower, peer_without_a_copy_gets_all_rows) {
   FollowerFixture fixture;
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.RespondWithRows({{"a", "", 4, false}}, 7);
   const StoreChanges changes = fixture.follower.ChangesAfter(0);
   cr_assert(changes.is_full);
@@ -161,7 +171,7 @@
 // an older row of that server. The server must stay deleted.
 Test(store_follower, old_row_does_not_bring_back_a_deleted_one) {
   FollowerFixture fixture;
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.RespondWithRows({{"a", "", 4, false}}, 7);
   fixture.follower.MergePeerCopy({{{"a", "", 9, true}}, 9, false});
   fixture.store.RespondWithRows({{"a", "", 8, false}}, 8);
@@ -173,7 +183,7 @@
 Test(store_follower, longer_propagation_time_gives_a_longer_poll_timeout) {
   constexpr Duration kTimeoutForShortLimit = std::chrono::milliseconds(700);
   FollowerFixture fixture(std::chrono::seconds(4));
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.RespondWithRows({}, 7);
   cr_assert(fixture.store.max_wait >= 2 * kTimeoutForShortLimit);
 }
@@ -190,7 +200,7 @@
     rows.push_back({"server-" + std::to_string(i), value, 10 + i / 2, false});
   }
   FollowerFixture source;
-  source.follower.Start();
+  source.Start();
   source.store.RespondWithRows(rows, 5000);
   PeerFixture asker(source);
   std::size_t copied_rows = 0;
@@ -211,10 +221,10 @@
 Test(store_follower,
      peer_with_an_older_read_gets_the_changes_and_the_live_keys) {
   FollowerFixture later;
-  later.follower.Start();
+  later.Start();
   later.store.RespondWithRows({{"a", "", 4, false}, {"c", "", 9, false}}, 9);
   PeerFixture before(later);
-  before.follower.Start();
+  before.Start();
   before.store.RespondWithRows({{"a", "", 4, false}, {"b", "", 5, false}}, 7);
   const StoreChanges changes =
       later.follower.ChangesAfter(before.follower.newest_change());
@@ -228,7 +238,7 @@
 // A row that this daemon received after the peer collected its keys must stay.
 Test(store_follower, row_newer_than_the_live_keys_of_a_peer_is_kept) {
   FollowerFixture fixture;
-  fixture.follower.Start();
+  fixture.Start();
   fixture.store.RespondWithRows({{"a", "", 4, false}, {"new", "", 12, false}},
                                 12);
   StoreChanges changes;
@@ -244,7 +254,7 @@
 Test(store_follower, does_not_follow_until_following_is_set) {
   FollowerFixture fixture;
   PeerFixture other(fixture);
-  other.follower.Start();
+  other.Start();
   other.store.RespondWithRows({{"a", "", 4, false}}, 7);
   cr_assert(other.store.calls.empty());
   other.follower.SetFollowing(true);
@@ -256,10 +266,10 @@
 // servers.
 Test(store_follower, peer_copy_is_merged_after_an_empty_table_was_read) {
   FollowerFixture source;
-  source.follower.Start();
+  source.Start();
   source.store.RespondWithRows({{"a", "", 4, false}}, 7);
   PeerFixture other(source);
-  other.follower.Start();
+  other.Start();
   other.store.RespondWithRows({}, 2);
   other.follower.MergePeerCopy(
       source.follower.ChangesAfter(other.follower.newest_change()));
--- a/packages/routing/include/gentianroute/routing/server_pace.h
+++ b/packages/routing/include/gentianroute/routing/server_pace.h
@@ -58,6 +58,10 @@
   }
   /// @brief Own observations, to be told to the peers.
   PaceSample Own(TimePoint now) const {
+    if (own_.events <= 0) {
+      // Most servers of a large service are never observed by this daemon.
+      return {};
+    }
     return own_.ScaledBy(
         std::exp2(-Seconds(now - updated_at_) / kHalfLifeSeconds));
   }
