--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -1,7 +1,9 @@
 #ifndef GENTIANROUTE_DECISION_SUSPECT_TABLE_H_
 #define GENTIANROUTE_DECISION_SUSPECT_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -82,7 +84,16 @@
                         Fingerprint fingerprint,
                         Duration remaining);
 
+  /// @brief Sets what is called when a request is found to crash servers.
+  using OnQuarantined =
+      std::function<void(Fingerprint fingerprint, std::size_t crashes)>;
+  void SetOnQuarantined(OnQuarantined on_quarantined) {
+    on_quarantined_ = std::move(on_quarantined);
+  }
+
   bool HasSuspects() const { return !entries_.empty(); }
+  /// @brief Number of crashes recorded against a request, confirmed or not.
+  std::size_t CrashesOf(Fingerprint fingerprint) const;
   bool IsSuspect(TimePoint now, Fingerprint fingerprint) const;
   bool IsQuarantined(TimePoint now, Fingerprint fingerprint) const;
   /// @brief Whether the request would be quarantined if its unconfirmed crashes
@@ -115,6 +126,7 @@
   void ConfirmCrashes(TimePoint now,
                       std::string_view server,
                       std::uint64_t before_incarnation);
+  void Quarantine(TimePoint now, Fingerprint fingerprint, Entry& entry);
   bool HasEnoughCrashes(TimePoint now,
                         const Entry& entry,
                         bool confirmed_only) const;
@@ -123,6 +135,7 @@
   }
 
   Options options_;
+  OnQuarantined on_quarantined_;
   std::unordered_map<Fingerprint, Entry> entries_;
   /// Requests with an unconfirmed crash, by server.
   std::map<std::string, std::set<Fingerprint>, std::less<>> unconfirmed_;
--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -50,7 +50,7 @@
                          crash.incarnation < before_incarnation;
     }
     if (HasEnoughCrashes(now, entry, true)) {
-      entry.quarantined_until = now + options_.quarantine_duration;
+      Quarantine(now, fingerprint, entry);
     }
   }
   std::erase_if(unconfirmed->second, [&](Fingerprint fingerprint) {
@@ -64,6 +64,16 @@
   }
 }
 
+void SuspectTable::Quarantine(TimePoint now,
+                              Fingerprint fingerprint,
+                              Entry& entry) {
+  const bool is_new = now >= entry.quarantined_until;
+  entry.quarantined_until = now + options_.quarantine_duration;
+  if (is_new && on_quarantined_) {
+    on_quarantined_(fingerprint, entry.crashes.size());
+  }
+}
+
 void SuspectTable::OnServerAlive(TimePoint now, std::string_view server) {
   const auto unconfirmed = unconfirmed_.find(server);
   if (unconfirmed == unconfirmed_.end()) {
@@ -122,6 +132,11 @@
   entry.suspect_until = std::max(entry.suspect_until, now + remaining);
 }
 
+std::size_t SuspectTable::CrashesOf(Fingerprint fingerprint) const {
+  const auto found = entries_.find(fingerprint);
+  return found == entries_.end() ? 0 : found->second.crashes.size();
+}
+
 bool SuspectTable::IsSuspect(TimePoint now, Fingerprint fingerprint) const {
   const auto found = entries_.find(fingerprint);
   return found != entries_.end() && now < found->second.suspect_until;
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -102,6 +102,10 @@
                                       routing::Placement(placement_rules_, {}),
                                       wait, server_time);
     });
+    suspects_.SetOnQuarantined(
+        [this](Fingerprint fingerprint, std::size_t crashes) {
+          recorder_.OnQuarantined(fingerprint, crashes);
+        });
     servers_.SetOnClosed(
         [this](routing::Server& server) { OnServerClosed(server); });
     Listen();
--- a/packages/gateway/include/gentianroute/gateway/request_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/request_recorder.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "gentianroute/base/error_kind.h"
+#include "gentianroute/base/id.h"
 #include "gentianroute/base/time.h"
 #include "gentianroute/observe/duration_histogram.h"
 #include "gentianroute/observe/metric_writer.h"
@@ -46,6 +47,7 @@
   std::string_view home_data_centre;
   Duration time_left{};
   Duration expected_stage_time{};  ///< estimated from the backlogs
+  Fingerprint fingerprint;
 };
 
 /// @brief One attempt to have a request answered by a server.
@@ -65,6 +67,17 @@
   Duration time_left{};
 };
 
+/// @brief A connection that broke while a server had the request: the server
+/// may have crashed.
+struct ServerBroke {
+  std::string_view id;
+  Fingerprint fingerprint;
+  std::string_view server;
+  /// Crashes of servers that had the request so far, as far as this daemon
+  /// knows.
+  std::size_t crashes = 0;
+};
+
 /// @brief Counts and logs the outcomes of requests. Metric labels come from a
 /// fixed set, so that callers can't make their number grow.
 class RequestRecorder {
@@ -72,6 +85,9 @@
   void OnAdmitted(const RequestAdmitted& admitted);
   void OnSent(const RequestSent& sent);
   void OnEnd(const RequestEnd& end);
+  void OnServerBroke(const ServerBroke& broke);
+  /// @brief Records that a request crashes servers and is refused from now on.
+  void OnQuarantined(Fingerprint fingerprint, std::size_t crashes);
   /// @brief Records that a request was retried or resumed, or that stages were
   /// run again.
   /// @param what kind of retry, a metric label
@@ -88,6 +104,8 @@
   std::map<std::string, std::uint64_t, std::less<>> retries_;
   /// Requests for which a server could not be chosen, by the reason.
   std::array<std::uint64_t, routing::kPlacementVerdicts> limited_{};
+  std::uint64_t servers_broke_ = 0;
+  std::uint64_t quarantines_ = 0;
   std::array<DurationHistogram, kRouteKinds> first_byte_times_;
   std::array<DurationHistogram, kRouteKinds> total_times_;
 };
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -168,6 +168,7 @@
   admitted.home_data_centre = home_data_centre_;
   admitted.time_left = TimeLeft();
   admitted.expected_stage_time = expected_stage_time_;
+  admitted.fingerprint = fingerprint_;
   context_.recorder.OnAdmitted(admitted);
 }
 
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -383,6 +383,9 @@
       context_.loop.Now(), server_->record().id,
       static_cast<std::uint64_t>(server_->record().started_at_unix_ms),
       {&fingerprint_, 1});
+  context_.recorder.OnServerBroke({request_.id, fingerprint_,
+                                   server_->record().id,
+                                   context_.suspects.CrashesOf(fingerprint_)});
 }
 
 bool RequestFlow::CanRetry() const {
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -32,7 +32,8 @@
       .Field("home", admitted.home_data_centre)
       .Field("left_ms", WholeMilliseconds(admitted.time_left))
       .Field("stages_expected_ms",
-             WholeMilliseconds(admitted.expected_stage_time));
+             WholeMilliseconds(admitted.expected_stage_time))
+      .Field("fingerprint", admitted.fingerprint.value);
 }
 
 void RequestRecorder::OnSent(const RequestSent& sent) {
@@ -59,6 +60,23 @@
   }
 }
 
+void RequestRecorder::OnServerBroke(const ServerBroke& broke) {
+  ++servers_broke_;
+  LogEvent("server_broke", LogLevel::kWarning)
+      .ForRequest(broke.id, LogPriority::kHigh)
+      .Field("server", broke.server)
+      .Field("fingerprint", broke.fingerprint.value)
+      .Field("crashes", broke.crashes);
+}
+
+void RequestRecorder::OnQuarantined(Fingerprint fingerprint,
+                                    std::size_t crashes) {
+  ++quarantines_;
+  LogEvent("request_quarantined", LogLevel::kWarning)
+      .Field("fingerprint", fingerprint.value)
+      .Field("crashes", crashes);
+}
+
 void RequestRecorder::OnEnd(const RequestEnd& end) {
   ++outcomes_[std::string(end.outcome)];
   const auto kind = static_cast<std::size_t>(end.kind);
@@ -119,6 +137,13 @@
     writer.AddSample("gentianroute_gateway_limited_sends_total", {&label, 1},
                      limited_[i]);
   }
+  writer.AddMetric("gentianroute_gateway_servers_broke_total", "counter",
+                   "Connections to servers that broke during a request.");
+  writer.AddSample("gentianroute_gateway_servers_broke_total", {},
+                   servers_broke_);
+  writer.AddMetric("gentianroute_gateway_quarantines_total", "counter",
+                   "Requests found by this daemon to crash servers.");
+  writer.AddSample("gentianroute_gateway_quarantines_total", {}, quarantines_);
   writer.AddMetric("gentianroute_gateway_first_seconds", "histogram",
                    "Time to the first part of an answer.");
   for (std::size_t i = 0; i < kRouteKinds; ++i) {
