Keep evidence of a crash until the host list can confirm it

What callers saw: a request that crashes servers is refused for three seconds by the daemon that saw two crashes, then runs again. Cause: a crash counts once the server is seen down, for which a connection must be refused or its entry must go. The entry goes after three heartbeats of silence (3.6 s with the users' settings) and the lag of the table; evidence lapsed after 3 s. So it was confirmed by luck only: after a crash the server is avoided, so that hardly any connection is tried there. The constant didn't know the heartbeat of the platform.

Change: the gateway derives the time from heartbeatMs and the propagation time of the store's changes.

With the default of 3 s it fails, with the settings it passes.

--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -40,8 +40,8 @@
     std::uint32_t sole_crash_threshold = 2;
     /// Crashes before quarantine if other requests ran at the last one too.
     std::uint32_t shared_crash_threshold = 3;
-    /// Time after which an unconfirmed crash is ignored. Must exceed the lag of
-    /// the host list.
+    /// Time after which an unconfirmed crash is ignored. Must exceed the time
+    /// for which the host list keeps a silent server, and its lag.
     Duration confirmation_timeout = std::chrono::seconds(3);
     /// Time after its last crash during which a request is a suspect.
     Duration suspect_duration = std::chrono::minutes(10);
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -63,6 +63,7 @@
         settings_(std::move(settings)),
         translator_(translator),
         topology_(settings_.data_centre, settings_.regions),
+        suspects_({.confirmation_timeout = settings_.CrashConfirmationTime()}),
         deployment_(loop,
                     store,
                     StoreTable::kDeployment,
--- a/packages/gateway/include/gentianroute/gateway/settings.h
+++ b/packages/gateway/include/gentianroute/gateway/settings.h
@@ -27,6 +27,8 @@
   Duration drain_grace = std::chrono::seconds(8);  ///< after the stop signal
   /// Maximum time until a change in the store takes effect in this daemon.
   Duration max_propagation_time = std::chrono::milliseconds(2500);
+  /// Time for which the store keeps the entry of a server that is silent.
+  Duration server_entry_lifetime = std::chrono::milliseconds(3600);
   /// Whether the whole fleet starts for the first time.
   bool first_start = false;
   double processor_share = 1;  ///< number of cores that this daemon may use
@@ -37,6 +39,12 @@
   /// Additional retries in each window of 10 s, over all daemons.
   double retry_slack = 50;
   routing::ColdServerTolerance cold_server_tolerance;
+
+  /// @brief Time after which a crash that neither the host list nor a refused
+  /// connection has confirmed was none.
+  Duration CrashConfirmationTime() const {
+    return server_entry_lifetime + max_propagation_time;
+  }
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/decision/tests/suspect_table_test.cc
+++ b/packages/gateway/tests/crash_confirmation_test.cc
@@ -1,4 +1,4 @@
-// Unit tests of the table of requests that crash servers.
+// Unit tests of the confirmation of crashes with the settings of a daemon.
 
 #include <criterion/criterion.h>
 
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "gentianroute/decision/suspect_table.h"
+#include "gentianroute/gateway/settings.h"
 
 using namespace gentianroute;
 using std::chrono::milliseconds;
@@ -15,27 +16,29 @@
 
 constexpr Fingerprint kCrashing{7};
 
-struct SuspectTableFixture {
-  SuspectTable table;
+struct CrashConfirmationFixture {
+  gateway::GatewaySettings settings;
+  SuspectTable table{
+      {.confirmation_timeout = settings.CrashConfirmationTime()}};
   TimePoint now = TimePoint{} + seconds(100);
 
-  void Crash(const std::string& server, Fingerprint fingerprint = kCrashing) {
-    table.OnCrash(now, server, 1, {&fingerprint, 1});
+  void Crash(const std::string& server) {
+    table.OnCrash(now, server, 1, {&kCrashing, 1});
   }
 };
 
 }  // namespace
 
-TestSuite(suspect_table);
+TestSuite(crash_confirmation);
 
 // Guards against evidence that lapses before the host list can show that the
 // server is gone: its entry ends only after some heartbeats of silence.
-Test(suspect_table, entry_ends_after_its_lifetime_crash_is_confirmed) {
-  SuspectTableFixture fixture;
+Test(crash_confirmation, entry_ends_after_its_lifetime_crash_is_confirmed) {
+  CrashConfirmationFixture fixture;
   for (const char* server : {"a", "b", "c"}) {
     fixture.Crash(server);
   }
-  fixture.now += milliseconds(4200);
+  fixture.now += fixture.settings.server_entry_lifetime + milliseconds(600);
   for (const char* server : {"a", "b", "c"}) {
     fixture.table.OnServerDown(fixture.now, server);
   }
