Count a crash as shared when several requests report it

What callers saw: a request that was running on two servers when another request crashed them could be refused for half an hour. Cause: on the users' platform each request reports its broken connection by itself, with one call in flight, so that every crash counted as one of a request alone, for which two are enough.

Change: the table itself sees that several requests report the same incarnation of a server and marks the crash as shared by them all; then three are needed. The new test fails before (the neighbour is quarantined after two) and passes after; that two crashes alone are enough is kept by a second test.

--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -54,7 +54,10 @@
   explicit SuspectTable(Options options) : options_(options) {}
 
   /// @brief Handles a broken connection with calls in flight. Called once per
-  /// crash.
+  /// crash, see below.
+  /// A daemon that learns of each broken call by itself may instead call this
+  /// once per call; a crash that several requests have reported counts as
+  /// shared by them.
   /// @param in_flight all calls whose bytes had been sent to the server, also
   /// those that ran beside a suspect: if only the suspect were counted, another
   /// request that is the real cause would never be found.
@@ -126,6 +129,8 @@
   void ConfirmCrashes(TimePoint now,
                       std::string_view server,
                       std::uint64_t before_incarnation);
+  /// Marks a crash as shared if more than one request was in flight.
+  void MarkIfShared(std::string_view server, std::uint64_t incarnation);
   void Quarantine(TimePoint now, Fingerprint fingerprint, Entry& entry);
   bool HasEnoughCrashes(TimePoint now,
                         const Entry& entry,
--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -24,6 +24,22 @@
     entry.suspect_until = now + options_.suspect_duration;
     unconfirmed.insert(fingerprint);
   }
+  MarkIfShared(server, incarnation);
+}
+
+void SuspectTable::MarkIfShared(std::string_view server,
+                                std::uint64_t incarnation) {
+  std::vector<Crash*> reports;
+  for (const Fingerprint fingerprint : unconfirmed_.find(server)->second) {
+    for (Crash& crash : entries_[fingerprint].crashes) {
+      if (crash.server == server && crash.incarnation == incarnation) {
+        reports.push_back(&crash);
+      }
+    }
+  }
+  for (Crash* crash : reports) {
+    crash->alone &= reports.size() == 1;
+  }
 }
 
 void SuspectTable::OnServerDown(TimePoint now, std::string_view server) {
