Sum the crashes that a request causes over all daemons

Cause: callers send such a request again to any machine. Each daemon counted the crashes that it had seen itself and told its peers only the verdict, so that nine daemons needed two crashes each; and one that had admitted the request, or retried it within one attempt, sent it on after the verdict.

Change: heartbeats carry the crashes and the answers that a daemon has seen in the last six seconds, at most 16 of each, those of the worst requests first. Every daemon adds them up, once per incarnation of a server; an answer at any daemon clears the request at all, so that a popular request isn't refused because servers crash for another reason. A failure answer no longer clears: the server may not have begun to run the request. The check stands before each send. A verdict is gossiped at once.

--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -18,6 +18,22 @@
 
 namespace gentianroute {
 
+/// @brief A crash of a server that had a request, as one daemon tells others.
+struct CrashReport {
+  Fingerprint fingerprint;
+  std::string server;
+  std::uint64_t incarnation = 0;
+  Duration age{};
+  bool alone = false;  ///< no other request was in flight
+  bool confirmed = false;
+};
+
+/// @brief An answer that cleared a request, as one daemon tells others.
+struct ClearanceReport {
+  Fingerprint fingerprint;
+  Duration age{};
+};
+
 /// @brief Finds and quarantines requests that crash the backend servers that
 /// run them.
 ///
@@ -27,6 +43,8 @@
 /// cleared. One whose servers keep crashing is quarantined: at its second crash
 /// if it was the only request in flight at the last one, else at its third.
 /// Quarantines are sent to peers, so that a resend doesn't crash their servers.
+/// So are the crashes and clearances themselves: callers send a request again
+/// to any daemon, so that the crashes at each of them would be too few.
 ///
 /// A broken connection alone doesn't prove a crash, since the network may have
 /// cut it. The crash is confirmed once the server is seen down or restarted. As
@@ -46,6 +64,11 @@
     /// Time after its last crash during which a request is a suspect.
     Duration suspect_duration = std::chrono::minutes(10);
     Duration quarantine_duration = std::chrono::minutes(30);
+    /// Time for which peers are told of a crash or an answer. Must exceed some
+    /// heartbeat intervals, since heartbeats may be lost.
+    Duration report_duration = std::chrono::seconds(6);
+    /// Maximum number of crashes, and of answers, told at a time.
+    std::size_t max_reports = 16;
     /// Number of entries from which expired ones are removed at each crash.
     std::size_t max_entries = 10'000;
   };
@@ -79,7 +102,7 @@
   void OnServerAlive(TimePoint now, std::string_view server);
 
   /// @brief Clears a suspect: a server has answered it without crashing.
-  void OnAnswered(Fingerprint fingerprint);
+  void OnAnswered(TimePoint now, Fingerprint fingerprint);
 
   /// @brief Applies a quarantine that a peer has reported.
   /// @param remaining time until the quarantine ends
@@ -87,6 +110,16 @@
                         Fingerprint fingerprint,
                         Duration remaining);
 
+  /// @brief Returns the latest crashes that this daemon has seen, those of the
+  /// requests with most crashes first.
+  std::vector<CrashReport> CrashReports(TimePoint now) const;
+  /// @brief Adds a crash that a peer has seen to the evidence.
+  void OnPeerCrash(TimePoint now, const CrashReport& report);
+  /// @brief Returns the suspects that this daemon has cleared lately.
+  std::vector<ClearanceReport> ClearanceReports(TimePoint now) const;
+  /// @brief Removes the crashes before an answer that a peer has received.
+  void OnPeerClearance(TimePoint now, const ClearanceReport& report);
+
   /// @brief Sets what is called when a request is found to crash servers.
   using OnQuarantined =
       std::function<void(Fingerprint fingerprint, std::size_t crashes)>;
@@ -118,6 +151,11 @@
     TimePoint time{};
     bool alone = false;  ///< no other request was in flight
     bool confirmed = false;
+    bool seen_here = true;  ///< by this daemon, not reported by a peer
+  };
+  struct Clearance {
+    TimePoint time{};
+    bool seen_here = true;
   };
   struct Entry {
     std::vector<Crash> crashes;
@@ -129,6 +167,11 @@
   void ConfirmCrashes(TimePoint now,
                       std::string_view server,
                       std::uint64_t before_incarnation);
+  /// Whether two reports are of one crash.
+  static bool IsSameCrash(const Crash& known, const Crash& crash);
+  /// Adds a crash to the evidence, unless it is known or an answer followed it.
+  void AddCrash(TimePoint now, Fingerprint fingerprint, Crash crash);
+  void Clear(Fingerprint fingerprint, Clearance clearance);
   /// Marks a crash as shared if more than one request was in flight.
   void MarkIfShared(std::string_view server, std::uint64_t incarnation);
   void Quarantine(TimePoint now, Fingerprint fingerprint, Entry& entry);
@@ -144,6 +187,9 @@
   std::unordered_map<Fingerprint, Entry> entries_;
   /// Requests with an unconfirmed crash, by server.
   std::map<std::string, std::set<Fingerprint>, std::less<>> unconfirmed_;
+  /// Suspects that were answered lately. A report of an earlier crash may still
+  /// arrive.
+  std::unordered_map<Fingerprint, Clearance> cleared_;
 };
 
 }  // namespace gentianroute
--- a/packages/decision/src/coordinator_answers.cc
+++ b/packages/decision/src/coordinator_answers.cc
@@ -92,7 +92,7 @@
   if (request.IsOnLastStage()) {
     // Only a completed request is cleared: the answer of an early stage doesn't
     // show that a later stage won't crash its server.
-    suspects_.OnAnswered(attempt.fingerprint);
+    suspects_.OnAnswered(now, attempt.fingerprint);
     std::string body = std::move(request.results.back());
     Finish(now, request, std::nullopt, {}, std::move(body), false);
     return;
--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -1,9 +1,18 @@
 #include "gentianroute/decision/suspect_table.h"
 
 #include <algorithm>
+#include <chrono>
 #include <limits>
+#include <utility>
 
 namespace gentianroute {
+namespace {
+
+/// A server that has crashed takes longer to be back. Its new incarnation may
+/// be unknown by then.
+constexpr Duration kMinRestartTime = std::chrono::milliseconds(200);
+
+}  // namespace
 
 void SuspectTable::OnCrash(TimePoint now,
                            std::string_view server,
@@ -12,25 +21,66 @@
   if (entries_.size() >= options_.max_entries) {
     Sweep(now);
   }
-  const bool alone = in_flight.size() == 1;
-  std::set<Fingerprint>& unconfirmed =
-      unconfirmed_.try_emplace(std::string(server)).first->second;
   for (const Fingerprint fingerprint : in_flight) {
-    Entry& entry = entries_[fingerprint];
-    if (now >= entry.suspect_until) {
-      entry.crashes.clear();
-    }
-    entry.crashes.push_back({std::string(server), incarnation, now, alone});
-    entry.suspect_until = now + options_.suspect_duration;
-    unconfirmed.insert(fingerprint);
+    AddCrash(now, fingerprint,
+             {.server = std::string(server),
+              .incarnation = incarnation,
+              .time = now,
+              .alone = in_flight.size() == 1});
+  }
+}
+
+bool SuspectTable::IsSameCrash(const Crash& known, const Crash& crash) {
+  if (known.server != crash.server || known.incarnation != crash.incarnation) {
+    return false;
+  }
+  // The age in a peer's report is inexact: the datagram may have been read
+  // late.
+  return !crash.seen_here || crash.time - known.time < kMinRestartTime;
+}
+
+void SuspectTable::AddCrash(TimePoint now,
+                            Fingerprint fingerprint,
+                            Crash crash) {
+  const auto cleared = cleared_.find(fingerprint);
+  if (cleared != cleared_.end() && crash.time <= cleared->second.time) {
+    return;
+  }
+  Entry& entry = entries_[fingerprint];
+  if (now >= entry.suspect_until) {
+    entry.crashes.clear();
+  }
+  entry.suspect_until =
+      std::max(entry.suspect_until, crash.time + options_.suspect_duration);
+  const auto known = std::ranges::find_if(
+      entry.crashes,
+      [&crash](const Crash& other) { return IsSameCrash(other, crash); });
+  if (known == entry.crashes.end()) {
+    entry.crashes.push_back(crash);
+  } else if (known->confirmed >= crash.confirmed &&
+             known->alone <= crash.alone) {
+    return;
+  } else {
+    known->alone &= crash.alone;
+    known->confirmed |= crash.confirmed;
+  }
+  if (!crash.confirmed) {
+    unconfirmed_[crash.server].insert(fingerprint);
+  }
+  MarkIfShared(crash.server, crash.incarnation);
+  if (crash.confirmed && HasEnoughCrashes(now, entry, true)) {
+    Quarantine(now, fingerprint, entry);
   }
-  MarkIfShared(server, incarnation);
 }
 
 void SuspectTable::MarkIfShared(std::string_view server,
                                 std::uint64_t incarnation) {
+  const auto unconfirmed = unconfirmed_.find(server);
+  if (unconfirmed == unconfirmed_.end()) {
+    return;
+  }
   std::vector<Crash*> reports;
-  for (const Fingerprint fingerprint : unconfirmed_.find(server)->second) {
+  for (const Fingerprint fingerprint : unconfirmed->second) {
     for (Crash& crash : entries_[fingerprint].crashes) {
       if (crash.server == server && crash.incarnation == incarnation) {
         reports.push_back(&crash);
@@ -132,14 +182,87 @@
          !HasEnoughCrashes(now, found->second, true);
 }
 
-void SuspectTable::OnAnswered(Fingerprint fingerprint) {
+void SuspectTable::OnAnswered(TimePoint now, Fingerprint fingerprint) {
+  if (entries_.contains(fingerprint)) {
+    Clear(fingerprint, {now, true});
+  }
+}
+
+void SuspectTable::Clear(Fingerprint fingerprint, Clearance clearance) {
+  Clearance& latest = cleared_[fingerprint];
+  if (clearance.time > latest.time) {
+    latest = clearance;
+  }
   const auto found = entries_.find(fingerprint);
-  if (found != entries_.end() &&
-      found->second.quarantined_until == TimePoint{}) {
+  if (found == entries_.end() ||
+      found->second.quarantined_until != TimePoint{}) {
+    return;
+  }
+  std::erase_if(found->second.crashes, [&clearance](const Crash& crash) {
+    return crash.time <= clearance.time;
+  });
+  if (found->second.crashes.empty()) {
     entries_.erase(found);
   }
 }
 
+std::vector<CrashReport> SuspectTable::CrashReports(TimePoint now) const {
+  struct Candidate {
+    std::size_t crashes = 0;
+    CrashReport report;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& [fingerprint, entry] : entries_) {
+    for (const Crash& crash : entry.crashes) {
+      if (crash.seen_here && now < crash.time + options_.report_duration) {
+        candidates.push_back(
+            {entry.crashes.size(),
+             {fingerprint, crash.server, crash.incarnation, now - crash.time,
+              crash.alone, crash.confirmed}});
+      }
+    }
+  }
+  std::ranges::sort(candidates, [](const Candidate& a, const Candidate& b) {
+    return std::pair(b.crashes, a.report.age) <
+           std::pair(a.crashes, b.report.age);
+  });
+  candidates.resize(std::min(candidates.size(), options_.max_reports));
+  std::vector<CrashReport> reports;
+  for (Candidate& candidate : candidates) {
+    reports.push_back(std::move(candidate.report));
+  }
+  return reports;
+}
+
+void SuspectTable::OnPeerCrash(TimePoint now, const CrashReport& report) {
+  AddCrash(now, report.fingerprint,
+           {.server = report.server,
+            .incarnation = report.incarnation,
+            .time = now - report.age,
+            .alone = report.alone,
+            .confirmed = report.confirmed,
+            .seen_here = false});
+}
+
+std::vector<ClearanceReport> SuspectTable::ClearanceReports(
+    TimePoint now) const {
+  std::vector<ClearanceReport> reports;
+  for (const auto& [fingerprint, clearance] : cleared_) {
+    if (clearance.seen_here &&
+        now < clearance.time + options_.report_duration) {
+      reports.push_back({fingerprint, now - clearance.time});
+    }
+  }
+  std::ranges::sort(reports, {}, &ClearanceReport::age);
+  reports.resize(std::min(reports.size(), options_.max_reports));
+  return reports;
+}
+
+void SuspectTable::OnPeerClearance(TimePoint now,
+                                   const ClearanceReport& report) {
+  Clear(report.fingerprint, {now - report.age, false});
+}
+
 void SuspectTable::OnPeerQuarantine(TimePoint now,
                                     Fingerprint fingerprint,
                                     Duration remaining) {
@@ -179,6 +302,9 @@
     return now >= item.second.suspect_until &&
            now >= item.second.quarantined_until;
   });
+  std::erase_if(cleared_, [this, now](const auto& item) {
+    return now >= item.second.time + 2 * options_.report_duration;
+  });
 }
 
 }  // namespace gentianroute
--- a/packages/decision/tests/suspect_table_test.cc
+++ b/packages/decision/tests/suspect_table_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <string>
 
@@ -25,6 +27,45 @@
   }
 };
 
+/// The tables of three daemons, each of which sees one crash.
+struct PeerTablesFixture {
+  std::array<SuspectTable, 3> tables;
+  TimePoint now = TimePoint{} + seconds(100);
+
+  /// Reports the crashes and answers of each table to the others.
+  void Exchange() {
+    for (SuspectTable& from : tables) {
+      for (SuspectTable& to : tables) {
+        if (&from != &to) {
+          Tell(from, to);
+        }
+      }
+    }
+  }
+  void CrashOneAtEach() {
+    for (std::size_t i = 0; i < tables.size(); ++i) {
+      const std::string server = "server-" + std::to_string(i);
+      tables[i].OnCrash(now, server, 1, {&kCrashing, 1});
+      tables[i].OnServerDown(now, server);
+    }
+  }
+  bool AllQuarantine() const {
+    return std::ranges::all_of(tables, [this](const SuspectTable& table) {
+      return table.IsQuarantined(now, kCrashing);
+    });
+  }
+
+ private:
+  void Tell(const SuspectTable& from, SuspectTable& to) const {
+    for (const ClearanceReport& report : from.ClearanceReports(now)) {
+      to.OnPeerClearance(now, report);
+    }
+    for (const CrashReport& report : from.CrashReports(now)) {
+      to.OnPeerCrash(now, report);
+    }
+  }
+};
+
 }  // namespace
 
 TestSuite(suspect_table);
@@ -50,3 +91,70 @@
   }
   cr_assert(fixture.table.IsQuarantined(fixture.now, kCrashing));
 }
+
+// Guards against each daemon counting only the crashes that it has seen itself.
+Test(suspect_table, crash_at_each_of_three_daemons_all_quarantine) {
+  PeerTablesFixture fixture;
+  fixture.CrashOneAtEach();
+  cr_assert_not(fixture.AllQuarantine());
+  fixture.Exchange();
+  cr_assert(fixture.AllQuarantine());
+}
+
+// Guards against heartbeats that repeat a report adding up to a quarantine,
+// also when a suspended process reads many of them at once.
+Test(suspect_table, crash_reported_again_and_again_counts_once) {
+  PeerTablesFixture fixture;
+  SuspectTable& from = fixture.tables[0];
+  from.OnCrash(fixture.now, "server", 1, {&kCrashing, 1});
+  from.OnServerDown(fixture.now, "server");
+  for (int i = 0; i < 20; ++i) {
+    for (const CrashReport& report :
+         from.CrashReports(fixture.now + i * milliseconds(100))) {
+      fixture.tables[1].OnPeerCrash(fixture.now + seconds(3), report);
+    }
+  }
+  cr_assert_eq(fixture.tables[1].CrashesOf(kCrashing), 1);
+}
+
+// Guards against callers of a popular request being refused because servers
+// crashed for another reason: an answer at any daemon clears it at all.
+Test(suspect_table, answer_at_another_daemon_clears_earlier_crashes) {
+  PeerTablesFixture fixture;
+  fixture.CrashOneAtEach();
+  fixture.now += milliseconds(50);
+  fixture.tables[0].OnAnswered(fixture.now, kCrashing);
+  fixture.Exchange();
+  fixture.Exchange();
+  for (const SuspectTable& table : fixture.tables) {
+    cr_assert_eq(table.CrashesOf(kCrashing), 0);
+  }
+  fixture.CrashOneAtEach();
+  cr_assert_eq(fixture.tables[1].CrashesOf(kCrashing), 0,
+               "the report is as old as the answer");
+}
+
+// Guards against heartbeats that grow with the number of crashes.
+Test(suspect_table, many_crashes_reports_are_bounded_and_worst_come_first) {
+  SuspectTableFixture fixture;
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    fixture.Crash("server-" + std::to_string(i), Fingerprint{1000 + i});
+  }
+  fixture.Crash("a");
+  fixture.Crash("b");
+  fixture.now += milliseconds(10);
+  fixture.Crash("c", kNeighbour);
+  const auto reports = fixture.table.CrashReports(fixture.now);
+  cr_assert_eq(reports.size(), SuspectTable::Options{}.max_reports);
+  cr_assert(reports[0].fingerprint == kCrashing);
+  cr_assert(reports[1].fingerprint == kCrashing);
+  cr_assert(reports[2].fingerprint == kNeighbour);
+}
+
+// Guards against evidence being told for ever.
+Test(suspect_table, old_crash_is_not_reported) {
+  SuspectTableFixture fixture;
+  fixture.Crash("a");
+  fixture.now += SuspectTable::Options{}.report_duration;
+  cr_assert(fixture.table.CrashReports(fixture.now).empty());
+}
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -106,6 +106,7 @@
     suspects_.SetOnQuarantined(
         [this](Fingerprint fingerprint, std::size_t crashes) {
           recorder_.OnQuarantined(fingerprint, crashes);
+          cluster_.SendUpdate(Cluster::UpdateScope::kGossip);
         });
     servers_.SetOnClosed(
         [this](routing::Server& server) { OnServerClosed(server); });
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "gentianroute/gateway/detail/gateway_impl.h"
+#include "gentianroute/schema/suspect_messages.h"
 
 // The contents of heartbeats and store copies, and the processing of those of
 // peers.
@@ -113,6 +114,13 @@
     list[i].setRemainingMs(
         static_cast<std::uint32_t>(Milliseconds(quarantined[i].second)));
   }
+  const auto crashes = suspects_.CrashReports(now);
+  schema::WriteCrashReports(
+      crashes, heartbeat.initCrashes(static_cast<unsigned>(crashes.size())));
+  const auto clearances = suspects_.ClearanceReports(now);
+  schema::WriteClearanceReports(
+      clearances,
+      heartbeat.initClearances(static_cast<unsigned>(clearances.size())));
 }
 
 void Gateway::Impl::OnHeartbeat(schema::Beat::Reader heartbeat) {
@@ -131,6 +139,9 @@
         now, Fingerprint{entry.getFingerprint()},
         std::chrono::milliseconds(entry.getRemainingMs()));
   }
+  // Answers first, so that a crash before one of them doesn't count.
+  schema::ApplyClearanceReports(now, heartbeat.getClearances(), suspects_);
+  schema::ApplyCrashReports(now, heartbeat.getCrashes(), suspects_);
   const auto contact = static_cast<StoreContact>(heartbeat.getStoreContact());
   const auto before = std::exchange(store_contacts_[name], contact);
   if (before == StoreContact::kUnreachable &&
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -108,14 +108,18 @@
   }
   fingerprint_ = FingerprintOf(request_.key.value_or(""),
                                exchange_->head().target, exchange_->body());
-  const TimePoint now = context_.loop.Now();
-  if (context_.suspects.IsQuarantined(now, fingerprint_) ||
-      context_.suspects.IsQuarantinePending(now, fingerprint_)) {
+  if (CrashesServers()) {
     return ErrorKind::kOverloaded;
   }
   return std::nullopt;
 }
 
+bool RequestFlow::CrashesServers() const {
+  const TimePoint now = context_.loop.Now();
+  return context_.suspects.IsQuarantined(now, fingerprint_) ||
+         context_.suspects.IsQuarantinePending(now, fingerprint_);
+}
+
 std::optional<ErrorKind> RequestFlow::CheckKey() {
   if (!table_->deployment().organisations || route_->is_public) {
     return std::nullopt;
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -76,6 +76,10 @@
 }
 
 void RequestFlow::SendToServer() {
+  if (CrashesServers()) {
+    Refuse(ErrorKind::kOverloaded, "the request has crashed servers");
+    return;
+  }
   const routing::ServerChoice choice = ChooseServer();
   if (choice.server == nullptr) {
     if (!WaitForColdServer(choice)) {
@@ -298,7 +302,7 @@
     UnassignServer();
     exchange_->Write(events_.TakePartial());
     exchange_->End();
-    context_.suspects.OnAnswered(fingerprint_);
+    context_.suspects.OnAnswered(now, fingerprint_);
     Finish("answered", answer_.status, "");
     return;
   }
@@ -325,7 +329,9 @@
       return;
     }
   }
-  context_.suspects.OnAnswered(fingerprint_);
+  if (!failed) {
+    context_.suspects.OnAnswered(now, fingerprint_);
+  }
   exchange_->Respond(answer_.status, answer_.forwarded_fields, body_);
   first_byte_at_ = first_byte_at_ == TimePoint{} ? now : first_byte_at_;
   Finish(failed ? "server_failure" : "answered", answer_.status, "");
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -54,6 +54,8 @@
   nextMs @14 :UInt32;                 # maximum time until the next heartbeat
   paces @15 :List(ServerPace);        # with the load only
   daemonsKnown @16 :UInt32;           # including the sender, alive or not
+  crashes @17 :List(Peer.CrashReport);
+  clearances @18 :List(Peer.ClearanceReport);
 }
 
 struct Group {
--- a/packages/schema/schema/peer.capnp
+++ b/packages/schema/schema/peer.capnp
@@ -21,6 +21,22 @@
   remainingMs @1 :UInt32;
 }
 
+struct CrashReport {
+  # A server broke a connection while it had a request, as seen by the sender.
+  fingerprint @0 :UInt64;
+  server @1 :Text;
+  incarnation @2 :UInt64;
+  ageMs @3 :UInt32;
+  alone @4 :Bool;                     # no other request was in flight there
+  confirmed @5 :Bool;                 # the server was seen down
+}
+
+struct ClearanceReport {
+  # A server has answered a request that others had crashed on.
+  fingerprint @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
 struct Host {
   # An entry of the platform's host list, without the load, which would be
   # outdated on arrival.
