Give the division of a server's rate among daemons a file of its own

The shares, their tolerance and the choice of senders served cold servers only, under their name. No behaviour changes: routing and placement tests and the virtual fleets of the senders pass as before.

--- a/benchmarks/cold_server_bench.cc
+++ b/benchmarks/cold_server_bench.cc
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "gentianroute/decision/rendezvous.h"
-#include "gentianroute/gateway/cold_senders.h"
+#include "gentianroute/gateway/ranked_senders.h"
 #include "virtual_fleet.h"
 
 namespace {
@@ -22,7 +22,7 @@
 using namespace gentianroute::gateway;
 
 constexpr double kRate = 11;
-constexpr routing::ColdServerTolerance kTolerance{1.5, 5};
+constexpr routing::RateTolerance kTolerance{1.5, 5};
 constexpr std::size_t kColdServers = 15;
 constexpr Duration kColdTime = std::chrono::seconds(3);
 constexpr Duration kStep = std::chrono::milliseconds(5);
@@ -99,9 +99,9 @@
                const Membership& members,
                const routing::ServerRecord& server,
                const View& view) override {
-    const auto share = routing::ColdServerShare::Of(kRate, kTolerance);
+    const auto share = routing::SenderShare::Of(kRate, kTolerance);
     return view.warm_up.MaySend(now, share.interval) &&
-           ColdSenders(members).IsSender(server, share.senders);
+           RankedSenders(members).IsSender(server, share.senders);
   }
 };
 
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "gentianroute/gateway/cluster.h"
-#include "gentianroute/gateway/cold_senders.h"
 #include "gentianroute/gateway/detail/reader_delay.h"
 #include "gentianroute/gateway/detail/row_messages.h"
 #include "gentianroute/gateway/gateway.h"
+#include "gentianroute/gateway/ranked_senders.h"
 #include "gentianroute/gateway/request_flow.h"
 #include "gentianroute/gateway/request_recorder.h"
 #include "gentianroute/gateway/result_releaser.h"
@@ -75,12 +75,12 @@
                      settings_.max_propagation_time,
                      ServersListener()),
         cluster_(loop, settings_, store, *this),
-        cold_senders_(cluster_.members()),
+        senders_(cluster_.members()),
         placement_rules_{
             topology_,
             {},
             routing::ColdServerLimiter(settings_.cold_server_tolerance,
-                                       cold_senders_)},
+                                       senders_)},
         releaser_(loop, client, translator),
         stage_scheduler_(loop,
                          client,
@@ -412,7 +412,7 @@
   StoreFollower deployment_;
   StoreFollower server_rows_;
   Cluster cluster_;
-  ColdSenders cold_senders_;
+  RankedSenders senders_;
   routing::PlacementRules placement_rules_;
   ResultReleaser releaser_;
   StageScheduler stage_scheduler_;
--- a/packages/gateway/include/gentianroute/gateway/cold_senders.h
+++ b/packages/gateway/include/gentianroute/gateway/ranked_senders.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANROUTE_GATEWAY_COLD_SENDERS_H_
-#define GENTIANROUTE_GATEWAY_COLD_SENDERS_H_
+#ifndef GENTIANROUTE_GATEWAY_RANKED_SENDERS_H_
+#define GENTIANROUTE_GATEWAY_RANKED_SENDERS_H_
 
 #include <cstddef>
 
@@ -8,15 +8,16 @@
 
 namespace gentianroute::gateway {
 
-/// @brief Chooses the senders of a cold server among the daemons of its data
+/// @brief Chooses the senders of a server with a limited rate among the daemons
+/// of its data
 /// centre, by rendezvous over those that live.
 ///
 /// Daemons of one data centre know each other at any size of the fleet, and
 /// each server has other senders, which spreads servers that return together.
-class ColdSenders final : public routing::ColdServerSenders {
+class RankedSenders final : public routing::RateSenders {
  public:
   /// @param members must outlive this object
-  explicit ColdSenders(const Membership& members) : members_(members) {}
+  explicit RankedSenders(const Membership& members) : members_(members) {}
 
   bool IsSender(const routing::ServerRecord& server,
                 std::size_t count) const override {
@@ -29,4 +30,4 @@
 
 }  // namespace gentianroute::gateway
 
-#endif  // GENTIANROUTE_GATEWAY_COLD_SENDERS_H_
+#endif  // GENTIANROUTE_GATEWAY_RANKED_SENDERS_H_
--- a/packages/gateway/include/gentianroute/gateway/settings.h
+++ b/packages/gateway/include/gentianroute/gateway/settings.h
@@ -38,7 +38,7 @@
   double retry_ratio = 0.2;
   /// Additional retries in each window of 10 s, over all daemons.
   double retry_slack = 50;
-  routing::ColdServerTolerance cold_server_tolerance;
+  routing::RateTolerance cold_server_tolerance;
 
   /// @brief Time after which a crash that neither the host list nor a refused
   /// connection has confirmed was none.
--- a/packages/gateway/tests/cold_senders_test.cc
+++ b/packages/gateway/tests/ranked_senders_test.cc
@@ -1,7 +1,7 @@
 // Requests to one cold server from all daemons of a fleet in virtual time, each
 // of which has more requests than the server bears.
 
-#include "gentianroute/gateway/cold_senders.h"
+#include "gentianroute/gateway/ranked_senders.h"
 
 #include <criterion/criterion.h>
 
@@ -20,7 +20,7 @@
 using Shape = VirtualFleet::Shape;
 
 constexpr double kRequestsPerSecond = 11;
-constexpr routing::ColdServerTolerance kTolerance{1.5, 5};
+constexpr routing::RateTolerance kTolerance{1.5, 5};
 constexpr double kBound = 11 * 1.5 + 5;
 constexpr Duration kStep = 10 * kMs;
 
@@ -53,7 +53,7 @@
 
  private:
   struct View {
-    std::unique_ptr<ColdSenders> senders;
+    std::unique_ptr<RankedSenders> senders;
     std::unique_ptr<routing::ColdServerLimiter> limiter;
     routing::ServerPtr server;
   };
@@ -61,7 +61,7 @@
   View& ViewOf(std::size_t i) {
     View& view = views_[i];
     if (view.server == nullptr) {
-      view.senders = std::make_unique<ColdSenders>(fleet_.MembershipOf(i));
+      view.senders = std::make_unique<RankedSenders>(fleet_.MembershipOf(i));
       view.limiter = std::make_unique<routing::ColdServerLimiter>(
           kTolerance, *view.senders);
       view.limiter->SetServices({&service_, 1});
--- a/packages/routing/include/gentianroute/routing/cold_server_limiter.h
+++ b/packages/routing/include/gentianroute/routing/cold_server_limiter.h
@@ -9,36 +9,11 @@
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/deployment.h"
+#include "gentianroute/routing/sender_share.h"
 #include "gentianroute/routing/server.h"
 
 namespace gentianroute::routing {
 
-/// @brief Tolerance of the limit on requests to a cold server: in each second,
-/// all daemons together may send its rate times `overshoot` plus `slack`.
-struct ColdServerTolerance {
-  double overshoot = 1.5;
-  double slack = 5;
-};
-
-/// @brief How the daemons that may send to a cold server divide its rate.
-struct ColdServerShare {
-  std::size_t senders = 1;
-  Duration interval{};  ///< between two requests of one sender
-
-  /// @param requests_per_second what the server bears while it is cold
-  static ColdServerShare Of(double requests_per_second,
-                            const ColdServerTolerance& tolerance);
-};
-
-/// @brief Chooses the daemons that may send to a cold server.
-class ColdServerSenders {
- public:
-  virtual ~ColdServerSenders() = default;
-  /// @brief Whether this daemon is one of the `count` senders.
-  virtual bool IsSender(const ServerRecord& server,
-                        std::size_t count) const = 0;
-};
-
 /// @brief Keeps the requests that all daemons together send to a cold server
 /// within what it bears.
 ///
@@ -50,8 +25,7 @@
 class ColdServerLimiter {
  public:
   /// @param senders must outlive this object
-  ColdServerLimiter(ColdServerTolerance tolerance,
-                    const ColdServerSenders& senders)
+  ColdServerLimiter(RateTolerance tolerance, const RateSenders& senders)
       : tolerance_(tolerance), senders_(senders) {}
 
   /// @brief Sets the services of the deployment and what their servers bear.
@@ -65,14 +39,14 @@
  private:
   struct Limit {
     Duration duration{};  ///< a server is cold for this time
-    ColdServerShare share;
+    SenderShare share;
   };
 
   /// @return null if the servers of the service need no limit
   const Limit* LimitOf(std::string_view service) const;
 
-  ColdServerTolerance tolerance_;
-  const ColdServerSenders& senders_;
+  RateTolerance tolerance_;
+  const RateSenders& senders_;
   std::map<std::string, Limit, std::less<>> limits_;
 };
 
--- a/packages/routing/tests/placement_test.cc
+++ b/packages/routing/tests/placement_test.cc
@@ -79,7 +79,7 @@
   PlacementFixture fixture;
   const ServiceSpec service = ServiceWithColdRate(11);
   fixture.rules.cold_servers.SetServices({&service, 1});
-  const Duration interval = ColdServerShare::Of(11, {}).interval;
+  const Duration interval = SenderShare::Of(11, {}).interval;
   const ServerPtr server = MakeServer("a");
   server->warm_up().OnReport(kStart, 3 * kSecond);
   TimePoint now = kStart + interval;
@@ -135,10 +135,10 @@
 // of senders are active.
 Test(placement, any_cold_rate_two_sets_of_senders_stay_within_the_bound) {
   for (const double rate : {0.5, 1.0, 2.0, 5.0, 11.0, 40.0, 200.0}) {
-    for (const ColdServerTolerance tolerance :
-         {ColdServerTolerance{1.5, 5}, ColdServerTolerance{1.0, 4},
-          ColdServerTolerance{2.0, 0}}) {
-      const ColdServerShare share = ColdServerShare::Of(rate, tolerance);
+    for (const RateTolerance tolerance :
+         {RateTolerance{1.5, 5}, RateTolerance{1.0, 4},
+          RateTolerance{2.0, 0}}) {
+      const SenderShare share = SenderShare::Of(rate, tolerance);
       cr_assert(share.interval > Duration{0});
       const double bound = rate * tolerance.overshoot + tolerance.slack;
       const double in_one_second = 2.0 * static_cast<double>(share.senders) *
--- a/packages/routing/tests/routing_fixture.h
+++ b/packages/routing/tests/routing_fixture.h
@@ -34,7 +34,7 @@
 }
 
 /// Chooses this daemon as a sender of all cold servers, or of none.
-struct FixedColdSenders final : ColdServerSenders {
+struct FixedSenders final : RateSenders {
   bool is_sender = true;
   bool IsSender(const ServerRecord& /*server*/,
                 std::size_t /*count*/) const override {
@@ -45,7 +45,7 @@
 /// Rules and a placement of a request, without limits unless a test adds some.
 struct PlacementFixture {
   Topology topology = TwoRegions();
-  FixedColdSenders senders;
+  FixedSenders senders;
   PlacementRules rules{topology, {}, ColdServerLimiter({}, senders)};
   Placement placement{rules, {}};
 
