Keep all daemons together within the limit that a server names

What callers saw: nothing yet; servers in need got 2 to 4 requests a second that had asked for 1.2, 15 and 16 in four seconds where 14 and 12 were allowed. Cause: the limit was read by nobody (hypothesis 1); and where each daemon kept to it alone, the sum would break it still (hypothesis 2).

Change: as for cold servers, up to three daemons of the server's data centre, by rendezvous over those that live, send to it, each with a fixed part of the rate, so that two views of the fleet together stay within the bound of any four seconds. Placement knows the verdict, which every choice of a server passes, first sends, retries and resumed streams alike (hypothesis 3); a stage pool's scheduler is its servers' only caller and has the whole rate. Heartbeats carry what a daemon has observed last, at most 32 servers, so that a daemon which isn't told by an answer keeps to it too and learns of its end. A request that only limited servers could run is refused at once.

Evidence: three daemons, two servers with a limit of one a second: 727 requests in a window before, at most 11 now, and no request fails while a third server has no limit; where there is none, the rest is refused at once and the limit is used.

The red test's second part used a third server without a limit. It failed with the fix because that server, never slow, is preferred for some seconds; it now has only servers that named a limit, so that nothing but the end of the limit can let requests pass.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -80,7 +80,9 @@
             topology_,
             {},
             routing::ColdServerLimiter(settings_.cold_server_tolerance,
-                                       senders_)},
+                                       senders_),
+            routing::RequestRateLimiter(settings_.request_limit_tolerance,
+                                        senders_)},
         releaser_(loop, client, translator),
         stage_scheduler_(loop,
                          client,
@@ -259,6 +261,8 @@
   /// report.
   void ApplyPeerReport(const std::string& peer, schema::Beat::Reader heartbeat);
   void RemovePeerReport(std::string_view peer);
+  /// Records the limits of requests that a peer has observed at servers.
+  void ApplyPeerLimits(const std::string& peer, schema::Beat::Reader heartbeat);
 
   /// Applies the whole table of the operators.
   void OnOperatorRows(const std::vector<StoredRow>& rows);
--- a/packages/gateway/include/gentianroute/gateway/settings.h
+++ b/packages/gateway/include/gentianroute/gateway/settings.h
@@ -39,6 +39,9 @@
   /// Additional retries in each window of 10 s, over all daemons.
   double retry_slack = 50;
   routing::RateTolerance cold_server_tolerance;
+  /// Tolerance of the limit of requests that a server names.
+  routing::RateTolerance request_limit_tolerance{1.5, 5,
+                                                 std::chrono::seconds(4)};
 
   /// @brief Time after which a crash that neither the host list nor a refused
   /// connection has confirmed was none.
--- a/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
@@ -97,7 +97,8 @@
   /// The servers of a pool; none while its data centre is being evacuated.
   std::vector<routing::ServerPtr> ServersOf(const Pool& pool) const;
   /// Keeps calls from the cold servers that may get none from this daemon now.
-  void HoldColdServers(Pool& pool, std::span<const routing::ServerPtr> servers);
+  void HoldLimitedServers(Pool& pool,
+                          std::span<const routing::ServerPtr> servers);
 
   EventLoop& loop_;
   RelayFetches fetches_;
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "gentianroute/gateway/detail/gateway_impl.h"
+#include "gentianroute/gateway/limit_recorder.h"
 #include "gentianroute/schema/suspect_messages.h"
 
 // The contents of heartbeats and store copies, and the processing of those of
@@ -16,6 +17,8 @@
 constexpr double kMinReportedLoad = 0.5;
 /// Servers whose pace a heartbeat reports, those with the most observations.
 constexpr std::size_t kMaxReportedPaces = 16;
+/// Servers whose limit a heartbeat reports, those with the newest observations.
+constexpr std::size_t kMaxReportedLimits = 32;
 /// Fewer observations say little, and would fill the heartbeats.
 constexpr double kMinReportedEvents = 4.0;
 
@@ -45,6 +48,29 @@
   paces.resize(kMaxReportedPaces);
 }
 
+struct ReportedLimit {
+  const routing::Server* server = nullptr;
+  routing::RequestLimitReport report;
+};
+
+void KeepNewest(std::vector<ReportedLimit>& limits) {
+  std::ranges::sort(limits, [](const ReportedLimit& a, const ReportedLimit& b) {
+    return a.report.age < b.report.age;
+  });
+  limits.resize(std::min(limits.size(), kMaxReportedLimits));
+}
+
+void WriteLimits(std::span<const ReportedLimit> limits,
+                 capnp::List<schema::ServerLimit>::Builder out) {
+  for (unsigned i = 0; i < limits.size(); ++i) {
+    const routing::RequestLimitReport& report = limits[i].report;
+    out[i].setServer(limits[i].server->record().id);
+    out[i].setLimited(report.requests_per_second.has_value());
+    out[i].setPerSecond(report.requests_per_second.value_or(0));
+    out[i].setAgeMs(static_cast<std::uint32_t>(WholeMilliseconds(report.age)));
+  }
+}
+
 void WritePaces(std::span<const ReportedPace> paces,
                 capnp::List<schema::ServerPace>::Builder out) {
   for (unsigned i = 0; i < paces.size(); ++i) {
@@ -65,6 +91,7 @@
   const TimePoint now = loop_.Now();
   std::vector<const routing::Server*> busy;
   std::vector<ReportedPace> paces;
+  std::vector<ReportedLimit> limits;
   if (load == LoadReport::kIncluded) {
     servers_.ForEach([&](routing::Server& server) {
       if (server.own().calls > kMinReportedLoad) {
@@ -74,9 +101,15 @@
       if (sample.events >= kMinReportedEvents) {
         paces.push_back({&server, sample});
       }
+      if (const auto report = server.request_limit().Report(now)) {
+        limits.push_back({&server, *report});
+      }
     });
     KeepMostObserved(paces);
   }
+  KeepNewest(limits);
+  WriteLimits(limits,
+              heartbeat.initLimits(static_cast<unsigned>(limits.size())));
   WritePaces(paces, heartbeat.initPaces(static_cast<unsigned>(paces.size())));
   auto work = heartbeat.initWork(static_cast<unsigned>(busy.size()));
   for (unsigned i = 0; i < busy.size(); ++i) {
@@ -127,6 +160,7 @@
   const TimePoint now = loop_.Now();
   const std::string name = heartbeat.getDaemon();
   ApplyPeerReport(name, heartbeat);
+  ApplyPeerLimits(name, heartbeat);
   for (const auto backlog : heartbeat.getBacklogs()) {
     const std::string service = backlog.getService();
     const std::string data_centre = backlog.getDataCentre();
@@ -175,6 +209,25 @@
   }
 }
 
+void Gateway::Impl::ApplyPeerLimits(const std::string& peer,
+                                    schema::Beat::Reader heartbeat) {
+  const TimePoint now = loop_.Now();
+  for (const auto limit : heartbeat.getLimits()) {
+    routing::Server* server = servers_.Find(limit.getServer().cStr());
+    if (server == nullptr) {
+      continue;
+    }
+    routing::RequestLimitReport report;
+    report.age = std::chrono::milliseconds(limit.getAgeMs());
+    if (limit.getLimited()) {
+      report.requests_per_second = limit.getPerSecond();
+    }
+    if (server->request_limit().OnPeerReport(now, report)) {
+      LogRequestLimit(*server, peer);
+    }
+  }
+}
+
 void Gateway::Impl::OnPeerLost(std::string_view peer) {
   RemovePeerReport(peer);
   stage_router_.OnPeerLost(peer);
--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -14,8 +14,9 @@
 constexpr Duration kPoolIdleTimeout = std::chrono::seconds(2);
 /// Limits the processor time of one dispatch.
 constexpr std::size_t kMaxMovesPerDispatch = 16;
-/// How often a cold server is checked for being allowed another call.
-constexpr Duration kColdServerCheckPeriod = std::chrono::milliseconds(25);
+/// How often a cold server, or one that limits its requests, is checked for
+/// being allowed another call.
+constexpr Duration kHeldServerCheckPeriod = std::chrono::milliseconds(25);
 /// Lower bound of the time limit of a piece; no stage server answers sooner.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(1);
 
@@ -137,7 +138,7 @@
 
 void StageScheduler::Dispatch(Pool& pool) {
   const auto servers = ServersOf(pool);
-  HoldColdServers(pool, servers);
+  HoldLimitedServers(pool, servers);
   const auto calls = pool.pool.Dispatch(loop_.Now(), servers);
   for (const routing::StageCall& call : calls) {
     Send(pool, call);
@@ -176,13 +177,15 @@
   }
 }
 
-void StageScheduler::HoldColdServers(
+void StageScheduler::HoldLimitedServers(
     Pool& pool,
     std::span<const routing::ServerPtr> servers) {
   const TimePoint now = loop_.Now();
   for (const routing::ServerPtr& server : servers) {
-    if (!placement_rules_.cold_servers.MaySend(now, *server)) {
-      pool.pool.Hold(server->record().id, now + kColdServerCheckPeriod);
+    // No other daemon calls the servers of a pool.
+    if (!placement_rules_.cold_servers.MaySend(now, *server) ||
+        !placement_rules_.request_rates.MaySendAlone(now, *server)) {
+      pool.pool.Hold(server->record().id, now + kHeldServerCheckPeriod);
     }
   }
 }
--- a/packages/routing/include/gentianroute/routing/placement.h
+++ b/packages/routing/include/gentianroute/routing/placement.h
@@ -12,6 +12,7 @@
 #include "gentianroute/routing/cold_server_limiter.h"
 #include "gentianroute/routing/evacuations.h"
 #include "gentianroute/routing/permitted_regions.h"
+#include "gentianroute/routing/request_rate_limiter.h"
 #include "gentianroute/routing/server.h"
 #include "gentianroute/routing/topology.h"
 
@@ -22,6 +23,7 @@
   const Topology& topology;
   Evacuations evacuations;
   ColdServerLimiter cold_servers;
+  RequestRateLimiter request_rates;
 };
 
 /// @brief Whether work may be placed at a server or data centre, and why not.
@@ -30,8 +32,10 @@
   kOutsideRegions,  ///< in a region that the request may not enter
   kEvacuated,
   kCold,  ///< the server is cold and may get no request from this daemon now
+  kRateLimited,  ///< it has named a limit that leaves this daemon no request
+                 ///< now
 };
-inline constexpr std::size_t kPlacementVerdicts = 4;
+inline constexpr std::size_t kPlacementVerdicts = 5;
 
 /// @brief Number of servers with each verdict.
 using PlacementCounts = std::array<std::uint32_t, kPlacementVerdicts>;
@@ -72,9 +76,12 @@
     if (verdict != PlacementVerdict::kAccepted) {
       return verdict;
     }
-    return rules_->cold_servers.MaySend(now, server)
+    if (!rules_->cold_servers.MaySend(now, server)) {
+      return PlacementVerdict::kCold;
+    }
+    return rules_->request_rates.MaySend(now, server)
                ? PlacementVerdict::kAccepted
-               : PlacementVerdict::kCold;
+               : PlacementVerdict::kRateLimited;
   }
 
  private:
--- a/packages/routing/tests/routing_fixture.h
+++ b/packages/routing/tests/routing_fixture.h
@@ -33,6 +33,9 @@
   return Topology("north", {{"north", "N"}, {"north-b", "N"}, {"south", "S"}});
 }
 
+/// Tolerance of the limits that servers name.
+inline constexpr RateTolerance kLimitTolerance{1.5, 5, std::chrono::seconds(4)};
+
 /// Chooses this daemon as a sender of all cold servers, or of none.
 struct FixedSenders final : RateSenders {
   bool is_sender = true;
@@ -46,7 +49,10 @@
 struct PlacementFixture {
   Topology topology = TwoRegions();
   FixedSenders senders;
-  PlacementRules rules{topology, {}, ColdServerLimiter({}, senders)};
+  PlacementRules rules{topology,
+                       {},
+                       ColdServerLimiter({}, senders),
+                       RequestRateLimiter(kLimitTolerance, senders)};
   Placement placement{rules, {}};
 
   void PermitOnly(std::vector<std::string> regions) {
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -20,6 +20,15 @@
   logSum @2 :Float32;                 # sum of ln(milliseconds) over these
 }
 
+struct ServerLimit {
+  # The rate of requests that a server takes from all daemons together, as the
+  # sender has observed it.
+  server @0 :Text;
+  limited @1 :Bool;                   # false: the limit has ended
+  perSecond @2 :Float64;
+  ageMs @3 :UInt32;
+}
+
 struct StageBacklog {
   # Work queued for the stage servers of one service in one data centre, as
   # reported by the daemon that schedules them.
@@ -56,6 +65,7 @@
   daemonsKnown @16 :UInt32;           # including the sender, alive or not
   crashes @17 :List(Peer.CrashReport);
   clearances @18 :List(Peer.ClearanceReport);
+  limits @19 :List(ServerLimit);      # with the load only
 }
 
 struct Group {
