--- a/benchmarks/cold_server_bench.cc
+++ b/benchmarks/cold_server_bench.cc
@@ -216,7 +216,7 @@
     for (const auto& times : arrivals_) {
       total += times.size();
       outcome.most_in_a_second =
-          std::max(outcome.most_in_a_second, MostInAnySecond(times));
+          std::max(outcome.most_in_a_second, MostInAnyWindow(times, kSecond));
     }
     outcome.per_server_and_second =
         static_cast<double>(total) / kColdServers / Seconds(kColdTime);
--- a/packages/gateway/include/gentianroute/gateway/ranked_senders.h
+++ b/packages/gateway/include/gentianroute/gateway/ranked_senders.h
@@ -4,7 +4,8 @@
 #include <cstddef>
 
 #include "gentianroute/gateway/membership.h"
-#include "gentianroute/routing/cold_server_limiter.h"
+#include "gentianroute/routing/sender_share.h"
+#include "gentianroute/routing/server.h"
 
 namespace gentianroute::gateway {
 
--- a/packages/gateway/tests/virtual_fleet.h
+++ b/packages/gateway/tests/virtual_fleet.h
@@ -29,12 +29,13 @@
 /// Time from a start until the stage pools have work.
 inline constexpr Duration kTimeToFirstWork = std::chrono::milliseconds(800);
 
-/// Most of the times, in ascending order, that lie within any second.
-inline std::size_t MostInAnySecond(std::span<const TimePoint> times) {
+/// Most of the times, in ascending order, that lie within any window.
+inline std::size_t MostInAnyWindow(std::span<const TimePoint> times,
+                                   Duration window) {
   std::size_t most = 0;
   std::size_t from = 0;
   for (std::size_t to = 0; to < times.size(); ++to) {
-    while (times[to] - times[from] > kSecond) {
+    while (times[to] - times[from] > window) {
       ++from;
     }
     most = std::max(most, to - from + 1);
