Count the requests, not the reports, that share a crash

A server that crashed twice before the host list showed its new incarnation made its single suspect look like two requests in flight, so that a third crash was needed. Found while reading the change. The new test, two crashes of one incarnation while alone, fails before (reports were counted) and passes after; random.requests passes.

--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -77,10 +77,8 @@
   explicit SuspectTable(Options options) : options_(options) {}
 
   /// @brief Handles a broken connection with calls in flight. Called once per
-  /// crash, see below.
-  /// A daemon that learns of each broken call by itself may instead call this
-  /// once per call; a crash that several requests have reported counts as
-  /// shared by them.
+  /// crash, or once per request in flight: a crash that several requests report
+  /// counts as shared by them.
   /// @param in_flight all calls whose bytes had been sent to the server, also
   /// those that ran beside a suspect: if only the suspect were counted, another
   /// request that is the real cause would never be found.
--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -80,15 +80,21 @@
     return;
   }
   std::vector<Crash*> reports;
+  std::size_t requests = 0;
   for (const Fingerprint fingerprint : unconfirmed->second) {
+    const std::size_t reports_before = reports.size();
     for (Crash& crash : entries_[fingerprint].crashes) {
       if (crash.server == server && crash.incarnation == incarnation) {
         reports.push_back(&crash);
       }
     }
+    requests += reports.size() > reports_before ? 1 : 0;
+  }
+  if (requests < 2) {
+    return;
   }
   for (Crash* crash : reports) {
-    crash->alone &= reports.size() == 1;
+    crash->alone = false;
   }
 }
 
@@ -228,6 +234,7 @@
   });
   candidates.resize(std::min(candidates.size(), options_.max_reports));
   std::vector<CrashReport> reports;
+  reports.reserve(candidates.size());
   for (Candidate& candidate : candidates) {
     reports.push_back(std::move(candidate.report));
   }
--- a/packages/decision/tests/suspect_table_test.cc
+++ b/packages/decision/tests/suspect_table_test.cc
@@ -92,6 +92,17 @@
   cr_assert(fixture.table.IsQuarantined(fixture.now, kCrashing));
 }
 
+// Guards against a server that restarts before the host list shows it making
+// its second crash look as if another request had been in flight.
+Test(suspect_table, two_crashes_of_one_incarnation_while_alone_quarantine) {
+  SuspectTableFixture fixture;
+  fixture.Crash("a");
+  fixture.now += seconds(1);
+  fixture.Crash("a");
+  fixture.table.OnServerDown(fixture.now, "a");
+  cr_assert(fixture.table.IsQuarantined(fixture.now, kCrashing));
+}
+
 // Guards against each daemon counting only the crashes that it has seen itself.
 Test(suspect_table, crash_at_each_of_three_daemons_all_quarantine) {
   PeerTablesFixture fixture;
--- a/packages/gateway/include/gentianroute/gateway/ranked_senders.h
+++ b/packages/gateway/include/gentianroute/gateway/ranked_senders.h
@@ -10,8 +10,7 @@
 namespace gentianroute::gateway {
 
 /// @brief Chooses the senders of a server with a limited rate among the daemons
-/// of its data
-/// centre, by rendezvous over those that live.
+/// of its data centre, by rendezvous over those that live.
 ///
 /// Daemons of one data centre know each other at any size of the fleet, and
 /// each server has other senders, which spreads servers that return together.
