Split what fills a heartbeat; one pacing for cold servers and named limits

FillHeartbeat wrote four unrelated lists in 70 lines: what is observed of servers, the backlogs, the suspects, and the versions; each has a function now. WarmUp and RequestLimit kept the same two times and the same condition between two requests: RequestPacing.

No behaviour changes: routing, adapter, decision and virtual fleet tests pass as before.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -257,6 +257,12 @@
   }
 
   void AnswerMetrics(RelayExchange& exchange);
+  /// Adds what this daemon observes of servers to a heartbeat.
+  void FillServerReports(schema::Beat::Builder heartbeat);
+  /// Adds the backlogs of the pools that this daemon schedules.
+  void FillBacklogs(schema::Beat::Builder heartbeat);
+  /// Adds the requests that crash servers, and the evidence.
+  void FillSuspects(schema::Beat::Builder heartbeat);
   /// Adds what a heartbeat tells about servers, in place of the peer's last
   /// report.
   void ApplyPeerReport(const std::string& peer, schema::Beat::Reader heartbeat);
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -71,6 +71,17 @@
   }
 }
 
+void WriteWork(std::span<const routing::Server* const> servers,
+               capnp::List<schema::ServerWork>::Builder out) {
+  for (unsigned i = 0; i < servers.size(); ++i) {
+    const routing::ServerLoad& own = servers[i]->own();
+    out[i].setServer(servers[i]->record().id);
+    out[i].setCalls(static_cast<float>(own.calls));
+    out[i].setTokens(static_cast<float>(own.tokens));
+    out[i].setUnreadTokens(static_cast<float>(own.pending_prefill_tokens));
+  }
+}
+
 void WritePaces(std::span<const ReportedPace> paces,
                 capnp::List<schema::ServerPace>::Builder out) {
   for (unsigned i = 0; i < paces.size(); ++i) {
@@ -88,37 +99,40 @@
   heartbeat.setServersVersion(server_rows_.newest_change());
   heartbeat.setStoreContact(static_cast<std::uint8_t>(
       std::max(server_rows_.contact(), deployment_.contact())));
+  if (load == LoadReport::kIncluded) {
+    FillServerReports(heartbeat);
+  }
+  FillBacklogs(heartbeat);
+  FillSuspects(heartbeat);
+}
+
+void Gateway::Impl::FillServerReports(schema::Beat::Builder heartbeat) {
   const TimePoint now = loop_.Now();
   std::vector<const routing::Server*> busy;
   std::vector<ReportedPace> paces;
   std::vector<ReportedLimit> limits;
-  if (load == LoadReport::kIncluded) {
-    servers_.ForEach([&](routing::Server& server) {
-      if (server.own().calls > kMinReportedLoad) {
-        busy.push_back(&server);
-      }
-      const routing::PaceSample sample = server.pace().Own(now);
-      if (sample.events >= kMinReportedEvents) {
-        paces.push_back({&server, sample});
-      }
-      if (const auto report = server.request_limit().Report(now)) {
-        limits.push_back({&server, *report});
-      }
-    });
-    KeepMostObserved(paces);
-  }
+  servers_.ForEach([&](routing::Server& server) {
+    if (server.own().calls > kMinReportedLoad) {
+      busy.push_back(&server);
+    }
+    const routing::PaceSample sample = server.pace().Own(now);
+    if (sample.events >= kMinReportedEvents) {
+      paces.push_back({&server, sample});
+    }
+    if (const auto report = server.request_limit().Report(now)) {
+      limits.push_back({&server, *report});
+    }
+  });
+  KeepMostObserved(paces);
   KeepNewest(limits);
+  WriteWork(busy, heartbeat.initWork(static_cast<unsigned>(busy.size())));
+  WritePaces(paces, heartbeat.initPaces(static_cast<unsigned>(paces.size())));
   WriteLimits(limits,
               heartbeat.initLimits(static_cast<unsigned>(limits.size())));
-  WritePaces(paces, heartbeat.initPaces(static_cast<unsigned>(paces.size())));
-  auto work = heartbeat.initWork(static_cast<unsigned>(busy.size()));
-  for (unsigned i = 0; i < busy.size(); ++i) {
-    const routing::ServerLoad& own = busy[i]->own();
-    work[i].setServer(busy[i]->record().id);
-    work[i].setCalls(static_cast<float>(own.calls));
-    work[i].setTokens(static_cast<float>(own.tokens));
-    work[i].setUnreadTokens(static_cast<float>(own.pending_prefill_tokens));
-  }
+}
+
+void Gateway::Impl::FillBacklogs(schema::Beat::Builder heartbeat) {
+  const TimePoint now = loop_.Now();
   struct PoolBacklog {
     std::string_view service;
     std::string_view data_centre;
@@ -139,12 +153,16 @@
         static_cast<float>(Milliseconds(backlogs[i].backlog.on_time)));
     out[i].setAllMs(static_cast<float>(Milliseconds(backlogs[i].backlog.all)));
   }
+}
+
+void Gateway::Impl::FillSuspects(schema::Beat::Builder heartbeat) {
+  const TimePoint now = loop_.Now();
   const auto quarantined = suspects_.Quarantined(now);
-  auto list =
+  auto out =
       heartbeat.initQuarantined(static_cast<unsigned>(quarantined.size()));
   for (unsigned i = 0; i < quarantined.size(); ++i) {
-    list[i].setFingerprint(quarantined[i].first.value);
-    list[i].setRemainingMs(
+    out[i].setFingerprint(quarantined[i].first.value);
+    out[i].setRemainingMs(
         static_cast<std::uint32_t>(Milliseconds(quarantined[i].second)));
   }
   const auto crashes = suspects_.CrashReports(now);
--- a/packages/routing/include/gentianroute/routing/request_limit.h
+++ b/packages/routing/include/gentianroute/routing/request_limit.h
@@ -1,11 +1,11 @@
 #ifndef GENTIANROUTE_ROUTING_REQUEST_LIMIT_H_
 #define GENTIANROUTE_ROUTING_REQUEST_LIMIT_H_
 
-#include <algorithm>
 #include <chrono>
 #include <optional>
 
 #include "gentianroute/base/time.h"
+#include "gentianroute/routing/request_pacing.h"
 
 namespace gentianroute::routing {
 
@@ -30,7 +30,7 @@
   bool OnAnswer(TimePoint now,
                 TimePoint sent_at,
                 std::optional<double> requests_per_second) {
-    if (!requests_per_second && (!rate_ || sent_at < limited_since_)) {
+    if (!requests_per_second && (!rate_ || sent_at < pacing_.limited_since())) {
       return false;
     }
     seen_here_ = true;
@@ -60,22 +60,18 @@
     return RequestLimitReport{rate_, now - observed_at_};
   }
 
-  /// @brief Whether this daemon may send a request now, if it leaves this time
-  /// between two requests while there is a limit.
-  ///
-  /// The first request after the begin of a limit waits for this time too,
-  /// since the server has just got requests from all daemons.
+  /// @brief See RequestPacing.
   bool MaySend(TimePoint now, Duration interval) const {
-    return now - std::max(limited_since_, last_sent_) >= interval;
+    return pacing_.MaySend(now, interval);
   }
-  void OnSent(TimePoint now) { last_sent_ = now; }
+  void OnSent(TimePoint now) { pacing_.OnSent(now); }
 
  private:
   bool Set(TimePoint now,
            TimePoint observed_at,
            std::optional<double> requests_per_second) {
     if (!rate_ && requests_per_second) {
-      limited_since_ = now;
+      pacing_.OnLimited(now);
     }
     observed_at_ = observed_at;
     const bool changed = rate_ != requests_per_second;
@@ -86,8 +82,7 @@
   std::optional<double> rate_;
   bool seen_here_ = false;  ///< the last news come from an answer, not a peer
   TimePoint observed_at_{};
-  TimePoint limited_since_{};
-  TimePoint last_sent_{};
+  RequestPacing pacing_;
 };
 
 }  // namespace gentianroute::routing
--- a/packages/routing/include/gentianroute/routing/warm_up.h
+++ b/packages/routing/include/gentianroute/routing/warm_up.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "gentianroute/base/time.h"
+#include "gentianroute/routing/request_pacing.h"
 
 namespace gentianroute::routing {
 
@@ -37,27 +38,22 @@
                     std::max(reported_until_, suspected_until_) - now);
   }
 
-  /// @brief Whether this daemon may send a request now, if it leaves this time
-  /// between two requests while the server is cold.
-  ///
-  /// The first request also waits for this time: a daemon that has restarted
-  /// does not know what it sent before.
+  /// @brief See RequestPacing.
   bool MaySend(TimePoint now, Duration interval) const {
-    return now - std::max(cold_since_, last_sent_) >= interval;
+    return pacing_.MaySend(now, interval);
   }
-  void OnSent(TimePoint now) { last_sent_ = now; }
+  void OnSent(TimePoint now) { pacing_.OnSent(now); }
 
  private:
   void NoteTurnedCold(TimePoint now, bool was_cold) {
     if (!was_cold && IsCold(now)) {
-      cold_since_ = now;
+      pacing_.OnLimited(now);
     }
   }
 
   TimePoint reported_until_{};
   TimePoint suspected_until_{};
-  TimePoint cold_since_{};
-  TimePoint last_sent_{};
+  RequestPacing pacing_;
 };
 
 }  // namespace gentianroute::routing
