--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -1,9 +1,9 @@
 #include "gentianroute/gateway/stage_scheduler.h"
-#include "gentianroute/gateway/limit_recorder.h"
 
 #include <algorithm>
 #include <utility>
 
+#include "gentianroute/gateway/limit_recorder.h"
 #include "gentianroute/observe/log.h"
 
 namespace gentianroute::gateway {
