Log server and data centre of stage calls that got no answer, and count them

The logs of the incident told that a stage call broke, not at which server, and nothing of calls that ran into their time limit. Whether one daemon lost its links or the servers failed could be told by comparing timestamps only. Now each such call names its server, and a gauge per daemon tells the two apart.

--- a/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
@@ -70,6 +70,8 @@
   std::uint64_t calls_sent() const { return calls_sent_; }
   std::uint64_t pieces_sent() const { return pieces_sent_; }
   std::uint64_t groups_moved() const { return groups_moved_; }
+  /// @brief Calls without a complete answer, because a link or server failed.
+  std::uint64_t calls_broken() const { return calls_broken_; }
 
  private:
   class Handle;
@@ -86,7 +88,9 @@
   static void LogCall(const Pool& pool,
                       const routing::StageCall& call,
                       std::span<const StagePieceRequest> pieces);
-  StageAnswer ReadAnswer(const Pool& pool, const RelayFetchResult& end) const;
+  StageAnswer ReadAnswer(const Pool& pool,
+                         const routing::Server& server,
+                         const RelayFetchResult& end);
   void OnCallEnd(Pool& pool,
                  routing::StageCallId call,
                  const StageAnswer& answer);
@@ -112,6 +116,7 @@
   std::uint64_t calls_sent_ = 0;
   std::uint64_t pieces_sent_ = 0;
   std::uint64_t groups_moved_ = 0;
+  std::uint64_t calls_broken_ = 0;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -39,6 +39,9 @@
         static_cast<double>(callers_->active_requests()));
   gauge("gentianroute_gateway_stage_calls", "Stage calls sent.",
         static_cast<double>(stage_scheduler_.calls_sent()));
+  gauge("gentianroute_gateway_stage_calls_broken",
+        "Stage calls without a complete answer.",
+        static_cast<double>(stage_scheduler_.calls_broken()));
   gauge("gentianroute_gateway_stage_pieces", "Stage pieces sent.",
         static_cast<double>(stage_scheduler_.pieces_sent()));
   gauge("gentianroute_gateway_stage_groups_moved",
--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -225,7 +225,7 @@
   fetches_.Start(std::move(relay_call), call.timeout,
                  [this, &pool, id = call.id, server = call.server,
                   sent_at = now](const RelayFetchResult& end) {
-                   const StageAnswer answer = ReadAnswer(pool, end);
+                   const StageAnswer answer = ReadAnswer(pool, *server, end);
                    if (end.complete) {
                      RecordRequestLimit(loop_.Now(), sent_at,
                                         answer.request_limit, *server);
@@ -259,16 +259,20 @@
 }
 
 StageAnswer StageScheduler::ReadAnswer(const Pool& pool,
-                                       const RelayFetchResult& end) const {
+                                       const routing::Server& server,
+                                       const RelayFetchResult& end) {
   if (end.complete) {
     return translator_.ReadStageAnswer(end.head, end.body);
   }
-  if (end.failure) {
-    const bool sent = *end.failure != RelayFailure::kNotSent;
-    LogEvent("stage_call_broken", LogLevel::kWarning)
-        .Field("service", pool.service)
-        .Field("sent", sent ? "yes" : "no");
-  }
+  ++calls_broken_;
+  const bool timed_out = !end.failure;
+  const bool sent = timed_out || *end.failure != RelayFailure::kNotSent;
+  LogEvent("stage_call_broken", LogLevel::kWarning)
+      .Field("service", pool.service)
+      .Field("server", server.record().id)
+      .Field("data_centre", pool.data_centre)
+      .Field("sent", sent ? "yes" : "no")
+      .Field("timed_out", timed_out ? "yes" : "no");
   return {routing::CallStatus::kBroken, {}};
 }
 
