--- a/packages/loop/include/gentianroute/loop/relay_client.h
+++ b/packages/loop/include/gentianroute/loop/relay_client.h
@@ -67,7 +67,12 @@
 /// connection per request.
 class RelayClient {
  public:
-  explicit RelayClient(EventLoop& loop);
+  /// @brief Returns the endpoint to connect to in place of another, which lets
+  /// a test impair the links of one client.
+  using Redirect = std::function<Endpoint(const Endpoint&)>;
+
+  /// @param redirect null if every call connects to its own endpoint
+  explicit RelayClient(EventLoop& loop, Redirect redirect = nullptr);
   ~RelayClient();
 
   /// @param observer must outlive the call or cancel it
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -46,7 +46,8 @@
 
 class RelayClient::Impl {
  public:
-  explicit Impl(EventLoop& loop) : loop_(loop) {
+  Impl(EventLoop& loop, Redirect redirect)
+      : loop_(loop), redirect_(std::move(redirect)) {
     sweep_timer_ = loop_.Every(kSweepPeriod, [this] { CloseExpired(); });
   }
   ~Impl() {
@@ -63,10 +64,7 @@
         : client_(client),
           endpoint_(std::move(endpoint)),
           parser_(MessageParser::Kind::kResponse, {}),
-          socket_(std::make_unique<StreamSocket>(client.loop_,
-                                                 endpoint_.address,
-                                                 endpoint_.port,
-                                                 *this)) {
+          socket_(client.Connect(endpoint_, *this)) {
       timer_ = client_.loop_.After(kConnectTimeout, [this] { Fail(); });
     }
     ~Connection() override { client_.loop_.Cancel(timer_); }
@@ -225,6 +223,13 @@
     Duration idle_limit_ = kMaxIdle;
   };
 
+  std::unique_ptr<StreamSocket> Connect(const Endpoint& endpoint,
+                                        StreamSocket::Observer& observer) {
+    const Endpoint target = redirect_ ? redirect_(endpoint) : endpoint;
+    return std::make_unique<StreamSocket>(loop_, target.address, target.port,
+                                          observer);
+  }
+
   RelayCallId Call(RelayCall call, RelayCallObserver& observer) {
     const RelayCallId id{++last_call_id_};
     Connection& connection = ConnectionFor(call);
@@ -297,6 +302,7 @@
   }
 
   EventLoop& loop_;
+  Redirect redirect_;
   std::map<Endpoint, ConnectionList> connections_;
   std::unordered_map<RelayCallId, Connection*> calls_;
   ConnectionList closed_connections_;
@@ -306,8 +312,8 @@
   TimerId deletion_timer_;
 };
 
-RelayClient::RelayClient(EventLoop& loop)
-    : impl_(std::make_unique<Impl>(loop)) {}
+RelayClient::RelayClient(EventLoop& loop, Redirect redirect)
+    : impl_(std::make_unique<Impl>(loop, std::move(redirect))) {}
 RelayClient::~RelayClient() = default;
 
 RelayCallId RelayClient::Call(RelayCall call, RelayCallObserver& observer) {
