--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -17,12 +17,14 @@
 #include "gentianroute/gateway/daemon_list_fetches.h"
 #include "gentianroute/gateway/daemon_rows.h"
 #include "gentianroute/gateway/group_outcome.h"
+#include "gentianroute/gateway/handed_request.h"
 #include "gentianroute/gateway/membership.h"
 #include "gentianroute/gateway/peer_calls.h"
 #include "gentianroute/gateway/settings.h"
 #include "gentianroute/gateway/store_follower.h"
 #include "gentianroute/loop/datagram_socket.h"
 #include "gentianroute/loop/event_loop.h"
+#include "gentianroute/loop/relay_server.h"
 #include "gentianroute/loop/rpc.h"
 #include "gentianroute/routing/stage_pool.h"
 
@@ -43,6 +45,11 @@
   virtual void OnHeartbeat(schema::Beat::Reader heartbeat) = 0;
   /// @brief A peer was lost: its heartbeats stopped, or it refuses connections.
   virtual void OnPeerLost(std::string_view peer) = 0;
+  /// @brief A peer has lost its links to the servers: it schedules no pool.
+  virtual void OnPeerCutOff(std::string_view peer) = 0;
+  /// @brief Runs a caller's request for a peer that can't send it.
+  virtual void RunHandedRequest(RelayExchangePtr exchange,
+                                RequestProgress progress) = 0;
   /// @brief Runs a group for a peer; `done` is called once, unless the returned
   /// object is destroyed before.
   virtual std::unique_ptr<GroupHandle> RunGroup(std::string_view service,
@@ -85,6 +92,9 @@
   /// @brief Tells the peers that this daemon is leaving; they send it no more
   /// work.
   void AnnounceLeaving();
+  /// @brief Tells the peers whether this daemon is cut off from the backend
+  /// servers; they send it no such work while it is.
+  void AnnounceReach(bool cut_off);
 
   /// @brief Returns the daemon that schedules a pool.
   const std::string& SchedulerOf(const PoolKey& pool) const {
@@ -107,6 +117,15 @@
       const routing::StageGroup& group,
       std::function<void(std::optional<GroupOutcome>)> done);
 
+  /// @brief Hands a caller's request to another daemon, as PeerCalls::HandOver
+  /// does.
+  std::unique_ptr<HandedRequestHandle> HandOverTo(
+      const Membership::Peer& peer,
+      const HandedRequest& request,
+      PeerAnswerObserver& observer) {
+    return calls_.HandOver(peer.state, request, observer);
+  }
+
   /// @brief Tells the scheduler of a pool which results are no longer needed.
   /// @param peer name returned by SchedulerOf
   void ReleaseAt(std::string_view peer,
--- a/packages/gateway/include/gentianroute/gateway/detail/cluster_messages.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/cluster_messages.h
@@ -7,9 +7,11 @@
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/handed_request.h"
 #include "gentianroute/routing/stage_pool.h"
 
-/// Encoding of groups and their outcomes in messages between daemons. Times are
+/// Encoding of groups, their outcomes and handed requests in messages between
+/// daemons. Times are
 /// encoded relative to now, since the clocks of daemons differ.
 namespace gentianroute::gateway::detail {
 
@@ -24,6 +26,21 @@
                   schema::GroupOutcome::Builder out);
 GroupOutcome ReadOutcome(schema::GroupOutcome::Reader in);
 
+void WriteHandedRequest(const HandedRequest& request,
+                        schema::HandedRequest::Builder out);
+HandedRequest ReadHandedRequest(schema::HandedRequest::Reader in);
+
+using HeaderFieldList = capnp::List<schema::HeaderField>;
+void WriteFields(const HttpHeaders& fields, HeaderFieldList::Builder out);
+HttpHeaders ReadFields(HeaderFieldList::Reader in);
+
+inline kj::ArrayPtr<const kj::byte> BytesOf(std::string_view text) {
+  return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
+}
+inline std::string_view TextOf(kj::ArrayPtr<const kj::byte> bytes) {
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
 }  // namespace gentianroute::gateway::detail
 
 #endif  // GENTIANROUTE_GATEWAY_DETAIL_CLUSTER_MESSAGES_H_
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -13,6 +13,7 @@
 #include "gentianroute/gateway/detail/row_messages.h"
 #include "gentianroute/gateway/gateway.h"
 #include "gentianroute/gateway/ranked_senders.h"
+#include "gentianroute/gateway/reach_monitor.h"
 #include "gentianroute/gateway/request_flow.h"
 #include "gentianroute/gateway/request_recorder.h"
 #include "gentianroute/gateway/result_releaser.h"
@@ -84,20 +85,22 @@
             routing::RequestRateLimiter(settings_.request_limit_tolerance,
                                         senders_)},
         releaser_(loop, client, translator),
+        reach_(loop, client, servers_, placement_rules_.evacuations),
         stage_scheduler_(loop,
                          client,
                          translator,
                          servers_,
                          placement_rules_,
-                         releaser_),
+                         releaser_,
+                         reach_),
         stage_router_(loop, cluster_, stage_scheduler_, servers_, topology_),
         retry_budgets_(settings_.retry_ratio, settings_.retry_slack),
         start_queue_(loop.Now()),
-        flow_context_{loop,           client,    translator,
-                      servers_,       topology_, placement_rules_,
-                      stage_router_,  cluster_,  retry_budgets_,
-                      service_times_, weights_,  suspects_,
-                      recorder_,      drain_} {
+        flow_context_{loop,      client,           translator,     servers_,
+                      topology_, placement_rules_, stage_router_,  cluster_,
+                      reach_,    retry_budgets_,   service_times_, weights_,
+                      suspects_, recorder_,        drain_} {
+    reach_.SetOnChanged([this](bool cut_off) { OnReachChanged(cut_off); });
     stage_scheduler_.SetFasterPool([this](std::string_view service,
                                           std::string_view data_centre,
                                           Duration wait, Duration server_time) {
@@ -149,6 +152,14 @@
   void FillHeartbeat(schema::Beat::Builder heartbeat, LoadReport load) override;
   void OnHeartbeat(schema::Beat::Reader heartbeat) override;
   void OnPeerLost(std::string_view peer) override;
+  void OnPeerCutOff(std::string_view peer) override {
+    stage_router_.OnPeerLost(peer);
+  }
+  void RunHandedRequest(RelayExchangePtr exchange,
+                        RequestProgress progress) override {
+    RequestFlow::Begin(flow_context_, std::move(exchange), table_, flows_,
+                       progress);
+  }
   std::unique_ptr<GroupHandle> RunGroup(std::string_view service,
                                         std::string_view data_centre,
                                         routing::StageGroup group,
@@ -332,6 +343,24 @@
     servers_.Put(now, std::move(*record));
   }
 
+  void OnReachChanged(bool cut_off) {
+    // The failures were those of the links, not of the servers.
+    servers_.ForEach(
+        [](routing::Server& server) { server.history().ForgetFailures(); });
+    cluster_.AnnounceReach(cut_off);
+    stage_router_.OnReachChanged();
+    if (!cut_off) {
+      return;
+    }
+    std::vector<RequestFlow::Ptr> flows;
+    for (RequestFlow& flow : flows_) {
+      flows.emplace_back(&flow);
+    }
+    for (const RequestFlow::Ptr& flow : flows) {
+      flow->OnCutOff();
+    }
+  }
+
   void OnServerClosed(routing::Server& server) {
     if (!server.listed()) {
       suspects_.OnServerDown(loop_.Now(), server.record().id);
@@ -394,7 +423,8 @@
                   TimePoint latest,
                   std::function<void()> done) {
     const TimePoint now = loop_.Now();
-    const bool idle = callers_->active_requests() == 0;
+    // Requests that peers have handed over have no caller here.
+    const bool idle = callers_->active_requests() == 0 && flows_.empty();
     if ((idle && now >= earliest) || now >= latest) {
       LogEvent("drain_ended").Field("left", callers_->active_requests());
       while (!flows_.empty()) {
@@ -425,6 +455,7 @@
   RankedSenders senders_;
   routing::PlacementRules placement_rules_;
   ResultReleaser releaser_;
+  ReachMonitor reach_;
   StageScheduler stage_scheduler_;
   StageRouter stage_router_;
   RetryBudgets retry_budgets_;
--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/detail/peer_exchange.h
@@ -0,0 +1,55 @@
+#ifndef GENTIANROUTE_GATEWAY_DETAIL_PEER_EXCHANGE_H_
+#define GENTIANROUTE_GATEWAY_DETAIL_PEER_EXCHANGE_H_
+
+#include <cluster.capnp.h>
+#include <kj/async.h>
+
+#include <memory>
+#include <string_view>
+
+#include "gentianroute/base/time.h"
+#include "gentianroute/gateway/handed_request.h"
+#include "gentianroute/loop/relay_server.h"
+
+namespace gentianroute::gateway {
+
+/// A request that a peer has handed over; the answer goes to the peer.
+class PeerExchange final : public RelayExchange {
+ public:
+  /// @param messages keeps the messages to the peer until they have arrived;
+  /// must outlive this object
+  /// @param done fulfilled once the peer has received the whole answer
+  PeerExchange(TimePoint now,
+               HandedRequest request,
+               schema::AnswerReader::Client reader,
+               kj::TaskSet& messages,
+               kj::Own<kj::PromiseFulfiller<void>> done);
+  ~PeerExchange() noexcept override;
+
+  const RequestProgress& progress() const { return progress_; }
+  /// Handles the end of the peer's call. If the answer is not complete, the
+  /// caller or the peer is gone.
+  void OnCallEnded();
+
+  void Respond(int status,
+               const HttpHeaders& fields,
+               std::string_view body) override;
+  void Begin(int status, const HttpHeaders& fields) override;
+  void Write(std::string_view part) override;
+  void End() override;
+  void Abort() override;
+
+ private:
+  /// Ends the call once the peer has received the last message.
+  void EndAfter(kj::Promise<void> last);
+
+  RequestProgress progress_;
+  schema::AnswerReader::Client reader_;
+  kj::TaskSet& messages_;
+  std::shared_ptr<kj::Own<kj::PromiseFulfiller<void>>> done_;
+  bool answered_ = false;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_DETAIL_PEER_EXCHANGE_H_
--- a/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
@@ -8,16 +8,24 @@
 
 namespace gentianroute::gateway {
 
-/// One attempt to have a request answered by a server.
-class RequestFlow::Attempt final : public RelayCallObserver {
+/// One attempt to have a request answered.
+class RequestFlow::Attempt {
  public:
-  Attempt(RequestFlow& flow, RelayCall call) : flow_(&flow) {
+  virtual ~Attempt() = default;
+  /// Ends the attempt; no more callbacks follow.
+  virtual void Cancel() = 0;
+};
+
+/// An attempt at a backend server.
+class RequestFlow::ServerAttempt final : public Attempt, RelayCallObserver {
+ public:
+  ServerAttempt(RequestFlow& flow, RelayCall call) : flow_(&flow) {
     id_ = flow.context_.client.Call(std::move(call), *this);
   }
-  ~Attempt() override { Cancel(); }
+  ~ServerAttempt() override { ServerAttempt::Cancel(); }
 
-  /// Closes the connection; no more callbacks follow.
-  void Cancel() {
+  /// Closes the connection.
+  void Cancel() override {
     if (RequestFlow* flow = std::exchange(flow_, nullptr)) {
       flow->context_.client.Cancel(id_);
     }
@@ -45,6 +53,50 @@
   RelayCallId id_;
 };
 
+/// An attempt through a peer, which sends the request to servers in place of
+/// this daemon.
+class RequestFlow::PeerAttempt final : public Attempt, PeerAnswerObserver {
+ public:
+  PeerAttempt(RequestFlow& flow, const Membership::Peer& peer)
+      : flow_(&flow),
+        handle_(flow.context_.cluster.HandOverTo(peer,
+                                                 flow.HandedToPeer(),
+                                                 *this)) {}
+  ~PeerAttempt() override { PeerAttempt::Cancel(); }
+
+  void Cancel() override {
+    flow_ = nullptr;
+    handle_.reset();
+  }
+
+  void OnWholeAnswer(int status,
+                     const HttpHeaders& fields,
+                     std::string_view body) override {
+    const Ptr flow(flow_);
+    flow->OnPeerAnswer(status, fields, body);
+  }
+  void OnAnswerBegun(int status, const HttpHeaders& fields) override {
+    const Ptr flow(flow_);
+    flow->OnPeerAnswerBegun(status, fields);
+  }
+  void OnAnswerPart(std::string_view part) override {
+    const Ptr flow(flow_);
+    flow->OnPeerPart(part);
+  }
+  void OnAnswerEnded() override {
+    const Ptr flow(flow_);
+    flow->OnPeerAnswerEnded();
+  }
+  void OnPeerFailed() override {
+    const Ptr flow(flow_);
+    flow->OnPeerFailed();
+  }
+
+ private:
+  RequestFlow* flow_;
+  std::unique_ptr<HandedRequestHandle> handle_;
+};
+
 }  // namespace gentianroute::gateway
 
 #endif  // GENTIANROUTE_GATEWAY_DETAIL_REQUEST_ATTEMPT_H_
--- a/packages/gateway/include/gentianroute/gateway/detail/routed_group.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/routed_group.h
@@ -25,6 +25,7 @@
   ~RoutedGroup() override;
 
   void OnPeerLost(std::string_view peer);
+  void OnReachChanged();
   void OnPlacementChanged();
 
  private:
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,6 +29,7 @@
   std::uint16_t port = 0;
   std::string data_centre;
   bool leaving = false;
+  bool cut_off = false;        ///< reaches no backend server
   double processor_share = 0;  ///< CPU cores that it may use
   StoreContact store = StoreContact::kNotAsked;
   std::uint64_t deployment_version = 0;
@@ -102,6 +104,10 @@
   /// @brief Marks this daemon as leaving: it schedules no pool from now on, and
   /// the next heartbeat rounds go to all peers.
   void Leave();
+  /// @brief Sets whether this daemon is cut off from the backend servers. A
+  /// daemon that is schedules no pool, unless all are. If it did schedule one,
+  /// the next heartbeat rounds go to all peers.
+  void SetCutOff(bool cut_off);
   bool IsSelf(std::string_view daemon) const { return daemon == own_.name; }
   /// @brief Returns the peer of this name; null if it is unknown.
   const Peer* Find(std::string_view name) const;
@@ -220,6 +226,18 @@
   const Peer* StoreCopySource(std::uint64_t deployment_version,
                               std::uint64_t servers_version) const;
 
+  /// @brief Returns the nearest live peer that reaches the servers, for a
+  /// request that this daemon can't send to any; null if there is none. Equally
+  /// near peers share the requests.
+  /// @param key id of the request
+  /// @param permits whether the request may go to a data centre
+  /// @param excluded names of peers that have failed it
+  /// @complexity linear in the number of daemons
+  const Peer* PeerInReach(
+      std::string_view key,
+      const std::function<bool(std::string_view data_centre)>& permits,
+      std::span<const std::string> excluded) const;
+
   /// @brief Whether the fleet is small enough to send each update to all peers.
   bool IsSmallFleet() const;
   /// @brief Returns the number of daemons that share fleet-wide budgets,
--- a/packages/gateway/include/gentianroute/gateway/peer_calls.h
+++ b/packages/gateway/include/gentianroute/gateway/peer_calls.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "gentianroute/gateway/group_outcome.h"
+#include "gentianroute/gateway/handed_request.h"
 #include "gentianroute/gateway/membership.h"
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/rpc.h"
@@ -52,6 +53,12 @@
                const PoolKey& pool,
                std::span<const std::string> results);
 
+  /// @brief Hands a caller's request to another daemon.
+  /// @param observer must outlive the returned handle
+  std::unique_ptr<HandedRequestHandle> HandOver(const DaemonState& peer,
+                                                const HandedRequest& request,
+                                                PeerAnswerObserver& observer);
+
   /// @brief Asks a peer for the rows of the store that are newer than these
   /// versions.
   /// @pre no earlier call is in progress
@@ -67,6 +74,7 @@
 
  private:
   class RemoteGroup;
+  class RemoteRequest;
   struct Connection {
     DaemonState peer;
     std::unique_ptr<RpcConnection> rpc;
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -15,6 +15,8 @@
 #include "gentianroute/base/id.h"
 #include "gentianroute/decision/suspect_table.h"
 #include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/handed_request.h"
+#include "gentianroute/gateway/reach_monitor.h"
 #include "gentianroute/gateway/request_recorder.h"
 #include "gentianroute/gateway/retry_budgets.h"
 #include "gentianroute/gateway/stage_router.h"
@@ -42,6 +44,7 @@
   const routing::PlacementRules& placement_rules;
   StageRouter& stage_router;
   Cluster& cluster;
+  ReachMonitor& reach;
   RetryBudgets& retry_budgets;
   routing::ServiceTimeEstimates& service_times;
   routing::RequestWeights& weights;
@@ -69,26 +72,34 @@
   /// @brief Starts a request, which lives until it has been answered.
   /// @param table null if no configuration is known yet
   /// @param all list of the requests in progress, to which it is added
+  /// @param progress not initial if a peer has handed the request over
   static void Begin(FlowContext& context,
                     RelayExchangePtr exchange,
                     routing::RouteTablePtr table,
-                    List& all);
+                    List& all,
+                    const RequestProgress& progress = {});
   ~RequestFlow();
 
   /// @brief Applies the permitted regions of a newer deployment. Those that the
   /// request started with stay in force too, since its caller expects them.
   void OnDeploymentChanged(const routing::RouteTable& table);
+  /// @brief This daemon is cut off from the servers: hands the request to a
+  /// peer, unless a server may already be running it.
+  void OnCutOff();
   /// @brief Ends the request because the daemon stops, with an answer that says
   /// whether it may have run.
   void OnShutdown();
 
  private:
   class Attempt;
+  class ServerAttempt;
+  class PeerAttempt;
 
   RequestFlow(FlowContext& context,
               RelayExchangePtr exchange,
               routing::RouteTablePtr table,
-              List& all);
+              List& all,
+              const RequestProgress& progress);
 
   /// Checks whether the request can be accepted.
   /// @return the error to refuse it with, if any
@@ -118,6 +129,19 @@
   void OnStageEnd(std::uint32_t stage, StageOutcome outcome);
   void OnStageFailure(std::uint32_t stage, routing::StageFailure failure);
 
+  /// Hands the request to a peer that reaches the servers, if this daemon
+  /// doesn't.
+  /// @return false if this daemon has to run it itself
+  bool HandToPeer();
+  HandedRequest HandedToPeer() const;
+  void OnPeerAnswer(int status,
+                    const HttpHeaders& fields,
+                    std::string_view body);
+  void OnPeerAnswerBegun(int status, const HttpHeaders& fields);
+  void OnPeerPart(std::string_view part);
+  void OnPeerAnswerEnded();
+  void OnPeerFailed();
+
   void SendToServer();
   /// Sends the request later if servers accept it once they are less cold.
   /// @return false if it can't wait or no server is cold
@@ -241,6 +265,8 @@
   double waves_ = 1;
   std::vector<std::string> tried_;  ///< ids of servers, in order
   std::uint32_t attempts_ = 0;      ///< excludes those that were not sent
+  std::vector<std::string> failed_peers_;  ///< to which it was handed
+  std::uint32_t hops_ = 0;                 ///< daemons that have handed it over
   bool may_have_run_ = false;
   /// Whether a server before the current one may have run it.
   bool earlier_may_have_run_ = false;
--- a/packages/gateway/include/gentianroute/gateway/request_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/request_recorder.h
@@ -86,6 +86,11 @@
   void OnSent(const RequestSent& sent);
   void OnEnd(const RequestEnd& end);
   void OnServerBroke(const ServerBroke& broke);
+  /// @brief Records that a peer got the request, since this daemon is cut off
+  /// from the servers.
+  void OnHandedOver(std::string_view id,
+                    std::string_view peer,
+                    std::uint32_t hops);
   /// @brief Records that a request crashes servers and is refused from now on.
   void OnQuarantined(Fingerprint fingerprint, std::size_t crashes);
   /// @brief Records that a request was retried or resumed, or that stages were
@@ -105,6 +110,7 @@
   /// Requests for which a server could not be chosen, by the reason.
   std::array<std::uint64_t, routing::kPlacementVerdicts> limited_{};
   std::uint64_t servers_broke_ = 0;
+  std::uint64_t handed_over_ = 0;
   std::uint64_t quarantines_ = 0;
   std::array<DurationHistogram, kRouteKinds> first_byte_times_;
   std::array<DurationHistogram, kRouteKinds> total_times_;
--- a/packages/gateway/include/gentianroute/gateway/stage_router.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_router.h
@@ -95,6 +95,9 @@
 
   /// @brief Submits the groups of a lost daemon again.
   void OnPeerLost(std::string_view peer);
+  /// @brief Submits the groups again that this daemon schedules itself, since
+  /// it is cut off from the servers or no longer is.
+  void OnReachChanged();
   /// @brief Moves the groups that wait where their placement no longer permits
   /// them, after a change of the permitted regions.
   void OnPlacementChanged();
--- a/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
@@ -11,6 +11,7 @@
 
 #include "gentianroute/gateway/cluster.h"
 #include "gentianroute/gateway/pool_key.h"
+#include "gentianroute/gateway/reach_monitor.h"
 #include "gentianroute/gateway/result_releaser.h"
 #include "gentianroute/gateway/translator.h"
 #include "gentianroute/loop/event_loop.h"
@@ -32,7 +33,8 @@
                  const Translator& translator,
                  routing::ServerDirectory& servers,
                  const routing::PlacementRules& placement_rules,
-                 ResultReleaser& releaser);
+                 ResultReleaser& releaser,
+                 ReachMonitor& reach);
   ~StageScheduler();
 
   /// @brief Names the data centre whose pool of a service starts a group
@@ -110,6 +112,7 @@
   routing::ServerDirectory& servers_;
   const routing::PlacementRules& placement_rules_;
   ResultReleaser& releaser_;
+  ReachMonitor& reach_;
   FasterPool faster_pool_;
   routing::RouteTablePtr table_;
   std::map<PoolKey, std::unique_ptr<Pool>> pools_;
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -10,6 +10,8 @@
 #include <utility>
 
 #include "gentianroute/gateway/detail/cluster_messages.h"
+#include "gentianroute/gateway/detail/peer_exchange.h"
+#include "gentianroute/gateway/detail/peer_task_errors.h"
 #include "gentianroute/observe/log.h"
 
 namespace gentianroute::gateway {
@@ -47,6 +49,7 @@
   state.port = heartbeat.getPort();
   state.data_centre = heartbeat.getDataCentre();
   state.leaving = heartbeat.getDraining();
+  state.cut_off = heartbeat.getCutOff();
   state.processor_share = heartbeat.getProcessorShare();
   state.store = static_cast<StoreContact>(
       std::min<unsigned>(heartbeat.getStoreContact(),
@@ -71,7 +74,8 @@
 /// Calls that peers make to this daemon.
 class Cluster::Service final : public schema::Cluster::Server {
  public:
-  explicit Service(Cluster& cluster) : cluster_(cluster) {}
+  explicit Service(Cluster& cluster)
+      : cluster_(cluster), messages_(message_errors_) {}
 
   kj::Promise<void> runGroup(RunGroupContext context) override {
     // The caller's request may end first, which cancels the queued pieces.
@@ -92,6 +96,20 @@
         kj::heap<std::unique_ptr<GroupHandle>>(std::move(handle)));
   }
 
+  kj::Promise<void> handOver(HandOverContext context) override {
+    // The caller may be gone before the answer, which cancels the request.
+    context.allowCancellation();
+    const auto params = context.getParams();
+    auto done = kj::newPromiseAndFulfiller<void>();
+    const boost::intrusive_ptr<PeerExchange> exchange(new PeerExchange(
+        cluster_.loop_.Now(), detail::ReadHandedRequest(params.getRequest()),
+        params.getReader(), messages_, kj::mv(done.fulfiller)));
+    const RequestProgress progress = exchange->progress();
+    cluster_.handler_.RunHandedRequest(exchange, progress);
+    return done.promise.attach(
+        kj::defer([exchange] { exchange->OnCallEnded(); }));
+  }
+
   kj::Promise<void> release(ReleaseContext context) override {
     const auto params = context.getParams();
     std::vector<std::string> results;
@@ -130,6 +148,8 @@
 
  private:
   Cluster& cluster_;
+  detail::PeerTaskErrors message_errors_;
+  kj::TaskSet messages_;  ///< answers to handed requests
 };
 
 Cluster::Cluster(EventLoop& loop,
@@ -180,6 +200,16 @@
   ScheduleHeartbeatNow();
 }
 
+void Cluster::AnnounceReach(bool cut_off) {
+  members_.SetCutOff(cut_off);
+  // A scheduler tells all peers in its next rounds.
+  if (members_.own().pools.empty()) {
+    SendUpdate(UpdateScope::kDataCentre);
+  } else {
+    ScheduleHeartbeatNow();
+  }
+}
+
 void Cluster::RunHeartbeatRound() {
   const TimePoint now = loop_.Now();
   DetectLostPeers(now);
@@ -220,6 +250,7 @@
   heartbeat.setPort(own.port);
   heartbeat.setDataCentre(own.data_centre);
   heartbeat.setDraining(own.leaving);
+  heartbeat.setCutOff(own.cut_off);
   heartbeat.setProcessorShare(static_cast<float>(own.processor_share));
   heartbeat.setNextMs(static_cast<std::uint32_t>(WholeMilliseconds(next)));
   handler_.FillHeartbeat(heartbeat, load);
@@ -253,8 +284,14 @@
   if (name.empty() || members_.IsSelf(name)) {
     return;
   }
+  const Membership::Peer* before = members_.Find(name);
+  const bool was_cut_off = before != nullptr && before->state.cut_off;
   const auto arrival = members_.OnHeartbeat(loop_.Now(), StateOf(heartbeat));
   const Membership::Peer& peer = *members_.Find(name);
+  if (peer.state.cut_off && !was_cut_off) {
+    LogEvent("peer_cut_off", LogLevel::kWarning).Field("peer", name);
+    handler_.OnPeerCutOff(name);
+  }
   if (arrival != Membership::Arrival::kKnown) {
     OnPeerUp(peer);
   }
--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -85,4 +85,50 @@
   return outcome;
 }
 
+void WriteFields(const HttpHeaders& fields, HeaderFieldList::Builder out) {
+  for (unsigned i = 0; i < out.size(); ++i) {
+    out[i].setName(fields[i].name);
+    out[i].setValue(fields[i].value);
+  }
+}
+
+HttpHeaders ReadFields(HeaderFieldList::Reader in) {
+  HttpHeaders fields;
+  fields.reserve(in.size());
+  for (const auto field : in) {
+    fields.push_back({field.getName(), field.getValue()});
+  }
+  return fields;
+}
+
+void WriteHandedRequest(const HandedRequest& request,
+                        schema::HandedRequest::Builder out) {
+  const MessageHead& head = request.head;
+  out.setMethod(head.method);
+  out.setTarget(head.target);
+  WriteFields(head.fields,
+              out.initFields(static_cast<unsigned>(head.fields.size())));
+  out.setBody(BytesOf(request.body));
+  out.setAgeMs(static_cast<std::uint32_t>(WholeMilliseconds(request.age)));
+  const RequestProgress& progress = request.progress;
+  out.setAttempts(progress.attempts);
+  out.setMayHaveRun(progress.may_have_run);
+  out.setResumeAfter(progress.resume_after);
+  out.setHops(progress.hops);
+}
+
+HandedRequest ReadHandedRequest(schema::HandedRequest::Reader in) {
+  HandedRequest request;
+  request.head.method = in.getMethod();
+  request.head.target = in.getTarget();
+  request.head.fields = ReadFields(in.getFields());
+  request.body = TextOf(in.getBody());
+  request.age = std::chrono::milliseconds(in.getAgeMs());
+  request.progress.attempts = in.getAttempts();
+  request.progress.may_have_run = in.getMayHaveRun();
+  request.progress.resume_after = in.getResumeAfter();
+  request.progress.hops = in.getHops();
+  return request;
+}
+
 }  // namespace gentianroute::gateway::detail
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -33,6 +33,9 @@
   gauge("gentianroute_gateway_limited_servers",
         "Servers that name a limit of requests per second.",
         static_cast<double>(limited));
+  gauge("gentianroute_gateway_cut_off",
+        "1 while this daemon reaches no backend server, otherwise 0.",
+        reach_.is_cut_off() ? 1 : 0);
   gauge("gentianroute_gateway_daemons", "Daemons that are alive.",
         static_cast<double>(cluster_.live_daemons()));
   gauge("gentianroute_gateway_active_requests", "Requests under way.",
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -1,6 +1,7 @@
 #include "gentianroute/gateway/membership.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "gentianroute/decision/rendezvous.h"
 #include "gentianroute/gateway/detail/membership_times.h"
@@ -93,6 +94,16 @@
   InvalidateRanks();
 }
 
+void Membership::SetCutOff(bool cut_off) {
+  if (std::exchange(own_.cut_off, cut_off) == cut_off) {
+    return;
+  }
+  if (!own_.pools.empty()) {
+    broadcast_rounds_ = kBroadcastRounds;
+  }
+  InvalidateRanks();
+}
+
 Membership::Peer& Membership::FindOrAddPeer(const std::string& name) {
   auto& peer = peers_[name];
   if (peer == nullptr) {
@@ -184,6 +195,7 @@
                             state.data_centre == own_.data_centre;
   const bool was_alive = std::exchange(peer.alive, is_monitored);
   if (was_alive != peer.alive || restarted || before.leaving != state.leaving ||
+      before.cut_off != state.cut_off ||
       before.processor_share != state.processor_share ||
       before.data_centre != state.data_centre) {
     InvalidateRanks();
@@ -327,11 +339,11 @@
   std::vector<std::pair<routing::SchedulerRank, const DaemonState*>> ranked;
   const auto add = [&](const DaemonState& state) {
     const bool is_beside_servers = state.data_centre == pool.data_centre;
-    const auto rank =
-        state.leaving
-            ? routing::SchedulerRank{}
-            : routing::SchedulerRank{is_beside_servers, state.processor_share,
-                                     RendezvousWeight(key, state.name)};
+    const auto rank = state.leaving ? routing::SchedulerRank{}
+                                    : routing::SchedulerRank{
+                                          !state.cut_off, is_beside_servers,
+                                          state.processor_share,
+                                          RendezvousWeight(key, state.name)};
     ranked.emplace_back(rank, &state);
   };
   add(own_);
@@ -363,6 +375,9 @@
 bool Membership::IsAmongFirst(std::string_view key,
                               std::string_view data_centre,
                               std::size_t count) const {
+  if (own_.cut_off) {
+    return false;
+  }
   const bool is_beside = own_.data_centre == data_centre;
   const std::uint64_t own = RendezvousWeight(key, own_.name);
   std::size_t ahead = 0;
@@ -372,7 +387,8 @@
       return false;
     }
     const bool counts =
-        !is_beside || (peer_is_beside && peer->alive && !peer->state.leaving);
+        !is_beside || (peer_is_beside && peer->alive && !peer->state.leaving &&
+                       !peer->state.cut_off);
     ahead += counts && RendezvousWeight(key, name) > own ? 1 : 0;
   }
   return ahead < count;
@@ -420,6 +436,28 @@
   return source;
 }
 
+const Membership::Peer* Membership::PeerInReach(
+    std::string_view key,
+    const std::function<bool(std::string_view data_centre)>& permits,
+    std::span<const std::string> excluded) const {
+  const Peer* nearest = nullptr;
+  std::pair<Distance, std::uint64_t> best;
+  for (const auto& [name, peer] : peers_) {
+    const DaemonState& state = peer->state;
+    if (!peer->alive || state.leaving || state.cut_off ||
+        std::ranges::find(excluded, name) != excluded.end() ||
+        !permits(state.data_centre)) {
+      continue;
+    }
+    const std::pair rank(peer->distance, RendezvousWeight(key, name));
+    if (nearest == nullptr || rank < best) {
+      nearest = peer.get();
+      best = rank;
+    }
+  }
+  return nearest;
+}
+
 std::size_t Membership::live_daemons() const {
   return 1 + static_cast<std::size_t>(std::count_if(
                  peers_.begin(), peers_.end(), [](const auto& entry) {
--- a/packages/gateway/src/peer_calls.cc
+++ b/packages/gateway/src/peer_calls.cc
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "gentianroute/gateway/detail/cluster_messages.h"
-#include "gentianroute/observe/log.h"
+#include "gentianroute/gateway/detail/peer_task_errors.h"
 
 namespace gentianroute::gateway {
 namespace {
@@ -19,13 +19,6 @@
 /// A packet of the first attempt may have been lost.
 constexpr int kMaxConnectFailures = 2;
 
-struct LogTaskErrors final : kj::TaskSet::ErrorHandler {
-  void taskFailed(kj::Exception&& exception) override {
-    LogEvent("peer_call_failed", LogLevel::kWarning)
-        .Field("reason", exception.getDescription().cStr());
-  }
-};
-
 }  // namespace
 
 /// A group that a peer runs. Destroying it cancels the call.
@@ -56,10 +49,89 @@
   std::shared_ptr<RemoteGroup*> self_ = std::make_shared<RemoteGroup*>(this);
 };
 
+/// A caller's request that a peer runs. Destroying it cancels the call.
+class PeerCalls::RemoteRequest final : public HandedRequestHandle {
+ public:
+  explicit RemoteRequest(PeerAnswerObserver& observer) : observer_(observer) {}
+  ~RemoteRequest() noexcept override {
+    canceler_.cancel("the request has ended");
+  }
+
+  /// Passes the peer's messages on, for as long as the request exists.
+  class Reader final : public schema::AnswerReader::Server {
+   public:
+    explicit Reader(std::weak_ptr<RemoteRequest*> request)
+        : request_(std::move(request)) {}
+
+    kj::Promise<void> whole(WholeContext context) override {
+      const auto params = context.getParams();
+      if (RemoteRequest* request = End()) {
+        request->observer_.OnWholeAnswer(params.getStatus(),
+                                         detail::ReadFields(params.getFields()),
+                                         detail::TextOf(params.getBody()));
+      }
+      return kj::READY_NOW;
+    }
+    kj::Promise<void> begin(BeginContext context) override {
+      const auto params = context.getParams();
+      if (const auto alive = request_.lock()) {
+        (*alive)->observer_.OnAnswerBegun(
+            params.getStatus(), detail::ReadFields(params.getFields()));
+      }
+      return kj::READY_NOW;
+    }
+    kj::Promise<void> part(PartContext context) override {
+      if (const auto alive = request_.lock()) {
+        (*alive)->observer_.OnAnswerPart(
+            detail::TextOf(context.getParams().getBytes()));
+      }
+      return kj::READY_NOW;
+    }
+    kj::Promise<void> end(EndContext context) override {
+      const bool complete = context.getParams().getComplete();
+      if (RemoteRequest* request = End()) {
+        complete ? request->observer_.OnAnswerEnded()
+                 : request->observer_.OnPeerFailed();
+      }
+      return kj::READY_NOW;
+    }
+
+   private:
+    /// Returns null if the request is gone or has ended.
+    RemoteRequest* End() const {
+      const auto alive = request_.lock();
+      return alive != nullptr && !std::exchange((*alive)->ended_, true)
+                 ? *alive
+                 : nullptr;
+    }
+
+    std::weak_ptr<RemoteRequest*> request_;
+  };
+
+  template <typename T>
+  kj::Promise<T> Wrap(kj::Promise<T> call) {
+    return canceler_.wrap(kj::mv(call));
+  }
+  std::weak_ptr<RemoteRequest*> self() const { return self_; }
+  void OnCallEnded() {
+    if (!std::exchange(ended_, true)) {
+      observer_.OnPeerFailed();
+    }
+  }
+
+ private:
+  PeerAnswerObserver& observer_;
+  bool ended_ = false;
+  kj::Canceler canceler_;
+  /// Expires with the request, so that callbacks detect its destruction.
+  std::shared_ptr<RemoteRequest*> self_ =
+      std::make_shared<RemoteRequest*>(this);
+};
+
 PeerCalls::PeerCalls(EventLoop& loop, OnUnreachable on_unreachable)
     : loop_(loop),
       on_unreachable_(std::move(on_unreachable)),
-      task_errors_(std::make_unique<LogTaskErrors>()),
+      task_errors_(std::make_unique<detail::PeerTaskErrors>()),
       tasks_(std::make_unique<kj::TaskSet>(*task_errors_)) {}
 
 PeerCalls::~PeerCalls() {
@@ -151,6 +223,27 @@
   return remote;
 }
 
+std::unique_ptr<HandedRequestHandle> PeerCalls::HandOver(
+    const DaemonState& peer,
+    const HandedRequest& request,
+    PeerAnswerObserver& observer) {
+  auto remote = std::make_unique<RemoteRequest>(observer);
+  const std::weak_ptr<RemoteRequest*> self = remote->self();
+  auto call = ClientOf(peer).handOverRequest();
+  detail::WriteHandedRequest(request, call.initRequest());
+  call.setReader(kj::heap<RemoteRequest::Reader>(self));
+  const auto on_end = [self] {
+    if (const auto alive = self.lock()) {
+      (*alive)->OnCallEnded();
+    }
+  };
+  // As in RunGroup(), the callback may destroy the request.
+  tasks_->add(
+      remote->Wrap(call.send().ignoreResult())
+          .then(on_end, [on_end](kj::Exception&& /*exception*/) { on_end(); }));
+  return remote;
+}
+
 void PeerCalls::Release(const DaemonState& peer,
                         const PoolKey& pool,
                         std::span<const std::string> results) {
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -58,9 +58,10 @@
 void RequestFlow::Begin(FlowContext& context,
                         RelayExchangePtr exchange,
                         routing::RouteTablePtr table,
-                        List& all) {
-  const Ptr flow(
-      new RequestFlow(context, std::move(exchange), std::move(table), all));
+                        List& all,
+                        const RequestProgress& progress) {
+  const Ptr flow(new RequestFlow(context, std::move(exchange), std::move(table),
+                                 all, progress));
   flow->self_ = flow;
   if (const auto kind = flow->Admit()) {
     flow->Refuse(*kind, "");
@@ -72,12 +73,20 @@
 RequestFlow::RequestFlow(FlowContext& context,
                          RelayExchangePtr exchange,
                          routing::RouteTablePtr table,
-                         List& all)
+                         List& all,
+                         const RequestProgress& progress)
     : context_(context),
       exchange_(std::move(exchange)),
       table_(std::move(table)),
       request_(context.translator.ReadRequest(exchange_->head())),
-      started_at_(exchange_->start_time()) {
+      started_at_(exchange_->start_time()),
+      attempts_(progress.attempts),
+      hops_(progress.hops),
+      may_have_run_(progress.may_have_run),
+      earlier_may_have_run_(progress.may_have_run) {
+  if (!progress.resume_after.empty()) {
+    request_.resume_after = progress.resume_after;
+  }
   all.push_back(*this);
   exchange_->SetOnDisconnect([this] { OnCallerDisconnect(); });
 }
@@ -141,12 +150,15 @@
     weight_ = context_.weights.Of(route_->name, request_.prompt.tokens_in);
   }
   plan_.emplace(route_->stages, request_.stage_pieces);
+  deadline_timer_ = context_.loop.At(deadline_, [this] { OnTimeout(); });
+  if (HandToPeer()) {
+    return;
+  }
   context_.retry_budgets.OnRequest(service_name_,
                                    context_.cluster.live_daemons());
   if (RefuseIfNoPlace() || RefuseIfStagesLate() || RefuseIfDraining()) {
     return;
   }
-  deadline_timer_ = context_.loop.At(deadline_, [this] { OnTimeout(); });
   stages_timer_ =
       context_.loop.At(StagesDeadline(), [this] { OnStagesOverdue(); });
   if (const routing::ServerChoice choice = ChooseServer();
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -81,6 +81,9 @@
     Refuse(ErrorKind::kOverloaded, "the request has crashed servers");
     return;
   }
+  if (HandToPeer()) {
+    return;
+  }
   const routing::ServerChoice choice = ChooseServer();
   if (choice.server == nullptr) {
     if (!WaitForColdServer(choice)) {
@@ -121,7 +124,7 @@
   body_.clear();
   streaming_ = false;
   event_pace_ = {};
-  attempt_ = std::make_unique<Attempt>(*this, std::move(call));
+  attempt_ = std::make_unique<ServerAttempt>(*this, std::move(call));
   StartFirstByteTimer();
 }
 
@@ -195,6 +198,7 @@
 void RequestFlow::OnHead(const ServerAnswer& answer) {
   answer_ = answer;
   server_->OnBytesReceived(context_.loop.Now());
+  context_.reach.OnAnswer();
   RecordRequestLimit(context_.loop.Now(), sent_at_, answer.request_limit,
                      *server_);
   context_.loop.Cancel(answer_timer_);
@@ -214,6 +218,7 @@
   }
   last_byte_at_ = context_.loop.Now();
   server_->OnBytesReceived(last_byte_at_);
+  context_.reach.OnAnswer();
   if (!streaming_) {
     streaming_ = true;
     OnFirstByte();
@@ -280,6 +285,7 @@
   }
   const Ptr keep(this);
   server_->history().OnConnectionFailure(now);
+  context_.reach.OnNoAnswer(server_->record().id);
   events_.DropPartial();
   RetryAndCancel("silent", "the server stopped sending");
 }
@@ -369,6 +375,7 @@
   server_->history().OnConnectionFailure(now);
   context_.loop.Cancel(answer_timer_);
   if (failure == RelayFailure::kNotSent) {
+    context_.reach.OnNotConnected(server);
     context_.suspects.OnServerDown(now, server);
     --attempts_;
     may_have_run_ = earlier_may_have_run_;
@@ -377,6 +384,7 @@
     SendToServer();
     return;
   }
+  context_.reach.OnNoAnswer(server);
   ReportCrash();
   earlier_may_have_run_ = true;
   UnassignServer();
@@ -426,6 +434,7 @@
     return;
   }
   const Ptr keep(this);
+  context_.reach.OnNoAnswer(server_->record().id);
   if (!CanRetry()) {
     return;
   }
--- /dev/null
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -0,0 +1,119 @@
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "gentianroute/gateway/detail/request_attempt.h"
+#include "gentianroute/gateway/request_flow.h"
+
+// Handing a request to a peer while this daemon is cut off from the servers.
+
+namespace gentianroute::gateway {
+namespace {
+
+/// Daemons that may hand a request on. One that has just been cut off too
+/// doesn't know it yet, and still gets requests from others.
+constexpr std::uint32_t kMaxHops = 2;
+constexpr int kFirstServerErrorStatus = 500;
+
+/// Whether an answer with this status says that the request has not run.
+bool SaysNotRun(int status) {
+  constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
+  return std::ranges::find(kNotRunStatuses, status) != kNotRunStatuses.end();
+}
+
+}  // namespace
+
+void RequestFlow::OnCutOff() {
+  if (plan_ && attempt_ == nullptr) {
+    HandToPeer();
+  }
+}
+
+bool RequestFlow::HandToPeer() {
+  if (!context_.reach.is_cut_off() || hops_ >= kMaxHops) {
+    return false;
+  }
+  const auto permits = [this](std::string_view data_centre) {
+    return placement_->PermitsDataIn(data_centre);
+  };
+  const Membership::Peer* peer = context_.cluster.members().PeerInReach(
+      request_.id, permits, failed_peers_);
+  if (peer == nullptr) {
+    return false;
+  }
+  context_.recorder.OnHandedOver(request_.id, peer->state.name, hops_);
+  context_.loop.Cancel(stages_timer_);
+  context_.loop.Cancel(answer_timer_);
+  running_stages_.clear();
+  ReleaseResults(plan_->TakeAll());
+  failed_peers_.push_back(peer->state.name);
+  if (attempt_ != nullptr) {
+    old_attempts_.push_back(std::move(attempt_));
+  }
+  attempt_ = std::make_unique<PeerAttempt>(*this, *peer);
+  ++attempts_;
+  may_have_run_ = true;
+  return true;
+}
+
+HandedRequest RequestFlow::HandedToPeer() const {
+  HandedRequest handed;
+  handed.head = exchange_->head();
+  handed.body = exchange_->body();
+  handed.age = context_.loop.Now() - started_at_;
+  handed.progress.attempts = attempts_;
+  handed.progress.may_have_run = earlier_may_have_run_;
+  handed.progress.resume_after =
+      events_.last_id().empty() ? request_.resume_after : events_.last_id();
+  handed.progress.hops = hops_ + 1;
+  return handed;
+}
+
+void RequestFlow::OnPeerAnswer(int status,
+                               const HttpHeaders& fields,
+                               std::string_view body) {
+  const bool says_not_run = SaysNotRun(status);
+  if (answer_begun_ || (says_not_run && earlier_may_have_run_)) {
+    Fail("the peer refused to repeat the request");
+    return;
+  }
+  const TimePoint now = context_.loop.Now();
+  first_byte_at_ = first_byte_at_ == TimePoint{} ? now : first_byte_at_;
+  exchange_->Respond(status, fields, body);
+  const bool failed = status >= kFirstServerErrorStatus;
+  Finish(says_not_run ? "refused_by_peer"
+         : failed     ? "server_failure"
+                      : "answered",
+         status, "");
+}
+
+void RequestFlow::OnPeerAnswerBegun(int status, const HttpHeaders& fields) {
+  if (!std::exchange(answer_begun_, true)) {
+    exchange_->Begin(status, fields);
+  }
+  const TimePoint now = context_.loop.Now();
+  first_byte_at_ = first_byte_at_ == TimePoint{} ? now : first_byte_at_;
+}
+
+void RequestFlow::OnPeerPart(std::string_view part) {
+  last_byte_at_ = context_.loop.Now();
+  RelayPart(part);
+}
+
+void RequestFlow::OnPeerAnswerEnded() {
+  exchange_->Write(events_.TakePartial());
+  exchange_->End();
+  constexpr int kOk = 200;
+  Finish("answered", kOk, "");
+}
+
+void RequestFlow::OnPeerFailed() {
+  earlier_may_have_run_ = true;
+  events_.DropPartial();
+  if (repeatable() && TryRetry("peer", "the peer failed")) {
+    return;
+  }
+  Fail("the peer's answer broke off");
+}
+
+}  // namespace gentianroute::gateway
--- a/packages/gateway/src/request_flow_stages.cc
+++ b/packages/gateway/src/request_flow_stages.cc
@@ -21,6 +21,9 @@
 }  // namespace
 
 void RequestFlow::Advance() {
+  if (HandToPeer()) {
+    return;
+  }
   if (plan_->complete()) {
     stages_done_at_ = context_.loop.Now();
     SendToServer();
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -69,6 +69,16 @@
       .Field("crashes", broke.crashes);
 }
 
+void RequestRecorder::OnHandedOver(std::string_view id,
+                                   std::string_view peer,
+                                   std::uint32_t hops) {
+  ++handed_over_;
+  LogEvent("request_handed_over")
+      .ForRequest(id, LogPriority::kNormal)
+      .Field("peer", peer)
+      .Field("hops", hops);
+}
+
 void RequestRecorder::OnQuarantined(Fingerprint fingerprint,
                                     std::size_t crashes) {
   ++quarantines_;
@@ -141,6 +151,10 @@
                    "Connections to servers that broke during a request.");
   writer.AddSample("gentianroute_gateway_servers_broke_total", {},
                    servers_broke_);
+  writer.AddMetric("gentianroute_gateway_handed_over_total", "counter",
+                   "Requests handed to a peer because this daemon was cut off "
+                   "from the servers.");
+  writer.AddSample("gentianroute_gateway_handed_over_total", {}, handed_over_);
   writer.AddMetric("gentianroute_gateway_quarantines_total", "counter",
                    "Requests found by this daemon to crash servers.");
   writer.AddSample("gentianroute_gateway_quarantines_total", {}, quarantines_);
--- a/packages/gateway/src/routed_group.cc
+++ b/packages/gateway/src/routed_group.cc
@@ -42,6 +42,13 @@
   }
 }
 
+void StageRouter::RoutedGroup::OnReachChanged() {
+  if (scheduler_.empty()) {
+    scheduler_attempts_ = 0;
+    ResubmitLater();
+  }
+}
+
 void StageRouter::RoutedGroup::OnPlacementChanged() {
   const bool permitted = placement_.PermitsDataIn(data_centre_) &&
                          (scheduler_.empty() || MayHandOver(scheduler_));
--- a/packages/gateway/src/stage_router.cc
+++ b/packages/gateway/src/stage_router.cc
@@ -208,6 +208,12 @@
   }
 }
 
+void StageRouter::OnReachChanged() {
+  for (RoutedGroup* group : std::vector<RoutedGroup*>(groups_)) {
+    group->OnReachChanged();
+  }
+}
+
 void StageRouter::OnPlacementChanged() {
   for (RoutedGroup* group : std::vector<RoutedGroup*>(groups_)) {
     group->OnPlacementChanged();
--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -60,13 +60,15 @@
                                const Translator& translator,
                                routing::ServerDirectory& servers,
                                const routing::PlacementRules& placement_rules,
-                               ResultReleaser& releaser)
+                               ResultReleaser& releaser,
+                               ReachMonitor& reach)
     : loop_(loop),
       fetches_(loop, client),
       translator_(translator),
       servers_(servers),
       placement_rules_(placement_rules),
-      releaser_(releaser) {}
+      releaser_(releaser),
+      reach_(reach) {}
 
 StageScheduler::~StageScheduler() {
   for (const auto& [key, pool] : pools_) {
@@ -262,6 +264,7 @@
                                        const routing::Server& server,
                                        const RelayFetchResult& end) {
   if (end.complete) {
+    reach_.OnAnswer();
     return translator_.ReadStageAnswer(end.head, end.body);
   }
   ++calls_broken_;
@@ -273,6 +276,11 @@
       .Field("data_centre", pool.data_centre)
       .Field("sent", sent ? "yes" : "no")
       .Field("timed_out", timed_out ? "yes" : "no");
+  if (sent) {
+    reach_.OnNoAnswer(server.record().id);
+  } else {
+    reach_.OnNotConnected(server.record().id);
+  }
   return {routing::CallStatus::kBroken, {}};
 }
 
--- a/packages/loop/include/gentianroute/loop/relay_client.h
+++ b/packages/loop/include/gentianroute/loop/relay_client.h
@@ -81,6 +81,13 @@
   /// again.
   void Cancel(RelayCallId call);
 
+  /// @brief Opens a connection and closes it at once, without sending anything.
+  /// @param done called once, from the event loop, unless this object is
+  /// destroyed first
+  void Probe(const Endpoint& endpoint,
+             Duration time_limit,
+             std::function<void(bool connected)> done);
+
   /// @brief Number of connections to one server, busy and idle.
   std::size_t connections(const Endpoint& endpoint) const;
   /// @brief Number of connections opened since this was constructed.
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -53,6 +53,7 @@
   ~Impl() {
     loop_.Cancel(sweep_timer_);
     loop_.Cancel(deletion_timer_);
+    probes_.clear();
     calls_.clear();
     connections_.clear();
     closed_connections_.clear();
@@ -230,6 +231,48 @@
                                           observer);
   }
 
+  /// A connection that is closed as soon as it is established.
+  class ConnectionProbe final : public StreamSocket::Observer {
+   public:
+    using Done = std::function<void(bool connected)>;
+
+    ConnectionProbe(Impl& client,
+                    const Endpoint& endpoint,
+                    Duration time_limit,
+                    Done done)
+        : client_(client),
+          done_(std::move(done)),
+          timer_(client.loop_.After(time_limit, [this] { Finish(false); })),
+          socket_(client.Connect(endpoint, *this)) {}
+    ~ConnectionProbe() override { client_.loop_.Cancel(timer_); }
+
+    void OnConnected() override { Finish(true); }
+    void OnData(std::string_view /*data*/) override {}
+    void OnEnd(StreamEnd /*end*/) override { Finish(false); }
+
+   private:
+    /// Destroys this object.
+    void Finish(bool connected) {
+      const Done done = std::move(done_);
+      client_.probes_.remove_if(
+          [this](const auto& probe) { return probe.get() == this; });
+      done(connected);
+    }
+
+    Impl& client_;
+    Done done_;
+    TimerId timer_;
+    std::unique_ptr<StreamSocket> socket_;
+  };
+
+  void Probe(const Endpoint& endpoint,
+             Duration time_limit,
+             ConnectionProbe::Done done) {
+    ++opened_;
+    probes_.push_back(std::make_unique<ConnectionProbe>(
+        *this, endpoint, time_limit, std::move(done)));
+  }
+
   RelayCallId Call(RelayCall call, RelayCallObserver& observer) {
     const RelayCallId id{++last_call_id_};
     Connection& connection = ConnectionFor(call);
@@ -306,6 +349,7 @@
   std::map<Endpoint, ConnectionList> connections_;
   std::unordered_map<RelayCallId, Connection*> calls_;
   ConnectionList closed_connections_;
+  std::list<std::unique_ptr<ConnectionProbe>> probes_;
   std::uint64_t last_call_id_ = 0;
   std::uint64_t opened_ = 0;
   TimerId sweep_timer_;
@@ -322,6 +366,11 @@
 void RelayClient::Cancel(RelayCallId call) {
   impl_->Cancel(call);
 }
+void RelayClient::Probe(const Endpoint& endpoint,
+                        Duration time_limit,
+                        std::function<void(bool connected)> done) {
+  impl_->Probe(endpoint, time_limit, std::move(done));
+}
 std::size_t RelayClient::connections(const Endpoint& endpoint) const {
   return impl_->connections(endpoint);
 }
--- a/packages/routing/include/gentianroute/routing/scheduler_rank.h
+++ b/packages/routing/include/gentianroute/routing/scheduler_rank.h
@@ -12,6 +12,8 @@
 /// Every daemon computes all ranks from the same data, so that they agree
 /// without communication.
 struct SchedulerRank {
+  /// A daemon whose links to the servers are cut can't call any.
+  bool reaches_servers = false;
   /// In the data centre of the servers, which keeps round trips short.
   bool is_beside_servers = false;
   /// A call from a full pool names hundreds of results and takes tens of
--- a/packages/routing/include/gentianroute/routing/server.h
+++ b/packages/routing/include/gentianroute/routing/server.h
@@ -88,6 +88,13 @@
     ++consecutive_failures_;
   }
 
+  /// @brief Forgets all failures, because the link was at fault.
+  void ForgetFailures() {
+    failure_rate_ = 0;
+    consecutive_failures_ = 0;
+    avoid_until_ = {};
+  }
+
   bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
   /// @return share of calls that fail, 0 to 1
   double FailureRate(TimePoint now) const {
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -66,6 +66,7 @@
   crashes @17 :List(Peer.CrashReport);
   clearances @18 :List(Peer.ClearanceReport);
   limits @19 :List(ServerLimit);      # with the load only
+  cutOff @20 :Bool;                   # the sender reaches no backend server
 }
 
 struct Group {
@@ -130,7 +131,35 @@
   processorShare @5 :Float32;
 }
 
+struct HeaderField {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct HandedRequest {
+  # A caller's request that its daemon can't send to any backend server.
+  method @0 :Text;
+  target @1 :Text;
+  fields @2 :List(HeaderField);
+  body @3 :Data;
+  ageMs @4 :UInt32;                   # since its first byte arrived
+  attempts @5 :UInt32;                # servers that it has been sent to
+  mayHaveRun @6 :Bool;                # at one of these
+  resumeAfter @7 :Text;               # last event that the caller has, if any
+  hops @8 :UInt32;                    # daemons that have handed it over
+}
+
+interface AnswerReader {
+  # Receives one answer: either `whole`, or `begin`, any number of `part`, `end`.
+  whole @0 (status :UInt16, fields :List(HeaderField), body :Data) -> ();
+  begin @1 (status :UInt16, fields :List(HeaderField)) -> ();
+  part @2 (bytes :Data) -> ();
+  end @3 (complete :Bool) -> ();      # false: the answer is truncated
+}
+
 interface Cluster {
+  handOver @4 (request :HandedRequest, reader :AnswerReader) -> ();
+  # Returns once the answer has been read; cancelled when the caller is gone.
   runGroup @0 (group :Group) -> (outcome :GroupOutcome);
   release @2 (service :Text, dataCentre :Text, results :List(Text)) -> ();
   knownDaemons @3 () -> (daemons :List(KnownDaemon));
