Divide the slots of brittle servers among the daemons beside them (LIMIT)

Cause that a test shows: each daemon fills servers by its own view of their load, which for others' load is up to a heartbeat old, so that together they send more than there is room for.

Change: the service's state is learnt from answers and told in heartbeats; while it lasts, the daemons beside a server that reach it divide its slots, at most as many daemons as slots, and nothing is sent beyond the known load or for a second after a rejection. A request that finds no room waits for some until its time is up; one whose data centre has no such server goes to a peer beside one; a daemon that is sender to none refuses at once. What a server names in answers (limits and this) is one class now, NamedValue.

Not covered: model servers that turn requests away because their memory is full, not their slots.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -83,7 +83,8 @@
             routing::ColdServerLimiter(settings_.cold_server_tolerance,
                                        senders_),
             routing::RequestRateLimiter(settings_.request_limit_tolerance,
-                                        senders_)},
+                                        senders_),
+            routing::BrittleServerLimiter(senders_)},
         releaser_(loop, client, translator),
         reach_(loop, client, servers_, placement_rules_.evacuations),
         stage_scheduler_(loop,
@@ -268,6 +269,10 @@
   }
 
   void AnswerMetrics(RelayExchange& exchange);
+  /// Adds the services whose servers are brittle.
+  void FillBrittleServices(schema::Beat::Builder heartbeat);
+  void ApplyBrittleServices(const std::string& peer,
+                            schema::Beat::Reader heartbeat);
   /// Adds what this daemon observes of servers to a heartbeat.
   void FillServerReports(schema::Beat::Builder heartbeat);
   /// Adds the backlogs of the pools that this daemon schedules.
--- a/packages/gateway/include/gentianroute/gateway/limit_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/limit_recorder.h
@@ -20,6 +20,13 @@
                         std::optional<double> requests_per_second,
                         routing::Server& server);
 
+/// @brief Logs that the servers of a service are brittle, or no longer.
+/// @param bearable_rejections per second and server; empty: not brittle
+/// @param told_by a peer; empty if a server itself said so
+void LogBrittleService(std::string_view service,
+                       std::optional<double> bearable_rejections,
+                       std::string_view told_by);
+
 }  // namespace gentianroute::gateway
 
 #endif  // GENTIANROUTE_GATEWAY_LIMIT_RECORDER_H_
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -217,6 +217,11 @@
   bool IsAmongFirst(std::string_view key,
                     std::string_view data_centre,
                     std::size_t count) const;
+  /// @brief Number of live daemons of a data centre that reach the servers,
+  /// including this one.
+  /// @complexity linear in the number of daemons after a change of those that
+  /// are alive, otherwise logarithmic
+  std::size_t CountInReach(std::string_view data_centre) const;
   /// @brief Whether this daemon reads the store's changes for its data centre.
   /// It does unless a live daemon there that ranks higher reads them or can do
   /// so.
@@ -310,6 +315,8 @@
   std::map<std::string, TimePoint, std::less<>> lost_at_;
   mutable std::map<PoolKey, std::string> schedulers_;
   mutable std::optional<bool> lacks_contact_;
+  /// Results of CountInReach().
+  mutable std::map<std::string, std::size_t, std::less<>> in_reach_;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/include/gentianroute/gateway/ranked_senders.h
+++ b/packages/gateway/include/gentianroute/gateway/ranked_senders.h
@@ -23,6 +23,9 @@
                 std::size_t count) const override {
     return members_.IsAmongFirst(server.id, server.data_centre, count);
   }
+  std::size_t CountBeside(const routing::ServerRecord& server) const override {
+    return members_.CountInReach(server.data_centre);
+  }
 
  private:
   const Membership& members_;
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -41,7 +41,7 @@
   const Translator& translator;
   routing::ServerDirectory& servers;
   const routing::Topology& topology;
-  const routing::PlacementRules& placement_rules;
+  routing::PlacementRules& placement_rules;
   StageRouter& stage_router;
   Cluster& cluster;
   ReachMonitor& reach;
@@ -134,6 +134,11 @@
   /// @return false if this daemon has to run it itself
   bool HandToPeer();
   HandedRequest HandedToPeer() const;
+  /// Whether a data centre has an open server of the request's service.
+  bool HasServerIn(std::string_view data_centre) const;
+  /// Whether the servers get requests from daemons beside them only, and this
+  /// daemon is beside none.
+  bool IsServedElsewhere() const;
   void OnPeerAnswer(int status,
                     const HttpHeaders& fields,
                     std::string_view body);
@@ -143,9 +148,10 @@
   void OnPeerFailed();
 
   void SendToServer();
-  /// Sends the request later if servers accept it once they are less cold.
-  /// @return false if it can't wait or no server is cold
-  bool WaitForColdServer(const routing::ServerChoice& choice);
+  /// Sends the request later if servers accept it once they are less cold, or
+  /// have room again.
+  /// @return false if it can't wait or no server is cold or brittle
+  bool WaitForHeldServer(const routing::ServerChoice& choice);
   routing::ServerChoice ChooseServer() const;
   bool IsGeneration() const;
   /// The request as it is sent to a server, head and body.
--- a/packages/gateway/include/gentianroute/gateway/translator.h
+++ b/packages/gateway/include/gentianroute/gateway/translator.h
@@ -49,6 +49,9 @@
   /// Requests per second that the server takes from all daemons together; empty
   /// if it names no limit.
   std::optional<double> request_limit;
+  /// Rejections per second beyond which the server falls over; empty if it is
+  /// not brittle.
+  std::optional<double> bearable_rejections;
   HttpHeaders forwarded_fields;  ///< sent to the caller
 };
 
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -50,7 +50,7 @@
 
 struct ReportedLimit {
   const routing::Server* server = nullptr;
-  routing::RequestLimitReport report;
+  routing::NamedValueReport report;
 };
 
 void KeepNewest(std::vector<ReportedLimit>& limits) {
@@ -63,10 +63,10 @@
 void WriteLimits(std::span<const ReportedLimit> limits,
                  capnp::List<schema::ServerLimit>::Builder out) {
   for (unsigned i = 0; i < limits.size(); ++i) {
-    const routing::RequestLimitReport& report = limits[i].report;
+    const routing::NamedValueReport& report = limits[i].report;
     out[i].setServer(limits[i].server->record().id);
-    out[i].setLimited(report.requests_per_second.has_value());
-    out[i].setPerSecond(report.requests_per_second.value_or(0));
+    out[i].setLimited(report.value.has_value());
+    out[i].setPerSecond(report.value.value_or(0));
     out[i].setAgeMs(static_cast<std::uint32_t>(WholeMilliseconds(report.age)));
   }
 }
@@ -104,6 +104,41 @@
   }
   FillBacklogs(heartbeat);
   FillSuspects(heartbeat);
+  FillBrittleServices(heartbeat);
+}
+
+void Gateway::Impl::FillBrittleServices(schema::Beat::Builder heartbeat) {
+  std::vector<std::pair<std::string, routing::NamedValueReport>> reports;
+  placement_rules_.brittle_servers.services().ForEachReport(
+      loop_.Now(), [&reports](std::string_view service,
+                              const routing::NamedValueReport& report) {
+        reports.emplace_back(service, report);
+      });
+  auto out = heartbeat.initBrittle(static_cast<unsigned>(reports.size()));
+  for (unsigned i = 0; i < out.size(); ++i) {
+    const auto& [service, report] = reports[i];
+    out[i].setService(service);
+    out[i].setBrittle(report.value.has_value());
+    out[i].setPerSecond(report.value.value_or(0));
+    out[i].setAgeMs(static_cast<std::uint32_t>(WholeMilliseconds(report.age)));
+  }
+}
+
+void Gateway::Impl::ApplyBrittleServices(const std::string& peer,
+                                         schema::Beat::Reader heartbeat) {
+  const TimePoint now = loop_.Now();
+  for (const auto told : heartbeat.getBrittle()) {
+    routing::NamedValueReport report;
+    report.age = std::chrono::milliseconds(told.getAgeMs());
+    if (told.getBrittle()) {
+      report.value = told.getPerSecond();
+    }
+    const std::string service = told.getService();
+    if (placement_rules_.brittle_servers.services().OnPeerReport(now, service,
+                                                                 report)) {
+      LogBrittleService(service, report.value, peer);
+    }
+  }
 }
 
 void Gateway::Impl::FillServerReports(schema::Beat::Builder heartbeat) {
@@ -179,6 +214,7 @@
   const std::string name = heartbeat.getDaemon();
   ApplyPeerReport(name, heartbeat);
   ApplyPeerLimits(name, heartbeat);
+  ApplyBrittleServices(name, heartbeat);
   for (const auto backlog : heartbeat.getBacklogs()) {
     const std::string service = backlog.getService();
     const std::string data_centre = backlog.getDataCentre();
@@ -235,10 +271,10 @@
     if (server == nullptr) {
       continue;
     }
-    routing::RequestLimitReport report;
+    routing::NamedValueReport report;
     report.age = std::chrono::milliseconds(limit.getAgeMs());
     if (limit.getLimited()) {
-      report.requests_per_second = limit.getPerSecond();
+      report.value = limit.getPerSecond();
     }
     if (server->request_limit().OnPeerReport(now, report)) {
       LogRequestLimit(*server, peer);
--- a/packages/gateway/src/limit_recorder.cc
+++ b/packages/gateway/src/limit_recorder.cc
@@ -27,4 +27,19 @@
   }
 }
 
+void LogBrittleService(std::string_view service,
+                       std::optional<double> bearable_rejections,
+                       std::string_view told_by) {
+  LogEvent event("service_brittle");
+  event.Field("service", service);
+  if (bearable_rejections) {
+    event.Field("bearable_per_second", *bearable_rejections);
+  } else {
+    event.Field("bearable_per_second", "unlimited");
+  }
+  if (!told_by.empty()) {
+    event.Field("told_by", told_by);
+  }
+}
+
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -212,6 +212,7 @@
 void Membership::InvalidateRanks() {
   schedulers_.clear();
   lacks_contact_.reset();
+  in_reach_.clear();
   standbys_valid_ = false;
 }
 
@@ -394,6 +395,23 @@
   return ahead < count;
 }
 
+std::size_t Membership::CountInReach(std::string_view data_centre) const {
+  const auto found = in_reach_.find(data_centre);
+  if (found != in_reach_.end()) {
+    return found->second;
+  }
+  const auto counts = [data_centre](const DaemonState& state) {
+    return state.data_centre == data_centre && !state.leaving && !state.cut_off;
+  };
+  const auto peers = std::ranges::count_if(peers_, [&](const auto& entry) {
+    return entry.second->alive && counts(entry.second->state);
+  });
+  const std::size_t count =
+      static_cast<std::size_t>(peers) + (counts(own_) ? 1 : 0);
+  in_reach_.emplace(data_centre, count);
+  return count;
+}
+
 std::size_t Membership::StoreReaderRank() const {
   const std::uint64_t own = RendezvousWeight(kStoreReaderKey, own_.name);
   return static_cast<std::size_t>(
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -27,8 +27,9 @@
 /// at most once: if the server closes it as idle while the request is on its
 /// way, it is unknown whether the request has run.
 constexpr Duration kMaxIdleNonRepeatable = std::chrono::milliseconds(1500);
-/// How often a request is tried again that only cold servers could run.
-constexpr Duration kColdServerRetryPeriod = std::chrono::milliseconds(50);
+/// How often a request is tried again that only cold or brittle servers could
+/// run.
+constexpr Duration kHeldServerRetryPeriod = std::chrono::milliseconds(50);
 /// Like kMaxIdleNonRepeatable, for repeatable requests.
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(4);
 
@@ -86,7 +87,7 @@
   }
   const routing::ServerChoice choice = ChooseServer();
   if (choice.server == nullptr) {
-    if (!WaitForColdServer(choice)) {
+    if (!WaitForHeldServer(choice)) {
       Refuse(ErrorKind::kNoServer, "no server can accept the request");
     }
     return;
@@ -128,17 +129,19 @@
   StartFirstByteTimer();
 }
 
-bool RequestFlow::WaitForColdServer(const routing::ServerChoice& choice) {
-  const auto cold =
-      choice
-          .verdicts[static_cast<std::size_t>(routing::PlacementVerdict::kCold)];
-  if (cold == 0 ||
-      context_.loop.Now() + kColdServerRetryPeriod + MinAnswerTime() >
+bool RequestFlow::WaitForHeldServer(const routing::ServerChoice& choice) {
+  const auto count = [&choice](routing::PlacementVerdict verdict) {
+    return choice.verdicts[static_cast<std::size_t>(verdict)];
+  };
+  const auto held = count(routing::PlacementVerdict::kCold) +
+                    count(routing::PlacementVerdict::kNoRoom);
+  if (held == 0 ||
+      context_.loop.Now() + kHeldServerRetryPeriod + MinAnswerTime() >
           deadline_) {
     return false;
   }
   context_.loop.Cancel(answer_timer_);
-  answer_timer_ = context_.loop.After(kColdServerRetryPeriod, [this] {
+  answer_timer_ = context_.loop.After(kHeldServerRetryPeriod, [this] {
     const Ptr keep(this);
     SendToServer();
   });
@@ -201,6 +204,12 @@
   context_.reach.OnAnswer();
   RecordRequestLimit(context_.loop.Now(), sent_at_, answer.request_limit,
                      *server_);
+  if (context_.placement_rules.brittle_servers.services().OnAnswer(
+          context_.loop.Now(), sent_at_, service_name_,
+          answer.bearable_rejections)) {
+    LogBrittleService(service_name_, answer.bearable_rejections, "");
+    context_.cluster.SendUpdate(Cluster::UpdateScope::kGossip);
+  }
   context_.loop.Cancel(answer_timer_);
   const bool streams = route_->kind == routing::RouteKind::kStream &&
                        answer.status < kFirstNonSuccessStatus &&
@@ -361,6 +370,7 @@
     return;
   }
   server_->history().OnConnectionFailure(context_.loop.Now());
+  server_->OnRejected(context_.loop.Now());
   UnassignServer();
   may_have_run_ = earlier_may_have_run_;
   if (TryRetry("refused", status)) {
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -5,7 +5,7 @@
 #include "gentianroute/gateway/detail/request_attempt.h"
 #include "gentianroute/gateway/request_flow.h"
 
-// Handing a request to a peer while this daemon is cut off from the servers.
+// Handing a request to a peer while this daemon can't send it to any server.
 
 namespace gentianroute::gateway {
 namespace {
@@ -30,11 +30,14 @@
 }
 
 bool RequestFlow::HandToPeer() {
-  if (!context_.reach.is_cut_off() || hops_ >= kMaxHops) {
+  const bool served_elsewhere = IsServedElsewhere();
+  const bool needs_peer = served_elsewhere || context_.reach.is_cut_off();
+  if (!needs_peer || hops_ >= kMaxHops) {
     return false;
   }
-  const auto permits = [this](std::string_view data_centre) {
-    return placement_->PermitsDataIn(data_centre);
+  const auto permits = [this, served_elsewhere](std::string_view data_centre) {
+    return placement_->PermitsDataIn(data_centre) &&
+           (!served_elsewhere || HasServerIn(data_centre));
   };
   const Membership::Peer* peer = context_.cluster.members().PeerInReach(
       request_.id, permits, failed_peers_);
@@ -56,6 +59,20 @@
   return true;
 }
 
+bool RequestFlow::HasServerIn(std::string_view data_centre) const {
+  const auto& servers = context_.servers.ServersOf(service_name_);
+  return std::ranges::any_of(
+      servers, [data_centre](const routing::ServerPtr& server) {
+        return server->open() && server->record().data_centre == data_centre;
+      });
+}
+
+bool RequestFlow::IsServedElsewhere() const {
+  const auto& brittle = context_.placement_rules.brittle_servers.services();
+  return brittle.Contains(service_name_) &&
+         !HasServerIn(context_.topology.own());
+}
+
 HandedRequest RequestFlow::HandedToPeer() const {
   HandedRequest handed;
   handed.head = exchange_->head();
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -13,7 +13,8 @@
 /// Log fields with the number of servers that could not be chosen, and labels
 /// of the metrics, by PlacementVerdict.
 constexpr auto kLimitNames = std::to_array<std::string_view>(
-    {"accepted", "outside_regions", "evacuated", "cold", "rate_limited"});
+    {"accepted", "outside_regions", "evacuated", "cold", "rate_limited",
+     "not_sender", "no_room"});
 
 /// Whether the request was answered or cancelled by its caller.
 bool IsExpectedOutcome(std::string_view outcome) {
--- a/packages/routing/include/gentianroute/routing/placement.h
+++ b/packages/routing/include/gentianroute/routing/placement.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "gentianroute/base/time.h"
+#include "gentianroute/routing/brittle_server_limiter.h"
 #include "gentianroute/routing/cold_server_limiter.h"
 #include "gentianroute/routing/evacuations.h"
 #include "gentianroute/routing/permitted_regions.h"
@@ -24,6 +25,7 @@
   Evacuations evacuations;
   ColdServerLimiter cold_servers;
   RequestRateLimiter request_rates;
+  BrittleServerLimiter brittle_servers;
 };
 
 /// @brief Whether work may be placed at a server or data centre, and why not.
@@ -34,8 +36,10 @@
   kCold,  ///< the server is cold and may get no request from this daemon now
   kRateLimited,  ///< it has named a limit that leaves this daemon no request
                  ///< now
+  kNotSender,    ///< it is brittle, and other daemons have all its slots
+  kNoRoom,  ///< it is brittle, and this daemon's part of its slots is taken
 };
-inline constexpr std::size_t kPlacementVerdicts = 5;
+inline constexpr std::size_t kPlacementVerdicts = 7;
 
 /// @brief Number of servers with each verdict.
 using PlacementCounts = std::array<std::uint32_t, kPlacementVerdicts>;
@@ -79,9 +83,18 @@
     if (!rules_->cold_servers.MaySend(now, server)) {
       return PlacementVerdict::kCold;
     }
-    return rules_->request_rates.MaySend(now, server)
-               ? PlacementVerdict::kAccepted
-               : PlacementVerdict::kRateLimited;
+    if (!rules_->request_rates.MaySend(now, server)) {
+      return PlacementVerdict::kRateLimited;
+    }
+    switch (rules_->brittle_servers.Check(now, server)) {
+      case BrittleServerLimiter::Verdict::kNotSender:
+        return PlacementVerdict::kNotSender;
+      case BrittleServerLimiter::Verdict::kNoRoom:
+        return PlacementVerdict::kNoRoom;
+      case BrittleServerLimiter::Verdict::kMaySend:
+        break;
+    }
+    return PlacementVerdict::kAccepted;
   }
 
  private:
--- a/packages/routing/include/gentianroute/routing/sender_share.h
+++ b/packages/routing/include/gentianroute/routing/sender_share.h
@@ -40,6 +40,9 @@
   /// @brief Whether this daemon is one of the `count` senders.
   virtual bool IsSender(const ServerRecord& server,
                         std::size_t count) const = 0;
+  /// @brief Number of daemons in the server's data centre that may be senders,
+  /// as far as this daemon knows.
+  virtual std::size_t CountBeside(const ServerRecord& server) const = 0;
 };
 
 }  // namespace gentianroute::routing
--- a/packages/routing/include/gentianroute/routing/server.h
+++ b/packages/routing/include/gentianroute/routing/server.h
@@ -165,6 +165,11 @@
   /// @brief Records that bytes of any answer arrived. A server that sends to
   /// other callers is up, even if one answer is slow.
   void OnBytesReceived(TimePoint now) { last_received_ = now; }
+  /// @brief Records that it has turned a request of this daemon away.
+  void OnRejected(TimePoint now) { last_rejected_ = now; }
+  bool WasRejectedSince(TimePoint then) const {
+    return last_rejected_ != TimePoint{} && last_rejected_ >= then;
+  }
   bool HasReceivedSince(TimePoint then) const { return last_received_ >= then; }
 
  private:
@@ -178,6 +183,7 @@
   RequestLimit request_limit_;
   PromptCache prompt_cache_;
   TimePoint last_received_{};
+  TimePoint last_rejected_{};  ///< zero: never
 };
 using ServerPtr = boost::intrusive_ptr<Server>;
 
--- a/packages/routing/tests/request_limit_test.cc
+++ b/packages/routing/tests/request_limit_test.cc
@@ -59,8 +59,7 @@
   fixture.limit.OnPeerReport(kBegin, {2.0, seconds(0)});
   cr_assert_not(fixture.limit.Report(kBegin).has_value());
   fixture.limit.OnAnswer(kBegin, kBegin, 2.0);
-  cr_assert_float_eq(*fixture.limit.Report(kBegin)->requests_per_second, 2.0,
-                     1e-9);
+  cr_assert_float_eq(*fixture.limit.Report(kBegin)->value, 2.0, 1e-9);
 }
 
 Test(request_limit, end_is_reported_for_some_time) {
@@ -70,7 +69,7 @@
                          std::nullopt);
   cr_assert(fixture.limit.Report(kBegin + seconds(2)).has_value());
   cr_assert_not(
-      fixture.limit.Report(kBegin + seconds(1) + RequestLimit::kEndReportTime)
+      fixture.limit.Report(kBegin + seconds(1) + NamedValue::kEndReportTime)
           .has_value());
 }
 
--- a/packages/routing/tests/routing_fixture.h
+++ b/packages/routing/tests/routing_fixture.h
@@ -43,6 +43,10 @@
                 std::size_t /*count*/) const override {
     return is_sender;
   }
+  std::size_t beside = 1;
+  std::size_t CountBeside(const ServerRecord& /*server*/) const override {
+    return beside;
+  }
 };
 
 /// Rules and a placement of a request, without limits unless a test adds some.
@@ -52,7 +56,8 @@
   PlacementRules rules{topology,
                        {},
                        ColdServerLimiter({}, senders),
-                       RequestRateLimiter(kLimitTolerance, senders)};
+                       RequestRateLimiter(kLimitTolerance, senders),
+                       BrittleServerLimiter(senders)};
   Placement placement{rules, {}};
 
   void PermitOnly(std::vector<std::string> regions) {
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -29,6 +29,15 @@
   ageMs @3 :UInt32;
 }
 
+struct BrittleService {
+  # A service whose servers fall over if they turn away too many requests, as the
+  # sender has observed it.
+  service @0 :Text;
+  brittle @1 :Bool;                   # false: no longer
+  perSecond @2 :Float64;              # rejections that a server bears
+  ageMs @3 :UInt32;
+}
+
 struct StageBacklog {
   # Work queued for the stage servers of one service in one data centre, as
   # reported by the daemon that schedules them.
@@ -67,6 +76,7 @@
   clearances @18 :List(Peer.ClearanceReport);
   limits @19 :List(ServerLimit);      # with the load only
   cutOff @20 :Bool;                   # the sender reaches no backend server
+  brittle @21 :List(BrittleService);
 }
 
 struct Group {
