Keep connections to a server that is silent for a second

Cause: all sockets had a user timeout of 1.5 s beside two probes, 1 s apart. A connection that waits for an answer is probed after 1 s; if that probe meets the pause, the next one, at 2 s, finds 1.5 s passed and ends the connection, though the server has gone on. The request then counts as possibly run, or the server as broken. By the kernel's rule a pause of 1.0 s could be enough.

Change: 3 s for servers and the store, so that a pause of nearly 2 s is borne; 1.5 s stay for connections between daemons, where another can take over. The probes' count, which decided nothing, is no longer set.

--- a/packages/loop/src/rpc.cc
+++ b/packages/loop/src/rpc.cc
@@ -22,7 +22,8 @@
  public:
   explicit H2oStream(h2o_socket_t* socket) : socket_(socket) {
     socket_->data = this;
-    EnableDeadPeerDetection(h2o_socket_get_fd(socket_));
+    EnableDeadPeerDetection(h2o_socket_get_fd(socket_),
+                            DeadPeerTimeout::kDaemon);
     auto disconnect = kj::newPromiseAndFulfiller<void>();
     disconnect_fulfiller_ = kj::mv(disconnect.fulfiller);
     disconnect_promise_ = disconnect.promise.fork();
--- a/packages/loop/src/socket_options.cc
+++ b/packages/loop/src/socket_options.cc
@@ -7,13 +7,9 @@
 namespace gentianroute {
 namespace {
 
-/// Many times the round-trip time between regions, and shorter than every time
-/// limit of a call, so that a call on a dead connection can still be retried.
-constexpr int kUserTimeoutMilliseconds = 1500;
-/// An idle connection is probed after 1 s without traffic, twice, 1 s apart.
+/// An idle connection is probed after 1 s without traffic, then each second.
 constexpr int kKeepaliveIdleSeconds = 1;
 constexpr int kKeepaliveIntervalSeconds = 1;
-constexpr int kMaxKeepaliveProbes = 2;
 
 void SetOption(int descriptor, int level, int name, int value) {
   setsockopt(descriptor, level, name, &value, sizeof(value));
@@ -21,13 +17,12 @@
 
 }  // namespace
 
-void EnableDeadPeerDetection(int descriptor) {
+void EnableDeadPeerDetection(int descriptor, Duration timeout) {
   SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            kUserTimeoutMilliseconds);
+            static_cast<int>(timeout / std::chrono::milliseconds(1)));
   SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepaliveIdleSeconds);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepaliveIntervalSeconds);
-  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kMaxKeepaliveProbes);
 }
 
 }  // namespace gentianroute
--- a/packages/loop/src/stream_socket.cc
+++ b/packages/loop/src/stream_socket.cc
@@ -44,7 +44,7 @@
 void StreamSocket::StartReading() {
   socket_->data = this;
   connected_ = true;
-  EnableDeadPeerDetection(h2o_socket_get_fd(socket_));
+  EnableDeadPeerDetection(h2o_socket_get_fd(socket_), DeadPeerTimeout::kServer);
   h2o_socket_read_start(socket_, &StreamSocket::OnReadable);
 }
 
