Confirm crashes by the host list alone, not by a refused connection

A connection that broke during a request and another that was refused made a confirmed crash, and a cut link does both.

Change: a refused connection confirms nothing. The entry of a server that ended goes, or names a new incarnation, well within the time for which evidence is kept, and until then the request is refused as pending, so that the bound on crashing requests doesn't need the refusal.

Without the store, crashes lapse after 6.1 s; accepted, as the list can't tell a crash from a cut then.

--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -47,7 +47,8 @@
 /// to any daemon, so that the crashes at each of them would be too few.
 ///
 /// A broken connection alone doesn't prove a crash, since the network may have
-/// cut it. The crash is confirmed once the server is seen down or restarted. As
+/// cut it; nor does a refused one, which a cut link refuses too. The crash is
+/// confirmed once the server is known to be down or restarted. As
 /// long as an unconfirmed crash would complete the evidence against a request,
 /// its quarantine is pending: the request waits and is neither run nor
 /// rejected.
@@ -87,8 +88,8 @@
                std::uint64_t incarnation,
                std::span<const Fingerprint> in_flight);
 
-  /// @brief Confirms the server's crashes: it refuses connections, or closed
-  /// all of them at once.
+  /// @brief Confirms the server's crashes: it is down, by a source that doesn't
+  /// depend on this daemon's links to it.
   void OnServerDown(TimePoint now, std::string_view server);
   /// @brief Handles a host list entry: a higher incarnation confirms the
   /// crashes of the earlier ones.
--- a/packages/gateway/include/gentianroute/gateway/settings.h
+++ b/packages/gateway/include/gentianroute/gateway/settings.h
@@ -43,8 +43,8 @@
   routing::RateTolerance request_limit_tolerance{1.5, 5,
                                                  std::chrono::seconds(4)};
 
-  /// @brief Time after which a crash that neither the host list nor a refused
-  /// connection has confirmed was none.
+  /// @brief Time after which a crash that the host list has not confirmed was
+  /// none.
   Duration CrashConfirmationTime() const {
     return server_entry_lifetime + max_propagation_time;
   }
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -386,7 +386,6 @@
   context_.loop.Cancel(answer_timer_);
   if (failure == RelayFailure::kNotSent) {
     context_.reach.OnNotConnected(server);
-    context_.suspects.OnServerDown(now, server);
     --attempts_;
     may_have_run_ = earlier_may_have_run_;
     UnassignServer();
