--- a/packages/gateway/include/gentianroute/gateway/detail/cluster_messages.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/cluster_messages.h
@@ -11,8 +11,8 @@
 #include "gentianroute/routing/stage_pool.h"
 
 /// Encoding of groups, their outcomes and handed requests in messages between
-/// daemons. Times are
-/// encoded relative to now, since the clocks of daemons differ.
+/// daemons. Times are encoded relative to now, since the clocks of daemons
+/// differ.
 namespace gentianroute::gateway::detail {
 
 void WriteGroup(TimePoint now,
--- a/packages/gateway/include/gentianroute/gateway/handed_request.h
+++ b/packages/gateway/include/gentianroute/gateway/handed_request.h
@@ -17,6 +17,9 @@
   bool may_have_run = false;   ///< at one of these
   std::string resume_after;  ///< last event that the caller has; empty if none
   std::uint32_t hops = 0;    ///< daemons that have handed it over
+  /// Deployment that it was admitted under. A daemon with an older one must not
+  /// run it: its caller may have seen the effect of the newer one.
+  std::uint64_t deployment_version = 0;
 };
 
 /// @brief A caller's request that its daemon can't send to any backend server.
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -236,7 +236,7 @@
   /// near peers share the requests.
   /// @param key id of the request
   /// @param permits whether the request may go to a data centre
-  /// @param excluded names of peers that have failed it
+  /// @param excluded names of peers that have had it
   /// @complexity linear in the number of daemons
   const Peer* PeerInReach(
       std::string_view key,
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -229,6 +229,7 @@
   FlowContext& context_;
   RelayExchangePtr exchange_;
   routing::RouteTablePtr table_;
+  std::uint64_t min_deployment_version_ = 0;  ///< see RequestProgress
   Ptr self_;  ///< keeps the request alive; null once it has been answered
   CallerRequest request_;
   const routing::Route* route_ = nullptr;
@@ -269,10 +270,10 @@
   double pace_ = 1;
   /// Result of routing::WavesAt() when the request was sent.
   double waves_ = 1;
-  std::vector<std::string> tried_;  ///< ids of servers, in order
-  std::uint32_t attempts_ = 0;      ///< excludes those that were not sent
-  std::vector<std::string> failed_peers_;  ///< to which it was handed
-  std::uint32_t hops_ = 0;                 ///< daemons that have handed it over
+  std::vector<std::string> tried_;        ///< ids of servers, in order
+  std::uint32_t attempts_ = 0;            ///< excludes those that were not sent
+  std::vector<std::string> peers_tried_;  ///< names, in order
+  std::uint32_t hops_ = 0;                ///< daemons that have handed it over
   bool may_have_run_ = false;
   /// Whether a server before the current one may have run it.
   bool earlier_may_have_run_ = false;
--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -115,6 +115,7 @@
   out.setMayHaveRun(progress.may_have_run);
   out.setResumeAfter(progress.resume_after);
   out.setHops(progress.hops);
+  out.setDeploymentVersion(progress.deployment_version);
 }
 
 HandedRequest ReadHandedRequest(schema::HandedRequest::Reader in) {
@@ -128,6 +129,7 @@
   request.progress.may_have_run = in.getMayHaveRun();
   request.progress.resume_after = in.getResumeAfter();
   request.progress.hops = in.getHops();
+  request.progress.deployment_version = in.getDeploymentVersion();
   return request;
 }
 
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -78,6 +78,7 @@
     : context_(context),
       exchange_(std::move(exchange)),
       table_(std::move(table)),
+      min_deployment_version_(progress.deployment_version),
       request_(context.translator.ReadRequest(exchange_->head())),
       started_at_(exchange_->start_time()),
       attempts_(progress.attempts),
@@ -94,7 +95,7 @@
 RequestFlow::~RequestFlow() = default;
 
 std::optional<ErrorKind> RequestFlow::Admit() {
-  if (table_ == nullptr) {
+  if (table_ == nullptr || table_->version() < min_deployment_version_) {
     return ErrorKind::kNotReady;
   }
   if (request_.id.empty()) {
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -40,7 +40,7 @@
            (!served_elsewhere || HasServerIn(data_centre));
   };
   const Membership::Peer* peer = context_.cluster.members().PeerInReach(
-      request_.id, permits, failed_peers_);
+      request_.id, permits, peers_tried_);
   if (peer == nullptr) {
     return false;
   }
@@ -49,7 +49,7 @@
   context_.loop.Cancel(answer_timer_);
   running_stages_.clear();
   ReleaseResults(plan_->TakeAll());
-  failed_peers_.push_back(peer->state.name);
+  peers_tried_.push_back(peer->state.name);
   if (attempt_ != nullptr) {
     old_attempts_.push_back(std::move(attempt_));
   }
@@ -83,6 +83,7 @@
   handed.progress.resume_after =
       events_.last_id().empty() ? request_.resume_after : events_.last_id();
   handed.progress.hops = hops_ + 1;
+  handed.progress.deployment_version = table_->version();
   return handed;
 }
 
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -157,6 +157,7 @@
   mayHaveRun @6 :Bool;                # at one of these
   resumeAfter @7 :Text;               # last event that the caller has, if any
   hops @8 :UInt32;                    # daemons that have handed it over
+  deploymentVersion @9 :UInt64;       # that it has been admitted under
 }
 
 interface AnswerReader {
