--- a/packages/routing/src/brittle_server_limiter.cc
+++ b/packages/routing/src/brittle_server_limiter.cc
@@ -17,8 +17,8 @@
   if (!senders_.IsSender(server.record(), senders)) {
     return Verdict::kNotSender;
   }
-  const auto part = static_cast<double>(slots / senders);
-  const bool has_room = server.own().calls < part &&
+  const std::size_t part = slots / senders;
+  const bool has_room = server.own().calls < static_cast<double>(part) &&
                         server.calls() < static_cast<double>(slots) &&
                         !server.WasRejectedSince(now - kRejectionHold);
   return has_room ? Verdict::kMaySend : Verdict::kNoRoom;
