--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -41,6 +41,9 @@
   /// Maximum time until the next heartbeat to the receiver; 0 if the daemon
   /// sends it none regularly.
   Duration heartbeat_interval{};
+
+  /// Whether it may get work for the servers, as long as it is alive.
+  bool takes_work() const { return !leaving && !cut_off; }
 };
 
 /// @brief A daemon as listed by the store or by a peer.
--- a/packages/gateway/include/gentianroute/gateway/peer_calls.h
+++ b/packages/gateway/include/gentianroute/gateway/peer_calls.h
@@ -73,6 +73,8 @@
       std::function<void(const std::vector<ListedDaemon>&)> done);
 
  private:
+  template <typename Derived>
+  class CancellableCall;
   class RemoteGroup;
   class RemoteRequest;
   struct Connection {
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -134,6 +134,10 @@
   /// @return false if this daemon has to run it itself
   bool HandToPeer();
   HandedRequest HandedToPeer() const;
+  /// The last event that the caller has; empty if none.
+  const std::string& ResumePosition() const;
+  /// Records the time of the first byte for the caller, if it is the first.
+  void RecordFirstByte(TimePoint now);
   /// Whether a data centre has an open server of the request's service.
   bool HasServerIn(std::string_view data_centre) const;
   /// Whether the servers get requests from daemons beside them only, and this
--- a/packages/gateway/src/limit_recorder.cc
+++ b/packages/gateway/src/limit_recorder.cc
@@ -4,20 +4,31 @@
 
 namespace gentianroute::gateway {
 
-void LogRequestLimit(const routing::Server& server, std::string_view told_by) {
-  LogEvent event("server_limit");
-  event.Field("server", server.record().id);
-  const std::optional<double>& rate = server.request_limit().rate();
+namespace {
+
+/// @param rate empty: no limit
+void AddRate(LogEvent& event,
+             std::string_view field,
+             std::optional<double> rate,
+             std::string_view told_by) {
   if (rate) {
-    event.Field("per_second", *rate);
+    event.Field(field, *rate);
   } else {
-    event.Field("per_second", "unlimited");
+    event.Field(field, "unlimited");
   }
   if (!told_by.empty()) {
     event.Field("told_by", told_by);
   }
 }
 
+}  // namespace
+
+void LogRequestLimit(const routing::Server& server, std::string_view told_by) {
+  LogEvent event("server_limit");
+  event.Field("server", server.record().id);
+  AddRate(event, "per_second", server.request_limit().rate(), told_by);
+}
+
 void RecordRequestLimit(TimePoint now,
                         TimePoint sent_at,
                         std::optional<double> requests_per_second,
@@ -32,14 +43,7 @@
                        std::string_view told_by) {
   LogEvent event("service_brittle");
   event.Field("service", service);
-  if (bearable_rejections) {
-    event.Field("bearable_per_second", *bearable_rejections);
-  } else {
-    event.Field("bearable_per_second", "unlimited");
-  }
-  if (!told_by.empty()) {
-    event.Field("told_by", told_by);
-  }
+  AddRate(event, "bearable_per_second", bearable_rejections, told_by);
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -387,9 +387,8 @@
     if (!is_beside && peer_is_beside) {
       return false;
     }
-    const bool counts =
-        !is_beside || (peer_is_beside && peer->alive && !peer->state.leaving &&
-                       !peer->state.cut_off);
+    const bool counts = !is_beside || (peer_is_beside && peer->alive &&
+                                       peer->state.takes_work());
     ahead += counts && RendezvousWeight(key, name) > own ? 1 : 0;
   }
   return ahead < count;
@@ -401,7 +400,7 @@
     return found->second;
   }
   const auto counts = [data_centre](const DaemonState& state) {
-    return state.data_centre == data_centre && !state.leaving && !state.cut_off;
+    return state.data_centre == data_centre && state.takes_work();
   };
   const auto peers = std::ranges::count_if(peers_, [&](const auto& entry) {
     return entry.second->alive && counts(entry.second->state);
@@ -462,7 +461,7 @@
   std::pair<Distance, std::uint64_t> best;
   for (const auto& [name, peer] : peers_) {
     const DaemonState& state = peer->state;
-    if (!peer->alive || state.leaving || state.cut_off ||
+    if (!peer->alive || !state.takes_work() ||
         std::ranges::find(excluded, name) != excluded.end() ||
         !permits(state.data_centre)) {
       continue;
--- a/packages/gateway/src/peer_calls.cc
+++ b/packages/gateway/src/peer_calls.cc
@@ -21,21 +21,35 @@
 
 }  // namespace
 
+/// A call to a peer that ends with the object derived from this.
+template <typename Derived>
+class PeerCalls::CancellableCall {
+ public:
+  template <typename T>
+  kj::Promise<T> Wrap(kj::Promise<T> call) {
+    return canceler_.wrap(kj::mv(call));
+  }
+  /// Expires with this object, so that callbacks detect its destruction.
+  std::weak_ptr<Derived*> self() const { return self_; }
+
+ protected:
+  CancellableCall() = default;
+  ~CancellableCall() noexcept { canceler_.cancel("the request has ended"); }
+
+ private:
+  kj::Canceler canceler_;
+  std::shared_ptr<Derived*> self_ =
+      std::make_shared<Derived*>(static_cast<Derived*>(this));
+};
+
 /// A group that a peer runs. Destroying it cancels the call.
-class PeerCalls::RemoteGroup final : public GroupHandle {
+class PeerCalls::RemoteGroup final : public GroupHandle,
+                                     public CancellableCall<RemoteGroup> {
  public:
   using Done = std::function<void(std::optional<GroupOutcome>)>;
 
   explicit RemoteGroup(Done done) : done_(std::move(done)) {}
-  ~RemoteGroup() noexcept override {
-    canceler_.cancel("the request has ended");
-  }
 
-  template <typename T>
-  kj::Promise<T> Wrap(kj::Promise<T> call) {
-    return canceler_.wrap(kj::mv(call));
-  }
-  std::weak_ptr<RemoteGroup*> self() const { return self_; }
   void End(std::optional<GroupOutcome> outcome) {
     if (auto done = std::exchange(done_, nullptr)) {
       done(std::move(outcome));
@@ -44,18 +58,13 @@
 
  private:
   Done done_;
-  kj::Canceler canceler_;
-  /// Expires with the group, so that callbacks detect its destruction.
-  std::shared_ptr<RemoteGroup*> self_ = std::make_shared<RemoteGroup*>(this);
 };
 
 /// A caller's request that a peer runs. Destroying it cancels the call.
-class PeerCalls::RemoteRequest final : public HandedRequestHandle {
+class PeerCalls::RemoteRequest final : public HandedRequestHandle,
+                                       public CancellableCall<RemoteRequest> {
  public:
   explicit RemoteRequest(PeerAnswerObserver& observer) : observer_(observer) {}
-  ~RemoteRequest() noexcept override {
-    canceler_.cancel("the request has ended");
-  }
 
   /// Passes the peer's messages on, for as long as the request exists.
   class Reader final : public schema::AnswerReader::Server {
@@ -108,11 +117,6 @@
     std::weak_ptr<RemoteRequest*> request_;
   };
 
-  template <typename T>
-  kj::Promise<T> Wrap(kj::Promise<T> call) {
-    return canceler_.wrap(kj::mv(call));
-  }
-  std::weak_ptr<RemoteRequest*> self() const { return self_; }
   void OnCallEnded() {
     if (!std::exchange(ended_, true)) {
       observer_.OnPeerFailed();
@@ -122,10 +126,6 @@
  private:
   PeerAnswerObserver& observer_;
   bool ended_ = false;
-  kj::Canceler canceler_;
-  /// Expires with the request, so that callbacks detect its destruction.
-  std::shared_ptr<RemoteRequest*> self_ =
-      std::make_shared<RemoteRequest*>(this);
 };
 
 PeerCalls::PeerCalls(EventLoop& loop, OnUnreachable on_unreachable)
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -54,6 +54,16 @@
                                     context_.topology);
 }
 
+const std::string& RequestFlow::ResumePosition() const {
+  return events_.last_id().empty() ? request_.resume_after : events_.last_id();
+}
+
+void RequestFlow::RecordFirstByte(TimePoint now) {
+  if (first_byte_at_ == TimePoint{}) {
+    first_byte_at_ = now;
+  }
+}
+
 std::string RequestFlow::MessageFor(const routing::Server& server) const {
   ServerRequest added;
   added.expected_server = server.record().id;
@@ -62,8 +72,7 @@
   }
   added.time_left = TimeLeft();
   added.inputs = plan_->FinalInputs();
-  added.resume_after =
-      events_.last_id().empty() ? request_.resume_after : events_.last_id();
+  added.resume_after = ResumePosition();
   const MessageHead& head = exchange_->head();
   const std::string& body = exchange_->body();
   const bool bodiless =
@@ -250,7 +259,7 @@
 
 void RequestFlow::OnFirstByte() {
   const TimePoint now = context_.loop.Now();
-  first_byte_at_ = first_byte_at_ == TimePoint{} ? now : first_byte_at_;
+  RecordFirstByte(now);
   const routing::Prompt& prompt = request_.prompt;
   const Duration taken = TimeAtServer(now);
   routing::ServiceTimeEstimate& estimate =
@@ -351,7 +360,7 @@
     context_.suspects.OnAnswered(now, fingerprint_);
   }
   exchange_->Respond(answer_.status, answer_.forwarded_fields, body_);
-  first_byte_at_ = first_byte_at_ == TimePoint{} ? now : first_byte_at_;
+  RecordFirstByte(now);
   Finish(failed ? "server_failure" : "answered", answer_.status, "");
 }
 
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -80,8 +80,7 @@
   handed.age = context_.loop.Now() - started_at_;
   handed.progress.attempts = attempts_;
   handed.progress.may_have_run = earlier_may_have_run_;
-  handed.progress.resume_after =
-      events_.last_id().empty() ? request_.resume_after : events_.last_id();
+  handed.progress.resume_after = ResumePosition();
   handed.progress.hops = hops_ + 1;
   handed.progress.deployment_version = table_->version();
   return handed;
@@ -95,8 +94,7 @@
     Fail("the peer refused to repeat the request");
     return;
   }
-  const TimePoint now = context_.loop.Now();
-  first_byte_at_ = first_byte_at_ == TimePoint{} ? now : first_byte_at_;
+  RecordFirstByte(context_.loop.Now());
   exchange_->Respond(status, fields, body);
   const bool failed = status >= kFirstServerErrorStatus;
   Finish(says_not_run ? "refused_by_peer"
@@ -109,8 +107,7 @@
   if (!std::exchange(answer_begun_, true)) {
     exchange_->Begin(status, fields);
   }
-  const TimePoint now = context_.loop.Now();
-  first_byte_at_ = first_byte_at_ == TimePoint{} ? now : first_byte_at_;
+  RecordFirstByte(context_.loop.Now());
 }
 
 void RequestFlow::OnPeerPart(std::string_view part) {
