Log the software version of servers and which stream a request takes up

The logs of the incident couldn't tell the hypotheses apart: they named neither the software version of the server that a request was sent to, nor that a request goes on with a stream that an earlier attempt began. No decision changes.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -335,6 +335,7 @@
     LogEvent("server_seen")
         .Field("server", row.key)
         .Field("version", row.version)
+        .Field("software", record ? record->software_version : "")
         .Field("state", !record           ? "gone"
                         : record->leaving ? "leaving"
                                           : "open");
--- a/packages/gateway/include/gentianroute/gateway/request_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/request_recorder.h
@@ -48,6 +48,8 @@
   Duration time_left{};
   Duration expected_stage_time{};  ///< estimated from the backlogs
   Fingerprint fingerprint;
+  std::string_view stream_begun_by;  ///< as in CallerRequest
+  std::string_view resume_after;     ///< as in CallerRequest
 };
 
 /// @brief One attempt to have a request answered by a server.
@@ -55,6 +57,7 @@
   std::string_view id;
   std::string_view server;
   std::string_view data_centre;
+  std::string_view software_version;  ///< of the server
   double server_calls = 0;   ///< in flight at the server, from all daemons
   double server_tokens = 0;  ///< memory that these calls need, in tokens
   /// Tokens that the server has to prefill for earlier requests.
--- a/packages/gateway/include/gentianroute/gateway/translator.h
+++ b/packages/gateway/include/gentianroute/gateway/translator.h
@@ -30,6 +30,9 @@
   std::vector<std::uint32_t> stage_pieces;
   std::string stage_key;     ///< stands in for inputs in stages without any
   std::string resume_after;  ///< last event that the caller has; empty if none
+  /// Id of the caller's request that brought the first event of the stream;
+  /// empty if the caller doesn't take one up.
+  std::string stream_begun_by;
   HttpHeaders forwarded_fields;  ///< sent to the server unchanged
 };
 
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -186,6 +186,8 @@
   admitted.time_left = TimeLeft();
   admitted.expected_stage_time = expected_stage_time_;
   admitted.fingerprint = fingerprint_;
+  admitted.stream_begun_by = request_.stream_begun_by;
+  admitted.resume_after = request_.resume_after;
   context_.recorder.OnAdmitted(admitted);
 }
 
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -116,6 +116,7 @@
   sent.id = request_.id;
   sent.server = record.id;
   sent.data_centre = record.data_centre;
+  sent.software_version = record.software_version;
   sent.server_calls = choice.server->calls();
   sent.server_tokens = choice.server->tokens();
   sent.pending_prefill_tokens = choice.server->pending_prefill_tokens();
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -24,8 +24,8 @@
 }  // namespace
 
 void RequestRecorder::OnAdmitted(const RequestAdmitted& admitted) {
-  LogEvent("request_admitted")
-      .ForRequest(admitted.id, LogPriority::kLow)
+  LogEvent event("request_admitted");
+  event.ForRequest(admitted.id, LogPriority::kLow)
       .Field("route", admitted.route)
       .Field("organisation", admitted.organisation)
       .Field("version", admitted.deployment_version)
@@ -35,6 +35,10 @@
       .Field("stages_expected_ms",
              WholeMilliseconds(admitted.expected_stage_time))
       .Field("fingerprint", admitted.fingerprint.value);
+  if (!admitted.resume_after.empty()) {
+    event.Field("begun_by", admitted.stream_begun_by)
+        .Field("resume_after", admitted.resume_after);
+  }
 }
 
 void RequestRecorder::OnSent(const RequestSent& sent) {
@@ -45,6 +49,7 @@
   event.ForRequest(sent.id, LogPriority::kLow)
       .Field("server", sent.server)
       .Field("data_centre", sent.data_centre)
+      .Field("software", sent.software_version)
       .Field("server_calls", static_cast<std::int64_t>(sent.server_calls))
       .Field("server_tokens", static_cast<std::int64_t>(sent.server_tokens))
       .Field("unread_before",
--- a/packages/routing/include/gentianroute/routing/server.h
+++ b/packages/routing/include/gentianroute/routing/server.h
@@ -23,6 +23,7 @@
   std::string address;  ///< IP address
   std::uint16_t port = 0;
   std::string data_centre;
+  std::string software_version;  ///< has no order; empty if unknown
   std::uint32_t slots = 1;
   bool leaving = false;
   Duration warm_up_left{};  ///< time that it stays cold; 0: it is warm
