End the requests of a daemon that is destroyed before its parts are

A request owns itself and refers to the parts of its daemon. Where the daemon object ends with requests in progress, as in a test that kills one of several daemons in a process, they outlived these parts: a test that kills a peer with a handed request crashed. The destructor ends them first, as the end of a drain does.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -129,7 +129,10 @@
         .Field("data_centre", settings_.data_centre)
         .Field("callers", settings_.callers.ToString());
   }
-  ~Impl() override { loop_.Cancel(maintenance_timer_); }
+  ~Impl() override {
+    loop_.Cancel(maintenance_timer_);
+    EndAllFlows();
+  }
 
   void Drain(std::function<void()> done) {
     if (std::exchange(draining_, true)) {
@@ -433,9 +436,7 @@
     const bool idle = callers_->active_requests() == 0 && flows_.empty();
     if ((idle && now >= earliest) || now >= latest) {
       LogEvent("drain_ended").Field("left", callers_->active_requests());
-      while (!flows_.empty()) {
-        flows_.front().OnShutdown();
-      }
+      EndAllFlows();
       loop_.After(detail::kResponseFlushTime, done);
       return;
     }
@@ -445,6 +446,12 @@
                 });
   }
 
+  void EndAllFlows() {
+    while (!flows_.empty()) {
+      flows_.front().OnShutdown();
+    }
+  }
+
   EventLoop& loop_;
   GatewaySettings settings_;
   const Translator& translator_;
