Wait for the probes before a request is given up that few servers can run

A daemon learns from probes that it is cut off from all servers, some milliseconds after the second connection has failed. Only requests that have failed at a server wait.

--- a/packages/gateway/include/gentianroute/gateway/reach_monitor.h
+++ b/packages/gateway/include/gentianroute/gateway/reach_monitor.h
@@ -34,6 +34,7 @@
     on_changed_ = std::move(on_changed);
   }
   bool is_cut_off() const { return reach_.is_cut_off(); }
+  bool is_probing() const { return reach_.is_probing(); }
 
   /// @brief Records what became of a call to a server, see
   /// routing::ServerReach.
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -152,10 +152,10 @@
   void OnPeerFailed();
 
   void SendToServer();
-  /// Sends the request later if servers accept it once they are less cold, or
-  /// have room again.
-  /// @return false if it can't wait or no server is cold or brittle
-  bool WaitForHeldServer(const routing::ServerChoice& choice);
+  /// Sends the request later if servers accept it once they are less cold or
+  /// have room again, or if a peer may have to send it.
+  /// @return false if it can't wait or has nothing to wait for
+  bool WaitForServer(const routing::ServerChoice& choice);
   routing::ServerChoice ChooseServer() const;
   bool IsGeneration() const;
   /// The request as it is sent to a server, head and body.
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -27,9 +27,8 @@
 /// at most once: if the server closes it as idle while the request is on its
 /// way, it is unknown whether the request has run.
 constexpr Duration kMaxIdleNonRepeatable = std::chrono::milliseconds(1500);
-/// How often a request is tried again that only cold or brittle servers could
-/// run.
-constexpr Duration kHeldServerRetryPeriod = std::chrono::milliseconds(50);
+/// How often a request is tried again that no server can run now.
+constexpr Duration kServerRetryPeriod = std::chrono::milliseconds(50);
 /// Like kMaxIdleNonRepeatable, for repeatable requests.
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(4);
 
@@ -96,7 +95,7 @@
   }
   const routing::ServerChoice choice = ChooseServer();
   if (choice.server == nullptr) {
-    if (!WaitForHeldServer(choice)) {
+    if (!WaitForServer(choice)) {
       Refuse(ErrorKind::kNoServer, "no server can accept the request");
     }
     return;
@@ -139,19 +138,22 @@
   StartFirstByteTimer();
 }
 
-bool RequestFlow::WaitForHeldServer(const routing::ServerChoice& choice) {
+bool RequestFlow::WaitForServer(const routing::ServerChoice& choice) {
   const auto count = [&choice](routing::PlacementVerdict verdict) {
     return choice.verdicts[static_cast<std::size_t>(verdict)];
   };
   const auto held = count(routing::PlacementVerdict::kCold) +
                     count(routing::PlacementVerdict::kNoRoom);
-  if (held == 0 ||
-      context_.loop.Now() + kHeldServerRetryPeriod + MinAnswerTime() >
-          deadline_) {
+  // A few servers can all have been tried before the daemon knows that it is
+  // cut off from them, and has to hand the request to a peer.
+  const bool may_be_cut_off = !tried_.empty() && context_.reach.is_probing();
+  const bool may_find_one = held > 0 || may_be_cut_off;
+  if (!may_find_one ||
+      context_.loop.Now() + kServerRetryPeriod + MinAnswerTime() > deadline_) {
     return false;
   }
   context_.loop.Cancel(answer_timer_);
-  answer_timer_ = context_.loop.After(kHeldServerRetryPeriod, [this] {
+  answer_timer_ = context_.loop.After(kServerRetryPeriod, [this] {
     const Ptr keep(this);
     SendToServer();
   });
--- a/packages/routing/include/gentianroute/routing/server_reach.h
+++ b/packages/routing/include/gentianroute/routing/server_reach.h
@@ -36,6 +36,8 @@
   static constexpr Duration kFailureMemory = std::chrono::seconds(2);
 
   bool is_cut_off() const { return cut_off_; }
+  /// @brief Whether it will be known soon if this daemon is cut off.
+  bool is_probing() const { return probing_; }
 
   /// @brief Records that a server refused a connection, or did not accept it in
   /// time. Only a probe refutes it: connections that are open may outlive a cut
