--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -27,6 +27,7 @@
 #include "gentianroute/loop/relay_server.h"
 #include "gentianroute/loop/rpc.h"
 #include "gentianroute/routing/stage_pool.h"
+#include "gentianroute/routing/stream_origin.h"
 
 namespace gentianroute::gateway {
 
@@ -48,8 +49,16 @@
   /// @brief A peer has lost its links to the servers: it schedules no pool.
   virtual void OnPeerCutOff(std::string_view peer) = 0;
   /// @brief Runs a caller's request for a peer that can't send it.
+  /// @param on_origin called before a stream begins as its answer
   virtual void RunHandedRequest(RelayExchangePtr exchange,
-                                RequestProgress progress) = 0;
+                                RequestProgress progress,
+                                OnStreamOrigin on_origin) = 0;
+  /// @brief A peer has begun streams, whose origins this daemon keeps.
+  virtual void OnPeerStreams(std::span<const routing::BegunStream> streams) = 0;
+  /// @brief What this daemon can say about the origin of a stream.
+  virtual routing::OriginReport ReportOnStream(
+      std::string_view stream,
+      std::string_view service) const = 0;
   /// @brief Runs a group for a peer; `done` is called once, unless the returned
   /// object is destroyed before.
   virtual std::unique_ptr<GroupHandle> RunGroup(std::string_view service,
@@ -126,6 +135,18 @@
     return calls_.HandOver(peer.state, request, observer);
   }
 
+  /// @brief Tells the peers that keep them the origins of streams.
+  void TellBegunStreams(std::span<const routing::BegunStream> streams);
+  /// @brief Asks another daemon for the origin of a stream, as
+  /// PeerCalls::AskStreamOrigin does.
+  std::unique_ptr<PeerQuestion> AskStreamOrigin(
+      const Membership::Peer& peer,
+      std::string_view stream,
+      std::string_view service,
+      std::function<void(std::optional<routing::OriginReport>)> done) {
+    return calls_.AskStreamOrigin(peer.state, stream, service, std::move(done));
+  }
+
   /// @brief Tells the scheduler of a pool which results are no longer needed.
   /// @param peer name returned by SchedulerOf
   void ReleaseAt(std::string_view peer,
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -22,6 +22,7 @@
 #include "gentianroute/gateway/stage_scheduler.h"
 #include "gentianroute/gateway/start_queue.h"
 #include "gentianroute/gateway/store_follower.h"
+#include "gentianroute/gateway/stream_registry.h"
 #include "gentianroute/loop/relay_server.h"
 #include "gentianroute/observe/log.h"
 #include "gentianroute/observe/metric_writer.h"
@@ -95,12 +96,17 @@
                          releaser_,
                          reach_),
         stage_router_(loop, cluster_, stage_scheduler_, servers_, topology_),
+        streams_(loop,
+                 cluster_,
+                 servers_,
+                 [this] { return HasNewestServers(); }),
         retry_budgets_(settings_.retry_ratio, settings_.retry_slack),
         start_queue_(loop.Now()),
-        flow_context_{loop,      client,           translator,     servers_,
-                      topology_, placement_rules_, stage_router_,  cluster_,
-                      reach_,    retry_budgets_,   service_times_, weights_,
-                      suspects_, recorder_,        drain_} {
+        flow_context_{
+            loop,      client,           translator,     servers_,
+            topology_, placement_rules_, stage_router_,  cluster_,
+            reach_,    streams_,         retry_budgets_, service_times_,
+            weights_,  suspects_,        recorder_,      drain_} {
     reach_.SetOnChanged([this](bool cut_off) { OnReachChanged(cut_off); });
     stage_scheduler_.SetFasterPool([this](std::string_view service,
                                           std::string_view data_centre,
@@ -160,9 +166,18 @@
     stage_router_.OnPeerLost(peer);
   }
   void RunHandedRequest(RelayExchangePtr exchange,
-                        RequestProgress progress) override {
+                        RequestProgress progress,
+                        OnStreamOrigin on_origin) override {
     RequestFlow::Begin(flow_context_, std::move(exchange), table_, flows_,
-                       progress);
+                       progress, std::move(on_origin));
+  }
+  void OnPeerStreams(std::span<const routing::BegunStream> streams) override {
+    streams_.OnPeerStreams(streams);
+  }
+  routing::OriginReport ReportOnStream(
+      std::string_view stream,
+      std::string_view service) const override {
+    return streams_.ReportOn(stream, service);
   }
   std::unique_ptr<GroupHandle> RunGroup(std::string_view service,
                                         std::string_view data_centre,
@@ -252,6 +267,12 @@
   }
   bool ready() const { return is_configured() && !draining_; }
 
+  bool HasNewestServers() const {
+    return server_rows_.contact() == StoreContact::kReachable ||
+           cluster_.members().HasNewestServers(loop_.Now(),
+                                               server_rows_.newest_change());
+  }
+
   /// Starts the queued requests if the daemon is configured or they have waited
   /// long enough.
   void ServeStartQueue() {
@@ -329,6 +350,9 @@
           static_cast<std::uint64_t>(record.started_at_unix_ms));
     }
     servers_.Replace(now, std::move(records));
+    using FleetState = routing::SoftwareVersions::FleetState;
+    streams_.OnServersListed(settings_.first_start ? FleetState::kNew
+                                                   : FleetState::kRunning);
     ServeStartQueueLater();
   }
 
@@ -350,6 +374,7 @@
         now, record->id,
         static_cast<std::uint64_t>(record->started_at_unix_ms));
     servers_.Put(now, std::move(*record));
+    streams_.OnServerSeen();
   }
 
   void OnReachChanged(bool cut_off) {
@@ -373,6 +398,7 @@
   void OnServerClosed(routing::Server& server) {
     if (!server.listed()) {
       suspects_.OnServerDown(loop_.Now(), server.record().id);
+      streams_.OnServerGone(server.record());
     }
   }
 
@@ -397,6 +423,7 @@
     LimitUnsentAnswers();
     servers_.Expire(now);
     suspects_.Sweep(now);
+    streams_.Expire();
     UpdateFollowing();
     FetchNewerRows();
   }
@@ -471,6 +498,7 @@
   ReachMonitor reach_;
   StageScheduler stage_scheduler_;
   StageRouter stage_router_;
+  StreamRegistry streams_;
   RetryBudgets retry_budgets_;
   routing::ServiceTimeEstimates service_times_;
   routing::RequestWeights weights_;
--- a/packages/gateway/include/gentianroute/gateway/detail/peer_exchange.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/peer_exchange.h
@@ -5,11 +5,14 @@
 #include <kj/async.h>
 
 #include <memory>
+#include <optional>
 #include <string_view>
+#include <utility>
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/gateway/handed_request.h"
 #include "gentianroute/loop/relay_server.h"
+#include "gentianroute/routing/stream_origin.h"
 
 namespace gentianroute::gateway {
 
@@ -27,6 +30,8 @@
   ~PeerExchange() noexcept override;
 
   const RequestProgress& progress() const { return progress_; }
+  /// Sets the origin of the stream that is about to begin.
+  void SetOrigin(routing::StreamOrigin origin) { origin_ = std::move(origin); }
   /// Handles the end of the peer's call. If the answer is not complete, the
   /// caller or the peer is gone.
   void OnCallEnded();
@@ -44,6 +49,7 @@
   void EndAfter(kj::Promise<void> last);
 
   RequestProgress progress_;
+  std::optional<routing::StreamOrigin> origin_;
   schema::AnswerReader::Client reader_;
   kj::TaskSet& messages_;
   std::shared_ptr<kj::Own<kj::PromiseFulfiller<void>>> done_;
--- a/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_GATEWAY_DETAIL_REQUEST_ATTEMPT_H_
 #define GENTIANROUTE_GATEWAY_DETAIL_REQUEST_ATTEMPT_H_
 
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -75,9 +76,11 @@
     const Ptr flow(flow_);
     flow->OnPeerAnswer(status, fields, body);
   }
-  void OnAnswerBegun(int status, const HttpHeaders& fields) override {
+  void OnAnswerBegun(int status,
+                     const HttpHeaders& fields,
+                     std::optional<routing::StreamOrigin> origin) override {
     const Ptr flow(flow_);
-    flow->OnPeerAnswerBegun(status, fields);
+    flow->OnPeerAnswerBegun(status, fields, origin);
   }
   void OnAnswerPart(std::string_view part) override {
     const Ptr flow(flow_);
--- a/packages/gateway/include/gentianroute/gateway/handed_request.h
+++ b/packages/gateway/include/gentianroute/gateway/handed_request.h
@@ -2,12 +2,15 @@
 #define GENTIANROUTE_GATEWAY_HANDED_REQUEST_H_
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/loop/http.h"
 #include "gentianroute/loop/message_parser.h"
+#include "gentianroute/routing/stream_origin.h"
 
 namespace gentianroute::gateway {
 
@@ -20,8 +23,13 @@
   /// Deployment that it was admitted under. A daemon with an older one must not
   /// run it: its caller may have seen the effect of the newer one.
   std::uint64_t deployment_version = 0;
+  /// Origin of the stream that it goes on with, if it is known.
+  std::optional<routing::StreamOrigin> origin;
 };
 
+/// @brief Receives the origin of a stream that is about to begin.
+using OnStreamOrigin = std::function<void(const routing::StreamOrigin&)>;
+
 /// @brief A caller's request that its daemon can't send to any backend server.
 struct HandedRequest {
   MessageHead head;
@@ -39,7 +47,10 @@
   virtual void OnWholeAnswer(int status,
                              const HttpHeaders& fields,
                              std::string_view body) = 0;
-  virtual void OnAnswerBegun(int status, const HttpHeaders& fields) = 0;
+  /// @param origin of the stream, if the answer is one
+  virtual void OnAnswerBegun(int status,
+                             const HttpHeaders& fields,
+                             std::optional<routing::StreamOrigin> origin) = 0;
   virtual void OnAnswerPart(std::string_view part) = 0;
   virtual void OnAnswerEnded() = 0;
   /// @brief The peer or the link to it failed, or the answer is truncated.
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -246,6 +246,24 @@
       const std::function<bool(std::string_view data_centre)>& permits,
       std::span<const std::string> excluded) const;
 
+  /// @brief Returns the live peers that keep the origins of this daemon's
+  /// streams: some of the own data centre, and one elsewhere, since a data
+  /// centre may fail as a whole.
+  Targets StreamOriginKeepers() const;
+  /// @brief How many peers are asked for the origin of a stream.
+  enum class OriginSearch : std::uint8_t {
+    kAll,     ///< all that may keep it
+    kSample,  ///< enough of them to refute that there is only one version
+  };
+  /// @brief Returns the live peers to ask for the origin of a stream that
+  /// another daemon has begun. Which one that was isn't known, so that in a
+  /// large fleet all known peers may keep it.
+  Targets StreamOriginSources(OriginSearch search) const;
+  /// @brief Whether the rows of the backend servers are as new as the store's,
+  /// as far as a peer that reads the store can tell.
+  /// @param servers_version newest change that this daemon has
+  bool HasNewestServers(TimePoint now, std::uint64_t servers_version) const;
+
   /// @brief Whether the fleet is small enough to send each update to all peers.
   bool IsSmallFleet() const;
   /// @brief Returns the number of daemons that share fleet-wide budgets,
@@ -294,6 +312,9 @@
   /// Whether this process was suspended, so that received datagrams may be
   /// unread.
   bool WasSuspended(TimePoint now);
+  /// The live peers that stay and rank first for this daemon.
+  /// @complexity n log n in the number of daemons
+  Targets FirstRanked(std::size_t in_data_centre, std::size_t elsewhere) const;
   template <typename Predicate>
   Targets SelectPeers(Predicate predicate) const;
   void AddRandom(Targets& targets, Targets from, std::size_t max_count);
--- a/packages/gateway/include/gentianroute/gateway/peer_calls.h
+++ b/packages/gateway/include/gentianroute/gateway/peer_calls.h
@@ -20,9 +20,16 @@
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/rpc.h"
 #include "gentianroute/routing/stage_pool.h"
+#include "gentianroute/routing/stream_origin.h"
 
 namespace gentianroute::gateway {
 
+/// @brief A question to a peer; its destruction cancels it.
+class PeerQuestion {
+ public:
+  virtual ~PeerQuestion() = default;
+};
+
 /// @brief Calls to other daemons, over one persistent connection to each.
 class PeerCalls {
  public:
@@ -59,6 +66,18 @@
                                                 const HandedRequest& request,
                                                 PeerAnswerObserver& observer);
 
+  /// @brief Tells a peer the origins of streams, which it keeps.
+  void TellBegunStreams(const DaemonState& peer,
+                        std::span<const routing::BegunStream> streams);
+  /// @brief Asks a peer for the origin of a stream of a service.
+  /// @param done called once: with nothing if the call failed. Not called after
+  /// the returned object is destroyed.
+  std::unique_ptr<PeerQuestion> AskStreamOrigin(
+      const DaemonState& peer,
+      std::string_view stream,
+      std::string_view service,
+      std::function<void(std::optional<routing::OriginReport>)> done);
+
   /// @brief Asks a peer for the rows of the store that are newer than these
   /// versions.
   /// @pre no earlier call is in progress
@@ -75,7 +94,8 @@
  private:
   template <typename Derived>
   class CancellableCall;
-  class RemoteGroup;
+  template <typename Handle, typename Result>
+  class RemoteCall;
   class RemoteRequest;
   struct Connection {
     DaemonState peer;
@@ -84,6 +104,10 @@
     bool broken = false;
   };
 
+  /// Sends a call whose response ends `remote`.
+  /// @param read converts the response
+  template <typename Remote, typename Params, typename Results, typename Read>
+  void Send(Remote& remote, capnp::Request<Params, Results> request, Read read);
   schema::Cluster::Client ClientOf(const DaemonState& peer);
   void Connect(Connection& connection);
   void OnBroken(Connection& connection);
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -20,6 +20,8 @@
 #include "gentianroute/gateway/request_recorder.h"
 #include "gentianroute/gateway/retry_budgets.h"
 #include "gentianroute/gateway/stage_router.h"
+#include "gentianroute/gateway/stream_origin_lookup.h"
+#include "gentianroute/gateway/stream_registry.h"
 #include "gentianroute/gateway/translator.h"
 #include "gentianroute/loop/relay_client.h"
 #include "gentianroute/loop/relay_server.h"
@@ -45,6 +47,7 @@
   StageRouter& stage_router;
   Cluster& cluster;
   ReachMonitor& reach;
+  StreamRegistry& streams;
   RetryBudgets& retry_budgets;
   routing::ServiceTimeEstimates& service_times;
   routing::RequestWeights& weights;
@@ -73,11 +76,13 @@
   /// @param table null if no configuration is known yet
   /// @param all list of the requests in progress, to which it is added
   /// @param progress not initial if a peer has handed the request over
+  /// @param on_origin called before a stream begins as its answer
   static void Begin(FlowContext& context,
                     RelayExchangePtr exchange,
                     routing::RouteTablePtr table,
                     List& all,
-                    const RequestProgress& progress = {});
+                    const RequestProgress& progress = {},
+                    OnStreamOrigin on_origin = nullptr);
   ~RequestFlow();
 
   /// @brief Applies the permitted regions of a newer deployment. Those that the
@@ -99,7 +104,8 @@
               RelayExchangePtr exchange,
               routing::RouteTablePtr table,
               List& all,
-              const RequestProgress& progress);
+              const RequestProgress& progress,
+              OnStreamOrigin on_origin);
 
   /// Checks whether the request can be accepted.
   /// @return the error to refuse it with, if any
@@ -117,6 +123,21 @@
   bool RefuseIfDraining();
   void RecordAdmission();
   void Start();
+  /// Continues with a request whose origin is known if it takes up a stream.
+  void StartHere();
+
+  /// Whether the caller has part of the answer already.
+  bool TakesUpStream() const;
+  /// Identifies the stream over all requests of its caller.
+  const std::string& StreamId() const;
+  /// Asks the peers which servers began the stream.
+  void LookUpOrigin();
+  /// Binds the request to the servers that began its stream.
+  /// @return false if the route doesn't lead to their service any more
+  bool BindTo(const routing::StreamOrigin& origin);
+  /// Records the origin of a stream whose first bytes the caller is about to
+  /// get.
+  void OnStreamBegun(const routing::StreamOrigin& origin);
   /// Starts the stages that are ready, or sends the request to its server if
   /// all are done.
   void Advance();
@@ -146,7 +167,9 @@
   void OnPeerAnswer(int status,
                     const HttpHeaders& fields,
                     std::string_view body);
-  void OnPeerAnswerBegun(int status, const HttpHeaders& fields);
+  void OnPeerAnswerBegun(int status,
+                         const HttpHeaders& fields,
+                         const std::optional<routing::StreamOrigin>& origin);
   void OnPeerPart(std::string_view part);
   void OnPeerAnswerEnded();
   void OnPeerFailed();
@@ -250,6 +273,11 @@
 
   /// Where its work may go; set once the route is known.
   std::optional<routing::Placement> placement_;
+  /// Servers that began the stream; empty if it hasn't begun, or if they aren't
+  /// known yet.
+  std::optional<routing::StreamOrigin> origin_;
+  OnStreamOrigin on_origin_;
+  std::unique_ptr<StreamOriginLookup> origin_lookup_;
   std::optional<routing::StagePlan> plan_;
   std::map<std::uint32_t, std::unique_ptr<GroupHandle>> running_stages_;
   /// Data centres of the results, by stage.
--- a/packages/gateway/include/gentianroute/gateway/request_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/request_recorder.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,7 @@
 #include "gentianroute/observe/metric_writer.h"
 #include "gentianroute/routing/deployment.h"
 #include "gentianroute/routing/placement.h"
+#include "gentianroute/routing/stream_origin.h"
 
 namespace gentianroute::gateway {
 
@@ -94,6 +96,12 @@
   void OnHandedOver(std::string_view id,
                     std::string_view peer,
                     std::uint32_t hops);
+  /// @brief Records the result of asking the peers for the origin of a stream
+  /// that its caller takes up.
+  /// @param origin empty: it is unknown
+  void OnOriginLookedUp(std::string_view id,
+                        std::string_view stream,
+                        const std::optional<routing::StreamOrigin>& origin);
   /// @brief Records that a request crashes servers and is refused from now on.
   void OnQuarantined(Fingerprint fingerprint, std::size_t crashes);
   /// @brief Records that a request was retried or resumed, or that stages were
@@ -115,6 +123,9 @@
   std::uint64_t servers_broke_ = 0;
   std::uint64_t handed_over_ = 0;
   std::uint64_t quarantines_ = 0;
+  /// Streams taken up that this daemon had to ask the peers for.
+  std::uint64_t origins_found_ = 0;
+  std::uint64_t origins_unknown_ = 0;
   std::array<DurationHistogram, kRouteKinds> first_byte_times_;
   std::array<DurationHistogram, kRouteKinds> total_times_;
 };
--- /dev/null
+++ b/packages/gateway/include/gentianroute/gateway/stream_registry.h
@@ -0,0 +1,80 @@
+#ifndef GENTIANROUTE_GATEWAY_STREAM_REGISTRY_H_
+#define GENTIANROUTE_GATEWAY_STREAM_REGISTRY_H_
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string_view>
+
+#include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/stream_origin_lookup.h"
+#include "gentianroute/loop/event_loop.h"
+#include "gentianroute/routing/server_directory.h"
+#include "gentianroute/routing/software_versions.h"
+#include "gentianroute/routing/stream_origin.h"
+#include "gentianroute/routing/stream_origins.h"
+
+namespace gentianroute::gateway {
+
+/// @brief Knows which servers began a stream, so that it goes on at servers of
+/// the same software version wherever its caller takes it up.
+///
+/// Only the daemon that sent the request knows them, and it may fail together
+/// with the stream. While servers of several versions serve, it therefore tells
+/// a few peers, which keep this until the caller's deadline. A daemon whose
+/// caller takes up a stream that it doesn't know asks its peers. While all
+/// servers of a service have one version, that answers the question, and nobody
+/// is told.
+class StreamRegistry {
+ public:
+  /// @param has_newest_servers whether the host list is up to date
+  StreamRegistry(EventLoop& loop,
+                 Cluster& cluster,
+                 const routing::ServerDirectory& servers,
+                 std::function<bool()> has_newest_servers);
+  ~StreamRegistry();
+
+  /// @brief Records a stream that this daemon begins.
+  void OnBegun(const routing::BegunStream& stream);
+  /// @brief Records streams that a peer has begun.
+  void OnPeerStreams(std::span<const routing::BegunStream> streams);
+  /// @return null if this daemon doesn't know the stream
+  const routing::StreamOrigin* Find(std::string_view stream) const;
+  /// @brief What this daemon can say without asking others.
+  routing::OriginReport ReportOn(std::string_view stream,
+                                 std::string_view service) const;
+  /// @brief Asks the peers for the origin of a stream.
+  /// @param service that would have begun it
+  /// @param done see StreamOriginLookup
+  std::unique_ptr<StreamOriginLookup> LookUp(std::string_view stream,
+                                             std::string_view service,
+                                             StreamOriginLookup::Done done);
+
+  /// @brief The whole host list has been read.
+  void OnServersListed(routing::SoftwareVersions::FleetState fleet);
+  /// @brief A server is new or has changed.
+  void OnServerSeen();
+  /// @brief A server has left the host list.
+  void OnServerGone(const routing::ServerRecord& server);
+  void Expire();
+
+ private:
+  routing::OriginReport VersionReport(std::string_view service) const;
+  bool MustTell(std::string_view service) const;
+  /// Tells the peers soon, together with what else begins until then.
+  void TellLater();
+  void Tell();
+
+  EventLoop& loop_;
+  Cluster& cluster_;
+  const routing::ServerDirectory& servers_;
+  std::function<bool()> has_newest_servers_;
+  routing::StreamOrigins origins_;
+  routing::SoftwareVersions versions_;
+  bool tell_pending_ = false;
+  TimerId tell_timer_;
+};
+
+}  // namespace gentianroute::gateway
+
+#endif  // GENTIANROUTE_GATEWAY_STREAM_REGISTRY_H_
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -105,7 +105,10 @@
         cluster_.loop_.Now(), detail::ReadHandedRequest(params.getRequest()),
         params.getReader(), messages_, kj::mv(done.fulfiller)));
     const RequestProgress progress = exchange->progress();
-    cluster_.handler_.RunHandedRequest(exchange, progress);
+    cluster_.handler_.RunHandedRequest(
+        exchange, progress, [exchange](const routing::StreamOrigin& origin) {
+          exchange->SetOrigin(origin);
+        });
     return done.promise.attach(
         kj::defer([exchange] { exchange->OnCallEnded(); }));
   }
@@ -122,6 +125,20 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> streamsBegun(StreamsBegunContext context) override {
+    cluster_.handler_.OnPeerStreams(
+        detail::ReadBegunStreams(context.getParams().getStreams()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> streamOrigin(StreamOriginContext context) override {
+    const auto params = context.getParams();
+    detail::WriteReport(cluster_.handler_.ReportOnStream(
+                            params.getId().cStr(), params.getService().cStr()),
+                        context.getResults().initReport());
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> knownDaemons(KnownDaemonsContext context) override {
     const std::vector<ListedDaemon> list = cluster_.members_.List();
     auto out =
@@ -410,6 +427,12 @@
                          std::move(done));
 }
 
+void Cluster::TellBegunStreams(std::span<const routing::BegunStream> streams) {
+  for (const Membership::Peer* peer : members_.StreamOriginKeepers()) {
+    calls_.TellBegunStreams(peer->state, streams);
+  }
+}
+
 void Cluster::ReleaseAt(std::string_view peer,
                         const PoolKey& pool,
                         std::span<const std::string> results) {
--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -1,12 +1,17 @@
 #include "gentianroute/gateway/detail/cluster_messages.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
 
 namespace gentianroute::gateway::detail {
 namespace {
 
+/// Limits what a peer can have this daemon remember.
+constexpr Duration kMaxRemaining = std::chrono::minutes(5);
+
 std::int32_t MillisecondsUntil(TimePoint now, TimePoint then) {
   return static_cast<std::int32_t>(WholeMilliseconds(then - now));
 }
@@ -116,6 +121,9 @@
   out.setResumeAfter(progress.resume_after);
   out.setHops(progress.hops);
   out.setDeploymentVersion(progress.deployment_version);
+  if (progress.origin) {
+    WriteOrigin(*progress.origin, out.initOrigin());
+  }
 }
 
 HandedRequest ReadHandedRequest(schema::HandedRequest::Reader in) {
@@ -130,7 +138,66 @@
   request.progress.resume_after = in.getResumeAfter();
   request.progress.hops = in.getHops();
   request.progress.deployment_version = in.getDeploymentVersion();
+  request.progress.origin = ReadOrigin(in.getOrigin());
   return request;
 }
 
+void WriteOrigin(const routing::StreamOrigin& origin,
+                 schema::StreamOrigin::Builder out) {
+  out.setService(origin.service);
+  out.setSoftwareVersion(origin.software_version);
+}
+
+std::optional<routing::StreamOrigin> ReadOrigin(
+    schema::StreamOrigin::Reader in) {
+  routing::StreamOrigin origin{in.getService(), in.getSoftwareVersion()};
+  return origin.service.empty() ? std::nullopt
+                                : std::optional(std::move(origin));
+}
+
+void WriteBegunStreams(std::span<const routing::BegunStream> streams,
+                       BegunStreamList::Builder out) {
+  for (unsigned i = 0; i < out.size(); ++i) {
+    out[i].setId(streams[i].id);
+    WriteOrigin(streams[i].origin, out[i].initOrigin());
+    out[i].setRemainingMs(
+        static_cast<std::uint32_t>(WholeMilliseconds(streams[i].remaining)));
+  }
+}
+
+std::vector<routing::BegunStream> ReadBegunStreams(BegunStreamList::Reader in) {
+  std::vector<routing::BegunStream> streams;
+  streams.reserve(in.size());
+  for (const auto stream : in) {
+    const auto origin = ReadOrigin(stream.getOrigin());
+    if (origin && stream.getId().size() > 0) {
+      const Duration remaining =
+          std::chrono::milliseconds(stream.getRemainingMs());
+      streams.push_back(
+          {stream.getId(), *origin, std::min(remaining, kMaxRemaining)});
+    }
+  }
+  return streams;
+}
+
+void WriteReport(const routing::OriginReport& report,
+                 schema::OriginReport::Builder out) {
+  out.setEvidence(static_cast<std::uint8_t>(report.evidence));
+  WriteOrigin(report.origin, out.initOrigin());
+}
+
+routing::OriginReport ReadReport(schema::OriginReport::Reader in) {
+  using routing::OriginEvidence;
+  const auto evidence = static_cast<OriginEvidence>(in.getEvidence());
+  const auto origin = ReadOrigin(in.getOrigin());
+  const bool has_origin = evidence == OriginEvidence::kOneVersion ||
+                          evidence == OriginEvidence::kRecorded;
+  if (has_origin && origin) {
+    return {evidence, *origin};
+  }
+  return evidence == OriginEvidence::kSeveralVersions
+             ? routing::OriginReport{evidence, {}}
+             : routing::OriginReport{};
+}
+
 }  // namespace gentianroute::gateway::detail
--- a/packages/gateway/src/peer_calls.cc
+++ b/packages/gateway/src/peer_calls.cc
@@ -42,17 +42,19 @@
       std::make_shared<Derived*>(static_cast<Derived*>(this));
 };
 
-/// A group that a peer runs. Destroying it cancels the call.
-class PeerCalls::RemoteGroup final : public GroupHandle,
-                                     public CancellableCall<RemoteGroup> {
+/// A call that has one result. Destroying it cancels the call.
+template <typename Handle, typename Result>
+class PeerCalls::RemoteCall final
+    : public Handle,
+      public CancellableCall<RemoteCall<Handle, Result>> {
  public:
-  using Done = std::function<void(std::optional<GroupOutcome>)>;
+  using Done = std::function<void(std::optional<Result>)>;
 
-  explicit RemoteGroup(Done done) : done_(std::move(done)) {}
+  explicit RemoteCall(Done done) : done_(std::move(done)) {}
 
-  void End(std::optional<GroupOutcome> outcome) {
+  void End(std::optional<Result> result) {
     if (auto done = std::exchange(done_, nullptr)) {
-      done(std::move(outcome));
+      done(std::move(result));
     }
   }
 
@@ -85,7 +87,8 @@
       const auto params = context.getParams();
       if (const auto alive = request_.lock()) {
         (*alive)->observer_.OnAnswerBegun(
-            params.getStatus(), detail::ReadFields(params.getFields()));
+            params.getStatus(), detail::ReadFields(params.getFields()),
+            detail::ReadOrigin(params.getOrigin()));
       }
       return kj::READY_NOW;
     }
@@ -194,25 +197,19 @@
       .castAs<schema::Cluster>();
 }
 
-std::unique_ptr<GroupHandle> PeerCalls::RunGroup(
-    const DaemonState& peer,
-    const PoolKey& pool,
-    const routing::StageGroup& group,
-    std::function<void(std::optional<GroupOutcome>)> done) {
-  auto remote = std::make_unique<RemoteGroup>(std::move(done));
-  const std::weak_ptr<RemoteGroup*> self = remote->self();
-  auto request = ClientOf(peer).runGroupRequest();
-  WriteGroup(loop_.Now(), pool.service, pool.data_centre, group,
-             request.initGroup());
-  kj::Promise<capnp::Response<schema::Cluster::RunGroupResults>> sent =
-      request.send();
-  // Only the call itself is cancellable: the callback may destroy the group,
+template <typename Remote, typename Params, typename Results, typename Read>
+void PeerCalls::Send(Remote& remote,
+                     capnp::Request<Params, Results> request,
+                     Read read) {
+  auto self = remote.self();
+  // Only the call itself is cancellable: the callback may destroy the object,
   // and a promise must not be destroyed by its own callback.
-  tasks_->add(remote->Wrap(kj::mv(sent))
+  kj::Promise<capnp::Response<Results>> sent = request.send();
+  tasks_->add(remote.Wrap(kj::mv(sent))
                   .then(
-                      [self](auto response) {
+                      [self, read](auto response) {
                         if (const auto alive = self.lock()) {
-                          (*alive)->End(ReadOutcome(response.getOutcome()));
+                          (*alive)->End(read(response));
                         }
                       },
                       [self](kj::Exception&& /*exception*/) {
@@ -220,6 +217,47 @@
                           (*alive)->End(std::nullopt);
                         }
                       }));
+}
+
+std::unique_ptr<GroupHandle> PeerCalls::RunGroup(
+    const DaemonState& peer,
+    const PoolKey& pool,
+    const routing::StageGroup& group,
+    std::function<void(std::optional<GroupOutcome>)> done) {
+  auto remote =
+      std::make_unique<RemoteCall<GroupHandle, GroupOutcome>>(std::move(done));
+  auto request = ClientOf(peer).runGroupRequest();
+  WriteGroup(loop_.Now(), pool.service, pool.data_centre, group,
+             request.initGroup());
+  Send(*remote, kj::mv(request),
+       [](const auto& response) { return ReadOutcome(response.getOutcome()); });
+  return remote;
+}
+
+void PeerCalls::TellBegunStreams(
+    const DaemonState& peer,
+    std::span<const routing::BegunStream> streams) {
+  auto request = ClientOf(peer).streamsBegunRequest();
+  detail::WriteBegunStreams(
+      streams, request.initStreams(static_cast<unsigned>(streams.size())));
+  // A lost message is not repeated: other peers keep the same origins.
+  tasks_->add(request.send().ignoreResult());
+}
+
+std::unique_ptr<PeerQuestion> PeerCalls::AskStreamOrigin(
+    const DaemonState& peer,
+    std::string_view stream,
+    std::string_view service,
+    std::function<void(std::optional<routing::OriginReport>)> done) {
+  auto remote =
+      std::make_unique<RemoteCall<PeerQuestion, routing::OriginReport>>(
+          std::move(done));
+  auto request = ClientOf(peer).streamOriginRequest();
+  request.setId(std::string(stream));
+  request.setService(std::string(service));
+  Send(*remote, kj::mv(request), [](const auto& response) {
+    return detail::ReadReport(response.getReport());
+  });
   return remote;
 }
 
--- a/packages/gateway/src/peer_exchange.cc
+++ b/packages/gateway/src/peer_exchange.cc
@@ -54,6 +54,9 @@
   auto message = reader_.beginRequest();
   message.setStatus(static_cast<std::uint16_t>(status));
   WriteFields(fields, message.initFields(static_cast<unsigned>(fields.size())));
+  if (origin_) {
+    detail::WriteOrigin(*origin_, message.initOrigin());
+  }
   messages_.add(message.send().ignoreResult());
 }
 
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -59,9 +59,10 @@
                         RelayExchangePtr exchange,
                         routing::RouteTablePtr table,
                         List& all,
-                        const RequestProgress& progress) {
+                        const RequestProgress& progress,
+                        OnStreamOrigin on_origin) {
   const Ptr flow(new RequestFlow(context, std::move(exchange), std::move(table),
-                                 all, progress));
+                                 all, progress, std::move(on_origin)));
   flow->self_ = flow;
   if (const auto kind = flow->Admit()) {
     flow->Refuse(*kind, "");
@@ -74,13 +75,16 @@
                          RelayExchangePtr exchange,
                          routing::RouteTablePtr table,
                          List& all,
-                         const RequestProgress& progress)
+                         const RequestProgress& progress,
+                         OnStreamOrigin on_origin)
     : context_(context),
       exchange_(std::move(exchange)),
       table_(std::move(table)),
       min_deployment_version_(progress.deployment_version),
       request_(context.translator.ReadRequest(exchange_->head())),
       started_at_(exchange_->start_time()),
+      origin_(progress.origin),
+      on_origin_(std::move(on_origin)),
       attempts_(progress.attempts),
       hops_(progress.hops),
       may_have_run_(progress.may_have_run),
@@ -108,14 +112,20 @@
   if (const auto kind = CheckKey()) {
     return kind;
   }
-  service_name_ =
-      routing::PickService(*route_, HashToUnitInterval(request_.id));
+  service_name_ = routing::PickService(*route_, HashToUnitInterval(StreamId()));
   service_ = table_->FindService(service_name_);
   placement_.emplace(context_.placement_rules,
                      RegionsOf(route_, organisation_));
   if (placement_->regions().PermitsNone()) {
     return ErrorKind::kNoPermittedRegion;
   }
+  if (const routing::StreamOrigin* known = context_.streams.Find(StreamId());
+      known != nullptr && TakesUpStream()) {
+    origin_ = *known;
+  }
+  if (origin_ && !BindTo(*origin_)) {
+    return ErrorKind::kNoServer;
+  }
   fingerprint_ = FingerprintOf(request_.key.value_or(""),
                                exchange_->head().target, exchange_->body());
   if (CrashesServers()) {
@@ -155,6 +165,14 @@
   if (HandToPeer()) {
     return;
   }
+  if (TakesUpStream() && !origin_) {
+    LookUpOrigin();
+    return;
+  }
+  StartHere();
+}
+
+void RequestFlow::StartHere() {
   context_.retry_budgets.OnRequest(service_name_,
                                    context_.cluster.live_daemons());
   if (RefuseIfNoPlace() || RefuseIfStagesLate() || RefuseIfDraining()) {
@@ -202,7 +220,9 @@
     return false;
   }
   Refuse(ErrorKind::kNoServer,
-         "all servers are evacuated or outside the permitted regions");
+         origin_
+             ? "no server of the version that began the stream may be used"
+             : "all servers are evacuated or outside the permitted regions");
   return true;
 }
 
@@ -354,8 +374,7 @@
   LogEvent("regions_changed", LogLevel::kWarning)
       .ForRequest(request_.id, LogPriority::kHigh)
       .Field("version", table.version());
-  *placement_ =
-      routing::Placement(context_.placement_rules, std::move(regions));
+  placement_->SetRegions(std::move(regions));
 }
 
 void RequestFlow::OnShutdown() {
@@ -403,6 +422,7 @@
   context_.recorder.OnEnd(end);
   UnassignServer();
   running_stages_.clear();
+  origin_lookup_.reset();
   if (attempt_ != nullptr) {
     attempt_->Cancel();
   }
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -228,6 +228,7 @@
                        !answer.not_run;
   if (streams && !answer_begun_) {
     answer_begun_ = true;
+    OnStreamBegun({service_name_, server_->record().software_version});
     exchange_->Begin(answer.status, answer.forwarded_fields);
   }
 }
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -48,6 +48,7 @@
   context_.loop.Cancel(stages_timer_);
   context_.loop.Cancel(answer_timer_);
   running_stages_.clear();
+  origin_lookup_.reset();
   ReleaseResults(plan_->TakeAll());
   peers_tried_.push_back(peer->state.name);
   if (attempt_ != nullptr) {
@@ -62,8 +63,9 @@
 bool RequestFlow::HasServerIn(std::string_view data_centre) const {
   const auto& servers = context_.servers.ServersOf(service_name_);
   return std::ranges::any_of(
-      servers, [data_centre](const routing::ServerPtr& server) {
-        return server->open() && server->record().data_centre == data_centre;
+      servers, [this, data_centre](const routing::ServerPtr& server) {
+        return server->open() && placement_->Accepts(server->record()) &&
+               server->record().data_centre == data_centre;
       });
 }
 
@@ -83,6 +85,7 @@
   handed.progress.resume_after = ResumePosition();
   handed.progress.hops = hops_ + 1;
   handed.progress.deployment_version = table_->version();
+  handed.progress.origin = origin_;
   return handed;
 }
 
@@ -103,8 +106,14 @@
          status, "");
 }
 
-void RequestFlow::OnPeerAnswerBegun(int status, const HttpHeaders& fields) {
+void RequestFlow::OnPeerAnswerBegun(
+    int status,
+    const HttpHeaders& fields,
+    const std::optional<routing::StreamOrigin>& origin) {
   if (!std::exchange(answer_begun_, true)) {
+    if (origin) {
+      OnStreamBegun(*origin);
+    }
     exchange_->Begin(status, fields);
   }
   RecordFirstByte(context_.loop.Now());
--- /dev/null
+++ b/packages/gateway/src/request_flow_streams.cc
@@ -0,0 +1,76 @@
+#include <algorithm>
+#include <chrono>
+
+#include "gentianroute/gateway/request_flow.h"
+
+// Streams that go on after a break: at servers of the software version that
+// began them.
+
+namespace gentianroute::gateway {
+namespace {
+
+/// The caller's clock starts later than its last request arrives here.
+constexpr Duration kCallerDelay = std::chrono::seconds(1);
+
+}  // namespace
+
+bool RequestFlow::TakesUpStream() const {
+  return route_->kind == routing::RouteKind::kStream &&
+         !request_.resume_after.empty();
+}
+
+const std::string& RequestFlow::StreamId() const {
+  return request_.stream_begun_by.empty() ? request_.id
+                                          : request_.stream_begun_by;
+}
+
+void RequestFlow::LookUpOrigin() {
+  origin_lookup_ = context_.streams.LookUp(
+      StreamId(), service_name_,
+      [this](const std::optional<routing::StreamOrigin>& origin) {
+        const Ptr keep(this);
+        origin_lookup_.reset();
+        context_.recorder.OnOriginLookedUp(request_.id, StreamId(), origin);
+        if (!origin) {
+          Refuse(ErrorKind::kNoServer,
+                 "the software version that began the stream is unknown");
+        } else if (!BindTo(*origin)) {
+          Refuse(ErrorKind::kNoServer,
+                 "the route has left the service that began the stream");
+        } else {
+          StartHere();
+        }
+      });
+}
+
+bool RequestFlow::BindTo(const routing::StreamOrigin& origin) {
+  const bool is_on_route = std::ranges::any_of(
+      route_->services, [&origin](const routing::WeightedService& service) {
+        return service.service == origin.service;
+      });
+  if (!is_on_route) {
+    return false;
+  }
+  origin_ = origin;
+  service_name_ = origin.service;
+  service_ = table_->FindService(service_name_);
+  placement_->BindTo(origin);
+  return true;
+}
+
+void RequestFlow::OnStreamBegun(const routing::StreamOrigin& origin) {
+  origin_ = origin;
+  placement_->BindTo(origin);
+  if (route_->resumable) {
+    const TimePoint caller_deadline =
+        started_at_ + request_.timeout.value_or(route_->timeout);
+    const Duration remaining = caller_deadline - context_.loop.Now();
+    context_.streams.OnBegun(
+        {StreamId(), origin, std::max(remaining, Duration{0}) + kCallerDelay});
+  }
+  if (on_origin_) {
+    on_origin_(origin);
+  }
+}
+
+}  // namespace gentianroute::gateway
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -14,7 +14,7 @@
 /// of the metrics, by PlacementVerdict.
 constexpr auto kLimitNames = std::to_array<std::string_view>(
     {"accepted", "outside_regions", "evacuated", "cold", "rate_limited",
-     "not_sender", "no_room"});
+     "not_sender", "no_room", "other_version"});
 
 /// Whether the request was answered or cancelled by its caller.
 bool IsExpectedOutcome(std::string_view outcome) {
@@ -85,6 +85,21 @@
       .Field("hops", hops);
 }
 
+void RequestRecorder::OnOriginLookedUp(
+    std::string_view id,
+    std::string_view stream,
+    const std::optional<routing::StreamOrigin>& origin) {
+  ++(origin ? origins_found_ : origins_unknown_);
+  LogEvent event("stream_origin",
+                 origin ? LogLevel::kInfo : LogLevel::kWarning);
+  event.ForRequest(id, LogPriority::kHigh)
+      .Field("begun_by", stream)
+      .Field("known", origin ? "yes" : "no");
+  if (origin) {
+    event.Field("software", origin->software_version);
+  }
+}
+
 void RequestRecorder::OnQuarantined(Fingerprint fingerprint,
                                     std::size_t crashes) {
   ++quarantines_;
@@ -161,6 +176,15 @@
                    "Requests handed to a peer because this daemon was cut off "
                    "from the servers.");
   writer.AddSample("gentianroute_gateway_handed_over_total", {}, handed_over_);
+  writer.AddMetric("gentianroute_gateway_stream_origins_total", "counter",
+                   "Streams taken up by callers whose origin the peers were "
+                   "asked for, by whether it was found.");
+  const MetricLabel found{"result", "found"};
+  const MetricLabel unknown{"result", "unknown"};
+  writer.AddSample("gentianroute_gateway_stream_origins_total", {&found, 1},
+                   origins_found_);
+  writer.AddSample("gentianroute_gateway_stream_origins_total", {&unknown, 1},
+                   origins_unknown_);
   writer.AddMetric("gentianroute_gateway_quarantines_total", "counter",
                    "Requests found by this daemon to crash servers.");
   writer.AddSample("gentianroute_gateway_quarantines_total", {}, quarantines_);
--- /dev/null
+++ b/packages/gateway/src/stream_registry.cc
@@ -0,0 +1,118 @@
+#include "gentianroute/gateway/stream_registry.h"
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace gentianroute::gateway {
+namespace {
+
+using routing::OriginEvidence;
+
+/// Time for which begun streams are collected into one message. A daemon that
+/// fails within it takes its knowledge of them along.
+constexpr Duration kTellDelay = std::chrono::milliseconds(20);
+
+}  // namespace
+
+StreamRegistry::StreamRegistry(EventLoop& loop,
+                               Cluster& cluster,
+                               const routing::ServerDirectory& servers,
+                               std::function<bool()> has_newest_servers)
+    : loop_(loop),
+      cluster_(cluster),
+      servers_(servers),
+      has_newest_servers_(std::move(has_newest_servers)) {}
+
+StreamRegistry::~StreamRegistry() {
+  loop_.Cancel(tell_timer_);
+}
+
+void StreamRegistry::OnBegun(const routing::BegunStream& stream) {
+  origins_.Put(loop_.Now(), stream, routing::StreamOrigins::Source::kOwn);
+  if (MustTell(stream.origin.service)) {
+    TellLater();
+  }
+}
+
+void StreamRegistry::OnPeerStreams(
+    std::span<const routing::BegunStream> streams) {
+  for (const routing::BegunStream& stream : streams) {
+    origins_.Put(loop_.Now(), stream, routing::StreamOrigins::Source::kPeer);
+  }
+}
+
+const routing::StreamOrigin* StreamRegistry::Find(
+    std::string_view stream) const {
+  return origins_.Find(loop_.Now(), stream);
+}
+
+routing::OriginReport StreamRegistry::ReportOn(std::string_view stream,
+                                               std::string_view service) const {
+  if (const routing::StreamOrigin* origin = Find(stream)) {
+    return {OriginEvidence::kRecorded, *origin};
+  }
+  const routing::OriginReport report = VersionReport(service);
+  // With an old list, a version that began streams elsewhere may be missing.
+  const bool may_miss_versions =
+      report.evidence == OriginEvidence::kOneVersion && !has_newest_servers_();
+  return may_miss_versions ? routing::OriginReport{} : report;
+}
+
+std::unique_ptr<StreamOriginLookup> StreamRegistry::LookUp(
+    std::string_view stream,
+    std::string_view service,
+    StreamOriginLookup::Done done) {
+  return std::make_unique<StreamOriginLookup>(loop_, cluster_, stream, service,
+                                              ReportOn(stream, service),
+                                              std::move(done));
+}
+
+void StreamRegistry::OnServersListed(
+    routing::SoftwareVersions::FleetState fleet) {
+  versions_.OnListed(loop_.Now(), fleet);
+  OnServerSeen();
+}
+
+void StreamRegistry::OnServerSeen() {
+  // Streams that began before a second version appeared.
+  TellLater();
+}
+
+void StreamRegistry::OnServerGone(const routing::ServerRecord& server) {
+  versions_.OnGone(loop_.Now(), server);
+}
+
+void StreamRegistry::Expire() {
+  origins_.Expire(loop_.Now());
+}
+
+routing::OriginReport StreamRegistry::VersionReport(
+    std::string_view service) const {
+  return versions_.Report(loop_.Now(), service, servers_.ServersOf(service));
+}
+
+bool StreamRegistry::MustTell(std::string_view service) const {
+  return VersionReport(service).evidence != OriginEvidence::kOneVersion;
+}
+
+void StreamRegistry::TellLater() {
+  if (std::exchange(tell_pending_, true)) {
+    return;
+  }
+  tell_timer_ = loop_.After(kTellDelay, [this] {
+    tell_pending_ = false;
+    Tell();
+  });
+}
+
+void StreamRegistry::Tell() {
+  const std::vector<routing::BegunStream> streams = origins_.TakeUntold(
+      loop_.Now(),
+      [this](std::string_view service) { return MustTell(service); });
+  if (!streams.empty()) {
+    cluster_.TellBegunStreams(streams);
+  }
+}
+
+}  // namespace gentianroute::gateway
--- a/packages/routing/include/gentianroute/routing/placement.h
+++ b/packages/routing/include/gentianroute/routing/placement.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <utility>
@@ -15,6 +16,7 @@
 #include "gentianroute/routing/permitted_regions.h"
 #include "gentianroute/routing/request_rate_limiter.h"
 #include "gentianroute/routing/server.h"
+#include "gentianroute/routing/stream_origin.h"
 #include "gentianroute/routing/topology.h"
 
 namespace gentianroute::routing {
@@ -38,8 +40,9 @@
                  ///< now
   kNotSender,    ///< it is brittle, and other daemons have all its slots
   kNoRoom,  ///< it is brittle, and this daemon's part of its slots is taken
+  kOtherVersion,  ///< its software is not of the version that began the stream
 };
-inline constexpr std::size_t kPlacementVerdicts = 7;
+inline constexpr std::size_t kPlacementVerdicts = 8;
 
 /// @brief Number of servers with each verdict.
 using PlacementCounts = std::array<std::uint32_t, kPlacementVerdicts>;
@@ -55,6 +58,10 @@
       : rules_(&rules), regions_(std::move(regions)) {}
 
   const PermittedRegions& regions() const { return regions_; }
+  void SetRegions(PermittedRegions regions) { regions_ = std::move(regions); }
+  /// @brief Binds the request to the servers that began its stream. Other
+  /// services, such as those of its stages, are not affected.
+  void BindTo(StreamOrigin origin) { origin_ = std::move(origin); }
 
   /// @brief Whether daemons in a data centre may get the request or parts of
   /// it.
@@ -74,9 +81,20 @@
   bool Accepts(std::string_view data_centre) const {
     return Check(data_centre) == PlacementVerdict::kAccepted;
   }
+  /// @brief Whether a server may get the request at all, whatever its state.
+  PlacementVerdict Check(const ServerRecord& server) const {
+    const bool other_version =
+        origin_ && origin_->service == server.service &&
+        origin_->software_version != server.software_version;
+    return other_version ? PlacementVerdict::kOtherVersion
+                         : Check(server.data_centre);
+  }
+  bool Accepts(const ServerRecord& server) const {
+    return Check(server) == PlacementVerdict::kAccepted;
+  }
   /// @brief Whether a server may get a request now.
   PlacementVerdict Check(TimePoint now, const Server& server) const {
-    const PlacementVerdict verdict = Check(server.record().data_centre);
+    const PlacementVerdict verdict = Check(server.record());
     if (verdict != PlacementVerdict::kAccepted) {
       return verdict;
     }
@@ -100,10 +118,11 @@
  private:
   const PlacementRules* rules_;
   PermittedRegions regions_;
+  std::optional<StreamOrigin> origin_;
 };
 
-/// @brief Whether any of the servers is open and in a data centre that accepts
-/// the work.
+/// @brief Whether any of the servers is open and accepts the work, whatever its
+/// state.
 bool HasPlace(std::span<const ServerPtr> servers, const Placement& placement);
 
 }  // namespace gentianroute::routing
--- /dev/null
+++ b/packages/routing/include/gentianroute/routing/software_versions.h
@@ -0,0 +1,46 @@
+#ifndef GENTIANROUTE_ROUTING_SOFTWARE_VERSIONS_H_
+#define GENTIANROUTE_ROUTING_SOFTWARE_VERSIONS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "gentianroute/base/time.h"
+#include "gentianroute/routing/server.h"
+#include "gentianroute/routing/stream_origin.h"
+
+namespace gentianroute::routing {
+
+/// @brief Remembers the software versions of servers that have gone, to tell
+/// which versions can have begun a stream that is still wanted.
+class SoftwareVersions {
+ public:
+  /// Callers don't wait longer for a whole stream, over all their requests.
+  static constexpr Duration kMaxStreamAge = std::chrono::seconds(30);
+
+  /// @brief Whether streams may have begun before the host list was known.
+  enum class FleetState : std::uint8_t { kNew, kRunning };
+  /// @brief The host list is known from now on.
+  void OnListed(TimePoint now, FleetState fleet);
+  /// @brief A server has left the host list.
+  void OnGone(TimePoint now, const ServerRecord& server);
+  /// @brief Reports which versions can have begun a stream of a service.
+  /// @param servers the listed servers of the service
+  /// @complexity linear in the number of servers
+  OriginReport Report(TimePoint now,
+                      std::string_view service,
+                      std::span<const ServerPtr> servers) const;
+
+ private:
+  std::optional<TimePoint> listed_since_;
+  /// When the last server of a version has gone, by service and version.
+  std::map<std::string, std::map<std::string, TimePoint>, std::less<>> gone_at_;
+};
+
+}  // namespace gentianroute::routing
+
+#endif  // GENTIANROUTE_ROUTING_SOFTWARE_VERSIONS_H_
--- a/packages/routing/src/server_choice.cc
+++ b/packages/routing/src/server_choice.cc
@@ -46,15 +46,14 @@
   return kShare * Milliseconds(server.warm_up().TimeLeft(now));
 }
 
-/// The servers in the data centres to which the request may go.
+/// The servers to which the request may go, whatever their state.
 std::vector<ServerPtr> ServersInReach(std::span<const ServerPtr> servers,
                                       const Placement& placement,
                                       PlacementCounts& verdicts) {
   std::vector<ServerPtr> in_reach;
   in_reach.reserve(servers.size());
   for (const ServerPtr& server : servers) {
-    const PlacementVerdict verdict =
-        placement.Check(server->record().data_centre);
+    const PlacementVerdict verdict = placement.Check(server->record());
     if (verdict == PlacementVerdict::kAccepted) {
       in_reach.push_back(server);
     } else if (server->open()) {
--- a/packages/routing/src/server_directory.cc
+++ b/packages/routing/src/server_directory.cc
@@ -20,6 +20,7 @@
   const bool same_incarnation =
       server.record().started_at_unix_ms == record.started_at_unix_ms &&
       server.record().service == record.service &&
+      server.record().software_version == record.software_version &&
       server.record().address == record.address &&
       server.record().port == record.port;
   if (!same_incarnation) {
--- /dev/null
+++ b/packages/routing/src/software_versions.cc
@@ -0,0 +1,50 @@
+#include "gentianroute/routing/software_versions.h"
+
+#include <algorithm>
+
+namespace gentianroute::routing {
+
+void SoftwareVersions::OnListed(TimePoint now, FleetState fleet) {
+  if (listed_since_) {
+    return;
+  }
+  listed_since_ = fleet == FleetState::kNew ? now - kMaxStreamAge : now;
+}
+
+void SoftwareVersions::OnGone(TimePoint now, const ServerRecord& server) {
+  auto& versions = gone_at_[server.service];
+  std::erase_if(versions, [now](const auto& version) {
+    return version.second + kMaxStreamAge <= now;
+  });
+  versions[server.software_version] = now;
+}
+
+OriginReport SoftwareVersions::Report(
+    TimePoint now,
+    std::string_view service,
+    std::span<const ServerPtr> servers) const {
+  if (servers.empty()) {
+    return {};
+  }
+  const std::string& version = servers.front()->record().software_version;
+  bool is_only = std::ranges::all_of(servers, [&](const ServerPtr& server) {
+    return server->record().software_version == version;
+  });
+  if (const auto gone = gone_at_.find(service); gone != gone_at_.end()) {
+    is_only &= std::ranges::all_of(gone->second, [&](const auto& other) {
+      return other.first == version || other.second + kMaxStreamAge <= now;
+    });
+  }
+  if (!is_only) {
+    return {OriginEvidence::kSeveralVersions, {}};
+  }
+  // A version may have gone before the list was known.
+  const bool covers_streams =
+      listed_since_ && *listed_since_ + kMaxStreamAge <= now;
+  if (!covers_streams) {
+    return {};
+  }
+  return {OriginEvidence::kOneVersion, {std::string(service), version}};
+}
+
+}  // namespace gentianroute::routing
--- a/packages/routing/tests/placement_test.cc
+++ b/packages/routing/tests/placement_test.cc
@@ -206,3 +206,38 @@
     }
   }
 }
+
+// Guards against a stream going on at servers that write other events than
+// those that began it.
+Test(placement, request_is_bound_to_a_version_only_its_servers_are_accepted) {
+  PlacementFixture fixture;
+  ServerRecord record = MakeServer("a")->record();
+  record.software_version = "v1";
+  const ServerPtr server(new Server(record));
+  fixture.placement.BindTo({record.service, "v2"});
+  cr_assert(fixture.placement.Check(kStart, *server) ==
+            PlacementVerdict::kOtherVersion);
+  cr_assert_not(HasPlace({{server}}, fixture.placement));
+  fixture.placement.BindTo({record.service, "v1"});
+  cr_assert(fixture.placement.Check(kStart, *server) ==
+            PlacementVerdict::kAccepted);
+}
+
+// Guards against the stages of a stream being refused, whose servers have
+// versions of their own.
+Test(placement, request_is_bound_to_a_version_other_services_are_accepted) {
+  PlacementFixture fixture;
+  fixture.placement.BindTo({"model", "v2"});
+  cr_assert(fixture.placement.Check(kStart, *MakeServer("a")) ==
+            PlacementVerdict::kAccepted);
+}
+
+// Guards against a new deployment releasing a stream from its version.
+Test(placement, regions_change_request_stays_bound) {
+  PlacementFixture fixture;
+  const ServerPtr server = MakeServer("a");
+  fixture.placement.BindTo({server->record().service, "v2"});
+  fixture.placement.SetRegions(PermittedRegions({"N"}));
+  cr_assert(fixture.placement.Check(kStart, *server) ==
+            PlacementVerdict::kOtherVersion);
+}
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -146,6 +146,26 @@
   value @1 :Text;
 }
 
+struct StreamOrigin {
+  # The servers that began a stream.
+  service @0 :Text;                   # empty: no origin
+  softwareVersion @1 :Text;
+}
+
+struct BegunStream {
+  # A stream whose caller may take it up again.
+  id @0 :Text;                        # of the request that brought its first event
+  origin @1 :StreamOrigin;
+  remainingMs @2 :UInt32;             # time for which the caller may do so
+}
+
+struct OriginReport {
+  # What a daemon can say about the origin of a stream.
+  evidence @0 :UInt8;                 # 0: nothing, 1: one version only can have
+                                      # begun it, 2: several can, 3: it is recorded
+  origin @1 :StreamOrigin;            # valid for 1 and 3
+}
+
 struct HandedRequest {
   # A caller's request that its daemon can't send to any backend server.
   method @0 :Text;
@@ -158,12 +178,13 @@
   resumeAfter @7 :Text;               # last event that the caller has, if any
   hops @8 :UInt32;                    # daemons that have handed it over
   deploymentVersion @9 :UInt64;       # that it has been admitted under
+  origin @10 :StreamOrigin;           # of the stream that it goes on with, if known
 }
 
 interface AnswerReader {
   # Receives one answer: either `whole`, or `begin`, any number of `part`, `end`.
   whole @0 (status :UInt16, fields :List(HeaderField), body :Data) -> ();
-  begin @1 (status :UInt16, fields :List(HeaderField)) -> ();
+  begin @1 (status :UInt16, fields :List(HeaderField), origin :StreamOrigin) -> ();
   part @2 (bytes :Data) -> ();
   end @3 (complete :Bool) -> ();      # false: the answer is truncated
 }
@@ -174,5 +195,9 @@
   runGroup @0 (group :Group) -> (outcome :GroupOutcome);
   release @2 (service :Text, dataCentre :Text, results :List(Text)) -> ();
   knownDaemons @3 () -> (daemons :List(KnownDaemon));
+  streamsBegun @5 (streams :List(BegunStream)) -> ();
+  # Told to the daemons that keep the origins of the sender's streams.
+  streamOrigin @6 (id :Text, service :Text) -> (report :OriginReport);
+  # Asked by a daemon whose caller takes up a stream that it doesn't know.
   storeCopy @1 (deploymentVersion :UInt64, serversVersion :UInt64) -> (copy :StoreCopy);
 }
