Tell the origins of streams once there is a peer; choose the keepers in one pass

A daemon without live peers marked its streams as told, so that they stayed unknown when the peers were back. The choice of the keepers sorted all known daemons up to 50 times a second; it is linear now.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -135,8 +135,9 @@
     return calls_.HandOver(peer.state, request, observer);
   }
 
-  /// @brief Tells the peers that keep them the origins of streams.
-  void TellBegunStreams(std::span<const routing::BegunStream> streams);
+  /// @brief Tells peers the origins of streams, which they keep.
+  void TellBegunStreams(const Membership::Targets& keepers,
+                        std::span<const routing::BegunStream> streams);
   /// @brief Asks another daemon for the origin of a stream, as
   /// PeerCalls::AskStreamOrigin does.
   std::unique_ptr<PeerQuestion> AskStreamOrigin(
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -423,7 +423,7 @@
     LimitUnsentAnswers();
     servers_.Expire(now);
     suspects_.Sweep(now);
-    streams_.Expire();
+    streams_.RunMaintenance();
     UpdateFollowing();
     FetchNewerRows();
   }
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -249,6 +249,7 @@
   /// @brief Returns the live peers that keep the origins of this daemon's
   /// streams: some of the own data centre, and one elsewhere, since a data
   /// centre may fail as a whole.
+  /// @complexity linear in the number of daemons
   Targets StreamOriginKeepers() const;
   /// @brief How many peers are asked for the origin of a stream.
   enum class OriginSearch : std::uint8_t {
@@ -312,9 +313,6 @@
   /// Whether this process was suspended, so that received datagrams may be
   /// unread.
   bool WasSuspended(TimePoint now);
-  /// The live peers that stay and rank first for this daemon.
-  /// @complexity n log n in the number of daemons
-  Targets FirstRanked(std::size_t in_data_centre, std::size_t elsewhere) const;
   template <typename Predicate>
   Targets SelectPeers(Predicate predicate) const;
   void AddRandom(Targets& targets, Targets from, std::size_t max_count);
--- a/packages/gateway/include/gentianroute/gateway/stream_registry.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_registry.h
@@ -56,11 +56,14 @@
   void OnServerSeen();
   /// @brief A server has left the host list.
   void OnServerGone(const routing::ServerRecord& server);
-  void Expire();
+  /// @brief Drops what is too old, and tells the peers what they had to know
+  /// earlier, if there were none.
+  void RunMaintenance();
 
  private:
   routing::OriginReport VersionReport(std::string_view service) const;
-  bool MustTell(std::string_view service) const;
+  /// Whether the peers have to know the streams of a service.
+  bool IsDue(std::string_view service) const;
   /// Tells the peers soon, together with what else begins until then.
   void TellLater();
   void Tell();
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -427,8 +427,9 @@
                          std::move(done));
 }
 
-void Cluster::TellBegunStreams(std::span<const routing::BegunStream> streams) {
-  for (const Membership::Peer* peer : members_.StreamOriginKeepers()) {
+void Cluster::TellBegunStreams(const Membership::Targets& keepers,
+                               std::span<const routing::BegunStream> streams) {
+  for (const Membership::Peer* peer : keepers) {
     calls_.TellBegunStreams(peer->state, streams);
   }
 }
--- a/packages/gateway/src/membership_streams.cc
+++ b/packages/gateway/src/membership_streams.cc
@@ -1,5 +1,8 @@
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -11,9 +14,9 @@
 namespace gentianroute::gateway {
 namespace {
 
-/// One of them may fail together with the daemon that began the streams.
-constexpr std::size_t kKeepersInDataCentre = 2;
-constexpr std::size_t kKeepersElsewhere = 1;
+/// Keepers in the own data centre. One of them may fail together with the
+/// daemon that began the streams.
+constexpr std::size_t kNeighbours = 2;
 /// Older heartbeats say nothing of the present rows of the store. Those within
 /// a data centre come at least this often.
 constexpr Duration kMaxHeartbeatAge = std::chrono::seconds(2);
@@ -21,7 +24,32 @@
 }  // namespace
 
 Membership::Targets Membership::StreamOriginKeepers() const {
-  return FirstRanked(kKeepersInDataCentre, kKeepersElsewhere);
+  using Ranked = std::pair<std::uint64_t, const Peer*>;
+  std::vector<Ranked> neighbours;
+  Ranked elsewhere;
+  for (const auto& [name, peer] : peers_) {
+    if (!peer->alive || peer->state.leaving) {
+      continue;
+    }
+    const Ranked ranked(RendezvousWeight(own_.name, name), peer.get());
+    if (peer->distance == Distance::kSameDataCentre) {
+      neighbours.push_back(ranked);
+    } else {
+      elsewhere = std::max(elsewhere, ranked);
+    }
+  }
+  const std::size_t count = std::min(kNeighbours, neighbours.size());
+  std::partial_sort(neighbours.begin(),
+                    neighbours.begin() + static_cast<std::ptrdiff_t>(count),
+                    neighbours.end(), std::greater<>());
+  Targets keepers;
+  for (std::size_t i = 0; i < count; ++i) {
+    keepers.push_back(neighbours[i].second);
+  }
+  if (elsewhere.second != nullptr) {
+    keepers.push_back(elsewhere.second);
+  }
+  return keepers;
 }
 
 Membership::Targets Membership::StreamOriginSources(OriginSearch search) const {
@@ -52,26 +80,4 @@
   return has_heard;
 }
 
-Membership::Targets Membership::FirstRanked(std::size_t in_data_centre,
-                                            std::size_t elsewhere) const {
-  std::vector<std::pair<std::uint64_t, const Peer*>> ranked;
-  for (const auto& [name, peer] : peers_) {
-    if (peer->alive && !peer->state.leaving) {
-      ranked.emplace_back(RendezvousWeight(own_.name, name), peer.get());
-    }
-  }
-  std::sort(ranked.rbegin(), ranked.rend());
-  Targets first;
-  for (const auto& [weight, peer] : ranked) {
-    std::size_t& left = peer->distance == Distance::kSameDataCentre
-                            ? in_data_centre
-                            : elsewhere;
-    if (left > 0) {
-      --left;
-      first.push_back(peer);
-    }
-  }
-  return first;
-}
-
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/stream_registry.cc
+++ b/packages/gateway/src/stream_registry.cc
@@ -1,6 +1,9 @@
 #include "gentianroute/gateway/stream_registry.h"
 
 #include <chrono>
+#include <functional>
+#include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -30,7 +33,7 @@
 
 void StreamRegistry::OnBegun(const routing::BegunStream& stream) {
   origins_.Put(loop_.Now(), stream, routing::StreamOrigins::Source::kOwn);
-  if (MustTell(stream.origin.service)) {
+  if (IsDue(stream.origin.service)) {
     TellLater();
   }
 }
@@ -83,8 +86,9 @@
   versions_.OnGone(loop_.Now(), server);
 }
 
-void StreamRegistry::Expire() {
+void StreamRegistry::RunMaintenance() {
   origins_.Expire(loop_.Now());
+  Tell();
 }
 
 routing::OriginReport StreamRegistry::VersionReport(
@@ -92,7 +96,7 @@
   return versions_.Report(loop_.Now(), service, servers_.ServersOf(service));
 }
 
-bool StreamRegistry::MustTell(std::string_view service) const {
+bool StreamRegistry::IsDue(std::string_view service) const {
   return VersionReport(service).evidence != OriginEvidence::kOneVersion;
 }
 
@@ -107,11 +111,21 @@
 }
 
 void StreamRegistry::Tell() {
-  const std::vector<routing::BegunStream> streams = origins_.TakeUntold(
-      loop_.Now(),
-      [this](std::string_view service) { return MustTell(service); });
+  const Membership::Targets keepers = cluster_.members().StreamOriginKeepers();
+  if (keepers.empty()) {
+    return;
+  }
+  std::map<std::string, bool, std::less<>> due;
+  const std::vector<routing::BegunStream> streams =
+      origins_.TakeUntold(loop_.Now(), [&](std::string_view service) {
+        auto found = due.find(service);
+        if (found == due.end()) {
+          found = due.emplace(service, IsDue(service)).first;
+        }
+        return found->second;
+      });
   if (!streams.empty()) {
-    cluster_.TellBegunStreams(streams);
+    cluster_.TellBegunStreams(keepers, streams);
   }
 }
 
