Hand a stream to a daemon that may send to the servers of its version

A request that is bound to the version of its stream has few servers left. Where these take requests from few daemons only (they are cold, name a limit or are brittle), a daemon that is none of their senders refused it, though a peer could have sent it: streams were turned away that other daemons would have gone on with. Requests that aren't bound stay where they are: they have other servers, and handing on what a limit forbids would only move the refusal.

--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -220,6 +220,14 @@
   bool IsAmongFirst(std::string_view key,
                     std::string_view data_centre,
                     std::size_t count) const;
+  /// @brief Returns the peer that ranks first for a key in a data centre, see
+  /// IsAmongFirst(); null if this daemon does, or if no peer there is known to
+  /// live.
+  /// @param excluded names of peers that aren't considered
+  /// @complexity linear in the number of daemons
+  const Peer* FirstSender(std::string_view key,
+                          std::string_view data_centre,
+                          std::span<const std::string> excluded) const;
   /// @brief Number of live daemons of a data centre that reach the servers,
   /// including this one.
   /// @complexity linear in the number of daemons after a change of those that
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -154,6 +154,11 @@
   /// doesn't.
   /// @return false if this daemon has to run it itself
   bool HandToPeer();
+  /// Hands a request that is bound to the servers which began its stream to a
+  /// peer, if these take requests from few daemons only, and not from this one.
+  /// @return false if there is no such peer
+  bool HandToSender();
+  void HandTo(const Membership::Peer& peer);
   HandedRequest HandedToPeer() const;
   /// The last event that the caller has; empty if none.
   const std::string& ResumePosition() const;
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -394,6 +394,29 @@
   return ahead < count;
 }
 
+const Membership::Peer* Membership::FirstSender(
+    std::string_view key,
+    std::string_view data_centre,
+    std::span<const std::string> excluded) const {
+  const bool takes_part = own_.data_centre == data_centre && own_.takes_work();
+  std::uint64_t most = takes_part ? RendezvousWeight(key, own_.name) : 0;
+  const Peer* first = nullptr;
+  for (const auto& [name, peer] : peers_) {
+    const DaemonState& state = peer->state;
+    if (state.data_centre != data_centre || !peer->alive ||
+        !state.takes_work() ||
+        std::ranges::find(excluded, name) != excluded.end()) {
+      continue;
+    }
+    const std::uint64_t weight = RendezvousWeight(key, name);
+    if (weight > most) {
+      most = weight;
+      first = peer.get();
+    }
+  }
+  return first;
+}
+
 std::size_t Membership::CountInReach(std::string_view data_centre) const {
   const auto found = in_reach_.find(data_centre);
   if (found != in_reach_.end()) {
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -173,6 +173,10 @@
 }
 
 void RequestFlow::StartHere() {
+  // Before its stages run: the peer runs them again.
+  if (origin_ && ChooseServer().server == nullptr && HandToSender()) {
+    return;
+  }
   context_.retry_budgets.OnRequest(service_name_,
                                    context_.cluster.live_daemons());
   if (RefuseIfNoPlace() || RefuseIfStagesLate() || RefuseIfDraining()) {
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -95,7 +95,7 @@
   }
   const routing::ServerChoice choice = ChooseServer();
   if (choice.server == nullptr) {
-    if (!WaitForServer(choice)) {
+    if (!HandToSender() && !WaitForServer(choice)) {
       Refuse(ErrorKind::kNoServer, "no server can accept the request");
     }
     return;
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -44,20 +44,45 @@
   if (peer == nullptr) {
     return false;
   }
-  context_.recorder.OnHandedOver(request_.id, peer->state.name, hops_);
+  HandTo(*peer);
+  return true;
+}
+
+bool RequestFlow::HandToSender() {
+  // New requests have other servers to go to.
+  if (!origin_ || hops_ >= kMaxHops) {
+    return false;
+  }
+  const auto& servers = context_.servers.ServersOf(service_name_);
+  for (const routing::ServerPtr& server : servers) {
+    const routing::ServerRecord& record = server->record();
+    if (!server->open() || !placement_->Accepts(record)) {
+      continue;
+    }
+    const Membership::Peer* sender = context_.cluster.members().FirstSender(
+        record.id, record.data_centre, peers_tried_);
+    if (sender != nullptr && placement_->PermitsDataIn(record.data_centre)) {
+      HandTo(*sender);
+      return true;
+    }
+  }
+  return false;
+}
+
+void RequestFlow::HandTo(const Membership::Peer& peer) {
+  context_.recorder.OnHandedOver(request_.id, peer.state.name, hops_);
   context_.loop.Cancel(stages_timer_);
   context_.loop.Cancel(answer_timer_);
   running_stages_.clear();
   origin_lookup_.reset();
   ReleaseResults(plan_->TakeAll());
-  peers_tried_.push_back(peer->state.name);
+  peers_tried_.push_back(peer.state.name);
   if (attempt_ != nullptr) {
     old_attempts_.push_back(std::move(attempt_));
   }
-  attempt_ = std::make_unique<PeerAttempt>(*this, *peer);
+  attempt_ = std::make_unique<PeerAttempt>(*this, peer);
   ++attempts_;
   may_have_run_ = true;
-  return true;
 }
 
 bool RequestFlow::HasServerIn(std::string_view data_centre) const {
--- a/packages/gateway/tests/membership_streams_test.cc
+++ b/packages/gateway/tests/membership_streams_test.cc
@@ -122,3 +122,22 @@
       fleet.MembershipOf(0).StreamOriginSources(OriginSearch::kSample).size(),
       3);
 }
+
+// Guards against a daemon handing a request to one that may not send it either.
+Test(membership_streams, first_sender_of_a_server_is_among_its_senders) {
+  StreamFleet fleet(kNine);
+  for (int server = 0; server < 20; ++server) {
+    const std::string key = "server-" + std::to_string(server);
+    for (std::size_t i = 0; i < fleet.daemons; ++i) {
+      const Membership& members = fleet.MembershipOf(i);
+      const Membership::Peer* first = members.FirstSender(key, "dc-0", {});
+      if (first == nullptr) {
+        cr_expect(members.IsAmongFirst(key, "dc-0", 1));
+        continue;
+      }
+      const Membership& sender =
+          fleet.MembershipOf(fleet.IndexOf(first->state.name));
+      cr_expect(sender.IsAmongFirst(key, "dc-0", 1));
+    }
+  }
+}
