Know by service which servers a daemon reaches

Callers of daemons that had lost most servers of one service were served badly: probes of other services succeeded, so that the daemon counted as in reach, tried one dead link after the other, and went on as scheduler of a stage pool that it couldn't call.

Reach is now judged for each service too, from the same observations: two failed servers of a service, then five probes of it, of which half have to be accepted. Heartbeats name the services that a daemon doesn't reach (at most 64); it schedules no pool of these, is sender to none of their limited servers, and hands requests for them to the nearest peer that reaches them. Where all daemons tell the same, the servers are down, and each refuses at once.

--- a/benchmarks/cold_server_bench.cc
+++ b/benchmarks/cold_server_bench.cc
@@ -130,7 +130,7 @@
     // The daemon that is granted this slot: the first in a rendezvous order
     // that changes with each slot.
     return members.IsAmongFirst(server.id + std::to_string(round),
-                                server.data_centre, 1);
+                                server.data_centre, server.service, 1);
   }
 };
 
--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -46,7 +46,8 @@
   virtual void OnHeartbeat(schema::Beat::Reader heartbeat) = 0;
   /// @brief A peer was lost: its heartbeats stopped, or it refuses connections.
   virtual void OnPeerLost(std::string_view peer) = 0;
-  /// @brief A peer has lost its links to the servers: it schedules no pool.
+  /// @brief A peer has lost its links to servers: it schedules no pool of some
+  /// services, or none at all.
   virtual void OnPeerCutOff(std::string_view peer) = 0;
   /// @brief Runs a caller's request for a peer that can't send it.
   /// @param on_origin called before a stream begins as its answer
@@ -101,9 +102,9 @@
   /// @brief Tells the peers that this daemon is leaving; they send it no more
   /// work.
   void AnnounceLeaving();
-  /// @brief Tells the peers whether this daemon is cut off from the backend
-  /// servers; they send it no such work while it is.
-  void AnnounceReach(bool cut_off);
+  /// @brief Tells the peers which servers this daemon doesn't reach, see
+  /// Membership::SetReach(); they send it no work for these.
+  void AnnounceReach(bool cut_off, std::vector<std::string> unreached);
 
   /// @brief Returns the daemon that schedules a pool.
   const std::string& SchedulerOf(const PoolKey& pool) const {
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -107,7 +107,9 @@
             topology_, placement_rules_, stage_router_,  cluster_,
             reach_,    streams_,         retry_budgets_, service_times_,
             weights_,  suspects_,        recorder_,      drain_} {
-    reach_.SetOnChanged([this](bool cut_off) { OnReachChanged(cut_off); });
+    reach_.SetOnChanged([this](std::string_view service, bool cut_off) {
+      OnReachChanged(service, cut_off);
+    });
     stage_scheduler_.SetFasterPool([this](std::string_view service,
                                           std::string_view data_centre,
                                           Duration wait, Duration server_time) {
@@ -377,11 +379,15 @@
     streams_.OnServerSeen();
   }
 
-  void OnReachChanged(bool cut_off) {
+  /// @param service empty: all services
+  void OnReachChanged(std::string_view service, bool cut_off) {
     // The failures were those of the links, not of the servers.
-    servers_.ForEach(
-        [](routing::Server& server) { server.history().ForgetFailures(); });
-    cluster_.AnnounceReach(cut_off);
+    servers_.ForEach([service](routing::Server& server) {
+      if (service.empty() || service == server.record().service) {
+        server.history().ForgetFailures();
+      }
+    });
+    cluster_.AnnounceReach(reach_.is_cut_off(), reach_.Unreached());
     stage_router_.OnReachChanged();
     if (!cut_off) {
       return;
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_GATEWAY_MEMBERSHIP_H_
 #define GENTIANROUTE_GATEWAY_MEMBERSHIP_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -29,7 +30,9 @@
   std::uint16_t port = 0;
   std::string data_centre;
   bool leaving = false;
-  bool cut_off = false;        ///< reaches no backend server
+  bool cut_off = false;  ///< reaches no backend server
+  /// Services of which it reaches few servers or none.
+  std::vector<std::string> unreached;
   double processor_share = 0;  ///< CPU cores that it may use
   StoreContact store = StoreContact::kNotAsked;
   std::uint64_t deployment_version = 0;
@@ -42,8 +45,14 @@
   /// sends it none regularly.
   Duration heartbeat_interval{};
 
-  /// Whether it may get work for the servers, as long as it is alive.
-  bool takes_work() const { return !leaving && !cut_off; }
+  bool Reaches(std::string_view service) const {
+    return !cut_off && std::ranges::find(unreached, service) == unreached.end();
+  }
+  /// Whether it may get work for the servers of a service, as long as it is
+  /// alive.
+  bool TakesWorkFor(std::string_view service) const {
+    return !leaving && Reaches(service);
+  }
 };
 
 /// @brief A daemon as listed by the store or by a peer.
@@ -107,10 +116,10 @@
   /// @brief Marks this daemon as leaving: it schedules no pool from now on, and
   /// the next heartbeat rounds go to all peers.
   void Leave();
-  /// @brief Sets whether this daemon is cut off from the backend servers. A
-  /// daemon that is schedules no pool, unless all are. If it did schedule one,
-  /// the next heartbeat rounds go to all peers.
-  void SetCutOff(bool cut_off);
+  /// @brief Sets what this daemon doesn't reach: any backend server, or those
+  /// of some services. It schedules no pool of these, unless no daemon reaches
+  /// them. If it schedules pools, the next heartbeat rounds go to all peers.
+  void SetReach(bool cut_off, std::vector<std::string> unreached);
   bool IsSelf(std::string_view daemon) const { return daemon == own_.name; }
   /// @brief Returns the peer of this name; null if it is unknown.
   const Peer* Find(std::string_view name) const;
@@ -217,8 +226,10 @@
   /// for a key in a data centre. Daemons elsewhere are only if the data centre
   /// has none at all: whether its daemons live is unknown there in a large
   /// fleet.
+  /// @param service that the daemons have to reach
   bool IsAmongFirst(std::string_view key,
                     std::string_view data_centre,
+                    std::string_view service,
                     std::size_t count) const;
   /// @brief Returns the peer that ranks first for a key in a data centre, see
   /// IsAmongFirst(); null if this daemon does, or if no peer there is known to
@@ -227,12 +238,14 @@
   /// @complexity linear in the number of daemons
   const Peer* FirstSender(std::string_view key,
                           std::string_view data_centre,
+                          std::string_view service,
                           std::span<const std::string> excluded) const;
-  /// @brief Number of live daemons of a data centre that reach the servers,
-  /// including this one.
+  /// @brief Number of live daemons of a data centre that reach the servers of a
+  /// service, including this one.
   /// @complexity linear in the number of daemons after a change of those that
   /// are alive, otherwise logarithmic
-  std::size_t CountInReach(std::string_view data_centre) const;
+  std::size_t CountInReach(std::string_view data_centre,
+                           std::string_view service) const;
   /// @brief Whether this daemon reads the store's changes for its data centre.
   /// It does unless a live daemon there that ranks higher reads them or can do
   /// so.
@@ -242,15 +255,16 @@
   const Peer* StoreCopySource(std::uint64_t deployment_version,
                               std::uint64_t servers_version) const;
 
-  /// @brief Returns the nearest live peer that reaches the servers, for a
-  /// request that this daemon can't send to any; null if there is none. Equally
-  /// near peers share the requests.
+  /// @brief Returns the nearest live peer that reaches the servers of a
+  /// service, for a request that this daemon can't send to any; null if there
+  /// is none. Equally near peers share the requests.
   /// @param key id of the request
   /// @param permits whether the request may go to a data centre
   /// @param excluded names of peers that have had it
   /// @complexity linear in the number of daemons
   const Peer* PeerInReach(
       std::string_view key,
+      std::string_view service,
       const std::function<bool(std::string_view data_centre)>& permits,
       std::span<const std::string> excluded) const;
 
@@ -346,7 +360,7 @@
   mutable std::map<PoolKey, std::string> schedulers_;
   mutable std::optional<bool> lacks_contact_;
   /// Results of CountInReach().
-  mutable std::map<std::string, std::size_t, std::less<>> in_reach_;
+  mutable std::map<PoolKey, std::size_t> in_reach_;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/include/gentianroute/gateway/ranked_senders.h
+++ b/packages/gateway/include/gentianroute/gateway/ranked_senders.h
@@ -21,10 +21,11 @@
 
   bool IsSender(const routing::ServerRecord& server,
                 std::size_t count) const override {
-    return members_.IsAmongFirst(server.id, server.data_centre, count);
+    return members_.IsAmongFirst(server.id, server.data_centre, server.service,
+                                 count);
   }
   std::size_t CountBeside(const routing::ServerRecord& server) const override {
-    return members_.CountInReach(server.data_centre);
+    return members_.CountInReach(server.data_centre, server.service);
   }
 
  private:
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -20,6 +20,9 @@
 using detail::ReadGroup;
 using detail::WriteOutcome;
 
+/// Services out of reach that are read from a heartbeat.
+constexpr std::size_t kMaxUnreached = 64;
+
 DaemonState OwnState(const GatewaySettings& settings,
                      std::uint64_t incarnation) {
   DaemonState own;
@@ -50,6 +53,11 @@
   state.data_centre = heartbeat.getDataCentre();
   state.leaving = heartbeat.getDraining();
   state.cut_off = heartbeat.getCutOff();
+  for (const auto service : heartbeat.getUnreached()) {
+    if (state.unreached.size() < kMaxUnreached) {
+      state.unreached.emplace_back(service);
+    }
+  }
   state.processor_share = heartbeat.getProcessorShare();
   state.store = static_cast<StoreContact>(
       std::min<unsigned>(heartbeat.getStoreContact(),
@@ -217,8 +225,8 @@
   ScheduleHeartbeatNow();
 }
 
-void Cluster::AnnounceReach(bool cut_off) {
-  members_.SetCutOff(cut_off);
+void Cluster::AnnounceReach(bool cut_off, std::vector<std::string> unreached) {
+  members_.SetReach(cut_off, std::move(unreached));
   // A scheduler tells all peers in its next rounds.
   if (members_.own().pools.empty()) {
     SendUpdate(UpdateScope::kDataCentre);
@@ -268,6 +276,12 @@
   heartbeat.setDataCentre(own.data_centre);
   heartbeat.setDraining(own.leaving);
   heartbeat.setCutOff(own.cut_off);
+  const auto told =
+      static_cast<unsigned>(std::min(own.unreached.size(), kMaxUnreached));
+  auto unreached = heartbeat.initUnreached(told);
+  for (unsigned i = 0; i < told; ++i) {
+    unreached.set(i, own.unreached[i]);
+  }
   heartbeat.setProcessorShare(static_cast<float>(own.processor_share));
   heartbeat.setNextMs(static_cast<std::uint32_t>(WholeMilliseconds(next)));
   handler_.FillHeartbeat(heartbeat, load);
@@ -303,10 +317,16 @@
   }
   const Membership::Peer* before = members_.Find(name);
   const bool was_cut_off = before != nullptr && before->state.cut_off;
+  const std::size_t was_unreached =
+      before == nullptr ? 0 : before->state.unreached.size();
   const auto arrival = members_.OnHeartbeat(loop_.Now(), StateOf(heartbeat));
   const Membership::Peer& peer = *members_.Find(name);
-  if (peer.state.cut_off && !was_cut_off) {
-    LogEvent("peer_cut_off", LogLevel::kWarning).Field("peer", name);
+  const bool lost_services = peer.state.unreached.size() > was_unreached;
+  if ((peer.state.cut_off && !was_cut_off) || lost_services) {
+    LogEvent("peer_cut_off", LogLevel::kWarning)
+        .Field("peer", name)
+        .Field("from", peer.state.cut_off ? "all servers" : "services")
+        .Field("services", peer.state.unreached.size());
     handler_.OnPeerCutOff(name);
   }
   if (arrival != Membership::Arrival::kKnown) {
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -94,10 +94,9 @@
   InvalidateRanks();
 }
 
-void Membership::SetCutOff(bool cut_off) {
-  if (std::exchange(own_.cut_off, cut_off) == cut_off) {
-    return;
-  }
+void Membership::SetReach(bool cut_off, std::vector<std::string> unreached) {
+  own_.cut_off = cut_off;
+  own_.unreached = std::move(unreached);
   if (!own_.pools.empty()) {
     broadcast_rounds_ = kBroadcastRounds;
   }
@@ -195,7 +194,7 @@
                             state.data_centre == own_.data_centre;
   const bool was_alive = std::exchange(peer.alive, is_monitored);
   if (was_alive != peer.alive || restarted || before.leaving != state.leaving ||
-      before.cut_off != state.cut_off ||
+      before.cut_off != state.cut_off || before.unreached != state.unreached ||
       before.processor_share != state.processor_share ||
       before.data_centre != state.data_centre) {
     InvalidateRanks();
@@ -340,11 +339,12 @@
   std::vector<std::pair<routing::SchedulerRank, const DaemonState*>> ranked;
   const auto add = [&](const DaemonState& state) {
     const bool is_beside_servers = state.data_centre == pool.data_centre;
-    const auto rank = state.leaving ? routing::SchedulerRank{}
-                                    : routing::SchedulerRank{
-                                          !state.cut_off, is_beside_servers,
-                                          state.processor_share,
-                                          RendezvousWeight(key, state.name)};
+    const auto rank =
+        state.leaving
+            ? routing::SchedulerRank{}
+            : routing::SchedulerRank{state.Reaches(pool.service),
+                                     is_beside_servers, state.processor_share,
+                                     RendezvousWeight(key, state.name)};
     ranked.emplace_back(rank, &state);
   };
   add(own_);
@@ -375,8 +375,9 @@
 
 bool Membership::IsAmongFirst(std::string_view key,
                               std::string_view data_centre,
+                              std::string_view service,
                               std::size_t count) const {
-  if (own_.cut_off) {
+  if (!own_.Reaches(service)) {
     return false;
   }
   const bool is_beside = own_.data_centre == data_centre;
@@ -388,7 +389,7 @@
       return false;
     }
     const bool counts = !is_beside || (peer_is_beside && peer->alive &&
-                                       peer->state.takes_work());
+                                       peer->state.TakesWorkFor(service));
     ahead += counts && RendezvousWeight(key, name) > own ? 1 : 0;
   }
   return ahead < count;
@@ -397,14 +398,16 @@
 const Membership::Peer* Membership::FirstSender(
     std::string_view key,
     std::string_view data_centre,
+    std::string_view service,
     std::span<const std::string> excluded) const {
-  const bool takes_part = own_.data_centre == data_centre && own_.takes_work();
+  const bool takes_part =
+      own_.data_centre == data_centre && own_.TakesWorkFor(service);
   std::uint64_t most = takes_part ? RendezvousWeight(key, own_.name) : 0;
   const Peer* first = nullptr;
   for (const auto& [name, peer] : peers_) {
     const DaemonState& state = peer->state;
     if (state.data_centre != data_centre || !peer->alive ||
-        !state.takes_work() ||
+        !state.TakesWorkFor(service) ||
         std::ranges::find(excluded, name) != excluded.end()) {
       continue;
     }
@@ -417,20 +420,22 @@
   return first;
 }
 
-std::size_t Membership::CountInReach(std::string_view data_centre) const {
-  const auto found = in_reach_.find(data_centre);
+std::size_t Membership::CountInReach(std::string_view data_centre,
+                                     std::string_view service) const {
+  const PoolKey pool{std::string(service), std::string(data_centre)};
+  const auto found = in_reach_.find(pool);
   if (found != in_reach_.end()) {
     return found->second;
   }
-  const auto counts = [data_centre](const DaemonState& state) {
-    return state.data_centre == data_centre && state.takes_work();
+  const auto counts = [&](const DaemonState& state) {
+    return state.data_centre == data_centre && state.TakesWorkFor(service);
   };
   const auto peers = std::ranges::count_if(peers_, [&](const auto& entry) {
     return entry.second->alive && counts(entry.second->state);
   });
   const std::size_t count =
       static_cast<std::size_t>(peers) + (counts(own_) ? 1 : 0);
-  in_reach_.emplace(data_centre, count);
+  in_reach_.emplace(pool, count);
   return count;
 }
 
@@ -478,13 +483,14 @@
 
 const Membership::Peer* Membership::PeerInReach(
     std::string_view key,
+    std::string_view service,
     const std::function<bool(std::string_view data_centre)>& permits,
     std::span<const std::string> excluded) const {
   const Peer* nearest = nullptr;
   std::pair<Distance, std::uint64_t> best;
   for (const auto& [name, peer] : peers_) {
     const DaemonState& state = peer->state;
-    if (!peer->alive || !state.takes_work() ||
+    if (!peer->alive || !state.TakesWorkFor(service) ||
         std::ranges::find(excluded, name) != excluded.end() ||
         !permits(state.data_centre)) {
       continue;
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -146,7 +146,8 @@
                     count(routing::PlacementVerdict::kNoRoom);
   // A few servers can all have been tried before the daemon knows that it is
   // cut off from them, and has to hand the request to a peer.
-  const bool may_be_cut_off = !tried_.empty() && context_.reach.is_probing();
+  const bool may_be_cut_off =
+      !tried_.empty() && context_.reach.IsProbing(service_name_);
   const bool may_find_one = held > 0 || may_be_cut_off;
   if (!may_find_one ||
       context_.loop.Now() + kServerRetryPeriod + MinAnswerTime() > deadline_) {
@@ -213,7 +214,7 @@
 void RequestFlow::OnHead(const ServerAnswer& answer) {
   answer_ = answer;
   server_->OnBytesReceived(context_.loop.Now());
-  context_.reach.OnAnswer();
+  context_.reach.OnAnswer(server_->record());
   RecordRequestLimit(context_.loop.Now(), sent_at_, answer.request_limit,
                      *server_);
   if (context_.placement_rules.brittle_servers.services().OnAnswer(
@@ -240,7 +241,7 @@
   }
   last_byte_at_ = context_.loop.Now();
   server_->OnBytesReceived(last_byte_at_);
-  context_.reach.OnAnswer();
+  context_.reach.OnAnswer(server_->record());
   if (!streaming_) {
     streaming_ = true;
     OnFirstByte();
@@ -307,7 +308,7 @@
   }
   const Ptr keep(this);
   server_->history().OnConnectionFailure(now);
-  context_.reach.OnNoAnswer(server_->record().id);
+  context_.reach.OnNoAnswer(server_->record());
   events_.DropPartial();
   RetryAndCancel("silent", "the server stopped sending");
 }
@@ -398,7 +399,7 @@
   server_->history().OnConnectionFailure(now);
   context_.loop.Cancel(answer_timer_);
   if (failure == RelayFailure::kNotSent) {
-    context_.reach.OnNotConnected(server);
+    context_.reach.OnNotConnected(server_->record());
     --attempts_;
     may_have_run_ = earlier_may_have_run_;
     UnassignServer();
@@ -406,7 +407,7 @@
     SendToServer();
     return;
   }
-  context_.reach.OnNoAnswer(server);
+  context_.reach.OnNoAnswer(server_->record());
   ReportCrash();
   earlier_may_have_run_ = true;
   UnassignServer();
@@ -456,7 +457,7 @@
     return;
   }
   const Ptr keep(this);
-  context_.reach.OnNoAnswer(server_->record().id);
+  context_.reach.OnNoAnswer(server_->record());
   if (!CanRetry()) {
     return;
   }
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -31,7 +31,8 @@
 
 bool RequestFlow::HandToPeer() {
   const bool served_elsewhere = IsServedElsewhere();
-  const bool needs_peer = served_elsewhere || context_.reach.is_cut_off();
+  const bool needs_peer =
+      served_elsewhere || context_.reach.IsCutOff(service_name_);
   if (!needs_peer || hops_ >= kMaxHops) {
     return false;
   }
@@ -40,7 +41,7 @@
            (!served_elsewhere || HasServerIn(data_centre));
   };
   const Membership::Peer* peer = context_.cluster.members().PeerInReach(
-      request_.id, permits, peers_tried_);
+      request_.id, service_name_, permits, peers_tried_);
   if (peer == nullptr) {
     return false;
   }
@@ -60,7 +61,7 @@
       continue;
     }
     const Membership::Peer* sender = context_.cluster.members().FirstSender(
-        record.id, record.data_centre, peers_tried_);
+        record.id, record.data_centre, record.service, peers_tried_);
     if (sender != nullptr && placement_->PermitsDataIn(record.data_centre)) {
       HandTo(*sender);
       return true;
--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -264,7 +264,7 @@
                                        const routing::Server& server,
                                        const RelayFetchResult& end) {
   if (end.complete) {
-    reach_.OnAnswer();
+    reach_.OnAnswer(server.record());
     return translator_.ReadStageAnswer(end.head, end.body);
   }
   ++calls_broken_;
@@ -277,9 +277,9 @@
       .Field("sent", sent ? "yes" : "no")
       .Field("timed_out", timed_out ? "yes" : "no");
   if (sent) {
-    reach_.OnNoAnswer(server.record().id);
+    reach_.OnNoAnswer(server.record());
   } else {
-    reach_.OnNotConnected(server.record().id);
+    reach_.OnNotConnected(server.record());
   }
   return {routing::CallStatus::kBroken, {}};
 }
--- a/packages/gateway/tests/membership_streams_test.cc
+++ b/packages/gateway/tests/membership_streams_test.cc
@@ -130,14 +130,15 @@
     const std::string key = "server-" + std::to_string(server);
     for (std::size_t i = 0; i < fleet.daemons; ++i) {
       const Membership& members = fleet.MembershipOf(i);
-      const Membership::Peer* first = members.FirstSender(key, "dc-0", {});
+      const Membership::Peer* first =
+          members.FirstSender(key, "dc-0", "model", {});
       if (first == nullptr) {
-        cr_expect(members.IsAmongFirst(key, "dc-0", 1));
+        cr_expect(members.IsAmongFirst(key, "dc-0", "model", 1));
         continue;
       }
       const Membership& sender =
           fleet.MembershipOf(fleet.IndexOf(first->state.name));
-      cr_expect(sender.IsAmongFirst(key, "dc-0", 1));
+      cr_expect(sender.IsAmongFirst(key, "dc-0", "model", 1));
     }
   }
 }
--- a/packages/gateway/tests/membership_test.cc
+++ b/packages/gateway/tests/membership_test.cc
@@ -256,3 +256,50 @@
     cr_assert(fleet.AgreesOnScheduler({"stage", fleet.DataCentre(i)}));
   }
 }
+
+// Guards against a daemon going on as the scheduler of a pool whose servers it
+// has lost, and against it losing the pools that it still reaches.
+Test(membership, scheduler_loses_one_service_only_its_pools_move) {
+  for (const Shape& shape : {kNine, kHundreds}) {
+    VirtualFleet fleet(shape);
+    fleet.StartAll();
+    fleet.AdvanceTime(10 * kSecond);
+    const PoolKey lost{"stage", "dc-1"};
+    const PoolKey kept{"other", "dc-1"};
+    const Membership& beside = fleet.MembershipOf(1);
+    cr_assert(beside.own().data_centre == "dc-1");
+    const std::string scheduler = beside.SchedulerOf(lost);
+    const std::string other = beside.SchedulerOf(kept);
+    fleet.MembershipOf(fleet.IndexOf(scheduler)).SetReach(false, {"stage"});
+    fleet.AdvanceTime(10 * kSecond);
+    for (std::size_t i = 0; i < shape.daemons; ++i) {
+      const Membership& members = fleet.MembershipOf(i);
+      cr_expect(members.SchedulerOf(lost) != scheduler);
+      // In a large fleet, only its own data centre knows who schedules a pool
+      // that nobody uses.
+      cr_expect(members.SchedulerOf(kept) == other ||
+                members.own().data_centre != "dc-1");
+    }
+  }
+}
+
+// Guards against pools without any scheduler, or requests going around, when
+// the servers of a service are down and no daemon reaches them.
+Test(membership, no_daemon_reaches_a_service_nobody_is_asked) {
+  VirtualFleet fleet(kNine);
+  fleet.StartAll();
+  fleet.AdvanceTime(2 * kSecond);
+  const PoolKey pool{"stage", "dc-1"};
+  const std::string scheduler = fleet.MembershipOf(0).SchedulerOf(pool);
+  for (std::size_t i = 0; i < kNine.daemons; ++i) {
+    fleet.MembershipOf(i).SetReach(false, {"stage"});
+  }
+  fleet.AdvanceTime(10 * kSecond);
+  const auto anywhere = [](std::string_view) { return true; };
+  for (std::size_t i = 0; i < kNine.daemons; ++i) {
+    const Membership& members = fleet.MembershipOf(i);
+    cr_expect(members.SchedulerOf(pool) == scheduler);
+    cr_expect_null(members.PeerInReach("request", "stage", anywhere, {}));
+    cr_expect_not_null(members.PeerInReach("request", "other", anywhere, {}));
+  }
+}
--- a/packages/routing/src/server_reach.cc
+++ b/packages/routing/src/server_reach.cc
@@ -46,12 +46,23 @@
   probed_at_ = now;
 }
 
-bool ServerReach::OnProbesEnded(bool any_connected) {
+std::size_t ServerReach::Needed(std::size_t probed) const {
+  return criterion_ == Criterion::kAny ? 1 : (probed + 1) / 2;
+}
+
+bool ServerReach::IsDecided(std::size_t probed,
+                            std::size_t connected,
+                            std::size_t failed) const {
+  const std::size_t needed = Needed(probed);
+  return connected >= needed || probed - failed < needed;
+}
+
+bool ServerReach::OnProbesEnded(std::size_t probed, std::size_t connected) {
   probing_ = false;
   unconnected_.clear();
   silent_.clear();
   const bool was_cut_off = cut_off_;
-  cut_off_ = !any_connected;
+  cut_off_ = connected < Needed(probed);
   return cut_off_ != was_cut_off;
 }
 
--- a/packages/routing/tests/server_reach_test.cc
+++ b/packages/routing/tests/server_reach_test.cc
@@ -10,7 +10,10 @@
 
 namespace {
 
+using Criterion = ServerReach::Criterion;
+
 constexpr std::size_t kServers = 10;
+constexpr std::size_t kProbed = ServerReach::kProbes;
 constexpr TimePoint kNow{std::chrono::seconds(100)};
 
 ServerPtr MakeServer(const std::string& id, const std::string& data_centre) {
@@ -25,14 +28,14 @@
 TestSuite(server_reach);
 
 Test(server_reach, one_server_fails_nothing_is_probed) {
-  ServerReach reach;
+  ServerReach reach(Criterion::kAny);
   reach.OnNotConnected(kNow, "a");
   reach.OnNotConnected(kNow, "a");
   cr_assert_not(reach.NeedsProbes(kNow, kServers));
 }
 
 Test(server_reach, two_servers_refuse_they_are_probed_once_at_a_time) {
-  ServerReach reach;
+  ServerReach reach(Criterion::kAny);
   reach.OnNotConnected(kNow, "a");
   reach.OnNotConnected(kNow, "b");
   cr_assert(reach.NeedsProbes(kNow, kServers));
@@ -43,7 +46,7 @@
 // Guards against open connections that outlive a cut hiding that no new one
 // gets through.
 Test(server_reach, answers_arrive_refused_connections_still_count) {
-  ServerReach reach;
+  ServerReach reach(Criterion::kAny);
   reach.OnNotConnected(kNow, "a");
   reach.OnNotConnected(kNow, "b");
   reach.OnAnswer();
@@ -51,7 +54,7 @@
 }
 
 Test(server_reach, answer_arrives_silent_servers_no_longer_count) {
-  ServerReach reach;
+  ServerReach reach(Criterion::kAny);
   reach.OnNoAnswer(kNow, "a");
   reach.OnAnswer();
   reach.OnNoAnswer(kNow, "b");
@@ -59,7 +62,7 @@
 }
 
 Test(server_reach, failures_are_old_nothing_is_probed) {
-  ServerReach reach;
+  ServerReach reach(Criterion::kAny);
   reach.OnNotConnected(kNow, "a");
   const TimePoint later = kNow + 2 * ServerReach::kFailureMemory;
   reach.OnNotConnected(later, "b");
@@ -68,26 +71,57 @@
 
 // Guards against servers that crash together being taken for a cut link.
 Test(server_reach, one_probe_connects_daemon_is_not_cut_off) {
-  ServerReach reach;
+  ServerReach reach(Criterion::kAny);
   reach.OnProbesStarted(kNow);
-  cr_assert_not(reach.OnProbesEnded(true));
+  cr_assert_not(reach.OnProbesEnded(kProbed, 1));
   cr_assert_not(reach.is_cut_off());
 }
 
 Test(server_reach, no_probe_connects_daemon_is_cut_off_until_one_does) {
-  ServerReach reach;
+  ServerReach reach(Criterion::kAny);
   reach.OnProbesStarted(kNow);
-  cr_assert(reach.OnProbesEnded(false));
+  cr_assert(reach.OnProbesEnded(kProbed, 0));
   cr_assert(reach.is_cut_off());
   const TimePoint next = kNow + ServerReach::kProbePeriod;
   cr_assert(reach.NeedsProbes(next, kServers));
   reach.OnProbesStarted(next);
-  cr_assert(reach.OnProbesEnded(true));
+  cr_assert(reach.OnProbesEnded(kProbed, 1));
+  cr_assert_not(reach.is_cut_off());
+}
+
+// Guards against a daemon sending all its requests to the one server of a
+// service that it still reaches.
+Test(server_reach, few_servers_of_a_service_connect_daemon_is_cut_off) {
+  ServerReach reach(Criterion::kHalf);
+  reach.OnProbesStarted(kNow);
+  cr_assert(reach.OnProbesEnded(5, 2));
+  cr_assert(reach.is_cut_off());
+  reach.OnProbesStarted(kNow + ServerReach::kProbePeriod);
+  cr_assert(reach.OnProbesEnded(5, 3));
   cr_assert_not(reach.is_cut_off());
 }
 
+Test(server_reach, half_of_the_servers_of_a_service_connect_is_enough) {
+  ServerReach reach(Criterion::kHalf);
+  reach.OnProbesStarted(kNow);
+  cr_assert_not(reach.OnProbesEnded(2, 1));
+  cr_assert_not(reach.is_cut_off());
+}
+
+// Guards against waiting for probes that hang once the others have told.
+Test(server_reach, result_is_certain_before_all_probes_end) {
+  const ServerReach any(Criterion::kAny);
+  cr_assert(any.IsDecided(5, 1, 0));
+  cr_assert_not(any.IsDecided(5, 0, 4));
+  cr_assert(any.IsDecided(5, 0, 5));
+  const ServerReach half(Criterion::kHalf);
+  cr_assert_not(half.IsDecided(5, 2, 2));
+  cr_assert(half.IsDecided(5, 3, 0));
+  cr_assert(half.IsDecided(5, 0, 3));
+}
+
 Test(server_reach, single_server_known_its_failure_is_enough) {
-  ServerReach reach;
+  ServerReach reach(Criterion::kAny);
   reach.OnNotConnected(kNow, "a");
   cr_assert(reach.NeedsProbes(kNow, 1));
   cr_assert_not(reach.NeedsProbes(kNow, 0));
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -77,6 +77,8 @@
   limits @19 :List(ServerLimit);      # with the load only
   cutOff @20 :Bool;                   # the sender reaches no backend server
   brittle @21 :List(BrittleService);
+  unreached @22 :List(Text);          # services of which the sender reaches few
+                                      # servers or none
 }
 
 struct Group {
