Move only the groups whose scheduler has changed when a daemon loses a service

A daemon that lost the servers of one service had all its groups submitted again, also those of pools that it still scheduled, by itself and by its peers.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -102,9 +102,9 @@
   /// @brief Tells the peers that this daemon is leaving; they send it no more
   /// work.
   void AnnounceLeaving();
-  /// @brief Tells the peers which servers this daemon doesn't reach, see
-  /// Membership::SetReach(); they send it no work for these.
-  void AnnounceReach(bool cut_off, std::vector<std::string> unreached);
+  /// @brief Tells the peers which servers this daemon reaches; they send it no
+  /// work for the others.
+  void AnnounceReach(Reach reach);
 
   /// @brief Returns the daemon that schedules a pool.
   const std::string& SchedulerOf(const PoolKey& pool) const {
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -165,7 +165,7 @@
   void OnHeartbeat(schema::Beat::Reader heartbeat) override;
   void OnPeerLost(std::string_view peer) override;
   void OnPeerCutOff(std::string_view peer) override {
-    stage_router_.OnPeerLost(peer);
+    stage_router_.OnPeerCutOff(peer);
   }
   void RunHandedRequest(RelayExchangePtr exchange,
                         RequestProgress progress,
@@ -387,7 +387,7 @@
         server.history().ForgetFailures();
       }
     });
-    cluster_.AnnounceReach(reach_.is_cut_off(), reach_.Unreached());
+    cluster_.AnnounceReach({reach_.is_cut_off(), reach_.Unreached()});
     stage_router_.OnReachChanged();
     if (!cut_off) {
       return;
--- a/packages/gateway/include/gentianroute/gateway/detail/routed_group.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/routed_group.h
@@ -25,6 +25,7 @@
   ~RoutedGroup() override;
 
   void OnPeerLost(std::string_view peer);
+  void OnPeerCutOff(std::string_view peer);
   void OnReachChanged();
   void OnPlacementChanged();
 
@@ -32,6 +33,8 @@
   /// Whether a daemon may get the group: the data centre of its pool may be
   /// permitted while the daemon that schedules the pool is elsewhere.
   bool MayHandOver(std::string_view daemon) const;
+  /// The daemon that schedules the pool of the group now.
+  const std::string& CurrentScheduler() const;
   void ResubmitLater();
   void Submit();
   /// @return null if no pool has a server
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -22,6 +22,23 @@
 
 namespace gentianroute::gateway {
 
+/// @brief Which backend servers a daemon reaches over its own links.
+struct Reach {
+  bool cut_off = false;  ///< from all servers
+  /// Services of which it reaches few servers or none, in ascending order.
+  std::vector<std::string> unreached;
+
+  bool Includes(std::string_view service) const {
+    return !cut_off && std::ranges::find(unreached, service) == unreached.end();
+  }
+  /// Whether it includes less than an earlier one.
+  bool HasShrunkSince(const Reach& before) const {
+    return (cut_off && !before.cut_off) ||
+           !std::ranges::includes(before.unreached, unreached);
+  }
+  friend bool operator==(const Reach&, const Reach&) = default;
+};
+
 /// @brief State of a daemon, as it reports it in each heartbeat.
 struct DaemonState {
   std::string name;
@@ -30,9 +47,7 @@
   std::uint16_t port = 0;
   std::string data_centre;
   bool leaving = false;
-  bool cut_off = false;  ///< reaches no backend server
-  /// Services of which it reaches few servers or none.
-  std::vector<std::string> unreached;
+  Reach reach;
   double processor_share = 0;  ///< CPU cores that it may use
   StoreContact store = StoreContact::kNotAsked;
   std::uint64_t deployment_version = 0;
@@ -45,13 +60,10 @@
   /// sends it none regularly.
   Duration heartbeat_interval{};
 
-  bool Reaches(std::string_view service) const {
-    return !cut_off && std::ranges::find(unreached, service) == unreached.end();
-  }
   /// Whether it may get work for the servers of a service, as long as it is
   /// alive.
   bool TakesWorkFor(std::string_view service) const {
-    return !leaving && Reaches(service);
+    return !leaving && reach.Includes(service);
   }
 };
 
@@ -116,10 +128,10 @@
   /// @brief Marks this daemon as leaving: it schedules no pool from now on, and
   /// the next heartbeat rounds go to all peers.
   void Leave();
-  /// @brief Sets what this daemon doesn't reach: any backend server, or those
-  /// of some services. It schedules no pool of these, unless no daemon reaches
-  /// them. If it schedules pools, the next heartbeat rounds go to all peers.
-  void SetReach(bool cut_off, std::vector<std::string> unreached);
+  /// @brief Sets which servers this daemon reaches. It schedules no pool of the
+  /// others, unless no daemon reaches these. If it schedules pools, the next
+  /// heartbeat rounds go to all peers.
+  void SetReach(Reach reach);
   bool IsSelf(std::string_view daemon) const { return daemon == own_.name; }
   /// @brief Returns the peer of this name; null if it is unknown.
   const Peer* Find(std::string_view name) const;
--- a/packages/gateway/include/gentianroute/gateway/reach_monitor.h
+++ b/packages/gateway/include/gentianroute/gateway/reach_monitor.h
@@ -63,6 +63,10 @@
     std::shared_ptr<Round> round;  ///< the last one; null before the first
   };
 
+  using Failure = void (routing::ServerReach::*)(TimePoint now,
+                                                 std::string_view server);
+
+  void OnFailure(const routing::ServerRecord& server, Failure failure);
   Group& GroupOf(std::string_view service);
   const Group* FindGroup(std::string_view service) const;
   void ProbeAllIfNeeded();
--- a/packages/gateway/include/gentianroute/gateway/stage_router.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_router.h
@@ -95,8 +95,11 @@
 
   /// @brief Submits the groups of a lost daemon again.
   void OnPeerLost(std::string_view peer);
-  /// @brief Submits the groups again that this daemon schedules itself, since
-  /// it is cut off from the servers or no longer is.
+  /// @brief Submits the groups again that a peer has, and that it doesn't
+  /// schedule any more because it has lost its links to their servers.
+  void OnPeerCutOff(std::string_view peer);
+  /// @brief Submits the groups again that this daemon schedules itself, if its
+  /// links to their servers, lost or back, make another one their scheduler.
   void OnReachChanged();
   /// @brief Moves the groups that wait where their placement no longer permits
   /// them, after a change of the permitted regions.
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -44,6 +44,27 @@
   return pools;
 }
 
+Reach ReachOf(schema::Beat::Reader heartbeat) {
+  Reach reach;
+  reach.cut_off = heartbeat.getCutOff();
+  for (const auto service : heartbeat.getUnreached()) {
+    if (reach.unreached.size() < kMaxUnreached) {
+      reach.unreached.emplace_back(service);
+    }
+  }
+  std::ranges::sort(reach.unreached);
+  return reach;
+}
+
+void WriteReach(const Reach& reach, schema::Beat::Builder heartbeat) {
+  heartbeat.setCutOff(reach.cut_off);
+  const std::size_t told = std::min(reach.unreached.size(), kMaxUnreached);
+  auto unreached = heartbeat.initUnreached(static_cast<unsigned>(told));
+  for (unsigned i = 0; i < unreached.size(); ++i) {
+    unreached.set(i, reach.unreached[i]);
+  }
+}
+
 DaemonState StateOf(schema::Beat::Reader heartbeat) {
   DaemonState state;
   state.name = heartbeat.getDaemon();
@@ -52,12 +73,7 @@
   state.port = heartbeat.getPort();
   state.data_centre = heartbeat.getDataCentre();
   state.leaving = heartbeat.getDraining();
-  state.cut_off = heartbeat.getCutOff();
-  for (const auto service : heartbeat.getUnreached()) {
-    if (state.unreached.size() < kMaxUnreached) {
-      state.unreached.emplace_back(service);
-    }
-  }
+  state.reach = ReachOf(heartbeat);
   state.processor_share = heartbeat.getProcessorShare();
   state.store = static_cast<StoreContact>(
       std::min<unsigned>(heartbeat.getStoreContact(),
@@ -225,8 +241,8 @@
   ScheduleHeartbeatNow();
 }
 
-void Cluster::AnnounceReach(bool cut_off, std::vector<std::string> unreached) {
-  members_.SetReach(cut_off, std::move(unreached));
+void Cluster::AnnounceReach(Reach reach) {
+  members_.SetReach(std::move(reach));
   // A scheduler tells all peers in its next rounds.
   if (members_.own().pools.empty()) {
     SendUpdate(UpdateScope::kDataCentre);
@@ -275,13 +291,7 @@
   heartbeat.setPort(own.port);
   heartbeat.setDataCentre(own.data_centre);
   heartbeat.setDraining(own.leaving);
-  heartbeat.setCutOff(own.cut_off);
-  const auto told =
-      static_cast<unsigned>(std::min(own.unreached.size(), kMaxUnreached));
-  auto unreached = heartbeat.initUnreached(told);
-  for (unsigned i = 0; i < told; ++i) {
-    unreached.set(i, own.unreached[i]);
-  }
+  WriteReach(own.reach, heartbeat);
   heartbeat.setProcessorShare(static_cast<float>(own.processor_share));
   heartbeat.setNextMs(static_cast<std::uint32_t>(WholeMilliseconds(next)));
   handler_.FillHeartbeat(heartbeat, load);
@@ -315,18 +325,16 @@
   if (name.empty() || members_.IsSelf(name)) {
     return;
   }
-  const Membership::Peer* before = members_.Find(name);
-  const bool was_cut_off = before != nullptr && before->state.cut_off;
-  const std::size_t was_unreached =
-      before == nullptr ? 0 : before->state.unreached.size();
+  const Membership::Peer* known = members_.Find(name);
+  const Reach before = known == nullptr ? Reach{} : known->state.reach;
   const auto arrival = members_.OnHeartbeat(loop_.Now(), StateOf(heartbeat));
   const Membership::Peer& peer = *members_.Find(name);
-  const bool lost_services = peer.state.unreached.size() > was_unreached;
-  if ((peer.state.cut_off && !was_cut_off) || lost_services) {
+  const Reach& reach = peer.state.reach;
+  if (reach.HasShrunkSince(before)) {
     LogEvent("peer_cut_off", LogLevel::kWarning)
         .Field("peer", name)
-        .Field("from", peer.state.cut_off ? "all servers" : "services")
-        .Field("services", peer.state.unreached.size());
+        .Field("from", reach.cut_off ? "all servers" : "services")
+        .Field("services", reach.unreached.size());
     handler_.OnPeerCutOff(name);
   }
   if (arrival != Membership::Arrival::kKnown) {
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -94,9 +94,8 @@
   InvalidateRanks();
 }
 
-void Membership::SetReach(bool cut_off, std::vector<std::string> unreached) {
-  own_.cut_off = cut_off;
-  own_.unreached = std::move(unreached);
+void Membership::SetReach(Reach reach) {
+  own_.reach = std::move(reach);
   if (!own_.pools.empty()) {
     broadcast_rounds_ = kBroadcastRounds;
   }
@@ -194,7 +193,7 @@
                             state.data_centre == own_.data_centre;
   const bool was_alive = std::exchange(peer.alive, is_monitored);
   if (was_alive != peer.alive || restarted || before.leaving != state.leaving ||
-      before.cut_off != state.cut_off || before.unreached != state.unreached ||
+      before.reach != state.reach ||
       before.processor_share != state.processor_share ||
       before.data_centre != state.data_centre) {
     InvalidateRanks();
@@ -342,7 +341,7 @@
     const auto rank =
         state.leaving
             ? routing::SchedulerRank{}
-            : routing::SchedulerRank{state.Reaches(pool.service),
+            : routing::SchedulerRank{state.reach.Includes(pool.service),
                                      is_beside_servers, state.processor_share,
                                      RendezvousWeight(key, state.name)};
     ranked.emplace_back(rank, &state);
@@ -377,7 +376,7 @@
                               std::string_view data_centre,
                               std::string_view service,
                               std::size_t count) const {
-  if (!own_.Reaches(service)) {
+  if (!own_.reach.Includes(service)) {
     return false;
   }
   const bool is_beside = own_.data_centre == data_centre;
--- a/packages/gateway/src/reach_monitor.cc
+++ b/packages/gateway/src/reach_monitor.cc
@@ -83,19 +83,19 @@
 }
 
 void ReachMonitor::OnNotConnected(const routing::ServerRecord& server) {
-  Group& group = GroupOf(server.service);
-  all_.reach.OnNotConnected(loop_.Now(), server.id);
-  group.reach.OnNotConnected(loop_.Now(), server.id);
-  ProbeIfNeeded(all_);
-  ProbeIfNeeded(group);
+  OnFailure(server, &routing::ServerReach::OnNotConnected);
 }
 
 void ReachMonitor::OnNoAnswer(const routing::ServerRecord& server) {
-  Group& group = GroupOf(server.service);
-  all_.reach.OnNoAnswer(loop_.Now(), server.id);
-  group.reach.OnNoAnswer(loop_.Now(), server.id);
-  ProbeIfNeeded(all_);
-  ProbeIfNeeded(group);
+  OnFailure(server, &routing::ServerReach::OnNoAnswer);
+}
+
+void ReachMonitor::OnFailure(const routing::ServerRecord& server,
+                             Failure failure) {
+  for (Group* group : {&all_, &GroupOf(server.service)}) {
+    (group->reach.*failure)(loop_.Now(), server.id);
+    ProbeIfNeeded(*group);
+  }
 }
 
 void ReachMonitor::OnAnswer(const routing::ServerRecord& server) {
--- a/packages/gateway/src/routed_group.cc
+++ b/packages/gateway/src/routed_group.cc
@@ -42,13 +42,24 @@
   }
 }
 
+void StageRouter::RoutedGroup::OnPeerCutOff(std::string_view peer) {
+  if (scheduler_ == peer && CurrentScheduler() != peer) {
+    ResubmitLater();
+  }
+}
+
 void StageRouter::RoutedGroup::OnReachChanged() {
-  if (scheduler_.empty()) {
+  const bool runs_here = scheduler_.empty();
+  if (runs_here && !router_.cluster_.IsSelf(CurrentScheduler())) {
     scheduler_attempts_ = 0;
     ResubmitLater();
   }
 }
 
+const std::string& StageRouter::RoutedGroup::CurrentScheduler() const {
+  return router_.cluster_.SchedulerOf({service_, data_centre_});
+}
+
 void StageRouter::RoutedGroup::OnPlacementChanged() {
   const bool permitted = placement_.PermitsDataIn(data_centre_) &&
                          (scheduler_.empty() || MayHandOver(scheduler_));
@@ -106,7 +117,7 @@
 }
 
 void StageRouter::RoutedGroup::SubmitToScheduler() {
-  scheduler_ = router_.cluster_.SchedulerOf({service_, data_centre_});
+  scheduler_ = CurrentScheduler();
   const bool here = router_.cluster_.IsSelf(scheduler_) ||
                     scheduler_attempts_ >= kMaxSchedulerAttempts ||
                     !MayHandOver(scheduler_);
--- a/packages/gateway/src/stage_router.cc
+++ b/packages/gateway/src/stage_router.cc
@@ -208,6 +208,12 @@
   }
 }
 
+void StageRouter::OnPeerCutOff(std::string_view peer) {
+  for (RoutedGroup* group : std::vector<RoutedGroup*>(groups_)) {
+    group->OnPeerCutOff(peer);
+  }
+}
+
 void StageRouter::OnReachChanged() {
   for (RoutedGroup* group : std::vector<RoutedGroup*>(groups_)) {
     group->OnReachChanged();
--- a/packages/gateway/tests/membership_test.cc
+++ b/packages/gateway/tests/membership_test.cc
@@ -270,7 +270,7 @@
     cr_assert(beside.own().data_centre == "dc-1");
     const std::string scheduler = beside.SchedulerOf(lost);
     const std::string other = beside.SchedulerOf(kept);
-    fleet.MembershipOf(fleet.IndexOf(scheduler)).SetReach(false, {"stage"});
+    fleet.MembershipOf(fleet.IndexOf(scheduler)).SetReach({false, {"stage"}});
     fleet.AdvanceTime(10 * kSecond);
     for (std::size_t i = 0; i < shape.daemons; ++i) {
       const Membership& members = fleet.MembershipOf(i);
@@ -292,7 +292,7 @@
   const PoolKey pool{"stage", "dc-1"};
   const std::string scheduler = fleet.MembershipOf(0).SchedulerOf(pool);
   for (std::size_t i = 0; i < kNine.daemons; ++i) {
-    fleet.MembershipOf(i).SetReach(false, {"stage"});
+    fleet.MembershipOf(i).SetReach({false, {"stage"}});
   }
   fleet.AdvanceTime(10 * kSecond);
   const auto anywhere = [](std::string_view) { return true; };
