--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -1,4 +1,4 @@
-#include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "gentianroute/gateway/detail/request_attempt.h"
@@ -6,15 +6,13 @@
 #include "gentianroute/gateway/limit_recorder.h"
 #include "gentianroute/gateway/request_flow.h"
 #include "gentianroute/loop/message_text.h"
-#include "gentianroute/routing/answer_watch.h"
 
-// Sending a request to a backend server, relaying its answer, and retries.
+// Sending a request to a backend server and relaying its answer.
 
 namespace gentianroute::gateway {
 namespace {
 
 using detail::kMaxRecomputations;
-using detail::kMinAnswerTime;
 
 constexpr int kFirstNonSuccessStatus = 300;
 constexpr int kFirstServerErrorStatus = 500;
@@ -27,10 +25,10 @@
 /// at most once: if the server closes it as idle while the request is on its
 /// way, it is unknown whether the request has run.
 constexpr Duration kMaxIdleNonRepeatable = std::chrono::milliseconds(1500);
-/// How often a request is tried again that no server can run now.
-constexpr Duration kServerRetryPeriod = std::chrono::milliseconds(50);
 /// Like kMaxIdleNonRepeatable, for repeatable requests.
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(4);
+/// How often a request is tried again that no server can run now.
+constexpr Duration kServerRetryPeriod = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -161,33 +159,6 @@
   return true;
 }
 
-void RequestFlow::StartFirstByteTimer() {
-  context_.loop.Cancel(answer_timer_);
-  if (!repeatable()) {
-    return;
-  }
-  const routing::ServiceTimeEstimate& estimate =
-      context_.service_times.Of(service_name_);
-  // The shared parts may not be cached, so the timeout allows for their
-  // prefill.
-  const Duration answer =
-      IsGeneration() ? estimate.TimeToFirstEvent(pending_prefill_tokens_ +
-                                                 request_.prompt.tokens_in)
-                     : std::chrono::duration_cast<Duration>(
-                           estimate.ServiceTime() * waves_);
-  const Duration expected =
-      answer + context_.topology.RoundTrip(server_->record().data_centre);
-  CheckAfter(routing::FirstByteOverdueAfter(*route_, expected),
-             &RequestFlow::OnFirstByteOverdue);
-}
-
-void RequestFlow::CheckAfter(Duration wait, void (RequestFlow::*check)()) {
-  answer_timer_ = context_.loop.After(wait, [this, check] {
-    answer_timer_ = context_.loop.After(routing::kSocketReadGrace,
-                                        [this, check] { (this->*check)(); });
-  });
-}
-
 void RequestFlow::AssignServer(const routing::ServerPtr& server) {
   UnassignServer();
   server_ = server;
@@ -292,27 +263,6 @@
   }
 }
 
-void RequestFlow::StartSilenceTimer() {
-  CheckAfter(routing::StreamSilenceTimeout(*route_),
-             &RequestFlow::OnSilenceTimer);
-}
-
-void RequestFlow::OnSilenceTimer() {
-  if (server_ == nullptr) {
-    return;
-  }
-  const TimePoint now = context_.loop.Now();
-  if (server_->HasReceivedSince(now - routing::StreamSilenceTimeout(*route_))) {
-    StartSilenceTimer();
-    return;
-  }
-  const Ptr keep(this);
-  server_->history().OnConnectionFailure(now);
-  context_.reach.OnNoAnswer(server_->record());
-  events_.DropPartial();
-  RetryAndCancel("silent", "the server stopped sending");
-}
-
 void RequestFlow::RelayPart(std::string_view part) {
   if (!route_->resumable) {
     exchange_->Write(part);
@@ -428,49 +378,4 @@
                                    context_.suspects.CrashesOf(fingerprint_)});
 }
 
-bool RequestFlow::CanRetry() const {
-  return attempts_ < route_->max_attempts && TimeLeft() > kMinAnswerTime;
-}
-
-bool RequestFlow::TryRetry(std::string_view what, std::string_view reason) {
-  const std::size_t daemons = context_.cluster.live_daemons();
-  if (!CanRetry() || !context_.retry_budgets.TryTake(service_name_, daemons)) {
-    return false;
-  }
-  context_.recorder.OnRetry(request_.id, what,
-                            tried_.empty() ? "" : tried_.back(), reason);
-  old_attempts_.push_back(std::move(attempt_));
-  if (plan_->FinalInputs().empty() && !route_->stages.empty() &&
-      answer_begun_) {
-    // The stage results were released after the first attempt had read them.
-    ReleaseResults(
-        plan_->RecomputeInputs(static_cast<std::uint32_t>(plan_->stages())));
-    Advance();
-    return true;
-  }
-  SendToServer();
-  return true;
-}
-
-void RequestFlow::OnFirstByteOverdue() {
-  if (server_ == nullptr || answer_begun_ || answer_.status != 0) {
-    return;
-  }
-  const Ptr keep(this);
-  context_.reach.OnNoAnswer(server_->record());
-  if (!CanRetry()) {
-    return;
-  }
-  routing::RecordOverdue(context_.loop.Now(), sent_at_, *server_);
-  RetryAndCancel("overdue", "no answer yet");
-}
-
-void RequestFlow::RetryAndCancel(std::string_view what,
-                                 std::string_view reason) {
-  earlier_may_have_run_ = true;
-  if (TryRetry(what, reason)) {
-    old_attempts_.back()->Cancel();
-  }
-}
-
 }  // namespace gentianroute::gateway
