One check of which peer may take a request; say when a stream goes to a sender

Reading the change once more: FirstSender and PeerInReach asked the same three things of a peer, HandToSender asked for regions that Accepts had checked already, and its comment said that it acts only where few daemons may send, though it acts whenever this daemon can send to no server of the version. No behaviour changes.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -154,8 +154,9 @@
   /// doesn't.
   /// @return false if this daemon has to run it itself
   bool HandToPeer();
-  /// Hands a request that is bound to the servers which began its stream to a
-  /// peer, if these take requests from few daemons only, and not from this one.
+  /// Hands a request that is bound to the servers which began its stream, and
+  /// that this daemon can't send to any of them now, to the first sender of one
+  /// of them: they may take requests from few daemons only.
   /// @return false if there is no such peer
   bool HandToSender();
   void HandTo(const Membership::Peer& peer);
--- a/packages/gateway/src/membership_reach.cc
+++ b/packages/gateway/src/membership_reach.cc
@@ -7,6 +7,17 @@
 // Choice of daemons by the backend servers that they reach.
 
 namespace gentianroute::gateway {
+namespace {
+
+/// Whether a peer may get a request for a service that others have had before.
+bool MayTake(const Membership::Peer& peer,
+             std::string_view service,
+             std::span<const std::string> excluded) {
+  return peer.alive && peer.state.TakesWorkFor(service) &&
+         std::ranges::find(excluded, peer.state.name) == excluded.end();
+}
+
+}  // namespace
 
 bool Membership::IsAmongFirst(std::string_view key,
                               std::string_view data_centre,
@@ -40,10 +51,8 @@
   std::uint64_t most = takes_part ? RendezvousWeight(key, own_.name) : 0;
   const Peer* first = nullptr;
   for (const auto& [name, peer] : peers_) {
-    const DaemonState& state = peer->state;
-    if (state.data_centre != data_centre || !peer->alive ||
-        !state.TakesWorkFor(service) ||
-        std::ranges::find(excluded, name) != excluded.end()) {
+    if (peer->state.data_centre != data_centre ||
+        !MayTake(*peer, service, excluded)) {
       continue;
     }
     const std::uint64_t weight = RendezvousWeight(key, name);
@@ -82,10 +91,8 @@
   const Peer* nearest = nullptr;
   std::pair<Distance, std::uint64_t> best;
   for (const auto& [name, peer] : peers_) {
-    const DaemonState& state = peer->state;
-    if (!peer->alive || !state.TakesWorkFor(service) ||
-        std::ranges::find(excluded, name) != excluded.end() ||
-        !permits(state.data_centre)) {
+    if (!MayTake(*peer, service, excluded) ||
+        !permits(peer->state.data_centre)) {
       continue;
     }
     const std::pair rank(peer->distance, RendezvousWeight(key, name));
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -62,7 +62,7 @@
     }
     const Membership::Peer* sender = context_.cluster.members().FirstSender(
         record.id, record.data_centre, record.service, peers_tried_);
-    if (sender != nullptr && placement_->PermitsDataIn(record.data_centre)) {
+    if (sender != nullptr) {
       HandTo(*sender);
       return true;
     }
