Keep the evidence against a crashing request while nothing can confirm it; tell it at once

What callers saw: one request ended 10 to 13 model servers while the store was away, three each six seconds, and several more after its return; their streams broke.

Cause: a crash counts for good once the host list shows that the server is gone, and was forgotten 6.1 s after it otherwise. While the store is away the list shows nothing, so that its silence was taken for a proof that the server lives. Evidence from the last seconds of an outage lapsed too, before the list was whole again. Besides, a crash was told by the next regular heartbeat only, to another region up to 0.9 s later, and only by the daemon that saw it: it died with that daemon, and in a fleet of more than 16 daemons stayed in its data centre.

Change: the time in which a crash must be confirmed runs only while this daemon or a peer reaches the store, and starts again when it returns. The second and further crashes of a request are told at once; reports are told on, and for as long as a quarantine is pending. Line crashes_dropped: evidence that lapsed or was cleared by an answer.

Weighed: other proofs of a crash (refused or broken connections of several daemons) accuse requests whose links are cut; running a suspect alone at one daemon still ends a server each time, with all that runs on it. Keeping the evidence costs a request that broke three times on cut links, and was never answered, its repeats until the store is back.

--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_DECISION_SUSPECT_TABLE_H_
 #define GENTIANROUTE_DECISION_SUSPECT_TABLE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -51,9 +52,18 @@
 /// confirmed once the server is known to be down or restarted. As
 /// long as an unconfirmed crash would complete the evidence against a request,
 /// its quarantine is pending: the request waits and is neither run nor
-/// rejected.
+/// rejected. A crash that isn't confirmed in time was none. This time runs only
+/// while crashes can be confirmed at all: without the host list its silence
+/// proves nothing, and a request whose evidence lapsed would crash more
+/// servers.
 class SuspectTable {
  public:
+  /// Why crashes that were held against a request no longer count.
+  enum class DropReason : std::uint8_t {
+    kLapsed,    ///< not confirmed in time
+    kAnswered,  ///< a server has answered the request since
+  };
+
   struct Options {
     /// Crashes before quarantine if it ran alone at the last one.
     std::uint32_t sole_crash_threshold = 2;
@@ -66,7 +76,8 @@
     Duration suspect_duration = std::chrono::minutes(10);
     Duration quarantine_duration = std::chrono::minutes(30);
     /// Time for which peers are told of a crash or an answer. Must exceed some
-    /// heartbeat intervals, since heartbeats may be lost.
+    /// heartbeat intervals, since heartbeats may be lost. The crashes of a
+    /// request whose quarantine is pending are told for as long as it is.
     Duration report_duration = std::chrono::seconds(6);
     /// Maximum number of crashes, and of answers, told at a time.
     std::size_t max_reports = 16;
@@ -96,6 +107,8 @@
   void OnIncarnation(TimePoint now,
                      std::string_view server,
                      std::uint64_t incarnation);
+  /// @brief Sets whether the source that confirms crashes can be asked.
+  void SetConfirmable(TimePoint now, bool confirmable);
   /// @brief Removes the server's unconfirmed crashes: a call that was in flight
   /// at the time of the supposed crash has made progress.
   void OnServerAlive(TimePoint now, std::string_view server);
@@ -109,8 +122,9 @@
                         Fingerprint fingerprint,
                         Duration remaining);
 
-  /// @brief Returns the latest crashes that this daemon has seen, those of the
-  /// requests with most crashes first.
+  /// @brief Returns the latest crashes, those of the requests with most crashes
+  /// first. Includes what peers have told, so that the crashes in all data
+  /// centres are added up although few daemons of each tell the others.
   std::vector<CrashReport> CrashReports(TimePoint now) const;
   /// @brief Adds a crash that a peer has seen to the evidence.
   void OnPeerCrash(TimePoint now, const CrashReport& report);
@@ -125,6 +139,13 @@
   void SetOnQuarantined(OnQuarantined on_quarantined) {
     on_quarantined_ = std::move(on_quarantined);
   }
+  /// @brief Sets what is called when some crashes of a request that had more
+  /// than one turn out not to count.
+  using OnDropped = std::function<
+      void(Fingerprint fingerprint, std::size_t crashes, DropReason reason)>;
+  void SetOnDropped(OnDropped on_dropped) {
+    on_dropped_ = std::move(on_dropped);
+  }
 
   bool HasSuspects() const { return !entries_.empty(); }
   /// @brief Number of crashes recorded against a request, confirmed or not.
@@ -178,11 +199,28 @@
                         const Entry& entry,
                         bool confirmed_only) const;
   bool IsUnconfirmed(TimePoint now, const Crash& crash) const {
-    return !crash.confirmed && now < crash.time + options_.confirmation_timeout;
+    const TimePoint since = std::max(crash.time, confirmable_since_);
+    return !crash.confirmed &&
+           (!confirmable_ || now < since + options_.confirmation_timeout);
+  }
+  bool Counts(TimePoint now, const Crash& crash) const {
+    return crash.confirmed || IsUnconfirmed(now, crash);
   }
+  bool HasUnconfirmedCrash(TimePoint now,
+                           Fingerprint fingerprint,
+                           std::string_view server) const;
+  bool IsReported(TimePoint now, const Entry& entry, const Crash& crash) const;
+  /// Removes the crashes that were not confirmed in time.
+  void RemoveLapsed(TimePoint now);
+  void ReportDropped(Fingerprint fingerprint,
+                     std::size_t crashes,
+                     DropReason reason) const;
 
   Options options_;
   OnQuarantined on_quarantined_;
+  OnDropped on_dropped_;
+  bool confirmable_ = true;
+  TimePoint confirmable_since_{};
   std::unordered_map<Fingerprint, Entry> entries_;
   /// Requests with an unconfirmed crash, by server.
   std::map<std::string, std::set<Fingerprint>, std::less<>> unconfirmed_;
--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace gentianroute {
@@ -43,7 +44,8 @@
                             Fingerprint fingerprint,
                             Crash crash) {
   const auto cleared = cleared_.find(fingerprint);
-  if (cleared != cleared_.end() && crash.time <= cleared->second.time) {
+  if (!Counts(now, crash) ||
+      (cleared != cleared_.end() && crash.time <= cleared->second.time)) {
     return;
   }
   Entry& entry = entries_[fingerprint];
@@ -126,10 +128,7 @@
     }
   }
   std::erase_if(unconfirmed->second, [&](Fingerprint fingerprint) {
-    return std::ranges::none_of(
-        entries_[fingerprint].crashes, [&](const Crash& crash) {
-          return crash.server == server && IsUnconfirmed(now, crash);
-        });
+    return !HasUnconfirmedCrash(now, fingerprint, server);
   });
   if (unconfirmed->second.empty()) {
     unconfirmed_.erase(unconfirmed);
@@ -146,6 +145,51 @@
   }
 }
 
+void SuspectTable::SetConfirmable(TimePoint now, bool confirmable) {
+  if (confirmable == confirmable_) {
+    return;
+  }
+  // What has lapsed must not count again.
+  RemoveLapsed(now);
+  confirmable_ = confirmable;
+  confirmable_since_ = now;
+}
+
+void SuspectTable::RemoveLapsed(TimePoint now) {
+  for (auto& [fingerprint, entry] : entries_) {
+    const std::size_t removed = std::erase_if(
+        entry.crashes,
+        [this, now](const Crash& crash) { return !Counts(now, crash); });
+    ReportDropped(fingerprint, removed, DropReason::kLapsed);
+  }
+  for (auto& [server, fingerprints] : unconfirmed_) {
+    std::erase_if(fingerprints, [&](Fingerprint fingerprint) {
+      return !HasUnconfirmedCrash(now, fingerprint, server);
+    });
+  }
+  std::erase_if(unconfirmed_,
+                [](const auto& item) { return item.second.empty(); });
+}
+
+bool SuspectTable::HasUnconfirmedCrash(TimePoint now,
+                                       Fingerprint fingerprint,
+                                       std::string_view server) const {
+  const auto found = entries_.find(fingerprint);
+  return found != entries_.end() &&
+         std::ranges::any_of(found->second.crashes, [&](const Crash& crash) {
+           return crash.server == server && IsUnconfirmed(now, crash);
+         });
+}
+
+void SuspectTable::ReportDropped(Fingerprint fingerprint,
+                                 std::size_t crashes,
+                                 DropReason reason) const {
+  // Each server that crashes makes all its requests suspects once.
+  if (crashes > 1 && on_dropped_) {
+    on_dropped_(fingerprint, crashes, reason);
+  }
+}
+
 void SuspectTable::OnServerAlive(TimePoint now, std::string_view server) {
   const auto unconfirmed = unconfirmed_.find(server);
   if (unconfirmed == unconfirmed_.end()) {
@@ -171,7 +215,7 @@
   std::uint32_t count = 0;
   bool alone = false;
   for (const Crash& crash : entry.crashes) {
-    if (crash.confirmed || (!confirmed_only && IsUnconfirmed(now, crash))) {
+    if (confirmed_only ? crash.confirmed : Counts(now, crash)) {
       ++count;
       alone = crash.alone;  // of the last crash counted
     }
@@ -204,33 +248,45 @@
       found->second.quarantined_until != TimePoint{}) {
     return;
   }
-  std::erase_if(found->second.crashes, [&clearance](const Crash& crash) {
-    return crash.time <= clearance.time;
-  });
+  const std::size_t removed =
+      std::erase_if(found->second.crashes, [&clearance](const Crash& crash) {
+        return crash.time <= clearance.time;
+      });
+  ReportDropped(fingerprint, removed, DropReason::kAnswered);
   if (found->second.crashes.empty()) {
     entries_.erase(found);
   }
 }
 
+bool SuspectTable::IsReported(TimePoint now,
+                              const Entry& entry,
+                              const Crash& crash) const {
+  return now < crash.time + options_.report_duration ||
+         (HasEnoughCrashes(now, entry, false) &&
+          now >= entry.quarantined_until);
+}
+
 std::vector<CrashReport> SuspectTable::CrashReports(TimePoint now) const {
   struct Candidate {
     std::size_t crashes = 0;
+    bool seen_here = false;
     CrashReport report;
   };
   std::vector<Candidate> candidates;
   for (const auto& [fingerprint, entry] : entries_) {
     for (const Crash& crash : entry.crashes) {
-      if (crash.seen_here && now < crash.time + options_.report_duration) {
+      if (IsReported(now, entry, crash)) {
         candidates.push_back(
             {entry.crashes.size(),
+             crash.seen_here,
              {fingerprint, crash.server, crash.incarnation, now - crash.time,
               crash.alone, crash.confirmed}});
       }
     }
   }
   std::ranges::sort(candidates, [](const Candidate& a, const Candidate& b) {
-    return std::pair(b.crashes, a.report.age) <
-           std::pair(a.crashes, b.report.age);
+    return std::tuple(b.crashes, b.seen_here, a.report.age) <
+           std::tuple(a.crashes, a.seen_here, b.report.age);
   });
   candidates.resize(std::min(candidates.size(), options_.max_reports));
   std::vector<CrashReport> reports;
@@ -305,6 +361,7 @@
 }
 
 void SuspectTable::Sweep(TimePoint now) {
+  RemoveLapsed(now);
   std::erase_if(entries_, [now](const auto& item) {
     return now >= item.second.suspect_until &&
            now >= item.second.quarantined_until;
--- a/packages/decision/tests/suspect_table_test.cc
+++ b/packages/decision/tests/suspect_table_test.cc
@@ -169,3 +169,60 @@
   fixture.now += SuspectTable::Options{}.report_duration;
   cr_assert(fixture.table.CrashReports(fixture.now).empty());
 }
+
+// Guards against evidence lapsing while nothing can confirm it, which let a
+// request crash three more servers each time.
+Test(suspect_table, crashes_cannot_be_confirmed_evidence_is_kept) {
+  SuspectTableFixture fixture;
+  fixture.table.SetConfirmable(fixture.now, false);
+  for (const char* server : {"a", "b", "c"}) {
+    fixture.Crash(server);
+  }
+  fixture.now += seconds(60);
+  fixture.table.Sweep(fixture.now);
+  cr_assert(fixture.table.IsQuarantinePending(fixture.now, kCrashing));
+  fixture.table.SetConfirmable(fixture.now, true);
+  fixture.now += seconds(2);
+  for (const char* server : {"a", "b", "c"}) {
+    fixture.table.OnServerDown(fixture.now, server);
+  }
+  cr_assert(fixture.table.IsQuarantined(fixture.now, kCrashing));
+}
+
+// Guards against a request being refused for good because its connections broke
+// during an outage, though the servers live on.
+Test(suspect_table, crashes_stay_unconfirmed_after_an_outage_evidence_lapses) {
+  SuspectTableFixture fixture;
+  fixture.table.SetConfirmable(fixture.now, false);
+  for (const char* server : {"a", "b", "c"}) {
+    fixture.Crash(server);
+  }
+  fixture.now += seconds(60);
+  fixture.table.SetConfirmable(fixture.now, true);
+  fixture.now += seconds(4);
+  fixture.table.Sweep(fixture.now);
+  cr_assert_not(fixture.table.IsQuarantinePending(fixture.now, kCrashing));
+}
+
+// Guards against an outage reviving evidence that had lapsed before.
+Test(suspect_table, evidence_lapses_before_an_outage_it_does_not_return) {
+  SuspectTableFixture fixture;
+  for (const char* server : {"a", "b", "c"}) {
+    fixture.Crash(server);
+  }
+  fixture.now += seconds(4);
+  fixture.table.SetConfirmable(fixture.now, false);
+  cr_assert_not(fixture.table.IsQuarantinePending(fixture.now, kCrashing));
+}
+
+// Guards against the crashes of two data centres never being added up when only
+// some daemons of each tell the other one.
+Test(suspect_table, crashes_told_by_a_peer_are_told_on) {
+  PeerTablesFixture fixture;
+  fixture.tables[0].OnCrash(fixture.now, "server", 1, {&kCrashing, 1});
+  for (const CrashReport& report :
+       fixture.tables[0].CrashReports(fixture.now)) {
+    fixture.tables[1].OnPeerCrash(fixture.now, report);
+  }
+  cr_assert_eq(fixture.tables[1].CrashReports(fixture.now).size(), 1);
+}
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -122,6 +122,10 @@
           recorder_.OnQuarantined(fingerprint, crashes);
           cluster_.SendUpdate(Cluster::UpdateScope::kGossip);
         });
+    suspects_.SetOnDropped([this](Fingerprint fingerprint, std::size_t crashes,
+                                  SuspectTable::DropReason reason) {
+      recorder_.OnCrashesDropped(fingerprint, crashes, reason);
+    });
     servers_.SetOnClosed(
         [this](routing::Server& server) { OnServerClosed(server); });
     Listen();
@@ -275,6 +279,12 @@
                                                server_rows_.newest_change());
   }
 
+  /// Whether the host list would show that a server is gone.
+  bool IsHostListCurrent() const {
+    return server_rows_.contact() == StoreContact::kReachable ||
+           cluster_.members().HearsFromStore(loop_.Now());
+  }
+
   /// Starts the queued requests if the daemon is configured or they have waited
   /// long enough.
   void ServeStartQueue() {
@@ -428,6 +438,7 @@
     const TimePoint now = loop_.Now();
     LimitUnsentAnswers();
     servers_.Expire(now);
+    suspects_.SetConfirmable(now, IsHostListCurrent());
     suspects_.Sweep(now);
     streams_.RunMaintenance();
     UpdateFollowing();
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -52,8 +52,8 @@
   StoreContact store = StoreContact::kNotAsked;
   std::uint64_t deployment_version = 0;
   std::uint64_t servers_version = 0;
-  std::vector<PoolKey> pools;    ///< whose scheduler it is
-  bool has_quarantined = false;  ///< reports quarantined requests
+  std::vector<PoolKey> pools;      ///< whose scheduler it is
+  bool has_crash_reports = false;  ///< of requests that crash servers
   /// Daemons that it knows, including itself, alive or not.
   std::size_t known_daemons = 0;
   /// Maximum time until the next heartbeat to the receiver; 0 if the daemon
@@ -120,8 +120,8 @@
 
   const DaemonState& own() const { return own_; }
   /// @brief Sets the pools that this daemon schedules and whether it reports
-  /// quarantined requests. Both determine how often it sends heartbeats.
-  void UpdateOwnState(std::vector<PoolKey> pools, bool has_quarantined);
+  /// crashes of servers. Both determine how often it sends heartbeats.
+  void UpdateOwnState(std::vector<PoolKey> pools, bool has_crash_reports);
   /// @brief Sets the stage services whose pools are scheduled within each data
   /// centre.
   void SetStageServices(std::vector<std::string> services);
@@ -294,6 +294,8 @@
   /// another daemon has begun. Which one that was isn't known, so that in a
   /// large fleet all known peers may keep it.
   Targets StreamOriginSources(OriginSearch search) const;
+  /// @brief Whether a peer has said lately that the store answers it.
+  bool HearsFromStore(TimePoint now) const;
   /// @brief Whether the rows of the backend servers are as new as the store's,
   /// as far as a peer that reads the store can tell.
   /// @param servers_version newest change that this daemon has
--- a/packages/gateway/include/gentianroute/gateway/request_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/request_recorder.h
@@ -11,6 +11,7 @@
 #include "gentianroute/base/error_kind.h"
 #include "gentianroute/base/id.h"
 #include "gentianroute/base/time.h"
+#include "gentianroute/decision/suspect_table.h"
 #include "gentianroute/observe/duration_histogram.h"
 #include "gentianroute/observe/metric_writer.h"
 #include "gentianroute/routing/deployment.h"
@@ -104,6 +105,11 @@
                         const std::optional<routing::StreamOrigin>& origin);
   /// @brief Records that a request crashes servers and is refused from now on.
   void OnQuarantined(Fingerprint fingerprint, std::size_t crashes);
+  /// @brief Records that crashes of servers are no longer held against a
+  /// request.
+  void OnCrashesDropped(Fingerprint fingerprint,
+                        std::size_t crashes,
+                        SuspectTable::DropReason reason);
   /// @brief Records that a request was retried or resumed, or that stages were
   /// run again.
   /// @param what kind of retry, a metric label
--- a/packages/gateway/src/membership_streams.cc
+++ b/packages/gateway/src/membership_streams.cc
@@ -65,19 +65,22 @@
   return sources;
 }
 
+bool Membership::HearsFromStore(TimePoint now) const {
+  return std::ranges::any_of(peers_, [now](const auto& item) {
+    const Peer& peer = *item.second;
+    return now < peer.last_heartbeat + kMaxHeartbeatAge &&
+           peer.state.store == StoreContact::kReachable;
+  });
+}
+
 bool Membership::HasNewestServers(TimePoint now,
                                   std::uint64_t servers_version) const {
-  bool has_heard = false;
-  for (const auto& [name, peer] : peers_) {
-    if (peer->last_heartbeat + kMaxHeartbeatAge <= now) {
-      continue;
-    }
-    if (peer->state.servers_version > servers_version) {
-      return false;
-    }
-    has_heard |= peer->state.store == StoreContact::kReachable;
-  }
-  return has_heard;
+  const bool is_behind = std::ranges::any_of(peers_, [&](const auto& item) {
+    const Peer& peer = *item.second;
+    return now < peer.last_heartbeat + kMaxHeartbeatAge &&
+           peer.state.servers_version > servers_version;
+  });
+  return !is_behind && HearsFromStore(now);
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -373,9 +373,14 @@
       context_.loop.Now(), server_->record().id,
       static_cast<std::uint64_t>(server_->record().started_at_unix_ms),
       {&fingerprint_, 1});
-  context_.recorder.OnServerBroke({request_.id, fingerprint_,
-                                   server_->record().id,
-                                   context_.suspects.CrashesOf(fingerprint_)});
+  const std::size_t crashes = context_.suspects.CrashesOf(fingerprint_);
+  context_.recorder.OnServerBroke(
+      {request_.id, fingerprint_, server_->record().id, crashes});
+  // The caller sends the request again at once, to any daemon. A first crash is
+  // told by the next heartbeat: most such requests only ran beside the cause.
+  if (crashes > 1) {
+    context_.cluster.SendUpdate(Cluster::UpdateScope::kGossip);
+  }
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -100,6 +100,16 @@
   }
 }
 
+void RequestRecorder::OnCrashesDropped(Fingerprint fingerprint,
+                                       std::size_t crashes,
+                                       SuspectTable::DropReason reason) {
+  const bool lapsed = reason == SuspectTable::DropReason::kLapsed;
+  LogEvent("crashes_dropped", LogLevel::kWarning)
+      .Field("fingerprint", fingerprint.value)
+      .Field("crashes", crashes)
+      .Field("reason", lapsed ? "not confirmed" : "answered");
+}
+
 void RequestRecorder::OnQuarantined(Fingerprint fingerprint,
                                     std::size_t crashes) {
   ++quarantines_;
