Don't take the end of a connection for a whole answer when the server may have crashed

What callers saw: a stream without length or chunks that broke off inside an event ended as if it were whole, with half an event. And a request that crashes servers after their answers have begun looked answered each time: nothing was held against it, and it was cleared.

Cause: the end of the connection ends such an answer, and a crash of the server ends the connection too.

Change: a stream that ends so inside an event has broken off: it is taken up where it may be, else its caller sees it break. Such an answer clears a request only if it had three events, as servers crash at the start of an answer; otherwise it counts as a crash once the host list confirms that the server is gone, and never before.

--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -99,6 +99,13 @@
                std::uint64_t incarnation,
                std::span<const Fingerprint> in_flight);
 
+  /// @brief Handles an answer that nothing but the end of its connection ended,
+  /// as a crash of the server does too. It counts only if it is confirmed.
+  void OnAnswerWithoutEnd(TimePoint now,
+                          std::string_view server,
+                          std::uint64_t incarnation,
+                          Fingerprint fingerprint);
+
   /// @brief Confirms the server's crashes: it is down, by a source that doesn't
   /// depend on this daemon's links to it.
   void OnServerDown(TimePoint now, std::string_view server);
@@ -172,6 +179,8 @@
     bool alone = false;  ///< no other request was in flight
     bool confirmed = false;
     bool seen_here = true;  ///< by this daemon, not reported by a peer
+    /// The end of the connection may have been that of the answer.
+    bool may_be_answer = false;
   };
   struct Clearance {
     TimePoint time{};
@@ -204,11 +213,15 @@
            (!confirmable_ || now < since + options_.confirmation_timeout);
   }
   bool Counts(TimePoint now, const Crash& crash) const {
-    return crash.confirmed || IsUnconfirmed(now, crash);
+    return crash.confirmed ||
+           (!crash.may_be_answer && IsUnconfirmed(now, crash));
   }
   bool HasUnconfirmedCrash(TimePoint now,
                            Fingerprint fingerprint,
                            std::string_view server) const;
+  bool IsLapsed(TimePoint now, const Crash& crash) const {
+    return !crash.confirmed && !IsUnconfirmed(now, crash);
+  }
   bool IsReported(TimePoint now, const Entry& entry, const Crash& crash) const;
   /// Removes the crashes that were not confirmed in time.
   void RemoveLapsed(TimePoint now);
--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -31,6 +31,17 @@
   }
 }
 
+void SuspectTable::OnAnswerWithoutEnd(TimePoint now,
+                                      std::string_view server,
+                                      std::uint64_t incarnation,
+                                      Fingerprint fingerprint) {
+  AddCrash(now, fingerprint,
+           {.server = std::string(server),
+            .incarnation = incarnation,
+            .time = now,
+            .may_be_answer = true});
+}
+
 bool SuspectTable::IsSameCrash(const Crash& known, const Crash& crash) {
   if (known.server != crash.server || known.incarnation != crash.incarnation) {
     return false;
@@ -44,7 +55,7 @@
                             Fingerprint fingerprint,
                             Crash crash) {
   const auto cleared = cleared_.find(fingerprint);
-  if (!Counts(now, crash) ||
+  if (IsLapsed(now, crash) ||
       (cleared != cleared_.end() && crash.time <= cleared->second.time)) {
     return;
   }
@@ -52,8 +63,10 @@
   if (now >= entry.suspect_until) {
     entry.crashes.clear();
   }
-  entry.suspect_until =
-      std::max(entry.suspect_until, crash.time + options_.suspect_duration);
+  const Duration duration = crash.may_be_answer
+                                ? 2 * options_.confirmation_timeout
+                                : options_.suspect_duration;
+  entry.suspect_until = std::max(entry.suspect_until, crash.time + duration);
   const auto known = std::ranges::find_if(
       entry.crashes,
       [&crash](const Crash& other) { return IsSameCrash(other, crash); });
@@ -159,7 +172,7 @@
   for (auto& [fingerprint, entry] : entries_) {
     const std::size_t removed = std::erase_if(
         entry.crashes,
-        [this, now](const Crash& crash) { return !Counts(now, crash); });
+        [this, now](const Crash& crash) { return IsLapsed(now, crash); });
     ReportDropped(fingerprint, removed, DropReason::kLapsed);
   }
   for (auto& [server, fingerprints] : unconfirmed_) {
@@ -261,6 +274,9 @@
 bool SuspectTable::IsReported(TimePoint now,
                               const Entry& entry,
                               const Crash& crash) const {
+  if (crash.may_be_answer && !crash.confirmed) {
+    return false;
+  }
   return now < crash.time + options_.report_duration ||
          (HasEnoughCrashes(now, entry, false) &&
           now >= entry.quarantined_until);
--- a/packages/decision/tests/suspect_table_test.cc
+++ b/packages/decision/tests/suspect_table_test.cc
@@ -226,3 +226,19 @@
   }
   cr_assert_eq(fixture.tables[1].CrashReports(fixture.now).size(), 1);
 }
+
+// Guards against sound requests whose answers have no length being held back,
+// and against crashes that end such answers never being counted.
+Test(suspect_table, answers_without_end_count_only_if_the_servers_are_down) {
+  SuspectTableFixture fixture;
+  for (const char* server : {"a", "b", "c"}) {
+    fixture.table.OnAnswerWithoutEnd(fixture.now, server, 1, kCrashing);
+  }
+  cr_assert_not(fixture.table.IsQuarantinePending(fixture.now, kCrashing));
+  cr_assert(fixture.table.CrashReports(fixture.now).empty());
+  for (const char* server : {"a", "b", "c"}) {
+    fixture.table.OnServerDown(fixture.now, server);
+  }
+  cr_assert(fixture.table.IsQuarantined(fixture.now, kCrashing));
+  cr_assert_eq(fixture.table.CrashReports(fixture.now).size(), 3);
+}
--- a/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
@@ -34,7 +34,8 @@
 
   void OnHead(MessageHead head) override {
     const Ptr flow(flow_);
-    flow->OnHead(flow->context_.translator.ReadAnswer(head));
+    flow->OnHead(flow->context_.translator.ReadAnswer(head),
+                 EndsWithConnection(head));
   }
   void OnBody(std::string_view part) override {
     const Ptr flow(flow_);
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -189,7 +189,7 @@
   bool IsGeneration() const;
   /// The request as it is sent to a server, head and body.
   std::string MessageFor(const routing::Server& server) const;
-  void OnHead(const ServerAnswer& answer);
+  void OnHead(const ServerAnswer& answer, bool ends_with_connection);
   void OnBody(std::string_view part);
   void OnAnswered();
   /// Handles an answer that says that the server has not run the request.
@@ -219,6 +219,9 @@
   /// Reports a connection that broke during the request, a possible crash of
   /// the server.
   void ReportCrash();
+  /// Clears the request of crashes, if its answer proves that the server has
+  /// not crashed.
+  void ClearSuspicion(TimePoint now, const routing::ServerRecord& answered_by);
   bool CanRetry() const;
   /// Sends the request again if its attempts, the time left and the retry
   /// budget allow it.
@@ -230,6 +233,10 @@
   void UnassignServer();
 
   void RelayPart(std::string_view part);
+  /// Passes on what follows the last whole event of a stream.
+  void WriteRestOfStream();
+  /// Whether a stream that ended with its connection has ended inside an event.
+  bool HasBrokenOff() const;
   /// Frees the storage of stage results that are no longer needed.
   void ReleaseResults(std::vector<routing::StageResults> unneeded);
 
@@ -322,8 +329,11 @@
   std::string body_;           ///< of an answer that is not streamed
   bool answer_begun_ = false;  ///< a streamed answer to the caller
   bool streaming_ = false;     ///< the current server has sent events
+  /// Nothing but the end of its connection ends the answer.
+  bool ends_with_connection_ = false;
   routing::EventFramer events_;
-  routing::EventPace event_pace_;  ///< of the current server's stream
+  std::size_t events_when_sent_ = 0;  ///< to the current server
+  routing::EventPace event_pace_;     ///< of the current server's stream
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -27,9 +27,17 @@
 constexpr Duration kMaxIdleNonRepeatable = std::chrono::milliseconds(1500);
 /// Like kMaxIdleNonRepeatable, for repeatable requests.
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(4);
+/// A server that crashes under a request does so at the start of its answer. If
+/// nothing but the end of its connection ends the answer, at least this many
+/// events prove that it has not crashed.
+constexpr std::size_t kMinProvingEvents = 3;
 /// How often a request is tried again that no server can run now.
 constexpr Duration kServerRetryPeriod = std::chrono::milliseconds(50);
 
+std::uint64_t IncarnationOf(const routing::ServerRecord& server) {
+  return static_cast<std::uint64_t>(server.started_at_unix_ms);
+}
+
 }  // namespace
 
 bool RequestFlow::IsGeneration() const {
@@ -131,6 +139,7 @@
   answer_ = {};
   body_.clear();
   streaming_ = false;
+  events_when_sent_ = events_.events();
   event_pace_ = {};
   attempt_ = std::make_unique<ServerAttempt>(*this, std::move(call));
   StartFirstByteTimer();
@@ -182,8 +191,10 @@
   server_ = nullptr;
 }
 
-void RequestFlow::OnHead(const ServerAnswer& answer) {
+void RequestFlow::OnHead(const ServerAnswer& answer,
+                         bool ends_with_connection) {
   answer_ = answer;
+  ends_with_connection_ = ends_with_connection;
   server_->OnBytesReceived(context_.loop.Now());
   context_.reach.OnAnswer(server_->record());
   RecordRequestLimit(context_.loop.Now(), sent_at_, answer.request_limit,
@@ -264,11 +275,32 @@
 }
 
 void RequestFlow::RelayPart(std::string_view part) {
-  if (!route_->resumable) {
-    exchange_->Write(part);
+  const std::string whole = events_.Feed(part);
+  exchange_->Write(route_->resumable ? whole : part);
+}
+
+void RequestFlow::ClearSuspicion(TimePoint now,
+                                 const routing::ServerRecord& answered_by) {
+  const bool may_have_crashed =
+      ends_with_connection_ &&
+      events_.events() < events_when_sent_ + kMinProvingEvents;
+  if (!may_have_crashed) {
+    context_.suspects.OnAnswered(now, fingerprint_);
     return;
   }
-  exchange_->Write(events_.Feed(part));
+  context_.suspects.OnAnswerWithoutEnd(
+      now, answered_by.id, IncarnationOf(answered_by), fingerprint_);
+}
+
+void RequestFlow::WriteRestOfStream() {
+  const std::string rest = events_.TakePartial();
+  if (route_->resumable) {
+    exchange_->Write(rest);
+  }
+}
+
+bool RequestFlow::HasBrokenOff() const {
+  return ends_with_connection_ && answer_begun_ && events_.is_partial();
 }
 
 void RequestFlow::OnAnswered() {
@@ -277,14 +309,18 @@
     OnNotRun(answer_);
     return;
   }
+  if (HasBrokenOff()) {
+    OnAttemptFailure(RelayFailure::kTruncated);
+    return;
+  }
   if (answer_begun_ && answer_.status < kFirstNonSuccessStatus) {
     context_.service_times.Of(service_name_)
         .OnStreamEnd(TokensExpected(), now - first_byte_at_);
     RecordPace(event_pace_.OnEnd());
+    ClearSuspicion(now, server_->record());
     UnassignServer();
-    exchange_->Write(events_.TakePartial());
+    WriteRestOfStream();
     exchange_->End();
-    context_.suspects.OnAnswered(now, fingerprint_);
     Finish("answered", answer_.status, "");
     return;
   }
@@ -298,6 +334,7 @@
   if (!failed && !IsGeneration()) {
     estimate.OnAnswer(waves_, taken);
   }
+  const routing::ServerPtr server = server_;
   UnassignServer();
   if (answer_begun_) {
     // The server refused to resume a stream that the caller has partly
@@ -312,7 +349,7 @@
     }
   }
   if (!failed) {
-    context_.suspects.OnAnswered(now, fingerprint_);
+    ClearSuspicion(now, server->record());
   }
   exchange_->Respond(answer_.status, answer_.forwarded_fields, body_);
   RecordFirstByte(now);
@@ -369,10 +406,9 @@
 }
 
 void RequestFlow::ReportCrash() {
-  context_.suspects.OnCrash(
-      context_.loop.Now(), server_->record().id,
-      static_cast<std::uint64_t>(server_->record().started_at_unix_ms),
-      {&fingerprint_, 1});
+  context_.suspects.OnCrash(context_.loop.Now(), server_->record().id,
+                            IncarnationOf(server_->record()),
+                            {&fingerprint_, 1});
   const std::size_t crashes = context_.suspects.CrashesOf(fingerprint_);
   context_.recorder.OnServerBroke(
       {request_.id, fingerprint_, server_->record().id, crashes});
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -151,7 +151,7 @@
 }
 
 void RequestFlow::OnPeerAnswerEnded() {
-  exchange_->Write(events_.TakePartial());
+  WriteRestOfStream();
   exchange_->End();
   constexpr int kOk = 200;
   Finish("answered", kOk, "");
--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -116,6 +116,11 @@
 
 }  // namespace
 
+bool EndsWithConnection(const MessageHead& response) {
+  return FindField(response.fields, "Content-Length") == nullptr &&
+         FindField(response.fields, "Transfer-Encoding") == nullptr;
+}
+
 bool SameFieldName(std::string_view a, std::string_view b) {
   return beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
 }
--- a/packages/routing/include/gentianroute/routing/event_framer.h
+++ b/packages/routing/include/gentianroute/routing/event_framer.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_ROUTING_EVENT_FRAMER_H_
 #define GENTIANROUTE_ROUTING_EVENT_FRAMER_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -16,9 +17,13 @@
   /// @brief Adds received bytes.
   /// @return the events that they complete, unchanged
   std::string Feed(std::string_view data);
+  /// @brief Whether the received bytes end inside an event.
+  bool is_partial() const { return !partial_.empty(); }
   /// @brief Drops the partial event at the end, which will not be completed.
   void DropPartial() { partial_.clear(); }
   std::string TakePartial();
+  /// @brief Number of complete events that had an id.
+  std::size_t events() const { return events_; }
   /// @brief Id of the last complete event; empty before the first.
   const std::string& last_id() const { return last_id_; }
 
@@ -27,6 +32,7 @@
 
   std::string partial_;
   std::string last_id_;
+  std::size_t events_ = 0;
 };
 
 }  // namespace gentianroute::routing
--- a/packages/routing/src/event_framer.cc
+++ b/packages/routing/src/event_framer.cc
@@ -50,6 +50,7 @@
     const std::string_view line = events.substr(at, end - at);
     if (line.starts_with(kIdField)) {
       last_id_ = Trimmed(line.substr(kIdField.size()));
+      ++events_;
     }
     at = end + 1;
   }
