--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -1,7 +1,6 @@
 #ifndef GENTIANROUTE_DECISION_SUSPECT_TABLE_H_
 #define GENTIANROUTE_DECISION_SUSPECT_TABLE_H_
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -16,6 +15,7 @@
 
 #include "gentianroute/base/id.h"
 #include "gentianroute/base/time.h"
+#include "gentianroute/decision/confirmation_window.h"
 
 namespace gentianroute {
 
@@ -86,7 +86,8 @@
   };
 
   SuspectTable() : SuspectTable(Options{}) {}
-  explicit SuspectTable(Options options) : options_(options) {}
+  explicit SuspectTable(Options options)
+      : options_(options), window_(options.confirmation_timeout) {}
 
   /// @brief Handles a broken connection with calls in flight. Called once per
   /// crash, or once per request in flight: a crash that several requests report
@@ -208,9 +209,7 @@
                         const Entry& entry,
                         bool confirmed_only) const;
   bool IsUnconfirmed(TimePoint now, const Crash& crash) const {
-    const TimePoint since = std::max(crash.time, confirmable_since_);
-    return !crash.confirmed &&
-           (!confirmable_ || now < since + options_.confirmation_timeout);
+    return !crash.confirmed && window_.IsOpen(now, crash.time);
   }
   bool Counts(TimePoint now, const Crash& crash) const {
     return crash.confirmed ||
@@ -230,10 +229,9 @@
                      DropReason reason) const;
 
   Options options_;
+  ConfirmationWindow window_;
   OnQuarantined on_quarantined_;
   OnDropped on_dropped_;
-  bool confirmable_ = true;
-  TimePoint confirmable_since_{};
   std::unordered_map<Fingerprint, Entry> entries_;
   /// Requests with an unconfirmed crash, by server.
   std::map<std::string, std::set<Fingerprint>, std::less<>> unconfirmed_;
--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -159,13 +159,11 @@
 }
 
 void SuspectTable::SetConfirmable(TimePoint now, bool confirmable) {
-  if (confirmable == confirmable_) {
+  if (confirmable == window_.confirmable()) {
     return;
   }
-  // What has lapsed must not count again.
   RemoveLapsed(now);
-  confirmable_ = confirmable;
-  confirmable_since_ = now;
+  window_.SetConfirmable(now, confirmable);
 }
 
 void SuspectTable::RemoveLapsed(TimePoint now) {
