Blame the part of prompts that crashes servers, over all requests and daemons

What callers saw: model servers ended one or two a second for as long as requests with one part in their prompts came, 85 and 101 of them, and broke the streams that ran there.

Cause: crashes were counted for each request, by key, target and body.

Change: SuspectParts. A crash counts against the parts, all but the last, of the requests that the server had just begun to answer. A part is blamed after three crashes that no single request explains, unless a request with it was answered since; if one was answered in the last minute, the crashes must be confirmed. Of parts that explain the same crashes only the deepest in the prompts is blamed, as the others are shared by sound requests. Crashes, answers and verdicts travel in heartbeats, at once from the second crash on, and are told on, so that they are summed over all daemons.

Weighed: blaming the part with most crashes (the first part of all prompts has at least as many); blaming the rarest (a daemon that gets few requests finds others than its peers).

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -66,6 +66,8 @@
         translator_(translator),
         topology_(settings_.data_centre, settings_.regions),
         suspects_({.confirmation_timeout = settings_.CrashConfirmationTime()}),
+        suspect_parts_(
+            {.confirmation_timeout = settings_.CrashConfirmationTime()}),
         deployment_(loop,
                     store,
                     StoreTable::kDeployment,
@@ -102,11 +104,12 @@
                  [this] { return HasNewestServers(); }),
         retry_budgets_(settings_.retry_ratio, settings_.retry_slack),
         start_queue_(loop.Now()),
-        flow_context_{
-            loop,      client,           translator,     servers_,
-            topology_, placement_rules_, stage_router_,  cluster_,
-            reach_,    streams_,         retry_budgets_, service_times_,
-            weights_,  suspects_,        recorder_,      drain_} {
+        flow_context_{loop,          client,         translator,
+                      servers_,      topology_,      placement_rules_,
+                      stage_router_, cluster_,       reach_,
+                      streams_,      retry_budgets_, service_times_,
+                      weights_,      suspects_,      suspect_parts_,
+                      recorder_,     drain_} {
     reach_.SetOnChanged([this](std::string_view service, bool cut_off) {
       OnReachChanged(service, cut_off);
     });
@@ -122,6 +125,11 @@
           recorder_.OnQuarantined(fingerprint, crashes);
           cluster_.SendUpdate(Cluster::UpdateScope::kGossip);
         });
+    suspect_parts_.SetOnQuarantined(
+        [this](Fingerprint part, std::size_t crashes) {
+          recorder_.OnPartQuarantined(part, crashes);
+          cluster_.SendUpdate(Cluster::UpdateScope::kGossip);
+        });
     suspects_.SetOnDropped([this](Fingerprint fingerprint, std::size_t crashes,
                                   SuspectTable::DropReason reason) {
       recorder_.OnCrashesDropped(fingerprint, crashes, reason);
@@ -315,6 +323,7 @@
   void FillBacklogs(schema::Beat::Builder heartbeat);
   /// Adds the requests that crash servers, and the evidence.
   void FillSuspects(schema::Beat::Builder heartbeat);
+  void FillSuspectParts(schema::Beat::Builder heartbeat);
   /// Adds what a heartbeat tells about servers, in place of the peer's last
   /// report.
   void ApplyPeerReport(const std::string& peer, schema::Beat::Reader heartbeat);
@@ -357,9 +366,7 @@
     LogEvent("servers_read").Field("servers", records.size());
     const TimePoint now = loop_.Now();
     for (const routing::ServerRecord& record : records) {
-      suspects_.OnIncarnation(
-          now, record.id,
-          static_cast<std::uint64_t>(record.started_at_unix_ms));
+      ConfirmEarlierCrashes(now, record);
     }
     servers_.Replace(now, std::move(records));
     using FleetState = routing::SoftwareVersions::FleetState;
@@ -368,6 +375,15 @@
     ServeStartQueueLater();
   }
 
+  /// An entry of a later start of a server shows that the earlier one is gone.
+  void ConfirmEarlierCrashes(TimePoint now,
+                             const routing::ServerRecord& record) {
+    const auto incarnation =
+        static_cast<std::uint64_t>(record.started_at_unix_ms);
+    suspects_.OnIncarnation(now, record.id, incarnation);
+    suspect_parts_.OnIncarnation(now, record.id, incarnation);
+  }
+
   void OnServerRow(const StoredRow& row) {
     const TimePoint now = loop_.Now();
     auto record = row.deleted ? std::nullopt : ReadServer(row);
@@ -382,9 +398,7 @@
       servers_.Remove(now, row.key);
       return;
     }
-    suspects_.OnIncarnation(
-        now, record->id,
-        static_cast<std::uint64_t>(record->started_at_unix_ms));
+    ConfirmEarlierCrashes(now, *record);
     servers_.Put(now, std::move(*record));
     streams_.OnServerSeen();
   }
@@ -413,7 +427,9 @@
 
   void OnServerClosed(routing::Server& server) {
     if (!server.listed()) {
-      suspects_.OnServerDown(loop_.Now(), server.record().id);
+      const TimePoint now = loop_.Now();
+      suspects_.OnServerDown(now, server.record().id);
+      suspect_parts_.OnServerDown(now, server.record().id);
       streams_.OnServerGone(server.record());
     }
   }
@@ -438,8 +454,11 @@
     const TimePoint now = loop_.Now();
     LimitUnsentAnswers();
     servers_.Expire(now);
-    suspects_.SetConfirmable(now, IsHostListCurrent());
+    const bool is_list_current = IsHostListCurrent();
+    suspects_.SetConfirmable(now, is_list_current);
     suspects_.Sweep(now);
+    suspect_parts_.SetConfirmable(now, is_list_current);
+    suspect_parts_.Sweep(now);
     streams_.RunMaintenance();
     UpdateFollowing();
     FetchNewerRows();
@@ -503,6 +522,7 @@
   routing::RouteTablePtr table_;
   routing::ServerDirectory servers_;
   SuspectTable suspects_;
+  SuspectParts suspect_parts_;
   RequestRecorder recorder_;
   detail::RowWriter deployment_writer_;
   detail::RowWriter server_writer_;
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -13,6 +13,7 @@
 
 #include "gentianroute/base/error_kind.h"
 #include "gentianroute/base/id.h"
+#include "gentianroute/decision/suspect_parts.h"
 #include "gentianroute/decision/suspect_table.h"
 #include "gentianroute/gateway/cluster.h"
 #include "gentianroute/gateway/handed_request.h"
@@ -52,6 +53,7 @@
   routing::ServiceTimeEstimates& service_times;
   routing::RequestWeights& weights;
   SuspectTable& suspects;
+  SuspectParts& suspect_parts;
   RequestRecorder& recorder;
   const routing::DrainTimes& drain_times;
 };
@@ -96,6 +98,10 @@
   void OnShutdown();
 
  private:
+  /// A server that crashes under a request does so at the start of its answer.
+  /// After this many events it no longer will.
+  static constexpr std::size_t kMinProvingEvents = 3;
+
   class Attempt;
   class ServerAttempt;
   class PeerAttempt;
@@ -111,8 +117,8 @@
   /// @return the error to refuse it with, if any
   std::optional<ErrorKind> Admit();
   std::optional<ErrorKind> CheckKey();
-  /// Whether servers that ran the same request have crashed, enough of them for
-  /// it to be their cause.
+  /// Whether servers that ran the same request, or requests with a part of its
+  /// prompt, have crashed, enough of them for it to be their cause.
   bool CrashesServers() const;
   /// Refuses the request if it may not go to any server.
   bool RefuseIfNoPlace();
@@ -219,6 +225,14 @@
   /// Reports a connection that broke during the request, a possible crash of
   /// the server.
   void ReportCrash();
+  /// Holds the crash of the server against the parts of the prompt.
+  /// @return whether one of them was in a crash before
+  bool AddCrashOfParts();
+  /// Whether the answer has gone on for so long that the request is not what
+  /// crashes its server.
+  bool HasProvenItself() const {
+    return events_.events() >= events_when_sent_ + kMinProvingEvents;
+  }
   /// Clears the request of crashes, if its answer proves that the server has
   /// not crashed.
   void ClearSuspicion(TimePoint now, const routing::ServerRecord& answered_by);
@@ -277,6 +291,7 @@
   const routing::ServiceSpec* service_ = nullptr;
   std::string service_name_;
   Fingerprint fingerprint_;
+  std::vector<Fingerprint> shared_parts_;  ///< of its prompt, in order
   TimePoint started_at_{};
   TimePoint deadline_{};
   double weight_ = 1;  ///< relative to the other requests of its route
--- a/packages/gateway/include/gentianroute/gateway/request_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/request_recorder.h
@@ -105,6 +105,9 @@
                         const std::optional<routing::StreamOrigin>& origin);
   /// @brief Records that a request crashes servers and is refused from now on.
   void OnQuarantined(Fingerprint fingerprint, std::size_t crashes);
+  /// @brief Records that a part of prompts crashes servers: requests with it
+  /// are refused from now on.
+  void OnPartQuarantined(Fingerprint part, std::size_t crashes);
   /// @brief Records that crashes of servers are no longer held against a
   /// request.
   void OnCrashesDropped(Fingerprint fingerprint,
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -299,7 +299,8 @@
       static_cast<std::uint32_t>(members_.known_daemons()));
   members_.UpdateOwnState(PoolsOf(heartbeat.asReader()),
                           heartbeat.asReader().getQuarantined().size() > 0 ||
-                              heartbeat.asReader().getCrashes().size() > 0);
+                              heartbeat.asReader().getCrashes().size() > 0 ||
+                              heartbeat.asReader().getPartCrashes().size() > 0);
   const auto lost = members_.RecentlyLost(loop_.Now());
   auto out = heartbeat.initLost(static_cast<unsigned>(lost.size()));
   for (unsigned i = 0; i < lost.size(); ++i) {
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -207,6 +207,21 @@
   schema::WriteClearanceReports(
       clearances,
       heartbeat.initClearances(static_cast<unsigned>(clearances.size())));
+  FillSuspectParts(heartbeat);
+}
+
+void Gateway::Impl::FillSuspectParts(schema::Beat::Builder heartbeat) {
+  const TimePoint now = loop_.Now();
+  const auto crashes = suspect_parts_.CrashReports(now);
+  schema::WritePartCrashes(crashes, heartbeat.initPartCrashes(
+                                        static_cast<unsigned>(crashes.size())));
+  const auto answers = suspect_parts_.AnswerReports(now);
+  schema::WritePartReports(answers, heartbeat.initPartAnswers(
+                                        static_cast<unsigned>(answers.size())));
+  const auto quarantined = suspect_parts_.Quarantined(now);
+  schema::WritePartReports(
+      quarantined,
+      heartbeat.initPartQuarantines(static_cast<unsigned>(quarantined.size())));
 }
 
 void Gateway::Impl::OnHeartbeat(schema::Beat::Reader heartbeat) {
@@ -230,6 +245,9 @@
   // Answers first, so that a crash before one of them doesn't count.
   schema::ApplyClearanceReports(now, heartbeat.getClearances(), suspects_);
   schema::ApplyCrashReports(now, heartbeat.getCrashes(), suspects_);
+  schema::ApplyPartReports(now, heartbeat.getPartCrashes(),
+                           heartbeat.getPartAnswers(),
+                           heartbeat.getPartQuarantines(), suspect_parts_);
   const auto contact = static_cast<StoreContact>(heartbeat.getStoreContact());
   const auto before = std::exchange(store_contacts_[name], contact);
   if (before == StoreContact::kUnreachable &&
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -33,6 +33,16 @@
   return Fingerprint{XXH3_64bits_withSeed(body.data(), body.size(), hash)};
 }
 
+/// All parts but the last, which is unique to the request.
+std::vector<Fingerprint> SharedPartsOf(const routing::Prompt& prompt) {
+  std::vector<Fingerprint> parts;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    const std::string& id = prompt.parts[i].id;
+    parts.push_back(Fingerprint{XXH3_64bits(id.data(), id.size())});
+  }
+  return parts;
+}
+
 /// The regions that a route and an organisation both permit. Each limits
 /// nothing if it is null.
 routing::PermittedRegions RegionsOf(const routing::Route* route,
@@ -128,6 +138,7 @@
   }
   fingerprint_ = FingerprintOf(request_.key.value_or(""),
                                exchange_->head().target, exchange_->body());
+  shared_parts_ = SharedPartsOf(request_.prompt);
   if (CrashesServers()) {
     return ErrorKind::kOverloaded;
   }
@@ -137,7 +148,8 @@
 bool RequestFlow::CrashesServers() const {
   const TimePoint now = context_.loop.Now();
   return context_.suspects.IsQuarantined(now, fingerprint_) ||
-         context_.suspects.IsQuarantinePending(now, fingerprint_);
+         context_.suspects.IsQuarantinePending(now, fingerprint_) ||
+         context_.suspect_parts.IsAnyBlamed(now, shared_parts_);
 }
 
 std::optional<ErrorKind> RequestFlow::CheckKey() {
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -27,10 +27,6 @@
 constexpr Duration kMaxIdleNonRepeatable = std::chrono::milliseconds(1500);
 /// Like kMaxIdleNonRepeatable, for repeatable requests.
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(4);
-/// A server that crashes under a request does so at the start of its answer. If
-/// nothing but the end of its connection ends the answer, at least this many
-/// events prove that it has not crashed.
-constexpr std::size_t kMinProvingEvents = 3;
 /// How often a request is tried again that no server can run now.
 constexpr Duration kServerRetryPeriod = std::chrono::milliseconds(50);
 
@@ -281,11 +277,10 @@
 
 void RequestFlow::ClearSuspicion(TimePoint now,
                                  const routing::ServerRecord& answered_by) {
-  const bool may_have_crashed =
-      ends_with_connection_ &&
-      events_.events() < events_when_sent_ + kMinProvingEvents;
-  if (!may_have_crashed) {
+  // The end of a connection may be that of its server.
+  if (!ends_with_connection_ || HasProvenItself()) {
     context_.suspects.OnAnswered(now, fingerprint_);
+    context_.suspect_parts.OnAnswered(now, shared_parts_, sent_at_);
     return;
   }
   context_.suspects.OnAnswerWithoutEnd(
@@ -405,6 +400,13 @@
   Fail("the server's answer broke off");
 }
 
+bool RequestFlow::AddCrashOfParts() {
+  return !HasProvenItself() &&
+         context_.suspect_parts.OnCrash(
+             context_.loop.Now(), server_->record().id,
+             IncarnationOf(server_->record()), fingerprint_, shared_parts_);
+}
+
 void RequestFlow::ReportCrash() {
   context_.suspects.OnCrash(context_.loop.Now(), server_->record().id,
                             IncarnationOf(server_->record()),
@@ -414,7 +416,8 @@
       {request_.id, fingerprint_, server_->record().id, crashes});
   // The caller sends the request again at once, to any daemon. A first crash is
   // told by the next heartbeat: most such requests only ran beside the cause.
-  if (crashes > 1) {
+  const bool is_known_part = AddCrashOfParts();
+  if (crashes > 1 || is_known_part) {
     context_.cluster.SendUpdate(Cluster::UpdateScope::kGossip);
   }
 }
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -100,6 +100,13 @@
   }
 }
 
+void RequestRecorder::OnPartQuarantined(Fingerprint part, std::size_t crashes) {
+  ++quarantines_;
+  LogEvent("part_quarantined", LogLevel::kWarning)
+      .Field("part", part.value)
+      .Field("crashes", crashes);
+}
+
 void RequestRecorder::OnCrashesDropped(Fingerprint fingerprint,
                                        std::size_t crashes,
                                        SuspectTable::DropReason reason) {
@@ -196,7 +203,8 @@
   writer.AddSample("gentianroute_gateway_stream_origins_total", {&unknown, 1},
                    origins_unknown_);
   writer.AddMetric("gentianroute_gateway_quarantines_total", "counter",
-                   "Requests found by this daemon to crash servers.");
+                   "Requests, and parts of prompts, found by this daemon to "
+                   "crash servers.");
   writer.AddSample("gentianroute_gateway_quarantines_total", {}, quarantines_);
   writer.AddMetric("gentianroute_gateway_first_seconds", "histogram",
                    "Time to the first part of an answer.");
--- a/packages/schema/include/gentianroute/schema/suspect_messages.h
+++ b/packages/schema/include/gentianroute/schema/suspect_messages.h
@@ -5,6 +5,7 @@
 
 #include <span>
 
+#include "gentianroute/decision/suspect_parts.h"
 #include "gentianroute/decision/suspect_table.h"
 
 namespace gentianroute::schema {
@@ -28,6 +29,19 @@
                            capnp::List<ClearanceReport>::Reader reports,
                            SuspectTable& suspects);
 
+/// @brief Writes what a daemon knows of crashes by parts of prompts.
+/// @param out has as many elements as `reports`
+void WritePartCrashes(std::span<const PartCrashReport> reports,
+                      capnp::List<PartCrash>::Builder out);
+void WritePartReports(std::span<const gentianroute::PartReport> reports,
+                      capnp::List<PartReport>::Builder out);
+/// @brief Adds a peer's reports on parts of prompts to the evidence.
+void ApplyPartReports(TimePoint now,
+                      capnp::List<PartCrash>::Reader crashes,
+                      capnp::List<PartReport>::Reader answers,
+                      capnp::List<PartReport>::Reader quarantines,
+                      SuspectParts& suspects);
+
 }  // namespace gentianroute::schema
 
 #endif  // GENTIANROUTE_SCHEMA_SUSPECT_MESSAGES_H_
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -79,6 +79,9 @@
   brittle @21 :List(BrittleService);
   unreached @22 :List(Text);          # services of which the sender reaches few
                                       # servers or none
+  partCrashes @23 :List(Peer.PartCrash);
+  partAnswers @24 :List(Peer.PartReport);       # latest answered requests
+  partQuarantines @25 :List(Peer.PartReport);   # parts that crash servers
 }
 
 struct Group {
--- a/packages/schema/schema/peer.capnp
+++ b/packages/schema/schema/peer.capnp
@@ -37,6 +37,29 @@
   ageMs @1 :UInt32;
 }
 
+struct SuspectPart {
+  # A part of the prompt of a request that a server had begun to answer when it
+  # crashed.
+  part @0 :UInt64;
+  request @1 :UInt64;
+  depth @2 :UInt8;                    # position in the prompt
+}
+
+struct PartCrash {
+  # A crash of a server, as known to the sender.
+  server @0 :Text;
+  incarnation @1 :UInt64;
+  ageMs @2 :UInt32;
+  confirmed @3 :Bool;
+  parts @4 :List(SuspectPart);
+}
+
+struct PartReport {
+  # Something known about a part of prompts since some time.
+  part @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
 struct Host {
   # An entry of the platform's host list, without the load, which would be
   # outdated on arrival.
