Ask for eight events before an answer proves that its request crashes no server

In the record servers crash 48 to 93 ms after they have begun to answer, which is up to five events at 6 ms a token.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -100,7 +100,7 @@
  private:
   /// A server that crashes under a request does so at the start of its answer.
   /// After this many events it no longer will.
-  static constexpr std::size_t kMinProvingEvents = 3;
+  static constexpr std::size_t kMinProvingEvents = 8;
 
   class Attempt;
   class ServerAttempt;
