Hand requests to other senders of a limited server where this daemon's share is used up

What callers saw: where most new connections come to one daemon, that daemon refused half of its requests to servers that name a limit, while the shares of its peers were unused.

Cause: the limit of a server is divided evenly among its senders. Class: whatever is divided evenly is wrong while one daemon has most callers. The retry budget follows its requests; brittle slots and senders are treated alike here; cold servers are not: their requests wait.

Change: a new request that no server takes from this daemon now, because a limit or slots are shared, goes to one of the first senders of such a server, chosen by its id, before its stages run, and is not handed on.

--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -243,6 +243,17 @@
                     std::string_view data_centre,
                     std::string_view service,
                     std::size_t count) const;
+  /// @brief Returns one of the peers that rank first for a key in a data
+  /// centre, see IsAmongFirst(); null if none of these is known to live.
+  /// @param count number of peers, this daemon not counted
+  /// @param chooser chooses among them: each gets an equal part of all choosers
+  /// @param excluded names of peers that aren't considered
+  const Peer* OneOfFirst(std::string_view key,
+                         std::string_view data_centre,
+                         std::string_view service,
+                         std::size_t count,
+                         std::string_view chooser,
+                         std::span<const std::string> excluded) const;
   /// @brief Returns the peer that ranks first for a key in a data centre, see
   /// IsAmongFirst(); null if this daemon does, or if no peer there is known to
   /// live.
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -165,6 +165,11 @@
   /// of them: they may take requests from few daemons only.
   /// @return false if there is no such peer
   bool HandToSender();
+  /// Hands a request whose servers take no more from this daemon now, but may
+  /// take some from others, to one of their other senders: the shares of a
+  /// limit are even, whereas most callers may have come to this daemon.
+  /// @return false if there is no such peer
+  bool HandToOtherSender(const routing::ServerChoice& choice);
   void HandTo(const Membership::Peer& peer);
   HandedRequest HandedToPeer() const;
   /// The last event that the caller has; empty if none.
--- a/packages/gateway/src/membership_reach.cc
+++ b/packages/gateway/src/membership_reach.cc
@@ -64,6 +64,30 @@
   return first;
 }
 
+const Membership::Peer* Membership::OneOfFirst(
+    std::string_view key,
+    std::string_view data_centre,
+    std::string_view service,
+    std::size_t count,
+    std::string_view chooser,
+    std::span<const std::string> excluded) const {
+  std::vector<std::pair<std::uint64_t, const Peer*>> ranked;
+  for (const auto& [name, peer] : peers_) {
+    if (peer->state.data_centre == data_centre &&
+        MayTake(*peer, service, excluded)) {
+      ranked.emplace_back(RendezvousWeight(key, name), peer.get());
+    }
+  }
+  std::ranges::sort(ranked, std::greater{},
+                    &std::pair<std::uint64_t, const Peer*>::first);
+  ranked.resize(std::min(count, ranked.size()));
+  const auto chosen =
+      std::ranges::max_element(ranked, {}, [chooser](const auto& candidate) {
+        return RendezvousWeight(chooser, candidate.second->state.name);
+      });
+  return chosen == ranked.end() ? nullptr : chosen->second;
+}
+
 std::size_t Membership::CountInReach(std::string_view data_centre,
                                      std::string_view service) const {
   const PoolKey pool{std::string(service), std::string(data_centre)};
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -186,7 +186,9 @@
 
 void RequestFlow::StartHere() {
   // Before its stages run: the peer runs them again.
-  if (origin_ && ChooseServer().server == nullptr && HandToSender()) {
+  if (const routing::ServerChoice choice = ChooseServer();
+      choice.server == nullptr &&
+      (HandToSender() || HandToOtherSender(choice))) {
     return;
   }
   context_.retry_budgets.OnRequest(service_name_,
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -4,6 +4,7 @@
 
 #include "gentianroute/gateway/detail/request_attempt.h"
 #include "gentianroute/gateway/request_flow.h"
+#include "gentianroute/routing/sender_share.h"
 
 // Handing a request to a peer while this daemon can't send it to any server.
 
@@ -70,6 +71,36 @@
   return false;
 }
 
+bool RequestFlow::HandToOtherSender(const routing::ServerChoice& choice) {
+  using routing::PlacementVerdict;
+  constexpr std::array kShareUsedUp = {PlacementVerdict::kRateLimited,
+                                       PlacementVerdict::kNotSender,
+                                       PlacementVerdict::kNoRoom};
+  const bool others_may_send =
+      std::ranges::any_of(kShareUsedUp, [&choice](PlacementVerdict verdict) {
+        return choice.verdicts[static_cast<std::size_t>(verdict)] > 0;
+      });
+  // A peer that gets it from another one is a sender, and has no share either.
+  if (!others_may_send || hops_ > 0) {
+    return false;
+  }
+  for (const routing::ServerPtr& server :
+       context_.servers.ServersOf(service_name_)) {
+    const routing::ServerRecord& record = server->record();
+    if (!server->open() || !placement_->Accepts(record)) {
+      continue;
+    }
+    const Membership::Peer* sender = context_.cluster.members().OneOfFirst(
+        record.id, record.data_centre, record.service,
+        routing::SenderShare::kMaxSenders - 1, request_.id, peers_tried_);
+    if (sender != nullptr) {
+      HandTo(*sender);
+      return true;
+    }
+  }
+  return false;
+}
+
 void RequestFlow::HandTo(const Membership::Peer& peer) {
   context_.recorder.OnHandedOver(request_.id, peer.state.name, hops_);
   context_.loop.Cancel(stages_timer_);
