--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -173,9 +173,9 @@
         [this, now](const Crash& crash) { return IsLapsed(now, crash); });
     ReportDropped(fingerprint, removed, DropReason::kLapsed);
   }
-  for (auto& [server, fingerprints] : unconfirmed_) {
-    std::erase_if(fingerprints, [&](Fingerprint fingerprint) {
-      return !HasUnconfirmedCrash(now, fingerprint, server);
+  for (auto& item : unconfirmed_) {
+    std::erase_if(item.second, [&](Fingerprint fingerprint) {
+      return !HasUnconfirmedCrash(now, fingerprint, item.first);
     });
   }
   std::erase_if(unconfirmed_,
--- a/packages/decision/tests/suspect_parts_test.cc
+++ b/packages/decision/tests/suspect_parts_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -37,7 +38,7 @@
   }
   std::string CrashUnder(Fingerprint request,
                          std::span<const Fingerprint> parts) {
-    const std::string server = "server-" + std::to_string(++servers);
+    std::string server = "server-" + std::to_string(++servers);
     table.OnCrash(now, server, 1, request, parts);
     now += milliseconds(100);
     return server;
@@ -121,9 +122,9 @@
   SuspectPartsFixture fixture;
   fixture.Answer(kCrashingParts);
   fixture.now += seconds(1);
-  std::vector<std::string> servers;
-  for (int i = 0; i < 4; ++i) {
-    servers.push_back(fixture.Crash(kCrashingParts));
+  std::array<std::string, 4> servers;
+  for (std::string& server : servers) {
+    server = fixture.Crash(kCrashingParts);
   }
   fixture.Answer(kSoundParts);
   for (const std::string& server : servers) {
