--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -117,9 +117,9 @@
   /// @return the error to refuse it with, if any
   std::optional<ErrorKind> Admit();
   std::optional<ErrorKind> CheckKey();
-  /// Whether servers that ran the same request, or requests with a part of its
-  /// prompt, have crashed, enough of them for it to be their cause.
-  bool CrashesServers() const;
+  /// Refuses the request if so many servers that ran it, or requests with a
+  /// part of its prompt, have crashed that it may be the cause.
+  bool RefuseIfCrashing();
   /// Refuses the request if it may not go to any server.
   bool RefuseIfNoPlace();
   /// Refuses the request if its stages have no servers or can't finish before
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -78,6 +78,9 @@
     flow->Refuse(*kind, "");
     return;
   }
+  if (flow->RefuseIfCrashing()) {
+    return;
+  }
   flow->Start();
 }
 
@@ -139,17 +142,21 @@
   fingerprint_ = FingerprintOf(request_.key.value_or(""),
                                exchange_->head().target, exchange_->body());
   shared_parts_ = SharedPartsOf(request_.prompt);
-  if (CrashesServers()) {
-    return ErrorKind::kOverloaded;
-  }
   return std::nullopt;
 }
 
-bool RequestFlow::CrashesServers() const {
+bool RequestFlow::RefuseIfCrashing() {
   const TimePoint now = context_.loop.Now();
-  return context_.suspects.IsQuarantined(now, fingerprint_) ||
-         context_.suspects.IsQuarantinePending(now, fingerprint_) ||
-         context_.suspect_parts.IsAnyBlamed(now, shared_parts_);
+  if (context_.suspect_parts.IsAnyBlamed(now, shared_parts_)) {
+    Refuse(ErrorKind::kOverloaded, "a part of the prompt has crashed servers");
+    return true;
+  }
+  if (context_.suspects.IsQuarantined(now, fingerprint_) ||
+      context_.suspects.IsQuarantinePending(now, fingerprint_)) {
+    Refuse(ErrorKind::kOverloaded, "the request has crashed servers");
+    return true;
+  }
+  return false;
 }
 
 std::optional<ErrorKind> RequestFlow::CheckKey() {
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -88,8 +88,7 @@
 }
 
 void RequestFlow::SendToServer() {
-  if (CrashesServers()) {
-    Refuse(ErrorKind::kOverloaded, "the request has crashed servers");
+  if (RefuseIfCrashing()) {
     return;
   }
   if (HandToPeer()) {
