Blame parts that no request was answered with first; clear requests once they have proven themselves

A deeper part that sound requests hold too, but seldom, was judged before the part that had only crashed servers, and blamed in its place once three crashes were confirmed: all its sound requests refused, and the crashes gone on. Found by reading; suspect_parts.known_part_is_deeper_ the_unknown_one_is_blamed fails before, passes now.

--- a/packages/decision/include/gentianroute/decision/suspect_parts.h
+++ b/packages/decision/include/gentianroute/decision/suspect_parts.h
@@ -54,9 +54,9 @@
 /// was answered before. The last part of a prompt is its own and never counts.
 ///
 /// Most of these requests share further parts with sound ones, such as the
-/// first. Of parts that could explain the same crashes, only the deepest in the
-/// prompts is blamed: the others are shared by more requests, which would all
-/// be refused.
+/// first. Of parts that could explain the same crashes only one is blamed: one
+/// that no request was answered with, and of these the deepest in the prompts.
+/// The others are shared by sound requests, which would all be refused.
 class SuspectParts {
  public:
   struct Options {
@@ -142,6 +142,7 @@
   struct Candidate {
     Fingerprint part;
     std::uint32_t depth = 0;
+    bool known = false;  ///< a request with it was answered lately
     std::vector<const Crash*> crashes;
   };
   using CrashSet = std::unordered_set<const Crash*>;
@@ -162,7 +163,8 @@
                    std::uint64_t incarnation);
   /// Decides again which parts are blamed.
   void Judge(TimePoint now);
-  /// Parts in crashes that they may explain, the deepest first.
+  /// Parts in crashes that they may explain: those first that no request was
+  /// answered with, then the deepest.
   std::vector<Candidate> Candidates(TimePoint now) const;
   bool IsGuilty(TimePoint now,
                 Fingerprint part,
--- a/packages/decision/src/suspect_parts.cc
+++ b/packages/decision/src/suspect_parts.cc
@@ -181,12 +181,13 @@
   std::vector<Candidate> candidates;
   for (auto& [part, candidate] : by_part) {
     if (candidate.crashes.size() >= options_.crash_threshold) {
+      candidate.known = IsKnown(now, part);
       candidates.push_back(std::move(candidate));
     }
   }
   std::ranges::sort(candidates, [](const Candidate& a, const Candidate& b) {
-    return std::tuple(b.depth, b.crashes.size(), a.part) <
-           std::tuple(a.depth, a.crashes.size(), b.part);
+    return std::tuple(a.known, b.depth, b.crashes.size(), a.part) <
+           std::tuple(b.known, a.depth, a.crashes.size(), b.part);
   });
   return candidates;
 }
--- a/packages/decision/tests/suspect_parts_test.cc
+++ b/packages/decision/tests/suspect_parts_test.cc
@@ -117,6 +117,24 @@
   cr_assert(fixture.table.CrashReports(fixture.now).empty());
 }
 
+// Guards against a deeper part that sound requests have too, but seldom, being
+// blamed in place of one that was never answered.
+Test(suspect_parts, known_part_is_deeper_the_unknown_one_is_blamed) {
+  constexpr Fingerprint kDeeper{4};
+  const std::vector<Fingerprint> sound = {kFirst, kDeeper};
+  const std::vector<Fingerprint> crashing = {kFirst, kCrashing, kDeeper};
+  SuspectPartsFixture fixture;
+  fixture.Answer(sound);
+  fixture.now += seconds(1);
+  for (int i = 0; i < 4; ++i) {
+    const std::string server = fixture.Crash(crashing);
+    fixture.table.OnServerDown(fixture.now, server);
+  }
+  cr_assert(fixture.IsBlamed(kCrashing));
+  cr_assert_not(fixture.IsBlamed(kDeeper));
+  cr_assert_not(fixture.IsBlamed(kFirst));
+}
+
 // Guards against a part that turns deadly later never being blamed.
 Test(suspect_parts, answered_part_has_confirmed_crashes_since_it_is_blamed) {
   SuspectPartsFixture fixture;
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -224,7 +224,11 @@
     OnFirstByte();
   }
   RecordPace(event_pace_.OnPart(last_byte_at_, part));
+  const bool had_proven_itself = HasProvenItself();
   RelayPart(part);
+  if (!had_proven_itself && HasProvenItself()) {
+    ClearSuspicion(last_byte_at_, server_->record());
+  }
 }
 
 void RequestFlow::RecordPace(std::optional<routing::EventPace::Sample> sample) {
