Tell on only the crashes that have to be added up; keep the interval of idle daemons

Each server that crashes makes all its requests suspects once; these single crashes are now told by the daemon that saw them only, and of a crash only parts that no request was answered with or that were in several.

--- a/packages/decision/include/gentianroute/decision/suspect_parts.h
+++ b/packages/decision/include/gentianroute/decision/suspect_parts.h
@@ -108,7 +108,8 @@
 
   /// @name What daemons tell each other
   /// @{
-  /// @brief The crashes that matter most, also those that peers have told.
+  /// @brief The crashes that matter most: those that this daemon has seen, and
+  /// what peers have told of parts that were in several.
   std::vector<PartCrashReport> CrashReports(TimePoint now) const;
   void OnPeerCrash(TimePoint now, const PartCrashReport& report);
   /// @brief The latest answers with parts that were in crashes.
@@ -135,6 +136,7 @@
     std::uint64_t incarnation = 0;
     TimePoint time{};
     bool confirmed = false;
+    bool seen_here = false;  ///< by this daemon, not only told by peers
     std::vector<SuspectPart> parts;
   };
   /// A part with the crashes that it could explain.
--- a/packages/decision/include/gentianroute/decision/suspect_table.h
+++ b/packages/decision/include/gentianroute/decision/suspect_table.h
@@ -131,8 +131,10 @@
                         Duration remaining);
 
   /// @brief Returns the latest crashes, those of the requests with most crashes
-  /// first. Includes what peers have told, so that the crashes in all data
-  /// centres are added up although few daemons of each tell the others.
+  /// first. Includes what peers have told of requests with several crashes, so
+  /// that those in all data centres are added up although few daemons of each
+  /// tell the others. Each server that crashes makes many requests suspects
+  /// once, which need not be told on.
   std::vector<CrashReport> CrashReports(TimePoint now) const;
   /// @brief Adds a crash that a peer has seen to the evidence.
   void OnPeerCrash(TimePoint now, const CrashReport& report);
--- a/packages/decision/src/suspect_parts.cc
+++ b/packages/decision/src/suspect_parts.cc
@@ -45,6 +45,7 @@
     return false;
   }
   Crash& crash = FindOrAdd(now, server, incarnation);
+  crash.seen_here = true;
   std::uint32_t depth = 0;
   for (const Fingerprint part : parts) {
     const SuspectPart suspect{part, request, depth++};
@@ -238,10 +239,13 @@
     const Crash& crash,
     const CrashCounts& counts) const {
   std::vector<SuspectPart> parts;
-  std::ranges::copy_if(crash.parts, std::back_inserter(parts),
-                       [&](const SuspectPart& suspect) {
-                         return !WasAnsweredSince(suspect.part, crash.time);
-                       });
+  std::ranges::copy_if(
+      crash.parts, std::back_inserter(parts), [&](const SuspectPart& suspect) {
+        const auto count = counts.find(suspect.part);
+        return count != counts.end() &&
+               (count->second > 1 || !IsKnown(now, suspect.part)) &&
+               !WasAnsweredSince(suspect.part, crash.time);
+      });
   const auto rank = [&](const SuspectPart& suspect) {
     const auto count = counts.find(suspect.part);
     return std::tuple(!IsKnown(now, suspect.part),
@@ -275,6 +279,9 @@
       }
     }
   }
+  std::erase_if(ranked, [](const Ranked& entry) {
+    return entry.crashes < 2 && !entry.crash->seen_here;
+  });
   std::ranges::sort(ranked, std::greater{}, [](const Ranked& entry) {
     return std::pair(entry.crashes, entry.crash->time);
   });
--- a/packages/decision/src/suspect_table.cc
+++ b/packages/decision/src/suspect_table.cc
@@ -272,7 +272,9 @@
 bool SuspectTable::IsReported(TimePoint now,
                               const Entry& entry,
                               const Crash& crash) const {
-  if (crash.may_be_answer && !crash.confirmed) {
+  const bool may_be_answer = crash.may_be_answer && !crash.confirmed;
+  const bool is_single = entry.crashes.size() < 2;
+  if (may_be_answer || (is_single && !crash.seen_here)) {
     return false;
   }
   return now < crash.time + options_.report_duration ||
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -52,8 +52,8 @@
   StoreContact store = StoreContact::kNotAsked;
   std::uint64_t deployment_version = 0;
   std::uint64_t servers_version = 0;
-  std::vector<PoolKey> pools;      ///< whose scheduler it is
-  bool has_crash_reports = false;  ///< of requests that crash servers
+  std::vector<PoolKey> pools;    ///< whose scheduler it is
+  bool has_quarantined = false;  ///< requests or parts of prompts
   /// Daemons that it knows, including itself, alive or not.
   std::size_t known_daemons = 0;
   /// Maximum time until the next heartbeat to the receiver; 0 if the daemon
@@ -120,8 +120,8 @@
 
   const DaemonState& own() const { return own_; }
   /// @brief Sets the pools that this daemon schedules and whether it reports
-  /// crashes of servers. Both determine how often it sends heartbeats.
-  void UpdateOwnState(std::vector<PoolKey> pools, bool has_crash_reports);
+  /// quarantines. Both determine how often it sends heartbeats.
+  void UpdateOwnState(std::vector<PoolKey> pools, bool has_quarantined);
   /// @brief Sets the stage services whose pools are scheduled within each data
   /// centre.
   void SetStageServices(std::vector<std::string> services);
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -65,10 +65,9 @@
   }
 }
 
-bool HasCrashReports(schema::Beat::Reader heartbeat) {
+bool HasQuarantines(schema::Beat::Reader heartbeat) {
   return heartbeat.getQuarantined().size() > 0 ||
-         heartbeat.getCrashes().size() > 0 ||
-         heartbeat.getPartCrashes().size() > 0;
+         heartbeat.getPartQuarantines().size() > 0;
 }
 
 DaemonState StateOf(schema::Beat::Reader heartbeat) {
@@ -87,7 +86,7 @@
   state.deployment_version = heartbeat.getDeploymentVersion();
   state.servers_version = heartbeat.getServersVersion();
   state.pools = PoolsOf(heartbeat);
-  state.has_crash_reports = HasCrashReports(heartbeat);
+  state.has_quarantined = HasQuarantines(heartbeat);
   state.known_daemons = heartbeat.getDaemonsKnown();
   state.heartbeat_interval = std::chrono::milliseconds(heartbeat.getNextMs());
   return state;
@@ -304,7 +303,7 @@
   heartbeat.setDaemonsKnown(
       static_cast<std::uint32_t>(members_.known_daemons()));
   members_.UpdateOwnState(PoolsOf(heartbeat.asReader()),
-                          HasCrashReports(heartbeat.asReader()));
+                          HasQuarantines(heartbeat.asReader()));
   const auto lost = members_.RecentlyLost(loop_.Now());
   auto out = heartbeat.initLost(static_cast<unsigned>(lost.size()));
   for (unsigned i = 0; i < lost.size(); ++i) {
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -78,10 +78,10 @@
 }
 
 void Membership::UpdateOwnState(std::vector<PoolKey> pools,
-                                bool has_crash_reports) {
+                                bool has_quarantined) {
   standbys_valid_ = standbys_valid_ && pools == own_.pools;
   own_.pools = std::move(pools);
-  own_.has_crash_reports = has_crash_reports;
+  own_.has_quarantined = has_quarantined;
 }
 
 void Membership::SetStageServices(std::vector<std::string> services) {
--- a/packages/gateway/src/membership_heartbeats.cc
+++ b/packages/gateway/src/membership_heartbeats.cc
@@ -27,7 +27,7 @@
     {30, std::chrono::milliseconds(100)},
     {20, std::chrono::milliseconds(300)},
 }};
-/// An idle daemon, which schedules no pool and reports no crash of a server,
+/// An idle daemon, which schedules no pool and reports no quarantine,
 /// only has its server load to report to other regions. Its interval there is
 /// longer by this factor.
 constexpr std::int64_t kIdleIntervalFactor = 3;
@@ -103,7 +103,7 @@
 }
 
 bool Membership::IsIdle() const {
-  return own_.pools.empty() && !own_.has_crash_reports &&
+  return own_.pools.empty() && !own_.has_quarantined &&
          !represents_data_centre_;
 }
 
