Hand a bound stream to another sender when the connection to its only server has failed

Seen once under the sanitizers, beside load: stream_versions.caller_returns_to_a_cut_daemon, two streams refused. Trace: the first two streams were of one version, of which one server was open; the cut daemon's connection to it failed, one failure starts no probes, and it ranked first as sender itself, so that nobody else was asked. Whether that happens depends on the versions that the streams get.

--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -61,8 +61,18 @@
     if (!server->open() || !placement_->Accepts(record)) {
       continue;
     }
-    const Membership::Peer* sender = context_.cluster.members().FirstSender(
-        record.id, record.data_centre, record.service, peers_tried_);
+    const Membership& members = context_.cluster.members();
+    // Where a connection to the server has just failed, this daemon is no use
+    // as its first sender.
+    const bool has_failed =
+        std::ranges::find(tried_, record.id) != tried_.end();
+    const Membership::Peer* sender =
+        has_failed
+            ? members.OneOfFirst(record.id, record.data_centre, record.service,
+                                 routing::SenderShare::kMaxSenders - 1,
+                                 request_.id, peers_tried_)
+            : members.FirstSender(record.id, record.data_centre, record.service,
+                                  peers_tried_);
     if (sender != nullptr) {
       HandTo(*sender);
       return true;
