Hand requests over through the one function that sends calls; one loop over the senders

No change in behaviour. PeerCalls::HandOver had a promise chain of its own beside Send(), which RunGroup and AskStreamOrigin use; the callback that outlived its frame stood there, and the mend had patched the copy. It calls Send() now; EndCall is gone. HandToSender and HandToOtherSender walked the servers in two equal loops; HandToSenderOfAny does it for both, OtherSenderOf names the choice.

--- a/packages/gateway/include/gentianroute/gateway/peer_calls.h
+++ b/packages/gateway/include/gentianroute/gateway/peer_calls.h
@@ -108,9 +108,6 @@
   /// @param read converts the response
   template <typename Remote, typename Params, typename Results, typename Read>
   void Send(Remote& remote, capnp::Request<Params, Results> request, Read read);
-  /// Tells a handed request that its call has ended, unless the request is
-  /// gone.
-  static void EndCall(const std::weak_ptr<RemoteRequest*>& request);
   schema::Cluster::Client ClientOf(const DaemonState& peer);
   void Connect(Connection& connection);
   void OnBroken(Connection& connection);
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -170,6 +170,14 @@
   /// limit are even, whereas most callers may have come to this daemon.
   /// @return false if there is no such peer
   bool HandToOtherSender(const routing::ServerChoice& choice);
+  /// Returns the peer to send to a server; null if there is none.
+  using SenderOf =
+      std::function<const Membership::Peer*(const routing::ServerRecord&)>;
+  /// Hands the request to the sender of the first open server that has one.
+  bool HandToSenderOfAny(const SenderOf& sender_of);
+  /// One of the peers that may send to a server, by the id of the request.
+  const Membership::Peer* OtherSenderOf(
+      const routing::ServerRecord& server) const;
   void HandTo(const Membership::Peer& peer);
   HandedRequest HandedToPeer() const;
   /// The last event that the caller has; empty if none.
--- a/packages/gateway/src/peer_calls.cc
+++ b/packages/gateway/src/peer_calls.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "gentianroute/gateway/detail/cluster_messages.h"
@@ -120,7 +121,8 @@
     std::weak_ptr<RemoteRequest*> request_;
   };
 
-  void OnCallEnded() {
+  /// The call has ended. Without an earlier answer, the peer has failed.
+  void End(std::optional<std::monostate> /*result*/) {
     if (!std::exchange(ended_, true)) {
       observer_.OnPeerFailed();
     }
@@ -261,26 +263,16 @@
   return remote;
 }
 
-void PeerCalls::EndCall(const std::weak_ptr<RemoteRequest*>& request) {
-  if (const auto alive = request.lock()) {
-    (*alive)->OnCallEnded();
-  }
-}
-
 std::unique_ptr<HandedRequestHandle> PeerCalls::HandOver(
     const DaemonState& peer,
     const HandedRequest& request,
     PeerAnswerObserver& observer) {
   auto remote = std::make_unique<RemoteRequest>(observer);
-  const std::weak_ptr<RemoteRequest*> self = remote->self();
   auto call = ClientOf(peer).handOverRequest();
   detail::WriteHandedRequest(request, call.initRequest());
-  call.setReader(kj::heap<RemoteRequest::Reader>(self));
-  // As in Send(), the callback may destroy the request.
-  tasks_->add(
-      remote->Wrap(call.send().ignoreResult())
-          .then([self] { EndCall(self); },
-                [self](kj::Exception&& /*exception*/) { EndCall(self); }));
+  call.setReader(kj::heap<RemoteRequest::Reader>(remote->self()));
+  Send(*remote, kj::mv(call),
+       [](const auto& /*response*/) { return std::monostate(); });
   return remote;
 }
 
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -55,30 +55,16 @@
   if (!origin_ || hops_ >= kMaxHops) {
     return false;
   }
-  const auto& servers = context_.servers.ServersOf(service_name_);
-  for (const routing::ServerPtr& server : servers) {
-    const routing::ServerRecord& record = server->record();
-    if (!server->open() || !placement_->Accepts(record)) {
-      continue;
-    }
-    const Membership& members = context_.cluster.members();
+  return HandToSenderOfAny([this](const routing::ServerRecord& server) {
     // Where a connection to the server has just failed, this daemon is no use
     // as its first sender.
     const bool has_failed =
-        std::ranges::find(tried_, record.id) != tried_.end();
-    const Membership::Peer* sender =
-        has_failed
-            ? members.OneOfFirst(record.id, record.data_centre, record.service,
-                                 routing::SenderShare::kMaxSenders - 1,
-                                 request_.id, peers_tried_)
-            : members.FirstSender(record.id, record.data_centre, record.service,
-                                  peers_tried_);
-    if (sender != nullptr) {
-      HandTo(*sender);
-      return true;
-    }
-  }
-  return false;
+        std::ranges::find(tried_, server.id) != tried_.end();
+    return has_failed ? OtherSenderOf(server)
+                      : context_.cluster.members().FirstSender(
+                            server.id, server.data_centre, server.service,
+                            peers_tried_);
+  });
 }
 
 bool RequestFlow::HandToOtherSender(const routing::ServerChoice& choice) {
@@ -94,16 +80,19 @@
   if (!others_may_send || hops_ > 0) {
     return false;
   }
+  return HandToSenderOfAny([this](const routing::ServerRecord& server) {
+    return OtherSenderOf(server);
+  });
+}
+
+bool RequestFlow::HandToSenderOfAny(const SenderOf& sender_of) {
   for (const routing::ServerPtr& server :
        context_.servers.ServersOf(service_name_)) {
     const routing::ServerRecord& record = server->record();
     if (!server->open() || !placement_->Accepts(record)) {
       continue;
     }
-    const Membership::Peer* sender = context_.cluster.members().OneOfFirst(
-        record.id, record.data_centre, record.service,
-        routing::SenderShare::kMaxSenders - 1, request_.id, peers_tried_);
-    if (sender != nullptr) {
+    if (const Membership::Peer* sender = sender_of(record)) {
       HandTo(*sender);
       return true;
     }
@@ -111,6 +100,13 @@
   return false;
 }
 
+const Membership::Peer* RequestFlow::OtherSenderOf(
+    const routing::ServerRecord& server) const {
+  return context_.cluster.members().OneOfFirst(
+      server.id, server.data_centre, server.service,
+      routing::SenderShare::kMaxSenders - 1, request_.id, peers_tried_);
+}
+
 void RequestFlow::HandTo(const Membership::Peer& peer) {
   context_.recorder.OnHandedOver(request_.id, peer.state.name, hops_);
   context_.loop.Cancel(stages_timer_);
