--- a/packages/decision/include/gentianroute/decision/confirmation_window.h
+++ b/packages/decision/include/gentianroute/decision/confirmation_window.h
@@ -27,7 +27,6 @@
   bool IsOpen(TimePoint now, TimePoint crash) const {
     return !confirmable_ || now < std::max(crash, confirmable_since_) + length_;
   }
-  Duration length() const { return length_; }
 
  private:
   Duration length_;
--- a/packages/decision/src/suspect_parts.cc
+++ b/packages/decision/src/suspect_parts.cc
@@ -247,9 +247,8 @@
                !WasAnsweredSince(suspect.part, crash.time);
       });
   const auto rank = [&](const SuspectPart& suspect) {
-    const auto count = counts.find(suspect.part);
-    return std::tuple(!IsKnown(now, suspect.part),
-                      count == counts.end() ? 0 : count->second, suspect.depth);
+    return std::tuple(!IsKnown(now, suspect.part), counts.at(suspect.part),
+                      suspect.depth);
   };
   std::ranges::sort(parts, std::greater{}, rank);
   parts.resize(std::min(parts.size(), options_.max_parts_told));
