Decode and log the backoff that servers ask for, and that they leave

The adapter decodes Retry-After of a 503 and Server-Leaving, server_backoff logs each, a counter sums them; also for stage answers, and for those that broke off after their head. Nothing is decided by them yet. What servers say in any answer is one struct, read in one place.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -18,6 +18,7 @@
 #include "gentianroute/gateway/request_recorder.h"
 #include "gentianroute/gateway/result_releaser.h"
 #include "gentianroute/gateway/retry_budgets.h"
+#include "gentianroute/gateway/server_notices.h"
 #include "gentianroute/gateway/stage_router.h"
 #include "gentianroute/gateway/stage_scheduler.h"
 #include "gentianroute/gateway/start_queue.h"
@@ -96,7 +97,8 @@
                          servers_,
                          placement_rules_,
                          releaser_,
-                         reach_),
+                         reach_,
+                         notices_),
         stage_router_(loop, cluster_, stage_scheduler_, servers_, topology_),
         streams_(loop,
                  cluster_,
@@ -109,7 +111,7 @@
                       stage_router_, cluster_,       reach_,
                       streams_,      retry_budgets_, service_times_,
                       weights_,      suspects_,      suspect_parts_,
-                      recorder_,     drain_} {
+                      recorder_,     notices_,       drain_} {
     reach_.SetOnChanged([this](std::string_view service, bool cut_off) {
       OnReachChanged(service, cut_off);
     });
@@ -524,6 +526,7 @@
   SuspectTable suspects_;
   SuspectParts suspect_parts_;
   RequestRecorder recorder_;
+  ServerNotices notices_;
   detail::RowWriter deployment_writer_;
   detail::RowWriter server_writer_;
   StoreFollower deployment_;
--- a/packages/gateway/include/gentianroute/gateway/limit_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/limit_recorder.h
@@ -13,13 +13,6 @@
 /// @param told_by a peer; empty if the server itself said so
 void LogRequestLimit(const routing::Server& server, std::string_view told_by);
 
-/// @brief Records what an answer says about the requests that its server takes.
-/// @param sent_at time of the answer's request
-void RecordRequestLimit(TimePoint now,
-                        TimePoint sent_at,
-                        std::optional<double> requests_per_second,
-                        routing::Server& server);
-
 /// @brief Logs that the servers of a service are brittle, or no longer.
 /// @param bearable_rejections per second and server; empty: not brittle
 /// @param told_by a peer; empty if a server itself said so
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -20,6 +20,7 @@
 #include "gentianroute/gateway/reach_monitor.h"
 #include "gentianroute/gateway/request_recorder.h"
 #include "gentianroute/gateway/retry_budgets.h"
+#include "gentianroute/gateway/server_notices.h"
 #include "gentianroute/gateway/stage_router.h"
 #include "gentianroute/gateway/stream_origin_lookup.h"
 #include "gentianroute/gateway/stream_registry.h"
@@ -55,6 +56,7 @@
   SuspectTable& suspects;
   SuspectParts& suspect_parts;
   RequestRecorder& recorder;
+  ServerNotices& notices;
   const routing::DrainTimes& drain_times;
 };
 
--- a/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
@@ -13,6 +13,7 @@
 #include "gentianroute/gateway/pool_key.h"
 #include "gentianroute/gateway/reach_monitor.h"
 #include "gentianroute/gateway/result_releaser.h"
+#include "gentianroute/gateway/server_notices.h"
 #include "gentianroute/gateway/translator.h"
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/relay_client.h"
@@ -34,7 +35,8 @@
                  routing::ServerDirectory& servers,
                  const routing::PlacementRules& placement_rules,
                  ResultReleaser& releaser,
-                 ReachMonitor& reach);
+                 ReachMonitor& reach,
+                 ServerNotices& notices);
   ~StageScheduler();
 
   /// @brief Names the data centre whose pool of a service starts a group
@@ -90,6 +92,10 @@
   static void LogCall(const Pool& pool,
                       const routing::StageCall& call,
                       std::span<const StagePieceRequest> pieces);
+  /// Records what a server says of itself, also in an answer that broke off.
+  void RecordNotice(TimePoint sent_at,
+                    const RelayFetchResult& end,
+                    routing::Server& server);
   StageAnswer ReadAnswer(const Pool& pool,
                          const routing::Server& server,
                          const RelayFetchResult& end);
@@ -113,6 +119,7 @@
   const routing::PlacementRules& placement_rules_;
   ResultReleaser& releaser_;
   ReachMonitor& reach_;
+  ServerNotices& notices_;
   FasterPool faster_pool_;
   routing::RouteTablePtr table_;
   std::map<PoolKey, std::unique_ptr<Pool>> pools_;
--- a/packages/gateway/include/gentianroute/gateway/translator.h
+++ b/packages/gateway/include/gentianroute/gateway/translator.h
@@ -45,16 +45,26 @@
   std::string resume_after;  ///< last event that the caller has; empty if none
 };
 
-/// @brief Content of the head of a server's answer.
-struct ServerAnswer {
-  int status = 0;
-  bool not_run = false;  ///< the server has not run the request, and won't
+/// @brief What a server says of itself in the head of an answer, whatever the
+/// request was.
+struct ServerNotice {
   /// Requests per second that the server takes from all daemons together; empty
   /// if it names no limit.
   std::optional<double> request_limit;
   /// Rejections per second beyond which the server falls over; empty if it is
   /// not brittle.
   std::optional<double> bearable_rejections;
+  /// Time for which the server wants nothing more from this daemon; empty if it
+  /// asks for none.
+  std::optional<Duration> backoff;
+  bool leaving = false;  ///< it will stop, and takes no new work
+};
+
+/// @brief Content of the head of a server's answer.
+struct ServerAnswer {
+  int status = 0;
+  bool not_run = false;  ///< the server has not run the request, and won't
+  ServerNotice notice;
   HttpHeaders forwarded_fields;  ///< sent to the caller
 };
 
@@ -63,7 +73,6 @@
   routing::CallStatus status = routing::CallStatus::kBroken;
   /// One for each piece if the call was answered, otherwise empty.
   std::vector<routing::PieceResult> results;
-  std::optional<double> request_limit;  ///< as in ServerAnswer
 };
 
 /// @brief One piece as it is sent to a stage server.
@@ -104,6 +113,7 @@
   virtual HttpHeaders ServerFields(const CallerRequest& caller,
                                    const ServerRequest& added) const = 0;
   virtual ServerAnswer ReadAnswer(const MessageHead& head) const = 0;
+  virtual ServerNotice ReadNotice(const MessageHead& head) const = 0;
   /// @brief Whether an answer belongs to the request with this id.
   virtual bool IsAnswerTo(const MessageHead& head,
                           std::string_view request) const = 0;
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -10,6 +10,7 @@
 void Gateway::Impl::AnswerMetrics(RelayExchange& exchange) {
   MetricWriter writer;
   recorder_.Write(writer);
+  notices_.Write(writer);
   const auto gauge = [&writer](std::string_view name, std::string_view help,
                                double value) {
     writer.AddMetric(name, "gauge", help);
--- a/packages/gateway/src/limit_recorder.cc
+++ b/packages/gateway/src/limit_recorder.cc
@@ -29,15 +29,6 @@
   AddRate(event, "per_second", server.request_limit().rate(), told_by);
 }
 
-void RecordRequestLimit(TimePoint now,
-                        TimePoint sent_at,
-                        std::optional<double> requests_per_second,
-                        routing::Server& server) {
-  if (server.request_limit().OnAnswer(now, sent_at, requests_per_second)) {
-    LogRequestLimit(server, "");
-  }
-}
-
 void LogBrittleService(std::string_view service,
                        std::optional<double> bearable_rejections,
                        std::string_view told_by) {
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -192,12 +192,12 @@
   ends_with_connection_ = ends_with_connection;
   server_->OnBytesReceived(context_.loop.Now());
   context_.reach.OnAnswer(server_->record());
-  RecordRequestLimit(context_.loop.Now(), sent_at_, answer.request_limit,
-                     *server_);
+  context_.notices.OnAnswer(context_.loop.Now(), sent_at_, answer.notice,
+                            *server_);
   if (context_.placement_rules.brittle_servers.services().OnAnswer(
           context_.loop.Now(), sent_at_, service_name_,
-          answer.bearable_rejections)) {
-    LogBrittleService(service_name_, answer.bearable_rejections, "");
+          answer.notice.bearable_rejections)) {
+    LogBrittleService(service_name_, answer.notice.bearable_rejections, "");
     context_.cluster.SendUpdate(Cluster::UpdateScope::kGossip);
   }
   context_.loop.Cancel(answer_timer_);
--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "gentianroute/gateway/limit_recorder.h"
 #include "gentianroute/observe/log.h"
 
 namespace gentianroute::gateway {
@@ -61,14 +60,16 @@
                                routing::ServerDirectory& servers,
                                const routing::PlacementRules& placement_rules,
                                ResultReleaser& releaser,
-                               ReachMonitor& reach)
+                               ReachMonitor& reach,
+                               ServerNotices& notices)
     : loop_(loop),
       fetches_(loop, client),
       translator_(translator),
       servers_(servers),
       placement_rules_(placement_rules),
       releaser_(releaser),
-      reach_(reach) {}
+      reach_(reach),
+      notices_(notices) {}
 
 StageScheduler::~StageScheduler() {
   for (const auto& [key, pool] : pools_) {
@@ -227,15 +228,21 @@
   fetches_.Start(std::move(relay_call), call.timeout,
                  [this, &pool, id = call.id, server = call.server,
                   sent_at = now](const RelayFetchResult& end) {
-                   const StageAnswer answer = ReadAnswer(pool, *server, end);
-                   if (end.complete) {
-                     RecordRequestLimit(loop_.Now(), sent_at,
-                                        answer.request_limit, *server);
-                   }
-                   OnCallEnd(pool, id, answer);
+                   RecordNotice(sent_at, end, *server);
+                   OnCallEnd(pool, id, ReadAnswer(pool, *server, end));
                  });
 }
 
+void StageScheduler::RecordNotice(TimePoint sent_at,
+                                  const RelayFetchResult& end,
+                                  routing::Server& server) {
+  const bool has_head = end.head.status != 0;
+  if (has_head) {
+    notices_.OnAnswer(loop_.Now(), sent_at, translator_.ReadNotice(end.head),
+                      server);
+  }
+}
+
 void StageScheduler::LogCall(const Pool& pool,
                              const routing::StageCall& call,
                              std::span<const StagePieceRequest> pieces) {
