Send nothing to a server for the time that it has asked for

Cause: no part of the code read the field; a 503 led to 300 ms in which the server was chosen last.

Change: the time is state of the server (ServerBackoff), asked by each way to it: Placement::Check for requests, retries, resumed and handed streams; StagePool for calls; ResultReleaser for releases. The latest end counts. Answers to earlier requests don't end it. A server whose entry expires and comes back as the same incarnation is the same object again, so that this and all else that it has said outlives the entry; a new incarnation, or another server at the address, inherits nothing. All servers back off: refused at once with the least time left; stage groups that can't be in time end at once, the backlog that others see tells the time. Daemons return spread over a quarter of the time, with single requests until one is answered.

Two ways for a daemon whose servers all back off, three daemons, one server (tests): refuse, 0 of 40 answered while the server has asked this daemon only; hand the request to a peer that may send there, 36 or more of 40. A server that turns everybody away gets at most one request of each daemon. Handing over is kept; peers that are asked too refuse at once.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -66,6 +66,7 @@
         settings_(std::move(settings)),
         translator_(translator),
         topology_(settings_.data_centre, settings_.regions),
+        notices_(servers_, static_cast<std::uint64_t>(loop.WallTime())),
         suspects_({.confirmation_timeout = settings_.CrashConfirmationTime()}),
         suspect_parts_(
             {.confirmation_timeout = settings_.CrashConfirmationTime()}),
@@ -89,7 +90,7 @@
             routing::RequestRateLimiter(settings_.request_limit_tolerance,
                                         senders_),
             routing::BrittleServerLimiter(senders_)},
-        releaser_(loop, client, translator),
+        releaser_(loop, client, translator, notices_),
         reach_(loop, client, servers_, placement_rules_.evacuations),
         stage_scheduler_(loop,
                          client,
@@ -456,6 +457,7 @@
     const TimePoint now = loop_.Now();
     LimitUnsentAnswers();
     servers_.Expire(now);
+    notices_.Sweep(now);
     const bool is_list_current = IsHostListCurrent();
     suspects_.SetConfirmable(now, is_list_current);
     suspects_.Sweep(now);
@@ -523,10 +525,10 @@
   routing::Topology topology_;
   routing::RouteTablePtr table_;
   routing::ServerDirectory servers_;
+  ServerNotices notices_;
   SuspectTable suspects_;
   SuspectParts suspect_parts_;
   RequestRecorder recorder_;
-  ServerNotices notices_;
   detail::RowWriter deployment_writer_;
   detail::RowWriter server_writer_;
   StoreFollower deployment_;
--- a/packages/gateway/include/gentianroute/gateway/detail/request_limits.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/request_limits.h
@@ -15,6 +15,10 @@
 inline constexpr Duration kTypicalAnswerTime = std::chrono::milliseconds(150);
 /// Lower bound on the answer time of any server.
 inline constexpr Duration kMinAnswerTime = std::chrono::milliseconds(20);
+/// A request waits for a server with a backoff that ends within this time.
+inline constexpr Duration kMaxBackoffWait = std::chrono::milliseconds(250);
+/// The same for the rest of a stream whose caller has received a part.
+inline constexpr Duration kMaxBackoffWaitInStream = std::chrono::seconds(1);
 /// Number of times that a request's lost stage results are computed again
 /// before it fails.
 inline constexpr std::uint32_t kMaxRecomputations = 2;
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -127,6 +127,9 @@
   /// Refuses the request if its stages have no servers or can't finish before
   /// StagesDeadline().
   bool RefuseIfStagesLate();
+  /// Refuses the request if all its servers have asked for a backoff that ends
+  /// after its stages.
+  bool RefuseIfBackedOff();
   /// Refuses the request if the daemon drains and may stop before the answer.
   bool RefuseIfDraining();
   void RecordAdmission();
@@ -286,6 +289,8 @@
 
   bool repeatable() const { return route_->MayRepeat(); }
   Duration TimeLeft() const;
+  /// Time until one of its servers may be used, see routing::BackoffLeft().
+  Duration BackoffLeft() const;
   /// Lower bound on the time that the request's server needs.
   Duration MinAnswerTime() const;
   /// Number of tokens that the answer will probably have.
--- a/packages/gateway/include/gentianroute/gateway/result_releaser.h
+++ b/packages/gateway/include/gentianroute/gateway/result_releaser.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "gentianroute/gateway/server_notices.h"
 #include "gentianroute/gateway/translator.h"
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/relay_client.h"
@@ -18,12 +19,13 @@
 /// A result occupies storage at the server that computed it until it is
 /// released or expires some seconds later. Without releases, a server with
 /// large results is full after a few calls and rejects pieces. Releases are
-/// batched per server.
+/// batched per server. They wait while their server has asked for a backoff.
 class ResultReleaser {
  public:
   ResultReleaser(EventLoop& loop,
                  RelayClient& client,
-                 const Translator& translator);
+                 const Translator& translator,
+                 ServerNotices& notices);
   ~ResultReleaser();
 
   void Release(std::vector<std::string> results);
@@ -35,6 +37,7 @@
   EventLoop& loop_;
   RelayFetches fetches_;
   const Translator& translator_;
+  ServerNotices& notices_;
   std::map<Endpoint, std::vector<std::string>> pending_;
   TimerId timer_;
 };
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -34,6 +34,9 @@
   gauge("gentianroute_gateway_limited_servers",
         "Servers that name a limit of requests per second.",
         static_cast<double>(limited));
+  gauge("gentianroute_gateway_servers_backing_off",
+        "Servers that have asked this daemon to send them nothing now.",
+        static_cast<double>(notices_.CountBackingOff(now)));
   gauge("gentianroute_gateway_cut_off",
         "1 while this daemon reaches no backend server, otherwise 0.",
         reach_.is_cut_off() ? 1 : 0);
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -15,6 +15,7 @@
 namespace gentianroute::gateway {
 namespace {
 
+using detail::kMaxBackoffWait;
 using detail::kMinAnswerTime;
 using detail::kTypicalAnswerTime;
 
@@ -200,7 +201,8 @@
   }
   context_.retry_budgets.OnRequest(service_name_,
                                    context_.cluster.live_daemons());
-  if (RefuseIfNoPlace() || RefuseIfStagesLate() || RefuseIfDraining()) {
+  if (RefuseIfNoPlace() || RefuseIfStagesLate() || RefuseIfBackedOff() ||
+      RefuseIfDraining()) {
     return;
   }
   stages_timer_ =
@@ -266,6 +268,22 @@
   return false;
 }
 
+Duration RequestFlow::BackoffLeft() const {
+  return placement_
+             ? routing::BackoffLeft(context_.loop.Now(),
+                                    context_.servers.ServersOf(service_name_),
+                                    *placement_)
+             : Duration{0};
+}
+
+bool RequestFlow::RefuseIfBackedOff() {
+  if (BackoffLeft() <= std::max(expected_stage_time_, kMaxBackoffWait)) {
+    return false;
+  }
+  Refuse(ErrorKind::kOverloaded, "all servers have asked for a backoff");
+  return true;
+}
+
 bool RequestFlow::RefuseIfDraining() {
   const routing::ServiceTimeEstimate& estimate =
       context_.service_times.Of(service_name_);
@@ -321,11 +339,12 @@
     Refuse(kind, detail, std::nullopt);
     return;
   }
-  // A caller that retried before the backlog is done would meet the same queue.
+  // A caller that retried before the backlog is done would meet the same queue,
+  // and before the end of a backoff the same refusal.
   const Duration busy = plan_ ? context_.stage_router.BacklogTime(
                                     context_.loop.Now(), *plan_, *placement_)
                               : Duration{0};
-  Refuse(kind, detail, std::max(busy, kDefaultRetryAfter));
+  Refuse(kind, detail, std::max({busy, BackoffLeft(), kDefaultRetryAfter}));
 }
 
 void RequestFlow::Refuse(ErrorKind kind,
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -150,7 +150,11 @@
   // cut off from them, and has to hand the request to a peer.
   const bool may_be_cut_off =
       !tried_.empty() && context_.reach.IsProbing(service_name_);
-  const bool may_find_one = held > 0 || may_be_cut_off;
+  const bool backoff_ends_soon =
+      count(routing::PlacementVerdict::kBackoff) > 0 &&
+      BackoffLeft() <= (answer_begun_ ? detail::kMaxBackoffWaitInStream
+                                      : detail::kMaxBackoffWait);
+  const bool may_find_one = held > 0 || may_be_cut_off || backoff_ends_soon;
   if (!may_find_one ||
       context_.loop.Now() + kServerRetryPeriod + MinAnswerTime() > deadline_) {
     return false;
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -69,9 +69,9 @@
 
 bool RequestFlow::HandToOtherSender(const routing::ServerChoice& choice) {
   using routing::PlacementVerdict;
-  constexpr std::array kShareUsedUp = {PlacementVerdict::kRateLimited,
-                                       PlacementVerdict::kNotSender,
-                                       PlacementVerdict::kNoRoom};
+  constexpr std::array kShareUsedUp = {
+      PlacementVerdict::kRateLimited, PlacementVerdict::kNotSender,
+      PlacementVerdict::kNoRoom, PlacementVerdict::kBackoff};
   const bool others_may_send =
       std::ranges::any_of(kShareUsedUp, [&choice](PlacementVerdict verdict) {
         return choice.verdicts[static_cast<std::size_t>(verdict)] > 0;
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -14,7 +14,7 @@
 /// of the metrics, by PlacementVerdict.
 constexpr auto kLimitNames = std::to_array<std::string_view>(
     {"accepted", "outside_regions", "evacuated", "cold", "rate_limited",
-     "not_sender", "no_room", "other_version"});
+     "not_sender", "no_room", "other_version", "backoff"});
 
 /// Whether the request was answered or cancelled by its caller.
 bool IsExpectedOutcome(std::string_view outcome) {
--- a/packages/gateway/src/result_releaser.cc
+++ b/packages/gateway/src/result_releaser.cc
@@ -17,8 +17,12 @@
 
 ResultReleaser::ResultReleaser(EventLoop& loop,
                                RelayClient& client,
-                               const Translator& translator)
-    : loop_(loop), fetches_(loop, client), translator_(translator) {
+                               const Translator& translator,
+                               ServerNotices& notices)
+    : loop_(loop),
+      fetches_(loop, client),
+      translator_(translator),
+      notices_(notices) {
   timer_ = loop_.Every(kReleasePeriod, [this] { Flush(); });
 }
 
@@ -39,25 +43,35 @@
 
 void ResultReleaser::Flush() {
   for (auto& [server, results] : std::exchange(pending_, {})) {
-    Send(server, std::move(results));
+    if (results.size() > kMaxResultsPerCall) {
+      LogEvent("releases_dropped", LogLevel::kWarning)
+          .Field("server", server.ToString())
+          .Field("results", results.size() - kMaxResultsPerCall);
+      results.resize(kMaxResultsPerCall);
+    }
+    if (notices_.IsBackingOff(loop_.Now(), server)) {
+      pending_.emplace(server, std::move(results));
+    } else {
+      Send(server, std::move(results));
+    }
   }
 }
 
 void ResultReleaser::Send(const Endpoint& server,
                           std::vector<std::string> results) {
-  if (results.size() > kMaxResultsPerCall) {
-    results.resize(kMaxResultsPerCall);
-  }
   RelayCall call;
   call.endpoint = server;
   call.message = translator_.ReleaseMessage(server, results);
   // A failed release is not retried, since the results expire within seconds.
-  fetches_.Start(std::move(call), kCallTimeout,
-                 [](const RelayFetchResult& end) {
-                   if (!end.complete) {
-                     LogEvent("release_lost", LogLevel::kWarning);
-                   }
-                 });
+  fetches_.Start(
+      std::move(call), kCallTimeout,
+      [this, server, sent_at = loop_.Now()](const RelayFetchResult& end) {
+        notices_.OnAnswerFrom(loop_.Now(), sent_at,
+                              translator_.ReadNotice(end.head), server);
+        if (!end.complete) {
+          LogEvent("release_lost", LogLevel::kWarning);
+        }
+      });
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/routing/include/gentianroute/routing/placement.h
+++ b/packages/routing/include/gentianroute/routing/placement.h
@@ -41,8 +41,9 @@
   kNotSender,    ///< it is brittle, and other daemons have all its slots
   kNoRoom,  ///< it is brittle, and this daemon's part of its slots is taken
   kOtherVersion,  ///< its software is not of the version that began the stream
+  kBackoff,       ///< it has asked this daemon to send it nothing now
 };
-inline constexpr std::size_t kPlacementVerdicts = 8;
+inline constexpr std::size_t kPlacementVerdicts = 9;
 
 /// @brief Number of servers with each verdict.
 using PlacementCounts = std::array<std::uint32_t, kPlacementVerdicts>;
@@ -98,6 +99,9 @@
     if (verdict != PlacementVerdict::kAccepted) {
       return verdict;
     }
+    if (!server.backoff().MaySend(now)) {
+      return PlacementVerdict::kBackoff;
+    }
     if (!rules_->cold_servers.MaySend(now, server)) {
       return PlacementVerdict::kCold;
     }
@@ -125,6 +129,12 @@
 /// state.
 bool HasPlace(std::span<const ServerPtr> servers, const Placement& placement);
 
+/// @brief Time until one of the open servers that accept the work may be sent
+/// something again; zero unless all of them have asked for a backoff.
+Duration BackoffLeft(TimePoint now,
+                     std::span<const ServerPtr> servers,
+                     const Placement& placement);
+
 }  // namespace gentianroute::routing
 
 #endif  // GENTIANROUTE_ROUTING_PLACEMENT_H_
--- a/packages/routing/include/gentianroute/routing/server.h
+++ b/packages/routing/include/gentianroute/routing/server.h
@@ -11,6 +11,7 @@
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/prompt_cache.h"
 #include "gentianroute/routing/request_limit.h"
+#include "gentianroute/routing/server_backoff.h"
 #include "gentianroute/routing/server_pace.h"
 #include "gentianroute/routing/warm_up.h"
 
@@ -137,6 +138,7 @@
   bool open() const { return listed_ && !record_.leaving; }
   bool listed() const { return listed_; }
   void Unlist() { listed_ = false; }
+  void Relist() { listed_ = true; }
 
   ServerLoad& own() { return own_; }
   const ServerLoad& own() const { return own_; }
@@ -155,6 +157,8 @@
   const WarmUp& warm_up() const { return warm_up_; }
   RequestLimit& request_limit() { return request_limit_; }
   const RequestLimit& request_limit() const { return request_limit_; }
+  ServerBackoff& backoff() { return backoff_; }
+  const ServerBackoff& backoff() const { return backoff_; }
   PromptCache& prompt_cache() { return prompt_cache_; }
   const PromptCache& prompt_cache() const { return prompt_cache_; }
 
@@ -162,6 +166,7 @@
   void OnSent(TimePoint now) {
     warm_up_.OnSent(now);
     request_limit_.OnSent(now);
+    backoff_.OnSent(now);
   }
   /// @brief Records that bytes of any answer arrived. A server that sends to
   /// other callers is up, even if one answer is slow.
@@ -182,6 +187,7 @@
   ServerPace pace_;
   WarmUp warm_up_;
   RequestLimit request_limit_;
+  ServerBackoff backoff_;
   PromptCache prompt_cache_;
   TimePoint last_received_{};
   TimePoint last_rejected_{};  ///< zero: never
--- a/packages/routing/include/gentianroute/routing/server_directory.h
+++ b/packages/routing/include/gentianroute/routing/server_directory.h
@@ -17,8 +17,13 @@
   /// Live servers renew entries that expired during a store outage within about
   /// this time after its end.
   static constexpr Duration kReregistrationGrace = std::chrono::seconds(2);
+  /// A server that is listed again within this time keeps what is known of it.
+  static constexpr Duration kRememberedTime = std::chrono::minutes(5);
 
   /// @brief Adds or updates a server. A new incarnation replaces the old one.
+  ///
+  /// An incarnation whose entry expired and comes back is the same object as
+  /// before: what it has asked for is still in force.
   void Put(TimePoint now, ServerRecord record);
   /// @brief Handles the removal of an entry from the host list.
   ///
@@ -34,7 +39,8 @@
   bool has_store_recovered() const {
     return store_recovered_at_ != kNeverRecovered;
   }
-  /// @brief Drops removed entries that were not renewed in time.
+  /// @brief Drops removed entries that were not renewed in time, and forgets
+  /// servers that have not been listed for long.
   void Expire(TimePoint now);
 
   /// @return the listed servers of a service, including those that are leaving
@@ -52,12 +58,22 @@
  private:
   static constexpr TimePoint kNeverRecovered = TimePoint::min();
 
-  void Erase(std::string_view id);
+  struct Unlisted {
+    ServerPtr server;
+    TimePoint since{};
+  };
+
+  void Erase(TimePoint now, std::string_view id);
   void Close(Server& server);
+  /// @return the server that was listed with this record before; otherwise a
+  /// new one
+  ServerPtr TakeUnlisted(const ServerRecord& record);
 
   std::map<std::string, ServerPtr, std::less<>> by_id_;
   std::map<std::string, std::vector<ServerPtr>, std::less<>> by_service_;
   std::map<std::string, TimePoint, std::less<>> expired_;
+  /// The last incarnation of each server that is not listed any more.
+  std::map<std::string, Unlisted, std::less<>> unlisted_;
   TimePoint store_recovered_at_ = kNeverRecovered;
   std::function<void(Server&)> on_closed_;
 };
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -186,7 +186,10 @@
   std::vector<StageGroupId> EndLateGroups(TimePoint now, std::size_t servers);
   /// Ends the groups that have queued pieces because no server is open.
   void EndWaitingGroups();
-  Duration RunningTime(TimePoint now) const;
+  /// Server time that is taken before any queued piece can run.
+  Duration BusyTime(TimePoint now) const;
+  /// Records until when all servers have asked for a backoff.
+  void UpdateBackoff(TimePoint now, std::span<const ServerPtr> servers);
   std::vector<ServerPtr> FreeServers(TimePoint now,
                                      std::span<const ServerPtr> servers);
   StageCall FillCall(TimePoint now,
@@ -239,6 +242,9 @@
   std::vector<StageGroupResult> finished_;
   std::vector<std::string> orphans_;
   std::size_t waiting_pieces_ = 0;
+  /// Until then, no open server may be sent a call.
+  TimePoint backoff_until_{};
+  std::size_t open_servers_ = 0;
   /// Next search for late groups if no server is free before.
   TimePoint next_late_check_at_{};
   std::uint64_t last_group_ = 0;
--- a/packages/routing/src/server_directory.cc
+++ b/packages/routing/src/server_directory.cc
@@ -5,26 +5,31 @@
 #include <utility>
 
 namespace gentianroute::routing {
+namespace {
+
+bool IsSameIncarnation(const ServerRecord& a, const ServerRecord& b) {
+  return a.started_at_unix_ms == b.started_at_unix_ms &&
+         a.service == b.service && a.software_version == b.software_version &&
+         a.address == b.address && a.port == b.port;
+}
+
+}  // namespace
 
 void ServerDirectory::Put(TimePoint now, ServerRecord record) {
   expired_.erase(record.id);
   const auto found = by_id_.find(record.id);
   if (found == by_id_.end()) {
-    ServerPtr server(new Server(std::move(record)));
+    const ServerPtr server = TakeUnlisted(record);
+    server->SetRecord(std::move(record));
+    server->Relist();
     server->warm_up().OnReport(now, server->record().warm_up_left);
     by_service_[server->record().service].push_back(server);
     by_id_.emplace(server->record().id, server);
     return;
   }
   Server& server = *found->second;
-  const bool same_incarnation =
-      server.record().started_at_unix_ms == record.started_at_unix_ms &&
-      server.record().service == record.service &&
-      server.record().software_version == record.software_version &&
-      server.record().address == record.address &&
-      server.record().port == record.port;
-  if (!same_incarnation) {
-    Erase(record.id);
+  if (!IsSameIncarnation(server.record(), record)) {
+    Erase(now, record.id);
     Put(now, std::move(record));
     return;
   }
@@ -40,7 +45,7 @@
   const bool may_reregister = store_recovered_at_ != kNeverRecovered &&
                               now < store_recovered_at_ + kReregistrationGrace;
   if (!may_reregister) {
-    Erase(id);
+    Erase(now, id);
     return;
   }
   if (by_id_.contains(id)) {
@@ -76,11 +81,23 @@
     }
   }
   for (const std::string& id : due) {
-    Erase(id);
+    Erase(now, id);
+  }
+  std::erase_if(unlisted_, [now](const auto& entry) {
+    return now - entry.second.since > kRememberedTime;
+  });
+}
+
+ServerPtr ServerDirectory::TakeUnlisted(const ServerRecord& record) {
+  auto unlisted = unlisted_.extract(record.id);
+  if (!unlisted.empty() &&
+      IsSameIncarnation(unlisted.mapped().server->record(), record)) {
+    return std::move(unlisted.mapped().server);
   }
+  return ServerPtr(new Server(record));
 }
 
-void ServerDirectory::Erase(std::string_view id) {
+void ServerDirectory::Erase(TimePoint now, std::string_view id) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) {
     return;
@@ -94,6 +111,7 @@
   servers.erase(std::remove(servers.begin(), servers.end(), server),
                 servers.end());
   server->Unlist();
+  unlisted_[server->record().id] = {server, now};
   Close(*server);
 }
 
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <utility>
 
 namespace gentianroute::routing {
@@ -99,7 +100,7 @@
                        WaitingTime(entry), capacity_.TypicalCallTime(),
                        entry.value});
   }
-  return OrderWork(now, std::move(waiting), RunningTime(now), servers);
+  return OrderWork(now, std::move(waiting), BusyTime(now), servers);
 }
 
 Duration StagePool::WaitingTime(const Group& entry) const {
@@ -111,7 +112,7 @@
 std::vector<StageGroupId> StagePool::EndLateGroups(TimePoint now,
                                                    std::size_t servers) {
   std::vector<StageGroupId> kept;
-  Duration ahead = RunningTime(now);
+  Duration ahead = BusyTime(now);
   for (const WaitingWork& next : ByUrgency(now, servers)) {
     const StageGroupId id{next.id};
     const Group& entry = groups_.at(id);
@@ -154,14 +155,28 @@
   server_states_[std::string(server)].hold_until = until;
 }
 
-Duration StagePool::RunningTime(TimePoint now) const {
+void StagePool::UpdateBackoff(TimePoint now,
+                              std::span<const ServerPtr> servers) {
+  std::optional<Duration> shortest;
+  for (const ServerPtr& server : servers) {
+    if (server->open()) {
+      const Duration left = server->backoff().TimeLeft(now);
+      shortest = std::min(shortest.value_or(left), left);
+    }
+  }
+  open_servers_ = CountOpenServers(servers);
+  backoff_until_ = now + shortest.value_or(Duration{0});
+}
+
+Duration StagePool::BusyTime(TimePoint now) const {
   Duration running{0};
   for (const auto& [id, state] : server_states_) {
     if (state.calls > 0 && state.busy_until > now) {
       running += state.busy_until - now;
     }
   }
-  return running;
+  const Duration backoff = std::max(backoff_until_ - now, Duration{0});
+  return std::max(running, backoff * static_cast<std::int64_t>(open_servers_));
 }
 
 std::vector<ServerPtr> StagePool::FreeServers(
@@ -171,7 +186,8 @@
   std::vector<ServerPtr> slow;
   bool has_healthy = false;
   for (const ServerPtr& server : servers) {
-    if (!server->open() || server->history().IsAvoided(now)) {
+    if (!server->open() || !server->backoff().MaySend(now) ||
+        server->history().IsAvoided(now)) {
       continue;
     }
     const bool is_slow = server->history().Slowness(now) > kSlownessLimit;
@@ -190,11 +206,11 @@
   std::vector<StageCall> calls;
   late_groups_.clear();
   storage_.Expire(now);
+  UpdateBackoff(now, servers);
   if (waiting_pieces_ == 0) {
     return calls;
   }
-  const std::size_t open = CountOpenServers(servers);
-  if (open == 0) {
+  if (open_servers_ == 0) {
     EndWaitingGroups();
     return calls;
   }
@@ -205,7 +221,7 @@
     return calls;
   }
   next_late_check_at_ = now + kDispatchInterval;
-  std::vector<StageGroupId> order = EndLateGroups(now, open);
+  std::vector<StageGroupId> order = EndLateGroups(now, open_servers_);
   PutStartedFirst(order);
   for (std::size_t i = 0; i < free.size() && waiting_pieces_ > 0; ++i) {
     // Free servers share the queued pieces, but no call gets less than half a
@@ -489,7 +505,7 @@
     return capacity_.call_overhead *
            ((pieces + capacity_.batch - 1) / capacity_.batch);
   };
-  const Duration running = RunningTime(now);
+  const Duration running = BusyTime(now);
   return {running + pieces_on_time + calls_for(on_time),
           running + pieces_on_time + pieces_late + calls_for(waiting_pieces_)};
 }
--- a/packages/routing/tests/server_directory_test.cc
+++ b/packages/routing/tests/server_directory_test.cc
@@ -79,3 +79,46 @@
   servers.Expire(kStart + std::chrono::seconds(2));
   cr_assert(servers.ServersOf("stage").empty());
 }
+
+// Guards against what a server has asked for being forgotten with its entry,
+// which expires while the store is away and is renewed later.
+Test(server_directory, entry_expires_and_comes_back_server_is_the_same) {
+  ServerDirectory servers;
+  servers.Put(kStart, Record("a"));
+  const ServerPtr before(servers.Find("a"));
+  servers.Remove(kStart, "a");
+  cr_assert_not(before->open());
+  servers.Put(kStart + std::chrono::seconds(30), Record("a"));
+  cr_assert(servers.Find("a") == before.get());
+  cr_assert(before->open());
+}
+
+// Guards against a server inheriting what another one at its address, or an
+// earlier start of it, has asked for.
+Test(server_directory, another_incarnation_comes_back_it_inherits_nothing) {
+  ServerDirectory servers;
+  servers.Put(kStart, Record("a", 1));
+  servers.Put(kStart, Record("b", 1));
+  const ServerPtr a(servers.Find("a"));
+  const ServerPtr b(servers.Find("b"));
+  servers.Remove(kStart, "a");
+  servers.Remove(kStart, "b");
+  servers.Put(kStart, Record("a", 2));
+  ServerRecord moved = Record("b", 1);
+  moved.port = 81;
+  servers.Put(kStart, moved);
+  cr_assert(servers.Find("a") != a.get());
+  cr_assert(servers.Find("b") != b.get());
+}
+
+Test(server_directory, entry_stays_away_for_long_server_is_forgotten) {
+  ServerDirectory servers;
+  servers.Put(kStart, Record("a"));
+  const ServerPtr before(servers.Find("a"));
+  servers.Remove(kStart, "a");
+  const TimePoint later =
+      kStart + ServerDirectory::kRememberedTime + std::chrono::seconds(1);
+  servers.Expire(later);
+  servers.Put(later, Record("a"));
+  cr_assert(servers.Find("a") != before.get());
+}
