Close a server for new work once it has said in an answer that it leaves

Callers would have seen requests cut off or turned away by a server that was about to stop: it told so in every answer, and only the host list was heeded, which lags, is away at times, or never says so.

Cause: the field was decoded and decided nothing; and a record from the list replaced what was known. Change: leaving is a property of the incarnation that no entry takes back. Each head of an answer is read for it: of requests, streams that are far from their end, stage calls and releases. The source of an answer travels with it between daemons (AnswerSource, with the origin of streams), so that a daemon which passes an answer on for a peer closes the server too, also if it doesn't list it yet. A new incarnation is open.

Not told in heartbeats: a daemon that has passed on no such answer learns it by its own first one, or the list.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -50,10 +50,10 @@
   /// services, or none at all.
   virtual void OnPeerCutOff(std::string_view peer) = 0;
   /// @brief Runs a caller's request for a peer that can't send it.
-  /// @param on_origin called before a stream begins as its answer
+  /// @param on_source called before the answer of a server begins
   virtual void RunHandedRequest(RelayExchangePtr exchange,
                                 RequestProgress progress,
-                                OnStreamOrigin on_origin) = 0;
+                                OnAnswerSource on_source) = 0;
   /// @brief A peer has begun streams, whose origins this daemon keeps.
   virtual void OnPeerStreams(std::span<const routing::BegunStream> streams) = 0;
   /// @brief What this daemon can say about the origin of a stream.
--- a/packages/gateway/include/gentianroute/gateway/detail/cluster_messages.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/cluster_messages.h
@@ -40,6 +40,12 @@
 std::optional<routing::StreamOrigin> ReadOrigin(
     schema::StreamOrigin::Reader in);
 
+void WriteLeavingServer(const LeavingServer& server,
+                        schema::LeavingServer::Builder out);
+/// @return empty if the message has none
+std::optional<LeavingServer> ReadLeavingServer(
+    schema::LeavingServer::Reader in);
+
 using BegunStreamList = capnp::List<schema::BegunStream>;
 void WriteBegunStreams(std::span<const routing::BegunStream> streams,
                        BegunStreamList::Builder out);
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -184,9 +184,9 @@
   }
   void RunHandedRequest(RelayExchangePtr exchange,
                         RequestProgress progress,
-                        OnStreamOrigin on_origin) override {
+                        OnAnswerSource on_source) override {
     RequestFlow::Begin(flow_context_, std::move(exchange), table_, flows_,
-                       progress, std::move(on_origin));
+                       progress, std::move(on_source));
   }
   void OnPeerStreams(std::span<const routing::BegunStream> streams) override {
     streams_.OnPeerStreams(streams);
--- a/packages/gateway/include/gentianroute/gateway/detail/peer_exchange.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/peer_exchange.h
@@ -30,8 +30,8 @@
   ~PeerExchange() noexcept override;
 
   const RequestProgress& progress() const { return progress_; }
-  /// Sets the origin of the stream that is about to begin.
-  void SetOrigin(routing::StreamOrigin origin) { origin_ = std::move(origin); }
+  /// Sets the source of the answer that is about to begin.
+  void SetSource(AnswerSource source) { source_ = std::move(source); }
   /// Handles the end of the peer's call. If the answer is not complete, the
   /// caller or the peer is gone.
   void OnCallEnded();
@@ -49,7 +49,7 @@
   void EndAfter(kj::Promise<void> last);
 
   RequestProgress progress_;
-  std::optional<routing::StreamOrigin> origin_;
+  AnswerSource source_;
   schema::AnswerReader::Client reader_;
   kj::TaskSet& messages_;
   std::shared_ptr<kj::Own<kj::PromiseFulfiller<void>>> done_;
--- a/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
@@ -73,15 +73,16 @@
 
   void OnWholeAnswer(int status,
                      const HttpHeaders& fields,
-                     std::string_view body) override {
+                     std::string_view body,
+                     const AnswerSource& source) override {
     const Ptr flow(flow_);
-    flow->OnPeerAnswer(status, fields, body);
+    flow->OnPeerAnswer(status, fields, body, source);
   }
   void OnAnswerBegun(int status,
                      const HttpHeaders& fields,
-                     std::optional<routing::StreamOrigin> origin) override {
+                     const AnswerSource& source) override {
     const Ptr flow(flow_);
-    flow->OnPeerAnswerBegun(status, fields, origin);
+    flow->OnPeerAnswerBegun(status, fields, source);
   }
   void OnAnswerPart(std::string_view part) override {
     const Ptr flow(flow_);
--- a/packages/gateway/include/gentianroute/gateway/handed_request.h
+++ b/packages/gateway/include/gentianroute/gateway/handed_request.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "gentianroute/base/time.h"
+#include "gentianroute/decision/leaving_server_gossip.h"
 #include "gentianroute/loop/http.h"
 #include "gentianroute/loop/message_parser.h"
 #include "gentianroute/routing/stream_origin.h"
@@ -27,8 +28,16 @@
   std::optional<routing::StreamOrigin> origin;
 };
 
-/// @brief Receives the origin of a stream that is about to begin.
-using OnStreamOrigin = std::function<void(const routing::StreamOrigin&)>;
+/// @brief What is known of the server that an answer comes from.
+struct AnswerSource {
+  /// Of the stream, if the answer is one.
+  std::optional<routing::StreamOrigin> origin;
+  /// The server, if it has said in the answer that it takes no new work.
+  std::optional<LeavingServer> leaving;
+};
+
+/// @brief Receives the source of an answer that is about to begin.
+using OnAnswerSource = std::function<void(const AnswerSource&)>;
 
 /// @brief A caller's request that its daemon can't send to any backend server.
 struct HandedRequest {
@@ -46,11 +55,11 @@
   virtual ~PeerAnswerObserver() = default;
   virtual void OnWholeAnswer(int status,
                              const HttpHeaders& fields,
-                             std::string_view body) = 0;
-  /// @param origin of the stream, if the answer is one
+                             std::string_view body,
+                             const AnswerSource& source) = 0;
   virtual void OnAnswerBegun(int status,
                              const HttpHeaders& fields,
-                             std::optional<routing::StreamOrigin> origin) = 0;
+                             const AnswerSource& source) = 0;
   virtual void OnAnswerPart(std::string_view part) = 0;
   virtual void OnAnswerEnded() = 0;
   /// @brief The peer or the link to it failed, or the answer is truncated.
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -80,13 +80,13 @@
   /// @param table null if no configuration is known yet
   /// @param all list of the requests in progress, to which it is added
   /// @param progress not initial if a peer has handed the request over
-  /// @param on_origin called before a stream begins as its answer
+  /// @param on_source called before the answer of a server begins
   static void Begin(FlowContext& context,
                     RelayExchangePtr exchange,
                     routing::RouteTablePtr table,
                     List& all,
                     const RequestProgress& progress = {},
-                    OnStreamOrigin on_origin = nullptr);
+                    OnAnswerSource on_source = nullptr);
   ~RequestFlow();
 
   /// @brief Applies the permitted regions of a newer deployment. Those that the
@@ -113,7 +113,7 @@
               routing::RouteTablePtr table,
               List& all,
               const RequestProgress& progress,
-              OnStreamOrigin on_origin);
+              OnAnswerSource on_source);
 
   /// Checks whether the request can be accepted.
   /// @return the error to refuse it with, if any
@@ -196,10 +196,15 @@
   bool IsServedElsewhere() const;
   void OnPeerAnswer(int status,
                     const HttpHeaders& fields,
-                    std::string_view body);
+                    std::string_view body,
+                    const AnswerSource& source);
   void OnPeerAnswerBegun(int status,
                          const HttpHeaders& fields,
-                         const std::optional<routing::StreamOrigin>& origin);
+                         const AnswerSource& source);
+  /// Records the source of an answer that a peer has got for this daemon.
+  void OnPeerSource(const AnswerSource& source);
+  /// Tells a daemon that relays the answer whether its server leaves.
+  void SetLeavingSource(std::optional<LeavingServer> leaving);
   void OnPeerPart(std::string_view part);
   void OnPeerAnswerEnded();
   void OnPeerFailed();
@@ -324,7 +329,8 @@
   /// Servers that began the stream; empty if it hasn't begun, or if they aren't
   /// known yet.
   std::optional<routing::StreamOrigin> origin_;
-  OnStreamOrigin on_origin_;
+  AnswerSource source_;  ///< of the last answer
+  OnAnswerSource on_source_;
   std::unique_ptr<StreamOriginLookup> origin_lookup_;
   std::optional<routing::StagePlan> plan_;
   std::map<std::uint32_t, std::unique_ptr<GroupHandle>> running_stages_;
--- a/packages/gateway/include/gentianroute/gateway/server_notices.h
+++ b/packages/gateway/include/gentianroute/gateway/server_notices.h
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "gentianroute/base/time.h"
+#include "gentianroute/decision/leaving_server_gossip.h"
 #include "gentianroute/gateway/translator.h"
 #include "gentianroute/loop/relay_client.h"
 #include "gentianroute/observe/metric_writer.h"
@@ -30,8 +31,10 @@
                 TimePoint sent_at,
                 const ServerNotice& notice,
                 routing::Server& server);
-  /// @brief As above, for an answer of which only the address is known. Only
-  /// notices that forbid further requests are recorded.
+  /// @brief Records that a server takes no new work.
+  void OnLeaving(TimePoint now, const LeavingServer& leaving);
+  /// @brief As OnAnswer(), for an answer of which only the address is known.
+  /// Only notices that forbid further requests are recorded.
   void OnAnswerFrom(TimePoint now,
                     TimePoint sent_at,
                     const ServerNotice& notice,
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -134,10 +134,10 @@
         cluster_.loop_.Now(), detail::ReadHandedRequest(params.getRequest()),
         params.getReader(), messages_, kj::mv(done.fulfiller)));
     const RequestProgress progress = exchange->progress();
-    cluster_.handler_.RunHandedRequest(
-        exchange, progress, [exchange](const routing::StreamOrigin& origin) {
-          exchange->SetOrigin(origin);
-        });
+    cluster_.handler_.RunHandedRequest(exchange, progress,
+                                       [exchange](const AnswerSource& source) {
+                                         exchange->SetSource(source);
+                                       });
     return done.promise.attach(
         kj::defer([exchange] { exchange->OnCallEnded(); }));
   }
--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -155,6 +155,20 @@
                                 : std::optional(std::move(origin));
 }
 
+void WriteLeavingServer(const LeavingServer& server,
+                        schema::LeavingServer::Builder out) {
+  out.setServer(server.server);
+  out.setIncarnation(server.incarnation);
+}
+
+std::optional<LeavingServer> ReadLeavingServer(
+    schema::LeavingServer::Reader in) {
+  if (in.getServer().size() == 0) {
+    return std::nullopt;
+  }
+  return LeavingServer{in.getServer(), in.getIncarnation()};
+}
+
 void WriteBegunStreams(std::span<const routing::BegunStream> streams,
                        BegunStreamList::Builder out) {
   for (unsigned i = 0; i < out.size(); ++i) {
--- a/packages/gateway/src/peer_calls.cc
+++ b/packages/gateway/src/peer_calls.cc
@@ -78,9 +78,10 @@
     kj::Promise<void> whole(WholeContext context) override {
       const auto params = context.getParams();
       if (RemoteRequest* request = End()) {
-        request->observer_.OnWholeAnswer(params.getStatus(),
-                                         detail::ReadFields(params.getFields()),
-                                         detail::TextOf(params.getBody()));
+        request->observer_.OnWholeAnswer(
+            params.getStatus(), detail::ReadFields(params.getFields()),
+            detail::TextOf(params.getBody()),
+            {{}, detail::ReadLeavingServer(params.getLeaving())});
       }
       return kj::READY_NOW;
     }
@@ -89,7 +90,8 @@
       if (const auto alive = request_.lock()) {
         (*alive)->observer_.OnAnswerBegun(
             params.getStatus(), detail::ReadFields(params.getFields()),
-            detail::ReadOrigin(params.getOrigin()));
+            {detail::ReadOrigin(params.getOrigin()),
+             detail::ReadLeavingServer(params.getLeaving())});
       }
       return kj::READY_NOW;
     }
--- a/packages/gateway/src/peer_exchange.cc
+++ b/packages/gateway/src/peer_exchange.cc
@@ -44,6 +44,9 @@
   message.setStatus(static_cast<std::uint16_t>(status));
   WriteFields(fields, message.initFields(static_cast<unsigned>(fields.size())));
   message.setBody(BytesOf(body));
+  if (source_.leaving) {
+    detail::WriteLeavingServer(*source_.leaving, message.initLeaving());
+  }
   EndAfter(message.send().ignoreResult());
 }
 
@@ -54,8 +57,11 @@
   auto message = reader_.beginRequest();
   message.setStatus(static_cast<std::uint16_t>(status));
   WriteFields(fields, message.initFields(static_cast<unsigned>(fields.size())));
-  if (origin_) {
-    detail::WriteOrigin(*origin_, message.initOrigin());
+  if (source_.origin) {
+    detail::WriteOrigin(*source_.origin, message.initOrigin());
+  }
+  if (source_.leaving) {
+    detail::WriteLeavingServer(*source_.leaving, message.initLeaving());
   }
   messages_.add(message.send().ignoreResult());
 }
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -71,9 +71,9 @@
                         routing::RouteTablePtr table,
                         List& all,
                         const RequestProgress& progress,
-                        OnStreamOrigin on_origin) {
+                        OnAnswerSource on_source) {
   const Ptr flow(new RequestFlow(context, std::move(exchange), std::move(table),
-                                 all, progress, std::move(on_origin)));
+                                 all, progress, std::move(on_source)));
   flow->self_ = flow;
   if (const auto kind = flow->Admit()) {
     flow->Refuse(*kind, "");
@@ -90,7 +90,7 @@
                          routing::RouteTablePtr table,
                          List& all,
                          const RequestProgress& progress,
-                         OnStreamOrigin on_origin)
+                         OnAnswerSource on_source)
     : context_(context),
       exchange_(std::move(exchange)),
       table_(std::move(table)),
@@ -98,7 +98,7 @@
       request_(context.translator.ReadRequest(exchange_->head())),
       started_at_(exchange_->start_time()),
       origin_(progress.origin),
-      on_origin_(std::move(on_origin)),
+      on_source_(std::move(on_source)),
       attempts_(progress.attempts),
       hops_(progress.hops),
       may_have_run_(progress.may_have_run),
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -198,6 +198,11 @@
   context_.reach.OnAnswer(server_->record());
   context_.notices.OnAnswer(context_.loop.Now(), sent_at_, answer.notice,
                             *server_);
+  SetLeavingSource(
+      answer.notice.leaving
+          ? std::optional(LeavingServer{server_->record().id,
+                                        IncarnationOf(server_->record())})
+          : std::nullopt);
   if (context_.placement_rules.brittle_servers.services().OnAnswer(
           context_.loop.Now(), sent_at_, service_name_,
           answer.notice.bearable_rejections)) {
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -154,7 +154,9 @@
 
 void RequestFlow::OnPeerAnswer(int status,
                                const HttpHeaders& fields,
-                               std::string_view body) {
+                               std::string_view body,
+                               const AnswerSource& source) {
+  OnPeerSource(source);
   const bool says_not_run = SaysNotRun(status);
   if (answer_begun_ || (says_not_run && earlier_may_have_run_)) {
     Fail("the peer refused to repeat the request");
@@ -169,19 +171,33 @@
          status, "");
 }
 
-void RequestFlow::OnPeerAnswerBegun(
-    int status,
-    const HttpHeaders& fields,
-    const std::optional<routing::StreamOrigin>& origin) {
+void RequestFlow::OnPeerAnswerBegun(int status,
+                                    const HttpHeaders& fields,
+                                    const AnswerSource& source) {
+  OnPeerSource(source);
   if (!std::exchange(answer_begun_, true)) {
-    if (origin) {
-      OnStreamBegun(*origin);
+    if (source.origin) {
+      OnStreamBegun(*source.origin);
     }
     exchange_->Begin(status, fields);
   }
   RecordFirstByte(context_.loop.Now());
 }
 
+void RequestFlow::OnPeerSource(const AnswerSource& source) {
+  if (source.leaving) {
+    context_.notices.OnLeaving(context_.loop.Now(), *source.leaving);
+  }
+  SetLeavingSource(source.leaving);
+}
+
+void RequestFlow::SetLeavingSource(std::optional<LeavingServer> leaving) {
+  source_.leaving = std::move(leaving);
+  if (on_source_) {
+    on_source_(source_);
+  }
+}
+
 void RequestFlow::OnPeerPart(std::string_view part) {
   last_byte_at_ = context_.loop.Now();
   RelayPart(part);
--- a/packages/gateway/src/request_flow_streams.cc
+++ b/packages/gateway/src/request_flow_streams.cc
@@ -68,8 +68,9 @@
     context_.streams.OnBegun(
         {StreamId(), origin, std::max(remaining, Duration{0}) + kCallerDelay});
   }
-  if (on_origin_) {
-    on_origin_(origin);
+  source_.origin = origin;
+  if (on_source_) {
+    on_source_(source_);
   }
 }
 
--- a/packages/gateway/src/server_notices.cc
+++ b/packages/gateway/src/server_notices.cc
@@ -21,6 +21,11 @@
   if (server.request_limit().OnAnswer(now, sent_at, notice.request_limit)) {
     LogRequestLimit(server, "");
   }
+  if (notice.leaving) {
+    OnLeaving(now,
+              {server.record().id,
+               static_cast<std::uint64_t>(server.record().started_at_unix_ms)});
+  }
   if (notice.backoff) {
     RecordBackoff(now, notice, server);
   } else {
@@ -39,11 +44,19 @@
   }
 }
 
+void ServerNotices::OnLeaving(TimePoint now, const LeavingServer& leaving) {
+  const auto started_at_unix_ms =
+      static_cast<std::int64_t>(leaving.incarnation);
+  if (servers_.MarkLeaving(now, leaving.server, started_at_unix_ms)) {
+    LogEvent("server_leaving").Field("server", leaving.server);
+  }
+}
+
 void ServerNotices::OnAnswerFrom(TimePoint now,
                                  TimePoint sent_at,
                                  const ServerNotice& notice,
                                  const Endpoint& endpoint) {
-  if (!notice.backoff) {
+  if (!notice.backoff && !notice.leaving) {
     return;
   }
   servers_.ForEach([&](routing::Server& server) {
--- a/packages/routing/include/gentianroute/routing/server.h
+++ b/packages/routing/include/gentianroute/routing/server.h
@@ -133,7 +133,13 @@
   explicit Server(ServerRecord record) : record_(std::move(record)) {}
 
   const ServerRecord& record() const { return record_; }
-  void SetRecord(ServerRecord record) { record_ = std::move(record); }
+  /// @brief Updates the record. A server that leaves never takes new work
+  /// again, whatever a later entry says.
+  void SetRecord(ServerRecord record) {
+    record.leaving |= record_.leaving;
+    record_ = std::move(record);
+  }
+  void SetLeaving() { record_.leaving = true; }
   /// @brief Whether it may receive new work.
   bool open() const { return listed_ && !record_.leaving; }
   bool listed() const { return listed_; }
--- a/packages/routing/include/gentianroute/routing/server_directory.h
+++ b/packages/routing/include/gentianroute/routing/server_directory.h
@@ -34,6 +34,12 @@
   void Remove(TimePoint now, std::string_view id);
   /// @brief Replaces the whole list; servers missing from it are removed.
   void Replace(TimePoint now, std::vector<ServerRecord> records);
+  /// @brief Records that an incarnation of a server takes no new work, whatever
+  /// the host list says of it, now or later.
+  /// @return whether this is news
+  bool MarkLeaving(TimePoint now,
+                   std::string_view id,
+                   std::int64_t started_at_unix_ms);
   /// @brief Records that the store answers again after an outage.
   void OnStoreRecovered(TimePoint now) { store_recovered_at_ = now; }
   bool has_store_recovered() const {
@@ -58,6 +64,11 @@
  private:
   static constexpr TimePoint kNeverRecovered = TimePoint::min();
 
+  /// An incarnation that is not listed and is known to leave.
+  struct UnlistedLeaving {
+    std::int64_t started_at_unix_ms = 0;
+    TimePoint since{};
+  };
   struct Unlisted {
     ServerPtr server;
     TimePoint since{};
@@ -74,6 +85,7 @@
   std::map<std::string, TimePoint, std::less<>> expired_;
   /// The last incarnation of each server that is not listed any more.
   std::map<std::string, Unlisted, std::less<>> unlisted_;
+  std::map<std::string, UnlistedLeaving, std::less<>> unlisted_leaving_;
   TimePoint store_recovered_at_ = kNeverRecovered;
   std::function<void(Server&)> on_closed_;
 };
--- a/packages/routing/src/server_directory.cc
+++ b/packages/routing/src/server_directory.cc
@@ -83,9 +83,31 @@
   for (const std::string& id : due) {
     Erase(now, id);
   }
-  std::erase_if(unlisted_, [now](const auto& entry) {
+  const auto is_forgotten = [now](const auto& entry) {
     return now - entry.second.since > kRememberedTime;
-  });
+  };
+  std::erase_if(unlisted_, is_forgotten);
+  std::erase_if(unlisted_leaving_, is_forgotten);
+}
+
+bool ServerDirectory::MarkLeaving(TimePoint now,
+                                  std::string_view id,
+                                  std::int64_t started_at_unix_ms) {
+  const auto is_meant = [started_at_unix_ms](const Server& server) {
+    return server.record().started_at_unix_ms == started_at_unix_ms;
+  };
+  if (Server* server = Find(id); server != nullptr && is_meant(*server)) {
+    const bool is_news = !server->record().leaving;
+    server->SetLeaving();
+    return is_news;
+  }
+  if (const auto found = unlisted_.find(id);
+      found != unlisted_.end() && is_meant(*found->second.server)) {
+    found->second.server->SetLeaving();
+    return false;
+  }
+  unlisted_leaving_[std::string(id)] = {started_at_unix_ms, now};
+  return false;
 }
 
 ServerPtr ServerDirectory::TakeUnlisted(const ServerRecord& record) {
@@ -94,7 +116,13 @@
       IsSameIncarnation(unlisted.mapped().server->record(), record)) {
     return std::move(unlisted.mapped().server);
   }
-  return ServerPtr(new Server(record));
+  ServerPtr server(new Server(record));
+  const auto leaving = unlisted_leaving_.find(record.id);
+  if (leaving != unlisted_leaving_.end() &&
+      leaving->second.started_at_unix_ms == record.started_at_unix_ms) {
+    server->SetLeaving();
+  }
+  return server;
 }
 
 void ServerDirectory::Erase(TimePoint now, std::string_view id) {
--- a/packages/routing/tests/server_directory_test.cc
+++ b/packages/routing/tests/server_directory_test.cc
@@ -122,3 +122,32 @@
   servers.Put(later, Record("a"));
   cr_assert(servers.Find("a") != before.get());
 }
+
+// Guards against an entry that still says ready reopening a server that has
+// said that it leaves, also before it is listed here.
+Test(server_directory, server_has_said_that_it_leaves_no_entry_reopens_it) {
+  ServerDirectory servers;
+  servers.Put(kStart, Record("a"));
+  cr_assert(servers.MarkLeaving(kStart, "a", 1));
+  cr_assert_not(servers.MarkLeaving(kStart, "a", 1));
+  servers.Put(kStart, Record("a"));
+  cr_assert_not(servers.Find("a")->open());
+  servers.Remove(kStart, "a");
+  servers.Put(kStart, Record("a"));
+  cr_assert_not(servers.Find("a")->open());
+
+  servers.MarkLeaving(kStart, "b", 1);
+  servers.Put(kStart, Record("b"));
+  cr_assert_not(servers.Find("b")->open());
+}
+
+Test(server_directory,
+     earlier_start_has_said_that_it_leaves_later_one_is_open) {
+  ServerDirectory servers;
+  servers.Put(kStart, Record("a", 2));
+  servers.MarkLeaving(kStart, "a", 1);
+  cr_assert(servers.Find("a")->open());
+  servers.MarkLeaving(kStart, "a", 2);
+  servers.Put(kStart, Record("a", 3));
+  cr_assert(servers.Find("a")->open());
+}
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -188,8 +188,12 @@
 
 interface AnswerReader {
   # Receives one answer: either `whole`, or `begin`, any number of `part`, `end`.
-  whole @0 (status :UInt16, fields :List(HeaderField), body :Data) -> ();
-  begin @1 (status :UInt16, fields :List(HeaderField), origin :StreamOrigin) -> ();
+  # `leaving` is the server that the answer comes from, if it says in it that it
+  # takes no new work; otherwise empty.
+  whole @0 (status :UInt16, fields :List(HeaderField), body :Data,
+            leaving :Peer.LeavingServer) -> ();
+  begin @1 (status :UInt16, fields :List(HeaderField), origin :StreamOrigin,
+            leaving :Peer.LeavingServer) -> ();
   part @2 (bytes :Data) -> ();
   end @3 (complete :Bool) -> ();      # false: the answer is truncated
 }
