Keep nothing in the event loop that refers to a daemon's parts after they are gone

An orderly stop, or a daemon ended beside others in one process, read and wrote freed memory: a call of a peer outlives the scheduler that it had handed a group to, and its handle erased from the freed pool; timers of the gateway, the cluster and the scheduler ran after these were gone.

Change: the handle of a group counts its pool; callbacks that refer to their owner are scheduled through ScopedCallbacks, a member of the owner, and are dropped with it. The answer for a service without stage servers is dropped with its handle too, as the interface says.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -26,6 +26,7 @@
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/relay_server.h"
 #include "gentianroute/loop/rpc.h"
+#include "gentianroute/loop/scoped_callbacks.h"
 #include "gentianroute/routing/stage_pool.h"
 #include "gentianroute/routing/stream_origin.h"
 
@@ -197,6 +198,7 @@
   void OnPeerLost(const std::string& peer);
 
   EventLoop& loop_;
+  ScopedCallbacks callbacks_;
   ClusterHandler& handler_;
   Membership members_;
   DaemonRows rows_;
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -25,6 +25,7 @@
 #include "gentianroute/gateway/store_follower.h"
 #include "gentianroute/gateway/stream_registry.h"
 #include "gentianroute/loop/relay_server.h"
+#include "gentianroute/loop/scoped_callbacks.h"
 #include "gentianroute/observe/log.h"
 #include "gentianroute/observe/metric_writer.h"
 
@@ -63,6 +64,7 @@
        const Translator& translator,
        Store& store)
       : loop_(loop),
+        callbacks_(loop),
         settings_(std::move(settings)),
         translator_(translator),
         topology_(settings_.data_centre, settings_.regions),
@@ -143,8 +145,9 @@
     cluster_.Start();
     // Without the rows of the daemons, for example while the store refuses
     // calls, the tables are requested without regard to the rank.
-    loop_.After(detail::kMaxStartWait, [this] { StartFollowing(Duration{0}); });
-    loop_.After(StartQueue::kMaxWait, [this] { ServeStartQueue(); });
+    callbacks_.After(detail::kMaxStartWait,
+                     [this] { StartFollowing(Duration{0}); });
+    callbacks_.After(StartQueue::kMaxWait, [this] { ServeStartQueue(); });
     maintenance_timer_ =
         loop_.Every(detail::kMaintenancePeriod, [this] { RunMaintenance(); });
     LogEvent("started")
@@ -169,8 +172,8 @@
               now + settings_.drain_grace - detail::kDrainMargin};
     cluster_.AnnounceLeaving();
     callers_->AnnounceClose();
-    loop_.After(detail::kBalancerDetectionTime,
-                [this] { callers_->StopAccepting(); });
+    callbacks_.After(detail::kBalancerDetectionTime,
+                     [this] { callers_->StopAccepting(); });
     WaitForEnd(drain_.last_expected_request + detail::kDrainCheckPeriod,
                drain_.ends_at, std::move(done));
   }
@@ -345,7 +348,7 @@
   /// Schedules ServeStartQueue() in the event loop, so that the rows being read
   /// are applied first.
   void ServeStartQueueLater() {
-    loop_.After(Duration{0}, [this] { ServeStartQueue(); });
+    callbacks_.After(Duration{0}, [this] { ServeStartQueue(); });
   }
 
   std::optional<routing::ServerRecord> ReadServer(const StoredRow& row) {
@@ -507,10 +510,10 @@
       loop_.After(detail::kResponseFlushTime, done);
       return;
     }
-    loop_.After(detail::kDrainCheckPeriod,
-                [this, earliest, latest, done = std::move(done)] {
-                  WaitForEnd(earliest, latest, done);
-                });
+    callbacks_.After(detail::kDrainCheckPeriod,
+                     [this, earliest, latest, done = std::move(done)] {
+                       WaitForEnd(earliest, latest, done);
+                     });
   }
 
   void EndAllFlows() {
@@ -520,6 +523,7 @@
   }
 
   EventLoop& loop_;
+  ScopedCallbacks callbacks_;
   GatewaySettings settings_;
   const Translator& translator_;
   routing::Topology topology_;
--- a/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_GATEWAY_STAGE_SCHEDULER_H_
 #define GENTIANROUTE_GATEWAY_STAGE_SCHEDULER_H_
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/relay_client.h"
 #include "gentianroute/loop/relay_fetches.h"
+#include "gentianroute/loop/scoped_callbacks.h"
 #include "gentianroute/routing/placement.h"
 #include "gentianroute/routing/route_table.h"
 #include "gentianroute/routing/server_directory.h"
@@ -79,7 +81,9 @@
 
  private:
   class Handle;
+  class UnknownPoolHandle;
   struct Pool;
+  using PoolPtr = boost::intrusive_ptr<Pool>;
 
   /// @return null if the service is not a stage service
   Pool* PoolFor(std::string_view service, std::string_view data_centre);
@@ -113,6 +117,7 @@
                           std::span<const routing::ServerPtr> servers);
 
   EventLoop& loop_;
+  ScopedCallbacks callbacks_;
   RelayFetches fetches_;
   const Translator& translator_;
   routing::ServerDirectory& servers_;
@@ -122,7 +127,7 @@
   ServerNotices& notices_;
   FasterPool faster_pool_;
   routing::RouteTablePtr table_;
-  std::map<PoolKey, std::unique_ptr<Pool>> pools_;
+  std::map<PoolKey, PoolPtr> pools_;
   std::uint64_t calls_sent_ = 0;
   std::uint64_t pieces_sent_ = 0;
   std::uint64_t groups_moved_ = 0;
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -203,6 +203,7 @@
                  Store& store,
                  ClusterHandler& handler)
     : loop_(loop),
+      callbacks_(loop),
       handler_(handler),
       members_(loop.Now(),
                OwnState(settings, static_cast<std::uint64_t>(loop.WallTime())),
@@ -416,7 +417,7 @@
   if (std::exchange(update_pending_, true)) {
     return;
   }
-  loop_.After(Duration{0}, [this] {
+  callbacks_.After(Duration{0}, [this] {
     update_pending_ = false;
     SendUpdateNow(std::exchange(update_scope_, UpdateScope::kForward));
   });
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -375,7 +375,7 @@
   }
   ServeStartQueueLater();
   // The rest of a large table, without waiting for the next heartbeat.
-  loop_.After(Duration{0}, [this] { FetchNewerRows(); });
+  callbacks_.After(Duration{0}, [this] { FetchNewerRows(); });
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -1,6 +1,7 @@
 #include "gentianroute/gateway/stage_scheduler.h"
 
 #include <algorithm>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <utility>
 
 #include "gentianroute/observe/log.h"
@@ -22,7 +23,8 @@
 }  // namespace
 
 /// A pool of stage servers, and the groups that were submitted to it.
-struct StageScheduler::Pool {
+struct StageScheduler::Pool
+    : boost::intrusive_ref_counter<Pool, boost::thread_unsafe_counter> {
   Pool(std::string service_name,
        std::string data_centre_name,
        routing::StageCapacity capacity)
@@ -39,21 +41,35 @@
   bool dispatch_scheduled = false;
 };
 
+/// Keeps the pool, since a peer's call may outlive the scheduler.
 class StageScheduler::Handle final : public GroupHandle {
  public:
-  Handle(Pool& pool, routing::StageGroupId group)
-      : pool_(pool), group_(group) {}
+  Handle(PoolPtr pool, routing::StageGroupId group)
+      : pool_(std::move(pool)), group_(group) {}
   ~Handle() override {
-    if (pool_.callbacks.erase(group_) > 0) {
-      pool_.pool.Cancel(group_);
+    if (pool_->callbacks.erase(group_) > 0) {
+      pool_->pool.Cancel(group_);
     }
   }
 
  private:
-  Pool& pool_;
+  PoolPtr pool_;
   routing::StageGroupId group_;
 };
 
+/// A group whose service has no stage servers.
+class StageScheduler::UnknownPoolHandle final : public GroupHandle {
+ public:
+  UnknownPoolHandle(EventLoop& loop, GroupDone done) : callbacks_(loop) {
+    callbacks_.After(Duration{0}, [done = std::move(done)] {
+      done({routing::StageFailure::kNoServer, {}});
+    });
+  }
+
+ private:
+  ScopedCallbacks callbacks_;
+};
+
 StageScheduler::StageScheduler(EventLoop& loop,
                                RelayClient& client,
                                const Translator& translator,
@@ -63,6 +79,7 @@
                                ReachMonitor& reach,
                                ServerNotices& notices)
     : loop_(loop),
+      callbacks_(loop),
       fetches_(loop, client),
       translator_(translator),
       servers_(servers),
@@ -99,9 +116,8 @@
   if (spec == nullptr || !spec->stage) {
     return nullptr;
   }
-  auto pool =
-      std::make_unique<Pool>(key.service, key.data_centre, *spec->stage);
-  return pools_.emplace(key, std::move(pool)).first->second.get();
+  const PoolPtr pool(new Pool(key.service, key.data_centre, *spec->stage));
+  return pools_.emplace(key, pool).first->second.get();
 }
 
 std::unique_ptr<GroupHandle> StageScheduler::Run(std::string_view service,
@@ -110,10 +126,7 @@
                                                  GroupDone done) {
   Pool* pool = PoolFor(service, data_centre);
   if (pool == nullptr) {
-    loop_.After(Duration{0}, [done = std::move(done)] {
-      done({routing::StageFailure::kNoServer, {}});
-    });
-    return std::make_unique<GroupHandle>();
+    return std::make_unique<UnknownPoolHandle>(loop_, std::move(done));
   }
   const TimePoint now = loop_.Now();
   pool->last_used_at = now;
@@ -122,7 +135,7 @@
   // Deferred, so that groups which arrive together, such as in one message, can
   // share a call.
   DispatchLater(*pool);
-  return std::make_unique<Handle>(*pool, id);
+  return std::make_unique<Handle>(PoolPtr(pool), id);
 }
 
 std::vector<routing::ServerPtr> StageScheduler::ServersOf(
@@ -303,7 +316,7 @@
   if (std::exchange(pool.dispatch_scheduled, true)) {
     return;
   }
-  loop_.After(Duration{0}, [this, &pool] {
+  callbacks_.After(Duration{0}, [this, &pool] {
     pool.dispatch_scheduled = false;
     Dispatch(pool);
   });
