Tell the starts of a server apart in one place

The conversion of a server's start time to its incarnation stood in four places, with the type that peers are told in three of them. ServerRecord::incarnation() takes their place; the list of verdicts after which a request is handed to a peer is named after what it means now. Behaviour unchanged; routing and adapter tests pass.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -384,10 +384,8 @@
   /// An entry of a later start of a server shows that the earlier one is gone.
   void ConfirmEarlierCrashes(TimePoint now,
                              const routing::ServerRecord& record) {
-    const auto incarnation =
-        static_cast<std::uint64_t>(record.started_at_unix_ms);
-    suspects_.OnIncarnation(now, record.id, incarnation);
-    suspect_parts_.OnIncarnation(now, record.id, incarnation);
+    suspects_.OnIncarnation(now, record.id, record.incarnation());
+    suspect_parts_.OnIncarnation(now, record.id, record.incarnation());
   }
 
   void OnServerRow(const StoredRow& row) {
--- a/packages/gateway/include/gentianroute/gateway/server_notices.h
+++ b/packages/gateway/include/gentianroute/gateway/server_notices.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_GATEWAY_SERVER_NOTICES_H_
 #define GENTIANROUTE_GATEWAY_SERVER_NOTICES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <random>
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -30,10 +30,6 @@
 /// How often a request is tried again that no server can run now.
 constexpr Duration kServerRetryPeriod = std::chrono::milliseconds(50);
 
-std::uint64_t IncarnationOf(const routing::ServerRecord& server) {
-  return static_cast<std::uint64_t>(server.started_at_unix_ms);
-}
-
 }  // namespace
 
 bool RequestFlow::IsGeneration() const {
@@ -198,11 +194,10 @@
   context_.reach.OnAnswer(server_->record());
   context_.notices.OnAnswer(context_.loop.Now(), sent_at_, answer.notice,
                             *server_);
-  SetLeavingSource(
-      answer.notice.leaving
-          ? std::optional(LeavingServer{server_->record().id,
-                                        IncarnationOf(server_->record())})
-          : std::nullopt);
+  SetLeavingSource(answer.notice.leaving ? std::optional(LeavingServer{
+                                               server_->record().id,
+                                               server_->record().incarnation()})
+                                         : std::nullopt);
   if (context_.placement_rules.brittle_servers.services().OnAnswer(
           context_.loop.Now(), sent_at_, service_name_,
           answer.notice.bearable_rejections)) {
@@ -295,8 +290,8 @@
     context_.suspect_parts.OnAnswered(shared_parts_, sent_at_);
     return;
   }
-  context_.suspects.OnAnswerWithoutEnd(
-      now, answered_by.id, IncarnationOf(answered_by), fingerprint_);
+  context_.suspects.OnAnswerWithoutEnd(now, answered_by.id,
+                                       answered_by.incarnation(), fingerprint_);
 }
 
 void RequestFlow::WriteRestOfStream() {
@@ -416,12 +411,12 @@
   return !HasProvenItself() &&
          context_.suspect_parts.OnCrash(
              context_.loop.Now(), server_->record().id,
-             IncarnationOf(server_->record()), fingerprint_, shared_parts_);
+             server_->record().incarnation(), fingerprint_, shared_parts_);
 }
 
 void RequestFlow::ReportCrash() {
   context_.suspects.OnCrash(context_.loop.Now(), server_->record().id,
-                            IncarnationOf(server_->record()),
+                            server_->record().incarnation(),
                             {&fingerprint_, 1});
   const std::size_t crashes = context_.suspects.CrashesOf(fingerprint_);
   context_.recorder.OnServerBroke(
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -69,11 +69,11 @@
 
 bool RequestFlow::HandToOtherSender(const routing::ServerChoice& choice) {
   using routing::PlacementVerdict;
-  constexpr std::array kShareUsedUp = {
+  constexpr std::array kSentByOthers = {
       PlacementVerdict::kRateLimited, PlacementVerdict::kNotSender,
       PlacementVerdict::kNoRoom, PlacementVerdict::kBackoff};
   const bool others_may_send =
-      std::ranges::any_of(kShareUsedUp, [&choice](PlacementVerdict verdict) {
+      std::ranges::any_of(kSentByOthers, [&choice](PlacementVerdict verdict) {
         return choice.verdicts[static_cast<std::size_t>(verdict)] > 0;
       });
   // A peer that gets it from another one is a sender, and has no share either.
--- a/packages/gateway/src/server_notices.cc
+++ b/packages/gateway/src/server_notices.cc
@@ -45,9 +45,7 @@
 }
 
 void ServerNotices::OnLeaving(TimePoint now, const LeavingServer& leaving) {
-  const auto started_at_unix_ms =
-      static_cast<std::int64_t>(leaving.incarnation);
-  if (servers_.MarkLeaving(now, leaving.server, started_at_unix_ms)) {
+  if (servers_.MarkLeaving(now, leaving.server, leaving.incarnation)) {
     LogEvent("server_leaving").Field("server", leaving.server);
   }
 }
--- a/packages/routing/include/gentianroute/routing/server.h
+++ b/packages/routing/include/gentianroute/routing/server.h
@@ -30,6 +30,11 @@
   Duration warm_up_left{};  ///< time that it stays cold; 0: it is warm
   std::int64_t started_at_unix_ms = 0;  ///< 0 if unknown
 
+  /// @brief Tells this start of the server from its others.
+  std::uint64_t incarnation() const {
+    return static_cast<std::uint64_t>(started_at_unix_ms);
+  }
+
   friend bool operator==(const ServerRecord&, const ServerRecord&) = default;
 };
 
--- a/packages/routing/include/gentianroute/routing/server_directory.h
+++ b/packages/routing/include/gentianroute/routing/server_directory.h
@@ -39,7 +39,7 @@
   /// @return whether this is news
   bool MarkLeaving(TimePoint now,
                    std::string_view id,
-                   std::int64_t started_at_unix_ms);
+                   std::uint64_t incarnation);
   /// @brief Records that the store answers again after an outage.
   void OnStoreRecovered(TimePoint now) { store_recovered_at_ = now; }
   bool has_store_recovered() const {
@@ -66,7 +66,7 @@
 
   /// An incarnation that is not listed and is known to leave.
   struct UnlistedLeaving {
-    std::int64_t started_at_unix_ms = 0;
+    std::uint64_t incarnation = 0;
     TimePoint since{};
   };
   struct Unlisted {
--- a/packages/routing/src/server_directory.cc
+++ b/packages/routing/src/server_directory.cc
@@ -8,9 +8,9 @@
 namespace {
 
 bool IsSameIncarnation(const ServerRecord& a, const ServerRecord& b) {
-  return a.started_at_unix_ms == b.started_at_unix_ms &&
-         a.service == b.service && a.software_version == b.software_version &&
-         a.address == b.address && a.port == b.port;
+  return a.incarnation() == b.incarnation() && a.service == b.service &&
+         a.software_version == b.software_version && a.address == b.address &&
+         a.port == b.port;
 }
 
 }  // namespace
@@ -92,9 +92,9 @@
 
 bool ServerDirectory::MarkLeaving(TimePoint now,
                                   std::string_view id,
-                                  std::int64_t started_at_unix_ms) {
-  const auto is_meant = [started_at_unix_ms](const Server& server) {
-    return server.record().started_at_unix_ms == started_at_unix_ms;
+                                  std::uint64_t incarnation) {
+  const auto is_meant = [incarnation](const Server& server) {
+    return server.record().incarnation() == incarnation;
   };
   if (Server* server = Find(id); server != nullptr && is_meant(*server)) {
     const bool is_news = !server->record().leaving;
@@ -106,7 +106,7 @@
     found->second.server->SetLeaving();
     return false;
   }
-  unlisted_leaving_[std::string(id)] = {started_at_unix_ms, now};
+  unlisted_leaving_[std::string(id)] = {incarnation, now};
   return false;
 }
 
@@ -119,7 +119,7 @@
   ServerPtr server(new Server(record));
   const auto leaving = unlisted_leaving_.find(record.id);
   if (leaving != unlisted_leaving_.end() &&
-      leaving->second.started_at_unix_ms == record.started_at_unix_ms) {
+      leaving->second.incarnation == record.incarnation()) {
     server->SetLeaving();
   }
   return server;
