Find the shortest backoff, tell an answer's source and read server fields in one place each

Checks: build, 49 of 49 tests of routing, gateway and adapter (without lost_links), clang-tidy of the six files.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -203,8 +203,10 @@
                          const AnswerSource& source);
   /// Records the source of an answer that a peer has got for this daemon.
   void OnPeerSource(const AnswerSource& source);
-  /// Tells a daemon that relays the answer whether its server leaves.
+  /// Sets whether the server of the last answer leaves, and tells it.
   void SetLeavingSource(std::optional<LeavingServer> leaving);
+  /// Tells a daemon that relays the answer what is known of its server.
+  void TellSource() const;
   void OnPeerPart(std::string_view part);
   void OnPeerAnswerEnded();
   void OnPeerFailed();
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -193,6 +193,10 @@
 
 void RequestFlow::SetLeavingSource(std::optional<LeavingServer> leaving) {
   source_.leaving = std::move(leaving);
+  TellSource();
+}
+
+void RequestFlow::TellSource() const {
   if (on_source_) {
     on_source_(source_);
   }
--- a/packages/gateway/src/request_flow_streams.cc
+++ b/packages/gateway/src/request_flow_streams.cc
@@ -69,9 +69,7 @@
         {StreamId(), origin, std::max(remaining, Duration{0}) + kCallerDelay});
   }
   source_.origin = origin;
-  if (on_source_) {
-    on_source_(source_);
-  }
+  TellSource();
 }
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/server_notices.cc
+++ b/packages/gateway/src/server_notices.cc
@@ -22,9 +22,7 @@
     LogRequestLimit(server, "");
   }
   if (notice.leaving) {
-    OnLeaving(now,
-              {server.record().id,
-               static_cast<std::uint64_t>(server.record().started_at_unix_ms)});
+    OnLeaving(now, {server.record().id, server.record().incarnation()});
   }
   if (notice.backoff) {
     RecordBackoff(now, notice, server);
--- a/packages/routing/src/placement.cc
+++ b/packages/routing/src/placement.cc
@@ -1,7 +1,8 @@
 #include "gentianroute/routing/placement.h"
 
 #include <algorithm>
-#include <optional>
+
+#include "gentianroute/routing/detail/shortest_backoff.h"
 
 namespace gentianroute::routing {
 
@@ -15,14 +16,10 @@
 Duration BackoffLeft(TimePoint now,
                      std::span<const ServerPtr> servers,
                      const Placement& placement) {
-  std::optional<Duration> shortest;
-  for (const ServerPtr& server : servers) {
-    if (server->open() && placement.Accepts(server->record())) {
-      const Duration left = server->backoff().TimeLeft(now);
-      shortest = std::min(shortest.value_or(left), left);
-    }
-  }
-  return shortest.value_or(Duration{0});
+  return detail::ShortestBackoff(now, servers,
+                                 [&placement](const Server& server) {
+                                   return placement.Accepts(server.record());
+                                 });
 }
 
 }  // namespace gentianroute::routing
--- a/packages/routing/src/stage_pool.cc
+++ b/packages/routing/src/stage_pool.cc
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 #include <utility>
 
+#include "gentianroute/routing/detail/shortest_backoff.h"
+
 namespace gentianroute::routing {
 namespace {
 
@@ -157,15 +158,9 @@
 
 void StagePool::UpdateBackoff(TimePoint now,
                               std::span<const ServerPtr> servers) {
-  std::optional<Duration> shortest;
-  for (const ServerPtr& server : servers) {
-    if (server->open()) {
-      const Duration left = server->backoff().TimeLeft(now);
-      shortest = std::min(shortest.value_or(left), left);
-    }
-  }
   open_servers_ = CountOpenServers(servers);
-  backoff_until_ = now + shortest.value_or(Duration{0});
+  backoff_until_ = now + detail::ShortestBackoff(
+                             now, servers, [](const Server&) { return true; });
 }
 
 Duration StagePool::BusyTime(TimePoint now) const {
