End answers of servers that send bytes without end

Cause: what a daemon reads from a server had no bound but time where it is collected: 64 MB a body, an event of a stream and the line with the size of a chunk without any.

Past it the connection is closed, and the request is repeated or fails truthfully.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -49,6 +49,13 @@
 inline constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(250);
 /// Answers that callers have not read yet may take this part of the memory.
 inline constexpr std::size_t kUnsentMemoryDivisor = 4;
+/// Most bytes of answers of servers that are collected before they are sent on.
+inline std::size_t CollectedBytesLimit(const GatewaySettings& settings) {
+  constexpr std::size_t kMemoryDivisor = 4;
+  constexpr std::size_t kLimitOfUnlimitedMemory = 64'000'000;
+  return settings.memory_bytes > 0 ? settings.memory_bytes / kMemoryDivisor
+                                   : kLimitOfUnlimitedMemory;
+}
 /// After this time a daemon reads the store's tables even if it has not learnt
 /// its neighbours.
 inline constexpr Duration kMaxStartWait = std::chrono::seconds(3);
@@ -109,12 +116,13 @@
                  [this] { return HasNewestServers(); }),
         retry_budgets_(settings_.retry_ratio, settings_.retry_slack),
         start_queue_(loop.Now()),
-        flow_context_{loop,          client,         translator,
-                      servers_,      topology_,      placement_rules_,
-                      stage_router_, cluster_,       reach_,
-                      streams_,      retry_budgets_, service_times_,
-                      weights_,      suspects_,      suspect_parts_,
-                      recorder_,     notices_,       drain_} {
+        collected_bytes_(detail::CollectedBytesLimit(settings_)),
+        flow_context_{
+            loop,      client,           translator,      servers_,
+            topology_, placement_rules_, stage_router_,   cluster_,
+            reach_,    streams_,         retry_budgets_,  service_times_,
+            weights_,  suspects_,        suspect_parts_,  recorder_,
+            notices_,  drain_,           collected_bytes_} {
     reach_.SetOnChanged([this](std::string_view service, bool cut_off) {
       OnReachChanged(service, cut_off);
     });
@@ -551,6 +559,7 @@
   routing::RequestWeights weights_;
   StartQueue start_queue_;
   routing::DrainTimes drain_;
+  admission::HeldBytes collected_bytes_;
   FlowContext flow_context_;
   RequestFlow::List flows_;
   std::unique_ptr<RelayServer> callers_;
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gentianroute/admission/held_bytes.h"
 #include "gentianroute/base/error_kind.h"
 #include "gentianroute/base/id.h"
 #include "gentianroute/decision/suspect_parts.h"
@@ -58,6 +59,8 @@
   RequestRecorder& recorder;
   ServerNotices& notices;
   const routing::DrainTimes& drain_times;
+  /// Of answers that are collected before they are sent on.
+  admission::HeldBytes& collected_bytes;
 };
 
 /// @brief One caller's request: runs its stages, sends it to a backend server
@@ -228,6 +231,9 @@
   /// Handles an answer that says that the server has not run the request.
   void OnNotRun(const ServerAnswer& answer);
   void OnAttemptFailure(RelayFailure failure);
+  /// Closes the connection of a server that sends more than an answer or an
+  /// event may have.
+  void AbandonAnswer();
   /// Starts the timer for the first byte of the answer of a repeatable request.
   void StartFirstByteTimer();
   /// Calls `check` after a time, once the sockets have been read (see
@@ -372,6 +378,7 @@
 
   ServerAnswer answer_;
   std::string body_;  ///< of an answer that is not streamed
+  admission::HeldBytes::Share body_share_{context_.collected_bytes};
   bool answer_begun_ = false;  ///< a streamed answer to the caller
   bool streaming_ = false;     ///< the current server has sent events
   /// Nothing but the end of its connection ends the answer.
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -27,6 +27,8 @@
 constexpr Duration kMaxIdleNonRepeatable = std::chrono::milliseconds(1500);
 /// Like kMaxIdleNonRepeatable, for repeatable requests.
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(4);
+/// The events of a stream are passed on as they arrive, and not collected.
+constexpr std::size_t kMaxStreamBytes = std::size_t{64} * 1024 * 1024;
 /// How often a request is tried again that no server can run now.
 constexpr Duration kServerRetryPeriod = std::chrono::milliseconds(50);
 
@@ -103,6 +105,9 @@
   call.endpoint = {record.address, record.port};
   call.message = MessageFor(*choice.server);
   call.response_has_no_body = exchange_->head().method == "HEAD";
+  if (route_->kind == routing::RouteKind::kStream) {
+    call.max_body_bytes = kMaxStreamBytes;
+  }
   call.max_idle = repeatable() ? kMaxIdleRepeatable : kMaxIdleNonRepeatable;
   call.matches_response = [&translator = context_.translator,
                            id = request_.id](const MessageHead& head) {
@@ -128,7 +133,9 @@
   ++attempts_;
   may_have_run_ = true;
   answer_ = {};
-  body_.clear();
+  // Not clear(), which would keep the memory of an abandoned answer.
+  body_ = {};
+  body_share_.Set(0);
   streaming_ = false;
   events_when_sent_ = events_.events();
   event_pace_ = {};
@@ -218,6 +225,10 @@
 void RequestFlow::OnBody(std::string_view part) {
   if (!answer_begun_ || answer_.status >= kFirstNonSuccessStatus) {
     body_.append(part);
+    body_share_.Set(body_.size());
+    if (body_.size() > kMaxCollectedBodyBytes || body_share_.is_excessive()) {
+      AbandonAnswer();
+    }
     return;
   }
   last_byte_at_ = context_.loop.Now();
@@ -230,6 +241,10 @@
   RecordPace(event_pace_.OnPart(last_byte_at_, part));
   const bool had_proven_itself = HasProvenItself();
   RelayPart(part);
+  if (events_.is_overlong()) {
+    AbandonAnswer();
+    return;
+  }
   if (!had_proven_itself && HasProvenItself()) {
     ClearSuspicion(last_byte_at_, server_->record());
   }
@@ -407,6 +422,11 @@
   Fail("the server's answer broke off");
 }
 
+void RequestFlow::AbandonAnswer() {
+  attempt_->Cancel();
+  OnAttemptFailure(RelayFailure::kMalformed);
+}
+
 bool RequestFlow::AddCrashOfParts() {
   return !HasProvenItself() &&
          context_.suspect_parts.OnCrash(
--- a/packages/loop/include/gentianroute/loop/relay_client.h
+++ b/packages/loop/include/gentianroute/loop/relay_client.h
@@ -24,6 +24,10 @@
   std::string ToString() const { return address + ":" + std::to_string(port); }
 };
 
+/// Most bytes in the body of an answer that is collected before it is used. A
+/// server in trouble may send bytes without end.
+inline constexpr std::size_t kMaxCollectedBodyBytes = 4 * 1024 * 1024;
+
 /// @brief One HTTP request in serialised form, with its connection options.
 struct RelayCall {
   Endpoint endpoint;
@@ -35,6 +39,8 @@
   Duration max_idle = std::chrono::seconds(4);
   /// Whether the connection may be reused for a later request.
   bool keep_connection = true;
+  /// An answer with a longer body is malformed, and its connection is closed.
+  std::size_t max_body_bytes = kMaxCollectedBodyBytes;
   /// Returns whether a response belongs to this request; a late response to an
   /// earlier request is discarded. Null accepts the first response.
   std::function<bool(const MessageHead&)> matches_response;
@@ -64,7 +70,8 @@
 ///
 /// Unlike h2o's client, it distinguishes an orderly close from a reset, detects
 /// unexpected bytes after a response, and limits the idle time of a reused
-/// connection per request.
+/// connection per request. It bounds what it reads: the head and the body of an
+/// answer, and the bytes of answers that belong to no call.
 class RelayClient {
  public:
   /// @brief Returns the endpoint to connect to in place of another, which lets
--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -144,6 +144,7 @@
   Impl(Kind kind, Limits limits) : kind_(kind) { Begin(limits); }
 
   void Begin(Limits limits) {
+    head_limit_ = limits.head_bytes;
     request_.reset();
     response_.reset();
     if (kind_ == Kind::kRequest) {
@@ -240,6 +241,9 @@
     input_.erase(0, consumed);
     if (error && error != http::error::need_more) {
       failure_ = EventForError(error);
+    } else if (!parser.is_done() && input_.size() > head_limit_) {
+      // The parser sets no limit on the line with the size of a chunk.
+      failure_ = Event::kMalformed;
     }
   }
 
@@ -266,6 +270,7 @@
   }
 
   Kind kind_;
+  std::size_t head_limit_ = 0;
   std::optional<Collector<true>> request_;
   std::optional<Collector<false>> response_;
   bool head_reported_ = false;
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -77,6 +77,9 @@
       response_has_no_body_ = call.response_has_no_body;
       keep_connection_ = call.keep_connection;
       head_received_ = false;
+      bytes_before_head_ = 0;
+      limits_.body_bytes = call.max_body_bytes;
+      parser_.StartNext(limits_);
       socket_->Write(call.message);
     }
 
@@ -104,6 +107,12 @@
         Close();
         return;
       }
+      bytes_before_head_ += head_received_ ? 0 : data.size();
+      if (bytes_before_head_ > limits_.head_bytes + limits_.body_bytes) {
+        // Interim answers, or an answer to an earlier call, without end.
+        End(RelayFailure::kMalformed);
+        return;
+      }
       parser_.Feed(data);
       ProcessInput();
     }
@@ -170,7 +179,7 @@
     }
 
     void OnMessageEnd() {
-      parser_.StartNext({});
+      parser_.StartNext(limits_);
       if (skip_response_) {
         skip_response_ = false;
         return;
@@ -220,6 +229,8 @@
     bool keep_alive_ = true;
     bool closed_ = false;
     bool closed_by_server_ = false;  ///< after an orderly close
+    MessageParser::Limits limits_;
+    std::size_t bytes_before_head_ = 0;  ///< since the call began
     TimePoint idle_since_{};
     Duration idle_limit_ = kMaxIdle;
   };
--- a/packages/routing/include/gentianroute/routing/event_framer.h
+++ b/packages/routing/include/gentianroute/routing/event_framer.h
@@ -14,11 +14,16 @@
 /// an event assembled from two executions.
 class EventFramer {
  public:
+  /// Bytes that are not an event can't be told from a long one before this.
+  static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
   /// @brief Adds received bytes.
   /// @return the events that they complete, unchanged
   std::string Feed(std::string_view data);
   /// @brief Whether the received bytes end inside an event.
   bool is_partial() const { return !partial_.empty(); }
+  /// @brief Whether they are more than an event may have.
+  bool is_overlong() const { return partial_.size() > kMaxEventBytes; }
   /// @brief Drops the partial event at the end, which will not be completed.
   void DropPartial() { partial_.clear(); }
   std::string TakePartial();
--- a/packages/routing/tests/event_framer_test.cc
+++ b/packages/routing/tests/event_framer_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <string>
+
 using gentianroute::routing::EventFramer;
 
 Test(event_framer, complete_events_pass_unchanged) {
@@ -34,3 +36,13 @@
             "id:3\r\ndata: x\r\n\r\n");
   cr_assert(framer.last_id() == "3");
 }
+
+// Guards against a server that sends bytes without end in place of an event.
+Test(event_framer, event_without_end_is_overlong) {
+  EventFramer framer;
+  framer.Feed("id: 1\ndata: a\n\n");
+  framer.Feed(std::string(EventFramer::kMaxEventBytes, 'a'));
+  cr_assert_not(framer.is_overlong());
+  framer.Feed("a");
+  cr_assert(framer.is_overlong());
+}
