--- a/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
+++ b/packages/gateway/include/gentianroute/gateway/stage_scheduler.h
@@ -79,8 +79,8 @@
   std::uint64_t calls_sent() const { return calls_sent_; }
   std::uint64_t pieces_sent() const { return pieces_sent_; }
   std::uint64_t groups_moved() const { return groups_moved_; }
-  /// @brief Groups that could not be done in time, by whether some of their
-  /// pieces had been waiting for longer than kPromptRefusal.
+  /// @brief Groups that could not be done in time, by whether they were ended
+  /// within 250 ms.
   std::uint64_t refused_promptly() const { return refused_promptly_; }
   std::uint64_t refused_late() const { return refused_late_; }
   /// @brief Calls without a complete answer, because a link or server failed.
--- a/packages/routing/include/gentianroute/routing/stage_pool.h
+++ b/packages/routing/include/gentianroute/routing/stage_pool.h
@@ -221,10 +221,12 @@
     Duration until_start{};
     Duration if_it_held{};  ///< if no later work went ahead of it
   };
+  /// @param running time until the running calls have ended
   ForeseenWait ForeseeWait(TimePoint now,
                            const Group& entry,
                            const admission::QueuedWork& ahead,
-                           std::size_t servers) const;
+                           std::size_t servers,
+                           Duration running) const;
   bool IsTooLate(TimePoint now,
                  const Group& entry,
                  const ForeseenWait& wait) const;
--- a/packages/routing/src/stage_pool_order.cc
+++ b/packages/routing/src/stage_pool_order.cc
@@ -93,13 +93,14 @@
 std::vector<StageGroupId> StagePool::EndLateGroups(TimePoint now,
                                                    std::size_t servers) {
   std::vector<StageGroupId> kept;
+  const Duration running = BusyTime(now) / static_cast<std::int64_t>(servers);
   admission::QueuedWork ahead;
   for (const WaitingWork& next : ByUrgency(now, servers)) {
     const StageGroupId id{next.id};
     Group& entry = groups_.at(id);
     entry.yields = next.is_late;
     entry.is_promised |= !next.is_late;
-    const ForeseenWait wait = ForeseeWait(now, entry, ahead, servers);
+    const ForeseenWait wait = ForeseeWait(now, entry, ahead, servers, running);
     if (IsTooLate(now, entry, wait)) {
       MissedDeadline missed{entry.group.request, wait.until_start,
                             entry.group.deadline - now,
@@ -123,8 +124,8 @@
     TimePoint now,
     const Group& entry,
     const admission::QueuedWork& ahead,
-    std::size_t servers) const {
-  const Duration running = BusyTime(now) / static_cast<std::int64_t>(servers);
+    std::size_t servers,
+    Duration running) const {
   const admission::ResourceNeed need = NeedOf(entry, entry.waiting.size());
   const auto behind = [&](bool is_on_time) {
     return running + forecast_->WaitBehind(now, ahead, need, is_on_time,
--- a/packages/routing/src/work_order.cc
+++ b/packages/routing/src/work_order.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <iterator>
 #include <queue>
+#include <span>
 #include <utility>
 
 namespace gentianroute::routing {
@@ -143,7 +144,7 @@
 /// @param late receives the work that is displaced
 /// @return the other work, in the order of soft deadlines
 std::vector<WaitingWork> TakeStorable(TimePoint now,
-                                      std::vector<WaitingWork> waiting,
+                                      std::span<const WaitingWork> waiting,
                                       std::size_t servers,
                                       std::vector<WaitingWork>& late) {
   FeasibleSchedule stored(now, &WaitingWork::storage_time, Duration{0},
@@ -178,8 +179,7 @@
   });
   std::sort(waiting.begin(), waiting.end(), HasEarlierDeadline);
   FeasibleSchedule on_time(now, &WaitingWork::server_time, busy, servers);
-  for (const WaitingWork& work :
-       TakeStorable(now, std::move(waiting), servers, late)) {
+  for (const WaitingWork& work : TakeStorable(now, waiting, servers, late)) {
     on_time.Add(work);
   }
   Append(on_time.TakeDisplaced(), late);
