Give back the memory of an abandoned answer, and count what it takes

Cause: assigning {} to a string keeps its memory, so that a request repeated after an endless answer held megabytes with its next, small one; the account counted sizes, where a growing string takes up to twice as much.

Change: the string is swapped with an empty one, and its capacity is counted. With the account alone the second attempts at a sound server were cut off as excessive: the test's last ten requests failed with 502.

--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -133,8 +133,8 @@
   ++attempts_;
   may_have_run_ = true;
   answer_ = {};
-  // Not clear(), which would keep the memory of an abandoned answer.
-  body_ = {};
+  // clear() and assignment would keep the memory of an abandoned answer.
+  std::string().swap(body_);
   body_share_.Set(0);
   streaming_ = false;
   events_when_sent_ = events_.events();
@@ -225,7 +225,7 @@
 void RequestFlow::OnBody(std::string_view part) {
   if (!answer_begun_ || answer_.status >= kFirstNonSuccessStatus) {
     body_.append(part);
-    body_share_.Set(body_.size());
+    body_share_.Set(body_.capacity());
     if (body_.size() > kMaxCollectedBodyBytes || body_share_.is_excessive()) {
       AbandonAnswer();
     }
