--- a/review/harness/platform.hpp
+++ b/review/harness/platform.hpp
@@ -158,10 +158,11 @@
       }
       rows.push_back(std::move(item));
     }
-    std::sort(rows.begin(), rows.end(),
-              [only_live](const json& a, const json& b) {
-                return !only_live && a["ver"] < b["ver"];
-              });
+    if (!only_live) {
+      std::sort(rows.begin(), rows.end(), [](const json& a, const json& b) {
+        return a["ver"] < b["ver"];
+      });
+    }
     return AnswerText(200, json{{"rows", rows},
                                 {"hasMore", false},
                                 {"ver", version_},
--- a/review/harness/spoiled_orders.hpp
+++ b/review/harness/spoiled_orders.hpp
@@ -11,7 +11,6 @@
 
 inline constexpr int kRequests = 400;
 inline constexpr int kServers = 4;
-inline constexpr int kFaultyServers = 2;  // half of them
 inline constexpr int kSpoilEvery = 34;  // fewer than 3 in 100 of their answers
 
 class OrderServer {
@@ -71,18 +70,21 @@
 };
 
 /// Sends orders one after the other over a kept connection.
+/// @param extra_bytes of the faulty servers, one after the other
 /// @return nullopt if the daemon didn't become ready
-inline std::optional<OrdersEnd> SendOrders(Record& record,
-                                           const std::string& folder,
-                                           const std::string& extra_bytes) {
+inline std::optional<OrdersEnd> SendOrders(
+    Record& record,
+    const std::string& folder,
+    const std::vector<std::string>& extra_bytes) {
   Store store;
   Runs runs;
   std::vector<std::unique_ptr<OrderServer>> servers;
   for (int i = 0; i < kServers; ++i) {
     const std::string name = "i-" + std::to_string(i);
-    const bool faulty = HasTrouble() && i < kFaultyServers;
+    const bool faulty =
+        HasTrouble() && static_cast<std::size_t>(i) < extra_bytes.size();
     servers.push_back(std::make_unique<OrderServer>(
-        name, faulty ? extra_bytes : "", runs, record));
+        name, faulty ? extra_bytes[i] : "", runs, record));
     store.Put("servers", name,
               ServerRow("orders", servers.back()->address(), "north", 6));
   }
