--- a/review/harness/platform.hpp
+++ b/review/harness/platform.hpp
@@ -9,6 +9,7 @@
 
 #include <condition_variable>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
@@ -437,8 +438,9 @@
                  "start it in the root, after the build: CASE RECORD\n");
     return kCouldNotRun;
   }
-  char folder[] = "/tmp/review-XXXXXX";
-  if (mkdtemp(folder) == nullptr) {
+  std::string folder =
+      (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+  if (mkdtemp(folder.data()) == nullptr) {
     return kCouldNotRun;
   }
   Record record(argv[1]);
@@ -450,12 +452,9 @@
   }
   const char* keep = std::getenv("KEEP");
   if (keep == nullptr) {
-    const std::string remove = std::string("rm -rf ") + folder;
-    if (std::system(remove.c_str()) != 0) {
-      record.Line("the temporary folder was not removed");
-    }
+    std::filesystem::remove_all(folder);
   } else {
-    record.Line(std::string("kept ") + folder);
+    record.Line("kept " + folder);
   }
   return result;
 }
