End a stopping daemon only when no connection can bring a request

The client sends its next request over the same connection 50 ms later, gets the head of an answer and is cut off, with 4 s of the grace left.

Cause: the drain decided to end, and ended 50 ms later, the time meant for the last responses to leave. In these 50 ms open connections were still served. Closing the connections alone would not have been enough: pipelined requests, and requests of peers, come without such a connection.

Evidence, the lines of the new test on the code before: drain_ended left=0 at 38.6116 s, request_admitted of the second request at 38.6550 s, request_sent, request_end outcome=stream_broken "the daemon is stopping" at 38.6625 s.

Change: - ShutdownProgress decides without I/O: a daemon ends when it has had nothing to do for 50 ms, at that moment, with nothing read in between. Every open connection of a caller counts as something to do. - After StopAccepting() a connection closes once it has been idle for 250 ms; before, those that were idle at one moment closed, and no others ever. - A pipelined request that has been read is answered, the last response announces the close. Before, it was dropped. - At the end of the grace a request of which a part has arrived gets 503; before, its connection just ended. - A request that can't be answered in the grace is refused before it is handed to a peer, not after. - drain_ended tells what was left, by kind.

Two ways for the connection whose stream ends: close it at once, or give its client a moment. Closing at once, the next request crosses the close at a pause of 0 ms and its client learns nothing; with 250 ms it is answered whole at 0 and 50 ms, and a daemon whose caller stays silent ends that much later. The second is kept.

Why it works: when the daemon ends there is no connection that could bring a request, and the listener is closed.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -19,6 +19,7 @@
 #include "gentianroute/gateway/result_releaser.h"
 #include "gentianroute/gateway/retry_budgets.h"
 #include "gentianroute/gateway/server_notices.h"
+#include "gentianroute/gateway/shutdown_progress.h"
 #include "gentianroute/gateway/stage_router.h"
 #include "gentianroute/gateway/stage_scheduler.h"
 #include "gentianroute/gateway/start_queue.h"
@@ -43,9 +44,9 @@
 /// Part of the drain grace that is left unused, so that the daemon ends before
 /// it is killed.
 inline constexpr Duration kDrainMargin = std::chrono::milliseconds(400);
-/// Time for the last responses to leave the host.
+/// Time for the responses to aborted requests to leave the host.
 inline constexpr Duration kResponseFlushTime = std::chrono::milliseconds(50);
-inline constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(50);
+inline constexpr Duration kShutdownCheckPeriod = std::chrono::milliseconds(50);
 inline constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(250);
 /// Answers that callers have not read yet may take this part of the memory.
 inline constexpr std::size_t kUnsentMemoryDivisor = 4;
@@ -185,8 +186,7 @@
     callers_->AnnounceClose();
     callbacks_.After(detail::kBalancerDetectionTime,
                      [this] { callers_->StopAccepting(); });
-    WaitForEnd(drain_.last_expected_request + detail::kDrainCheckPeriod,
-               drain_.ends_at, std::move(done));
+    WaitForEnd(ShutdownProgress(drain_), std::move(done));
   }
 
   // ClusterHandler: messages and requests from peers.
@@ -504,25 +504,40 @@
                             server_rows_.newest_change());
   }
 
-  /// Polls until no request is in progress or `latest` has come, then ends the
-  /// remaining requests and calls `done`.
-  /// @param earliest the wait lasts at least until then
-  void WaitForEnd(TimePoint earliest,
-                  TimePoint latest,
-                  std::function<void()> done) {
-    const TimePoint now = loop_.Now();
-    // Requests that peers have handed over have no caller here.
-    const bool idle = callers_->active_requests() == 0 && flows_.empty();
-    if ((idle && now >= earliest) || now >= latest) {
-      LogEvent("drain_ended").Field("left", callers_->active_requests());
-      EndAllFlows();
-      loop_.After(detail::kResponseFlushTime, done);
+  OutstandingWork Outstanding() const {
+    OutstandingWork work;
+    work.caller_connections = callers_->connections();
+    work.requests = flows_.size();
+    return work;
+  }
+
+  /// Polls until the daemon may end, then calls `done`, which must end the
+  /// process without reading from a socket.
+  void WaitForEnd(ShutdownProgress progress, std::function<void()> done) {
+    using Step = ShutdownProgress::Step;
+    const OutstandingWork work = Outstanding();
+    const Step step = progress.Next(loop_.Now(), work);
+    if (step == Step::kWait) {
+      callbacks_.After(detail::kShutdownCheckPeriod,
+                       [this, progress, done = std::move(done)] {
+                         WaitForEnd(progress, done);
+                       });
+      return;
+    }
+    LogEvent("drain_ended")
+        .Field("left", callers_->active_requests())
+        .Field("connections", work.caller_connections)
+        .Field("unsent_bytes", callers_->unsent_bytes())
+        .Field("requests", work.requests);
+    // Requests that peers hand over from now on are refused.
+    drain_.ends_at = loop_.Now();
+    if (step == Step::kEnd) {
+      done();
       return;
     }
-    callbacks_.After(detail::kDrainCheckPeriod,
-                     [this, earliest, latest, done = std::move(done)] {
-                       WaitForEnd(earliest, latest, done);
-                     });
+    EndAllFlows();
+    callers_->RejectIncomplete(detail::kUnavailable);
+    loop_.After(detail::kResponseFlushTime, std::move(done));
   }
 
   void EndAllFlows() {
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -177,6 +177,10 @@
   }
   plan_.emplace(route_->stages, request_.stage_pieces);
   deadline_timer_ = context_.loop.At(deadline_, [this] { OnTimeout(); });
+  // A peer's answer would come too late as well.
+  if (RefuseIfDraining()) {
+    return;
+  }
   if (HandToPeer()) {
     return;
   }
--- a/packages/loop/include/gentianroute/loop/message_parser.h
+++ b/packages/loop/include/gentianroute/loop/message_parser.h
@@ -78,6 +78,8 @@
   const std::string& body() const;
   /// @brief Whether any byte of the current message has arrived.
   bool started() const;
+  /// @brief Whether any byte after the end of the current message has arrived.
+  bool has_next() const;
 
  private:
   class Impl;
--- a/packages/loop/include/gentianroute/loop/relay_server.h
+++ b/packages/loop/include/gentianroute/loop/relay_server.h
@@ -95,11 +95,20 @@
   /// otherwise
   std::size_t LimitUnsentBytes(std::size_t max_bytes);
 
-  /// @brief Sends `Connection: close` with every response from now on, and
+  /// @brief Sends `Connection: close` with the last response of a connection
+  /// from now on, which is the one that no pipelined request follows, and
   /// closes the connection after it.
   void AnnounceClose();
-  /// @brief Stops accepting connections and closes idle ones.
+  /// @brief Stops accepting connections, and closes each open one once it has
+  /// been idle for a moment.
+  ///
+  /// A client whose response had begun before AnnounceClose() doesn't know that
+  /// its connection closes. Its next request is still answered if it comes at
+  /// once. No connection is left in the end.
   void StopAccepting();
+  /// @brief Sends an error in place of a response to each request of which only
+  /// a part has arrived, and closes its connection.
+  void RejectIncomplete(int status);
 
  private:
   class Impl;
--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -178,6 +178,7 @@
     return !input_.empty() || (kind_ == Kind::kRequest ? request_->got_some()
                                                        : response_->got_some());
   }
+  bool has_next() const { return end_reported_ && !input_.empty(); }
 
   std::string input_;
   std::string body_part_;
@@ -303,5 +304,8 @@
 bool MessageParser::started() const {
   return impl_->started();
 }
+bool MessageParser::has_next() const {
+  return impl_->has_next();
+}
 
 }  // namespace gentianroute
--- a/packages/loop/src/relay_server.cc
+++ b/packages/loop/src/relay_server.cc
@@ -21,6 +21,10 @@
 /// connection. Closing a socket with unread input resets the connection, and
 /// the reset can overtake the response. Much longer than a round trip.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+/// How long a connection waits for its next request once no new ones are
+/// accepted. A client that wasn't told of the close sends its next request at
+/// once; closing then would cross that request.
+constexpr Duration kIdleTimeoutWhenStopping = std::chrono::milliseconds(250);
 /// Limits the memory used for a client that doesn't read its response.
 constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
 
@@ -87,6 +91,22 @@
 
     std::size_t unsent_bytes() const { return socket_->unsent_bytes(); }
     bool busy() const { return exchange_ != nullptr || request_started_; }
+    bool has_incomplete_request() const { return request_started_; }
+
+    /// Closes the connection soon unless another request arrives.
+    void LimitIdleTime(TimePoint now) {
+      if (!busy() && !lingering_) {
+        const TimePoint closes_at = idle_since_ + kIdleTimeoutWhenStopping;
+        RestartTimer(std::max(closes_at - now, Duration{0}));
+      }
+    }
+
+    /// Sends an error and closes the connection, since it is unknown where the
+    /// next request would begin.
+    void Reject(int status) {
+      incoming_ = nullptr;
+      SendResponse(status, {}, "");
+    }
 
     void Close() {
       if (std::exchange(closed_, true)) {
@@ -154,9 +174,11 @@
     }
 
    private:
+    /// A pipelined request that has been read is answered before the
+    /// connection closes: its client may not repeat it.
     bool ShouldClose() const {
-      return server_.closing_ || exchange_ == nullptr ||
-             !exchange_->head().keep_alive;
+      return exchange_ == nullptr || !exchange_->head().keep_alive ||
+             (server_.closing_ && !parser_.has_next());
     }
 
     /// Parses input up to the end of the current request; pipelined requests
@@ -220,13 +242,6 @@
       server_.handler_(exchange);
     }
 
-    /// Sends an error and closes the connection, since it is unknown where the
-    /// next request would begin.
-    void Reject(int status) {
-      incoming_ = nullptr;
-      SendResponse(status, {}, "");
-    }
-
     void FinishResponse(bool close) {
       if (exchange_ != nullptr) {
         exchange_->ClearOnDisconnect();
@@ -245,7 +260,14 @@
       const CallerLimits limits = server_.options_.limits();
       parser_.StartNext({limits.head_bytes, limits.body_bytes});
       request_started_ = false;
-      RestartTimer(limits.idle_timeout);
+      StartIdleTimer();
+    }
+
+    void StartIdleTimer() {
+      idle_since_ = server_.loop_.Now();
+      RestartTimer(server_.listener_ == nullptr
+                       ? kIdleTimeoutWhenStopping
+                       : server_.options_.limits().idle_timeout);
     }
 
     void Linger() {
@@ -288,6 +310,7 @@
     boost::intrusive_ptr<Exchange> incoming_;
     boost::intrusive_ptr<Exchange> exchange_;
     TimePoint start_time_{};
+    TimePoint idle_since_{};  ///< valid unless busy()
     bool request_started_ = false;
     bool chunked_ = false;
     bool close_after_ = false;
@@ -314,14 +337,17 @@
   void StopAccepting() {
     listener_.reset();
     closing_ = true;
-    std::vector<Connection*> idle;
+    const TimePoint now = loop_.Now();
     for (Connection& connection : connections_) {
-      if (!connection.busy()) {
-        idle.push_back(&connection);
-      }
+      connection.LimitIdleTime(now);
     }
-    for (Connection* connection : idle) {
-      connection->Close();
+  }
+
+  void RejectIncomplete(int status) {
+    for (Connection& connection : connections_) {
+      if (connection.has_incomplete_request()) {
+        connection.Reject(status);
+      }
     }
   }
 
@@ -429,5 +455,8 @@
 void RelayServer::StopAccepting() {
   impl_->StopAccepting();
 }
+void RelayServer::RejectIncomplete(int status) {
+  impl_->RejectIncomplete(status);
+}
 
 }  // namespace gentianroute
--- /dev/null
+++ b/packages/loop/tests/relay_server_stop_test.cc
@@ -0,0 +1,157 @@
+// What a server owes to the clients of its open connections when it stops.
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gentianroute/loop/message_parser.h"
+#include "gentianroute/loop/relay_server.h"
+#include "gentianroute/loop/stream_socket.h"
+
+using namespace gentianroute;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kUnavailable = 503;
+constexpr Duration kExchangeTime = milliseconds(50);
+/// Longer than a stopping server waits for another request.
+constexpr Duration kIdleEnd = milliseconds(600);
+
+std::string RequestFor(std::string_view target) {
+  return "GET " + std::string(target) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+/// A client that parses what it gets.
+class Client final : public StreamSocket::Observer {
+ public:
+  Client(EventLoop& loop, std::uint16_t port)
+      : parser_(MessageParser::Kind::kResponse, {}),
+        socket_(loop, "127.0.0.1", port, *this) {}
+
+  void Send(std::string_view text) { socket_.Write(text); }
+
+  void OnData(std::string_view data) override {
+    using Event = MessageParser::Event;
+    parser_.Feed(data);
+    for (Event event = parser_.Poll(); event != Event::kNeedMore;
+         event = parser_.Poll()) {
+      if (event == Event::kEnd) {
+        responses.push_back(std::move(parser_.head()));
+        parser_.StartNext({});
+      }
+    }
+  }
+  void OnEnd(StreamEnd /*end*/) override { closed = true; }
+
+  /// Positions of the responses that announce the close.
+  std::vector<std::size_t> AnnouncedCloses() const {
+    std::vector<std::size_t> positions;
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+      if (FieldValue(responses[i].fields, "Connection") == "close") {
+        positions.push_back(i);
+      }
+    }
+    return positions;
+  }
+
+  std::vector<MessageHead> responses;
+  bool closed = false;
+
+ private:
+  MessageParser parser_;
+  StreamSocket socket_;
+};
+
+/// A server that answers /now at once and keeps the other requests.
+struct StoppingServerFixture {
+  EventLoop loop;
+  std::vector<RelayExchangePtr> kept;
+  RelayServer server{loop,
+                     {"127.0.0.1", 0, [] { return CallerLimits{}; }},
+                     [this](const RelayExchangePtr& exchange) {
+                       if (exchange->head().target == "/now") {
+                         exchange->Respond(200, {}, "now");
+                         return;
+                       }
+                       kept.push_back(exchange);
+                     }};
+
+  void RunFor(Duration time) {
+    loop.After(time, [this] { loop.Stop(); });
+    loop.Run();
+  }
+};
+
+}  // namespace
+
+// Guards against requests that were read behind another one going unanswered.
+Test(relay_server_stop, requests_are_pipelined_last_response_announces_close) {
+  StoppingServerFixture fixture;
+  Client client(fixture.loop, fixture.server.port());
+  fixture.server.AnnounceClose();
+  client.Send(RequestFor("/now") + RequestFor("/kept") + RequestFor("/now"));
+  fixture.RunFor(kExchangeTime);
+  cr_assert_eq(fixture.kept.size(), 1);
+  fixture.kept[0]->Begin(200, {});
+  fixture.kept[0]->End();
+  fixture.RunFor(kExchangeTime);
+  cr_assert_eq(client.responses.size(), 3);
+  cr_assert(client.AnnouncedCloses() == std::vector<std::size_t>{2});
+}
+
+// Guards against the next request of a client that doesn't know of the stop
+// crossing the close of its connection.
+Test(relay_server_stop, response_had_begun_before_next_request_is_answered) {
+  StoppingServerFixture fixture;
+  Client client(fixture.loop, fixture.server.port());
+  client.Send(RequestFor("/kept"));
+  fixture.RunFor(kExchangeTime);
+  fixture.kept[0]->Begin(200, {});
+  fixture.server.StopAccepting();
+  fixture.kept[0]->End();
+  fixture.RunFor(kExchangeTime);
+  cr_assert(!client.closed);
+  client.Send(RequestFor("/now"));
+  fixture.RunFor(kExchangeTime);
+  cr_assert_eq(client.responses.size(), 2);
+  cr_assert(client.AnnouncedCloses() == std::vector<std::size_t>{1});
+}
+
+Test(relay_server_stop, no_request_follows_connection_is_closed) {
+  StoppingServerFixture fixture;
+  Client idle(fixture.loop, fixture.server.port());
+  Client client(fixture.loop, fixture.server.port());
+  client.Send(RequestFor("/kept"));
+  fixture.RunFor(kExchangeTime);
+  fixture.kept[0]->Begin(200, {});
+  fixture.server.StopAccepting();
+  fixture.kept[0]->End();
+  fixture.RunFor(kIdleEnd);
+  cr_assert_eq(client.responses.size(), 1);
+  cr_assert(client.closed);
+  cr_assert(idle.closed);
+  cr_assert_eq(fixture.server.connections(), 0);
+}
+
+// Guards against the client of an incomplete request learning nothing.
+Test(relay_server_stop, incomplete_requests_are_rejected_others_are_kept) {
+  StoppingServerFixture fixture;
+  Client incomplete(fixture.loop, fixture.server.port());
+  Client waiting(fixture.loop, fixture.server.port());
+  incomplete.Send("GET /now HTTP/1.1\r\n");
+  waiting.Send(RequestFor("/kept"));
+  fixture.RunFor(kExchangeTime);
+  fixture.server.RejectIncomplete(kUnavailable);
+  fixture.RunFor(kExchangeTime);
+  cr_assert_eq(incomplete.responses.size(), 1);
+  cr_assert_eq(incomplete.responses[0].status, kUnavailable);
+  cr_assert(!waiting.closed);
+  fixture.kept[0]->Respond(200, {}, "");
+  fixture.RunFor(kExchangeTime);
+  cr_assert_eq(waiting.responses.size(), 1);
+}
