Keep a connection open while its client still reads a response

The daemon is told to stop and exits with code 0 after 2.7 s, with 5 s of grace left: the client gets the 3.9 MB that the kernel had taken and the end of the connection.

Cause: a connection counted as idle as soon as its response was queued in the daemon. StopAccepting() closed it, the drain didn't wait for it, and the idle limit of callers cut it too, without any stop: a client that needed longer than that for the last part lost it.

Change: a connection is idle from the moment when all has been sent. active_requests(), the drain and the idle limit go by that.

Why it works: nothing closes a connection with unsent bytes but its own end, the account of unsent bytes, the time in which a dead peer is detected, and the end of the grace, which names what was left.

--- a/packages/loop/include/gentianroute/loop/relay_server.h
+++ b/packages/loop/include/gentianroute/loop/relay_server.h
@@ -82,7 +82,8 @@
 
   std::uint16_t port() const;
   std::size_t connections() const;
-  /// @brief Number of requests that are being read or handled.
+  /// @brief Number of requests that are being read or handled, or whose
+  /// response has not been sent in full.
   std::size_t active_requests() const;
 
   /// @brief Bytes of responses that clients have not read yet, and that are
--- a/packages/loop/src/relay_server.cc
+++ b/packages/loop/src/relay_server.cc
@@ -90,7 +90,11 @@
     }
 
     std::size_t unsent_bytes() const { return socket_->unsent_bytes(); }
-    bool busy() const { return exchange_ != nullptr || request_started_; }
+    /// Whether the client is owed anything: the response to a request of which
+    /// a part has arrived, or the rest of a response.
+    bool busy() const {
+      return exchange_ != nullptr || request_started_ || unsent_bytes() > 0;
+    }
     bool has_incomplete_request() const { return request_started_; }
 
     /// Closes the connection soon unless another request arrives.
@@ -132,6 +136,8 @@
     void OnDrained() override {
       if (lingering_) {
         socket_->ShutdownWrite();
+      } else if (!busy()) {
+        StartIdleTimer();
       }
     }
     void OnEnd(StreamEnd /*end*/) override { Close(); }
@@ -300,7 +306,11 @@
         Reject(kRequestTimeout);
         return;
       }
-      Close();
+      // A slow client still receives its response; OnDrained() restarts the
+      // timer.
+      if (!busy()) {
+        Close();
+      }
     }
 
     Impl& server_;
--- a/packages/loop/tests/relay_server_stop_test.cc
+++ b/packages/loop/tests/relay_server_stop_test.cc
@@ -11,8 +11,10 @@
 #include "gentianroute/loop/message_parser.h"
 #include "gentianroute/loop/relay_server.h"
 #include "gentianroute/loop/stream_socket.h"
+#include "slow_reader.h"
 
 using namespace gentianroute;
+using gentianroute::testing::SlowReader;
 using std::chrono::milliseconds;
 
 namespace {
@@ -69,26 +71,78 @@
 
 /// A server that answers /now at once and keeps the other requests.
 struct StoppingServerFixture {
+  static constexpr std::size_t kLargeBody = 12'000'000;
+
   EventLoop loop;
+  Duration idle_limit = std::chrono::seconds(15);
   std::vector<RelayExchangePtr> kept;
   RelayServer server{loop,
-                     {"127.0.0.1", 0, [] { return CallerLimits{}; }},
+                     {"127.0.0.1", 0,
+                      [this] {
+                        CallerLimits limits;
+                        limits.idle_timeout = idle_limit;
+                        return limits;
+                      }},
                      [this](const RelayExchangePtr& exchange) {
                        if (exchange->head().target == "/now") {
                          exchange->Respond(200, {}, "now");
                          return;
                        }
+                       if (exchange->head().target == "/large") {
+                         exchange->Respond(200, {}, LargeBody());
+                         return;
+                       }
                        kept.push_back(exchange);
                      }};
 
+  static std::string LargeBody() {
+    return std::string(kLargeBody - kLargeEnd.size(), 'x') +
+           std::string(kLargeEnd);
+  }
+  static constexpr std::string_view kLargeEnd = "end";
+
   void RunFor(Duration time) {
     loop.After(time, [this] { loop.Stop(); });
     loop.Run();
   }
+  /// Reads all that the server has to send.
+  void ReadRest(SlowReader& reader) {
+    for (int i = 0; i < 200 && !reader.closed(); ++i) {
+      reader.Read(kLargeBody);
+      RunFor(milliseconds(5));
+    }
+  }
 };
 
 }  // namespace
 
+// Guards against a connection that is taken for idle, and closed, while its
+// client still reads a response.
+Test(relay_server_stop, idle_limit_passes_unsent_response_is_kept) {
+  StoppingServerFixture fixture;
+  fixture.idle_limit = milliseconds(100);
+  SlowReader reader(fixture.server.port(), RequestFor("/large"));
+  fixture.RunFor(3 * fixture.idle_limit);
+  cr_assert_gt(fixture.server.unsent_bytes(), 0);
+  cr_assert_eq(fixture.server.active_requests(), 1);
+  fixture.ReadRest(reader);
+  cr_assert(reader.EndsWith(StoppingServerFixture::kLargeEnd));
+  cr_assert(reader.closed(), "it is closed when it has been idle");
+}
+
+// Guards against a stop that closes a connection with an unsent response.
+Test(relay_server_stop, stops_accepting_unsent_response_is_kept) {
+  StoppingServerFixture fixture;
+  SlowReader reader(fixture.server.port(), RequestFor("/large"));
+  fixture.RunFor(kExchangeTime);
+  fixture.server.StopAccepting();
+  fixture.RunFor(kIdleEnd);
+  cr_assert_eq(fixture.server.connections(), 1);
+  fixture.ReadRest(reader);
+  cr_assert(reader.EndsWith(StoppingServerFixture::kLargeEnd));
+  cr_assert_eq(fixture.server.connections(), 0);
+}
+
 // Guards against requests that were read behind another one going unanswered.
 Test(relay_server_stop, requests_are_pipelined_last_response_announces_close) {
   StoppingServerFixture fixture;
