Let a stopping daemon finish what peers have handed in

What callers saw: nothing but time. A daemon that stopped broke off the groups of stage pieces that peers had handed it to schedule. Each peer had them done again: in the test, a request whose stage takes 3.2 s was answered after 5.9 s, and the stage ran twice.

Groups of peers, answers to handed requests that the peer has not acknowledged, and calls that free results at servers were not counted.

Change: each call of a peer that waits for an answer holds a reference to a count, which may outlive the cluster as the call may. ShutdownProgress waits for these and for calls that free results.

The test of a handed request is a guard: requests of peers were counted before, their answers on the way were not, which loopback is too fast to show.

Left as it was: results that are to be freed at a server which has asked for a backoff are not waited for; they expire there.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -3,6 +3,8 @@
 
 #include <cluster.capnp.h>
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -119,6 +121,9 @@
   const Membership& members() const { return members_; }
   std::size_t live_daemons() const { return members_.live_daemons(); }
   bool IsStoreReader() const { return members_.IsStoreReader(); }
+  /// @brief Number of groups and requests of peers that wait for an answer of
+  /// this daemon.
+  std::size_t peer_calls() const;
 
   /// @brief Sends a group to another daemon, as PeerCalls::RunGroup does.
   /// @param peer name returned by SchedulerOf
@@ -170,6 +175,7 @@
 
  private:
   class Service;
+  struct PeerCallCount;
 
   void OnRows(std::string_view data_centre,
               const std::vector<DaemonState>& daemons);
@@ -208,6 +214,7 @@
   bool first_start_;
   bool update_pending_ = false;
   UpdateScope update_scope_ = UpdateScope::kForward;
+  boost::intrusive_ptr<PeerCallCount> peer_calls_;
   std::unique_ptr<DatagramSocket> datagrams_;
   std::unique_ptr<RpcServer> server_;
   TimerId heartbeat_timer_;
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -508,6 +508,8 @@
     OutstandingWork work;
     work.caller_connections = callers_->connections();
     work.requests = flows_.size();
+    work.peer_calls = cluster_.peer_calls();
+    work.releases = releaser_.calls();
     return work;
   }
 
@@ -528,7 +530,9 @@
         .Field("left", callers_->active_requests())
         .Field("connections", work.caller_connections)
         .Field("unsent_bytes", callers_->unsent_bytes())
-        .Field("requests", work.requests);
+        .Field("requests", work.requests)
+        .Field("peer_calls", work.peer_calls)
+        .Field("releases", work.releases);
     // Requests that peers hand over from now on are refused.
     drain_.ends_at = loop_.Now();
     if (step == Step::kEnd) {
--- a/packages/gateway/include/gentianroute/gateway/result_releaser.h
+++ b/packages/gateway/include/gentianroute/gateway/result_releaser.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_GATEWAY_RESULT_RELEASER_H_
 #define GENTIANROUTE_GATEWAY_RESULT_RELEASER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -29,6 +30,8 @@
   ~ResultReleaser();
 
   void Release(std::vector<std::string> results);
+  /// @brief Number of calls in progress.
+  std::size_t calls() const { return fetches_.running(); }
 
  private:
   void Flush();
--- a/packages/gateway/include/gentianroute/gateway/shutdown_progress.h
+++ b/packages/gateway/include/gentianroute/gateway/shutdown_progress.h
@@ -11,14 +11,19 @@
 
 namespace gentianroute::gateway {
 
-/// @brief What a daemon still owes to callers and peers, by kind.
+/// @brief What a daemon still owes to callers, peers and servers, by kind.
 struct OutstandingWork {
   /// Open connections of callers. Each may bring another request, or has part
   /// of an answer left to send.
   std::size_t caller_connections = 0;
-  std::size_t requests = 0;  ///< of callers, or handed over by peers
-
-  bool empty() const { return caller_connections == 0 && requests == 0; }
+  std::size_t requests = 0;    ///< of callers, or handed over by peers
+  std::size_t peer_calls = 0;  ///< of peers that wait for an answer
+  std::size_t releases = 0;    ///< calls that free results at servers
+
+  bool empty() const {
+    return caller_connections == 0 && requests == 0 && peer_calls == 0 &&
+           releases == 0;
+  }
 };
 
 /// @brief Decides when a daemon that has been told to stop may end.
@@ -30,7 +35,8 @@
     kAbort,  ///< the time is over: unfinished work has to be ended
   };
 
-  /// How long nothing may be outstanding before the daemon ends.
+  /// How long nothing may be outstanding before the daemon ends. Longer than
+  /// the periods in which releases are batched, so that the last ones are seen.
   static constexpr Duration kQuietTime = std::chrono::milliseconds(50);
 
   explicit ShutdownProgress(routing::DrainTimes times) : times_(times) {}
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -5,6 +5,7 @@
 #include <kj/async.h>
 
 #include <algorithm>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <chrono>
 #include <map>
 #include <utility>
@@ -100,6 +101,12 @@
 
 }  // namespace
 
+/// Each call in progress holds a reference besides that of the cluster. Calls
+/// may outlive the cluster.
+struct Cluster::PeerCallCount
+    : boost::intrusive_ref_counter<PeerCallCount,
+                                   boost::thread_unsafe_counter> {};
+
 /// Calls that peers make to this daemon.
 class Cluster::Service final : public schema::Cluster::Server {
  public:
@@ -122,7 +129,8 @@
           (*fulfiller)->fulfill();
         });
     return done.promise.attach(
-        kj::heap<std::unique_ptr<GroupHandle>>(std::move(handle)));
+        kj::heap<std::unique_ptr<GroupHandle>>(std::move(handle)),
+        kj::heap(cluster_.peer_calls_));
   }
 
   kj::Promise<void> handOver(HandOverContext context) override {
@@ -139,7 +147,8 @@
                                          exchange->SetSource(source);
                                        });
     return done.promise.attach(
-        kj::defer([exchange] { exchange->OnCallEnded(); }));
+        kj::defer([exchange] { exchange->OnCallEnded(); }),
+        kj::heap(cluster_.peer_calls_));
   }
 
   kj::Promise<void> release(ReleaseContext context) override {
@@ -218,7 +227,8 @@
               OnRows(data_centre, daemons);
             }),
       calls_(loop, [this](const std::string& peer) { OnUnreachable(peer); }),
-      first_start_(settings.first_start) {
+      first_start_(settings.first_start),
+      peer_calls_(new PeerCallCount) {
   datagrams_ = std::make_unique<DatagramSocket>(
       loop_, settings.peers.address, settings.peers.port,
       [this](std::span<const std::byte> message) { OnDatagram(message); });
@@ -233,6 +243,10 @@
   loop_.Cancel(list_fetch_timer_);
 }
 
+std::size_t Cluster::peer_calls() const {
+  return peer_calls_->use_count() - 1;
+}
+
 void Cluster::Start() {
   RunHeartbeatRound();
   rows_.Start();
--- a/packages/gateway/tests/shutdown_progress_test.cc
+++ b/packages/gateway/tests/shutdown_progress_test.cc
@@ -24,8 +24,11 @@
 };
 
 /// Work of each kind, alone.
-constexpr std::array<OutstandingWork, 2> kEachKind = {
-    {{.caller_connections = 1}, {.requests = 1}}};
+constexpr std::array<OutstandingWork, 4> kEachKind = {
+    {{.caller_connections = 1},
+     {.requests = 1},
+     {.peer_calls = 1},
+     {.releases = 1}}};
 
 }  // namespace
 
--- a/packages/loop/include/gentianroute/loop/relay_fetches.h
+++ b/packages/loop/include/gentianroute/loop/relay_fetches.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_LOOP_RELAY_FETCHES_H_
 #define GENTIANROUTE_LOOP_RELAY_FETCHES_H_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,6 +35,8 @@
 
   /// @param done called once, unless this object is destroyed first
   void Start(RelayCall call, Duration time_limit, Done done);
+  /// @brief Number of calls in progress.
+  std::size_t running() const { return running_.size(); }
 
  private:
   class Fetch;
