Answer pipelined requests in a loop, not by recursion

Cause: an answer that is sent while a request is being handled went on with the next request from within, so that the stack grew by the number of requests that were waiting.

Change: ProcessInput() doesn't enter itself; its loop goes on with the next request. Looked at for the same: answers of servers (RelayClient reads them in a loop, and a call that is begun by a callback only writes).

--- a/packages/loop/src/relay_server.cc
+++ b/packages/loop/src/relay_server.cc
@@ -189,15 +189,29 @@
 
     /// Parses input up to the end of the current request; pipelined requests
     /// stay buffered.
+    ///
+    /// A response that is sent during this call, by the handler of a request,
+    /// doesn't recurse for the next request: a client may send thousands at
+    /// once, which would use up the stack.
     void ProcessInput() {
-      while (!closed_ && !lingering_ && exchange_ == nullptr) {
-        if (!request_started_ && parser_.started()) {
-          BeginRequest();
-        }
-        if (!HandleEvent(parser_.Poll())) {
-          return;
-        }
+      if (std::exchange(processing_, true)) {
+        return;
+      }
+      while (CanParse() && ProcessEvent()) {
+      }
+      processing_ = false;
+    }
+
+    bool CanParse() const {
+      return !closed_ && !lingering_ && exchange_ == nullptr;
+    }
+
+    /// @return false if more input is needed
+    bool ProcessEvent() {
+      if (!request_started_ && parser_.started()) {
+        BeginRequest();
       }
+      return HandleEvent(parser_.Poll());
     }
 
     bool HandleEvent(MessageParser::Event event) {
@@ -320,7 +334,8 @@
     boost::intrusive_ptr<Exchange> incoming_;
     boost::intrusive_ptr<Exchange> exchange_;
     TimePoint start_time_{};
-    TimePoint idle_since_{};  ///< valid unless busy()
+    TimePoint idle_since_{};   ///< valid unless busy()
+    bool processing_ = false;  ///< in ProcessInput()
     bool request_started_ = false;
     bool chunked_ = false;
     bool close_after_ = false;
