--- a/packages/gateway/include/gentianroute/gateway/detail/cluster_messages.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/cluster_messages.h
@@ -25,6 +25,8 @@
                 const routing::StageGroup& group,
                 schema::Group::Builder out);
 routing::StageGroup ReadGroup(TimePoint now, schema::Group::Reader in);
+/// Whether the texts of a group can be passed on to a server.
+bool HasValidTexts(const routing::StageGroup& group);
 
 void WriteOutcome(const GroupOutcome& outcome,
                   schema::GroupOutcome::Builder out);
--- a/packages/gateway/include/gentianroute/gateway/translator.h
+++ b/packages/gateway/include/gentianroute/gateway/translator.h
@@ -26,6 +26,8 @@
   std::optional<std::string> key;   ///< identifies the organisation
   /// Whether the key is empty or was given more than once.
   bool has_invalid_key = false;
+  /// Whether a text that is passed on inside a message is not UTF-8.
+  bool has_invalid_text = false;
   routing::Prompt prompt;
   std::vector<std::uint32_t> stage_pieces;
   std::string stage_key;     ///< stands in for inputs in stages without any
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -119,11 +119,17 @@
     const auto group = context.getParams().getGroup();
     const std::string service = group.getService();
     const std::string data_centre = group.getDataCentre();
+    routing::StageGroup work = ReadGroup(cluster_.loop_.Now(), group);
+    if (!detail::HasValidTexts(work)) {
+      LogEvent("group_unreadable", LogLevel::kWarning)
+          .Field("service", service);
+      return KJ_EXCEPTION(FAILED, "a text of the group is not UTF-8");
+    }
     auto done = kj::newPromiseAndFulfiller<void>();
     auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
         kj::mv(done.fulfiller));
     std::unique_ptr<GroupHandle> handle = cluster_.handler_.RunGroup(
-        service, data_centre, ReadGroup(cluster_.loop_.Now(), group),
+        service, data_centre, std::move(work),
         [context, fulfiller](const GroupOutcome& outcome) mutable {
           WriteOutcome(outcome, context.getResults().initOutcome());
           (*fulfiller)->fulfill();
--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "gentianroute/base/utf8.h"
+
 namespace gentianroute::gateway::detail {
 namespace {
 
@@ -66,6 +68,11 @@
   return group;
 }
 
+bool HasValidTexts(const routing::StageGroup& group) {
+  return IsUtf8(group.request) && IsUtf8(group.key) &&
+         std::ranges::all_of(group.inputs, IsUtf8);
+}
+
 void WriteOutcome(const GroupOutcome& outcome,
                   schema::GroupOutcome::Builder out) {
   if (outcome.failure) {
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -111,7 +111,7 @@
   if (table_ == nullptr || table_->version() < min_deployment_version_) {
     return ErrorKind::kNotReady;
   }
-  if (request_.id.empty()) {
+  if (request_.id.empty() || request_.has_invalid_text) {
     return ErrorKind::kMalformedRequest;
   }
   route_ = table_->Find(request_.host, exchange_->head().target);
