Bound what servers answer to calls that free results

Cause: each call had a bound, their sum had none, and the answers were collected although nobody reads them.

Change: an answer may have 16 KiB, then its connection is closed; a server has four calls at most, further results wait for the next. A sound server answers each call before the next batch but one, so that nothing changes for it.

--- a/packages/gateway/include/gentianroute/gateway/result_releaser.h
+++ b/packages/gateway/include/gentianroute/gateway/result_releaser.h
@@ -20,7 +20,8 @@
 /// A result occupies storage at the server that computed it until it is
 /// released or expires some seconds later. Without releases, a server with
 /// large results is full after a few calls and rejects pieces. Releases are
-/// batched per server. They wait while their server has asked for a backoff.
+/// batched per server. They wait while their server has asked for a backoff or
+/// has several calls to answer.
 class ResultReleaser {
  public:
   ResultReleaser(EventLoop& loop,
@@ -36,12 +37,15 @@
  private:
   void Flush();
   void Send(const Endpoint& server, std::vector<std::string> results);
+  std::size_t CallsAt(const Endpoint& server) const;
+  void OnCallEnd(const Endpoint& server);
 
   EventLoop& loop_;
   RelayFetches fetches_;
   const Translator& translator_;
   ServerNotices& notices_;
   std::map<Endpoint, std::vector<std::string>> pending_;
+  std::map<Endpoint, std::size_t> calls_in_progress_;  ///< without zeros
   TimerId timer_;
 };
 
--- a/packages/gateway/src/result_releaser.cc
+++ b/packages/gateway/src/result_releaser.cc
@@ -12,6 +12,11 @@
 constexpr Duration kReleasePeriod = std::chrono::milliseconds(20);
 constexpr Duration kCallTimeout = std::chrono::seconds(2);
 constexpr std::size_t kMaxResultsPerCall = 400;
+/// More than a sound server has at a time.
+constexpr std::size_t kMaxCallsPerServer = 4;
+/// Nobody reads the answers, and a server in trouble may send bytes without
+/// end.
+constexpr std::size_t kMaxAnswerBytes = 16 * 1024;
 
 }  // namespace
 
@@ -49,7 +54,8 @@
           .Field("results", results.size() - kMaxResultsPerCall);
       results.resize(kMaxResultsPerCall);
     }
-    if (notices_.IsBackingOff(loop_.Now(), server)) {
+    if (notices_.IsBackingOff(loop_.Now(), server) ||
+        CallsAt(server) >= kMaxCallsPerServer) {
       pending_.emplace(server, std::move(results));
     } else {
       Send(server, std::move(results));
@@ -62,10 +68,13 @@
   RelayCall call;
   call.endpoint = server;
   call.message = translator_.ReleaseMessage(server, results);
+  call.max_body_bytes = kMaxAnswerBytes;
+  ++calls_in_progress_[server];
   // A failed release is not retried, since the results expire within seconds.
   fetches_.Start(
       std::move(call), kCallTimeout,
       [this, server, sent_at = loop_.Now()](const RelayFetchResult& end) {
+        OnCallEnd(server);
         notices_.OnAnswerFrom(loop_.Now(), sent_at,
                               translator_.ReadNotice(end.head), server);
         if (!end.complete) {
@@ -74,4 +83,16 @@
       });
 }
 
+std::size_t ResultReleaser::CallsAt(const Endpoint& server) const {
+  const auto calls = calls_in_progress_.find(server);
+  return calls == calls_in_progress_.end() ? 0 : calls->second;
+}
+
+void ResultReleaser::OnCallEnd(const Endpoint& server) {
+  const auto calls = calls_in_progress_.find(server);
+  if (--calls->second == 0) {
+    calls_in_progress_.erase(calls);
+  }
+}
+
 }  // namespace gentianroute::gateway
