Refuse what comes after a grace that is shorter than the balancer's time

Cause: the end of the grace set the time after which requests have to fit, but not the time until which all are accepted (2.6 s after the signal). With a grace below 3 s a request that came in the last 50 ms was passed on and cut.

Change: both times are set. No deployment so far has such a grace.

Evidence: planned_stop (request after a short grace) is red with the change taken back: the request reached a server.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -517,8 +517,9 @@
   /// process without reading from a socket.
   void WaitForEnd(ShutdownProgress progress, std::function<void()> done) {
     using Step = ShutdownProgress::Step;
+    const TimePoint now = loop_.Now();
     const OutstandingWork work = Outstanding();
-    const Step step = progress.Next(loop_.Now(), work);
+    const Step step = progress.Next(now, work);
     if (step == Step::kWait) {
       callbacks_.After(detail::kShutdownCheckPeriod,
                        [this, progress, done = std::move(done)] {
@@ -533,8 +534,8 @@
         .Field("requests", work.requests)
         .Field("peer_calls", work.peer_calls)
         .Field("releases", work.releases);
-    // Requests that peers hand over from now on are refused.
-    drain_.ends_at = loop_.Now();
+    // Requests that still arrive are refused.
+    drain_ = {now, now};
     if (step == Step::kEnd) {
       done();
       return;
