--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -42,7 +42,8 @@
         reach_.is_cut_off() ? 1 : 0);
   gauge("gentianroute_gateway_daemons", "Daemons that are alive.",
         static_cast<double>(cluster_.live_daemons()));
-  gauge("gentianroute_gateway_active_requests", "Requests under way, or with an answer not sent in full.",
+  gauge("gentianroute_gateway_active_requests",
+        "Requests under way, or with an answer not sent in full.",
         static_cast<double>(callers_->active_requests()));
   gauge("gentianroute_gateway_stage_calls", "Stage calls sent.",
         static_cast<double>(stage_scheduler_.calls_sent()));
