Move the decision when a stopping daemon may end to packages/routing

Cause: ShutdownProgress decides without I/O and used nothing of packages/gateway, which does, while packages/routing decides; its other half, DrainTimes, stands there.

Change: files and namespace moved, no line of logic. 4 tests of it and 11 of planned_stop pass as before.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -19,7 +19,6 @@
 #include "gentianroute/gateway/result_releaser.h"
 #include "gentianroute/gateway/retry_budgets.h"
 #include "gentianroute/gateway/server_notices.h"
-#include "gentianroute/gateway/shutdown_progress.h"
 #include "gentianroute/gateway/stage_router.h"
 #include "gentianroute/gateway/stage_scheduler.h"
 #include "gentianroute/gateway/start_queue.h"
@@ -29,6 +28,7 @@
 #include "gentianroute/loop/scoped_callbacks.h"
 #include "gentianroute/observe/log.h"
 #include "gentianroute/observe/metric_writer.h"
+#include "gentianroute/routing/shutdown_progress.h"
 
 namespace gentianroute::gateway {
 namespace detail {
@@ -186,7 +186,7 @@
     callers_->AnnounceClose();
     callbacks_.After(detail::kBalancerDetectionTime,
                      [this] { callers_->StopAccepting(); });
-    WaitForEnd(ShutdownProgress(drain_), std::move(done));
+    WaitForEnd(routing::ShutdownProgress(drain_), std::move(done));
   }
 
   // ClusterHandler: messages and requests from peers.
@@ -504,8 +504,8 @@
                             server_rows_.newest_change());
   }
 
-  OutstandingWork Outstanding() const {
-    OutstandingWork work;
+  routing::OutstandingWork Outstanding() const {
+    routing::OutstandingWork work;
     work.caller_connections = callers_->connections();
     work.requests = flows_.size();
     work.peer_calls = cluster_.peer_calls();
@@ -515,10 +515,11 @@
 
   /// Polls until the daemon may end, then calls `done`, which must end the
   /// process without reading from a socket.
-  void WaitForEnd(ShutdownProgress progress, std::function<void()> done) {
-    using Step = ShutdownProgress::Step;
+  void WaitForEnd(routing::ShutdownProgress progress,
+                  std::function<void()> done) {
+    using Step = routing::ShutdownProgress::Step;
     const TimePoint now = loop_.Now();
-    const OutstandingWork work = Outstanding();
+    const routing::OutstandingWork work = Outstanding();
     const Step step = progress.Next(now, work);
     if (step == Step::kWait) {
       callbacks_.After(detail::kShutdownCheckPeriod,
--- a/packages/gateway/include/gentianroute/gateway/shutdown_progress.h
+++ b/packages/routing/include/gentianroute/routing/shutdown_progress.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANROUTE_GATEWAY_SHUTDOWN_PROGRESS_H_
-#define GENTIANROUTE_GATEWAY_SHUTDOWN_PROGRESS_H_
+#ifndef GENTIANROUTE_ROUTING_SHUTDOWN_PROGRESS_H_
+#define GENTIANROUTE_ROUTING_SHUTDOWN_PROGRESS_H_
 
 #include <chrono>
 #include <cstddef>
@@ -9,7 +9,7 @@
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/drain_times.h"
 
-namespace gentianroute::gateway {
+namespace gentianroute::routing {
 
 /// @brief What a daemon still owes to callers, peers and servers, by kind.
 struct OutstandingWork {
@@ -39,7 +39,7 @@
   /// the periods in which releases are batched, so that the last ones are seen.
   static constexpr Duration kQuietTime = std::chrono::milliseconds(50);
 
-  explicit ShutdownProgress(routing::DrainTimes times) : times_(times) {}
+  explicit ShutdownProgress(DrainTimes times) : times_(times) {}
 
   /// @brief Decides on the next step; called repeatedly.
   ///
@@ -48,10 +48,10 @@
   Step Next(TimePoint now, const OutstandingWork& work);
 
  private:
-  routing::DrainTimes times_;
+  DrainTimes times_;
   std::optional<TimePoint> quiet_since_;
 };
 
-}  // namespace gentianroute::gateway
+}  // namespace gentianroute::routing
 
-#endif  // GENTIANROUTE_GATEWAY_SHUTDOWN_PROGRESS_H_
+#endif  // GENTIANROUTE_ROUTING_SHUTDOWN_PROGRESS_H_
--- a/packages/gateway/src/shutdown_progress.cc
+++ b/packages/routing/src/shutdown_progress.cc
@@ -1,6 +1,6 @@
-#include "gentianroute/gateway/shutdown_progress.h"
+#include "gentianroute/routing/shutdown_progress.h"
 
-namespace gentianroute::gateway {
+namespace gentianroute::routing {
 
 ShutdownProgress::Step ShutdownProgress::Next(TimePoint now,
                                               const OutstandingWork& work) {
@@ -17,4 +17,4 @@
   return now - *quiet_since_ >= kQuietTime ? Step::kEnd : Step::kWait;
 }
 
-}  // namespace gentianroute::gateway
+}  // namespace gentianroute::routing
--- a/packages/gateway/tests/shutdown_progress_test.cc
+++ b/packages/routing/tests/shutdown_progress_test.cc
@@ -1,6 +1,6 @@
 // When a daemon that has been told to stop may end.
 
-#include "gentianroute/gateway/shutdown_progress.h"
+#include "gentianroute/routing/shutdown_progress.h"
 
 #include <criterion/criterion.h>
 
@@ -8,7 +8,7 @@
 #include <chrono>
 
 using namespace gentianroute;
-using namespace gentianroute::gateway;
+using namespace gentianroute::routing;
 using std::chrono::milliseconds;
 using Step = ShutdownProgress::Step;
 
@@ -20,7 +20,7 @@
 constexpr Duration kQuiet = ShutdownProgress::kQuietTime;
 
 struct ShutdownFixture {
-  ShutdownProgress progress{routing::DrainTimes{kLastRequest, kEnd}};
+  ShutdownProgress progress{DrainTimes{kLastRequest, kEnd}};
 };
 
 /// Work of each kind, alone.
