--- a/packages/base/src/problem.cc
+++ b/packages/base/src/problem.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gentianroute/base/json_text.h"
+
 namespace gentianroute {
 
 std::string ProblemBody(ErrorKind kind,
@@ -24,7 +26,7 @@
   if (!key_checked) {
     body["key_checked"] = false;
   }
-  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return EncodeJson(body);
 }
 
 }  // namespace gentianroute
--- a/packages/decision/src/coordinator_answers.cc
+++ b/packages/decision/src/coordinator_answers.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "gentianroute/base/check.h"
+#include "gentianroute/base/json_text.h"
 #include "gentianroute/decision/coordinator.h"
-#include "gentianroute/decision/detail/json_text.h"
 
 namespace gentianroute {
 namespace {
@@ -61,9 +61,8 @@
   Request& request = requests_.at(attempt.request);
   RetryBudgetOf(request.stage().pool).OnSuccess();
   pool_health_[request.stage().pool].OnAnswer();
-  std::string result = request.stage().streams
-                           ? detail::QuoteText(request.streamed)
-                           : std::move(answer.body);
+  std::string result = request.stage().streams ? EncodeJson(request.streamed)
+                                               : std::move(answer.body);
   CompleteStage(now, request, std::move(result), answer, attempt);
   DispatchFreedPools(now);
 }
--- a/packages/decision/src/coordinator_stages.cc
+++ b/packages/decision/src/coordinator_stages.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "gentianroute/base/check.h"
+#include "gentianroute/base/json_text.h"
 #include "gentianroute/decision/coordinator.h"
-#include "gentianroute/decision/detail/json_text.h"
 
 namespace gentianroute {
 namespace {
@@ -174,7 +174,7 @@
 std::string Coordinator::StageInput(const Request& request) const {
   std::string input = R"({"request":)" + request.submission.body;
   for (std::size_t i = 0; i < request.results.size(); ++i) {
-    input += "," + detail::QuoteText(request.profile->stages[i].name) + ":" +
+    input += "," + EncodeJson(request.profile->stages[i].name) + ":" +
              request.results[i];
   }
   return input + "}";
--- a/packages/entry/src/caller_api.cc
+++ b/packages/entry/src/caller_api.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "gentianroute/base/json_text.h"
 #include "gentianroute/entry/digest.h"
 #include "gentianroute/entry/problem.h"
 #include "gentianroute/observe/log.h"
@@ -324,9 +325,8 @@
                                     {"x-request-id", exchange.request_id}});
   }
   const json event = {{"offset", chunk.offset}, {"text", chunk.text}};
-  exchange.responder->Write(
-      "event: token\ndata: " +
-      event.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n");
+  exchange.responder->Write("event: token\ndata: " + EncodeJson(event) +
+                            "\n\n");
 }
 
 void CallerApi::Finish(const FinishRequest& finish) {
@@ -379,9 +379,7 @@
   const json done = {{"result", json::parse(finish.body, nullptr, false)},
                      {"cost_micros", finish.cost},
                      {"stages", std::move(stages)}};
-  exchange.responder->Write(
-      "event: done\ndata: " +
-      done.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n");
+  exchange.responder->Write("event: done\ndata: " + EncodeJson(done) + "\n\n");
   exchange.responder->End();
 }
 
--- a/packages/schema/src/checked_json.cc
+++ b/packages/schema/src/checked_json.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "constraints.h"
+#include "gentianroute/base/json_text.h"
 #include "json_structure.h"
 
 namespace gentianroute {
@@ -21,7 +22,7 @@
 constexpr std::size_t kMaxQuotedBytes = 60;
 
 std::string Quote(const json& value) {
-  std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
+  std::string text = EncodeJson(value);
   if (text.size() > kMaxQuotedBytes) {
     text = text.substr(0, kMaxQuotedBytes) + "...";
   }
