--- a/packages/loop/tests/relay_server_stop_test.cc
+++ b/packages/loop/tests/relay_server_stop_test.cc
@@ -2,18 +2,17 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
 #include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "gentianroute/loop/message_parser.h"
 #include "gentianroute/loop/relay_server.h"
-#include "gentianroute/loop/stream_socket.h"
+#include "kept_connection.h"
 #include "slow_reader.h"
 
 using namespace gentianroute;
+using gentianroute::testing::KeptConnection;
 using gentianroute::testing::SlowReader;
 using std::chrono::milliseconds;
 
@@ -28,46 +27,16 @@
   return "GET " + std::string(target) + " HTTP/1.1\r\nHost: h\r\n\r\n";
 }
 
-/// A client that parses what it gets.
-class Client final : public StreamSocket::Observer {
- public:
-  Client(EventLoop& loop, std::uint16_t port)
-      : parser_(MessageParser::Kind::kResponse, {}),
-        socket_(loop, "127.0.0.1", port, *this) {}
-
-  void Send(std::string_view text) { socket_.Write(text); }
-
-  void OnData(std::string_view data) override {
-    using Event = MessageParser::Event;
-    parser_.Feed(data);
-    for (Event event = parser_.Poll(); event != Event::kNeedMore;
-         event = parser_.Poll()) {
-      if (event == Event::kEnd) {
-        responses.push_back(std::move(parser_.head()));
-        parser_.StartNext({});
-      }
+/// Positions of the answers that announce the close.
+std::vector<std::size_t> AnnouncedCloses(const KeptConnection& client) {
+  std::vector<std::size_t> positions;
+  for (std::size_t i = 0; i < client.answers().size(); ++i) {
+    if (client.answers()[i].AnnouncesClose()) {
+      positions.push_back(i);
     }
   }
-  void OnEnd(StreamEnd /*end*/) override { closed = true; }
-
-  /// Positions of the responses that announce the close.
-  std::vector<std::size_t> AnnouncedCloses() const {
-    std::vector<std::size_t> positions;
-    for (std::size_t i = 0; i < responses.size(); ++i) {
-      if (FieldValue(responses[i].fields, "Connection") == "close") {
-        positions.push_back(i);
-      }
-    }
-    return positions;
-  }
-
-  std::vector<MessageHead> responses;
-  bool closed = false;
-
- private:
-  MessageParser parser_;
-  StreamSocket socket_;
-};
+  return positions;
+}
 
 /// A server that answers /now at once and keeps the other requests.
 struct StoppingServerFixture {
@@ -105,6 +74,14 @@
     loop.After(time, [this] { loop.Stop(); });
     loop.Run();
   }
+  /// Stops the server while a response is under way, and then ends that.
+  void StopDuringResponse(KeptConnection& client) {
+    client.Send(RequestFor("/kept"));
+    RunFor(kExchangeTime);
+    kept[0]->Begin(200, {});
+    server.StopAccepting();
+    kept[0]->End();
+  }
   /// Reads all that the server has to send.
   void ReadRest(SlowReader& reader) {
     for (int i = 0; i < 200 && !reader.closed(); ++i) {
@@ -146,7 +123,7 @@
 // Guards against requests that were read behind another one going unanswered.
 Test(relay_server_stop, requests_are_pipelined_last_response_announces_close) {
   StoppingServerFixture fixture;
-  Client client(fixture.loop, fixture.server.port());
+  KeptConnection client(fixture.loop, fixture.server.port());
   fixture.server.AnnounceClose();
   client.Send(RequestFor("/now") + RequestFor("/kept") + RequestFor("/now"));
   fixture.RunFor(kExchangeTime);
@@ -154,58 +131,50 @@
   fixture.kept[0]->Begin(200, {});
   fixture.kept[0]->End();
   fixture.RunFor(kExchangeTime);
-  cr_assert_eq(client.responses.size(), 3);
-  cr_assert(client.AnnouncedCloses() == std::vector<std::size_t>{2});
+  cr_assert_eq(client.answers().size(), 3);
+  cr_assert(AnnouncedCloses(client) == std::vector<std::size_t>{2});
 }
 
 // Guards against the next request of a client that doesn't know of the stop
 // crossing the close of its connection.
 Test(relay_server_stop, response_had_begun_before_next_request_is_answered) {
   StoppingServerFixture fixture;
-  Client client(fixture.loop, fixture.server.port());
-  client.Send(RequestFor("/kept"));
+  KeptConnection client(fixture.loop, fixture.server.port());
+  fixture.StopDuringResponse(client);
   fixture.RunFor(kExchangeTime);
-  fixture.kept[0]->Begin(200, {});
-  fixture.server.StopAccepting();
-  fixture.kept[0]->End();
-  fixture.RunFor(kExchangeTime);
-  cr_assert(!client.closed);
+  cr_assert(!client.closed());
   client.Send(RequestFor("/now"));
   fixture.RunFor(kExchangeTime);
-  cr_assert_eq(client.responses.size(), 2);
-  cr_assert(client.AnnouncedCloses() == std::vector<std::size_t>{1});
+  cr_assert_eq(client.answers().size(), 2);
+  cr_assert(AnnouncedCloses(client) == std::vector<std::size_t>{1});
 }
 
 Test(relay_server_stop, no_request_follows_connection_is_closed) {
   StoppingServerFixture fixture;
-  Client idle(fixture.loop, fixture.server.port());
-  Client client(fixture.loop, fixture.server.port());
-  client.Send(RequestFor("/kept"));
-  fixture.RunFor(kExchangeTime);
-  fixture.kept[0]->Begin(200, {});
-  fixture.server.StopAccepting();
-  fixture.kept[0]->End();
+  KeptConnection idle(fixture.loop, fixture.server.port());
+  KeptConnection client(fixture.loop, fixture.server.port());
+  fixture.StopDuringResponse(client);
   fixture.RunFor(kIdleEnd);
-  cr_assert_eq(client.responses.size(), 1);
-  cr_assert(client.closed);
-  cr_assert(idle.closed);
+  cr_assert_eq(client.answers().size(), 1);
+  cr_assert(client.closed());
+  cr_assert(idle.closed());
   cr_assert_eq(fixture.server.connections(), 0);
 }
 
 // Guards against the client of an incomplete request learning nothing.
 Test(relay_server_stop, incomplete_requests_are_rejected_others_are_kept) {
   StoppingServerFixture fixture;
-  Client incomplete(fixture.loop, fixture.server.port());
-  Client waiting(fixture.loop, fixture.server.port());
+  KeptConnection incomplete(fixture.loop, fixture.server.port());
+  KeptConnection waiting(fixture.loop, fixture.server.port());
   incomplete.Send("GET /now HTTP/1.1\r\n");
   waiting.Send(RequestFor("/kept"));
   fixture.RunFor(kExchangeTime);
   fixture.server.RejectIncomplete(kUnavailable);
   fixture.RunFor(kExchangeTime);
-  cr_assert_eq(incomplete.responses.size(), 1);
-  cr_assert_eq(incomplete.responses[0].status, kUnavailable);
-  cr_assert(!waiting.closed);
+  cr_assert_eq(incomplete.answers().size(), 1);
+  cr_assert_eq(incomplete.answers()[0].head.status, kUnavailable);
+  cr_assert(!waiting.closed());
   fixture.kept[0]->Respond(200, {}, "");
   fixture.RunFor(kExchangeTime);
-  cr_assert_eq(waiting.responses.size(), 1);
+  cr_assert_eq(waiting.answers().size(), 1);
 }
