Keep one account of the bytes that a daemon holds for callers

Callers saw: a burst of orders with bodies as large as the configuration permits took a daemon over the memory of its host. It was killed, and all orders that it had went without an answer, some after they had run.

Cause: a body was held three times or more (exchange, message to the server, the socket's queue; a string that doubles while it grows), by nobody's account, and buffers of parsers and sockets kept their size while a connection was open. glibc kept freed bodies in the heap once its threshold for mapped blocks had risen.

Change: admission::MemoryAccount counts what is held by kind against watermarks of the memory; HeldBytes becomes one kind of it. admission::BodyQueue gives a body room for all of it before it is read; the rest waits in the sockets of its callers, small bodies pass, a caller that stalls gives way to one that waits, and one that has waited for 2 s is refused with the request unrun. A body is held once, shared by connection, request and socket. Sockets read 64 KB an event, and large buffers are given back.

--- a/apps/gentianroute/main.cc
+++ b/apps/gentianroute/main.cc
@@ -1,5 +1,7 @@
 // Main program of the daemon, which runs once on each entry host.
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdint>
 #include <cstdio>
@@ -28,6 +30,16 @@
 /// Usual port of exporters in the Prometheus text format.
 constexpr std::uint16_t kMetricsPort = 9464;
 
+/// Returns the memory of large blocks to the host as soon as they are freed.
+/// glibc would raise both thresholds with the size of the blocks that have been
+/// freed, and then keep bodies of requests long after they are gone.
+void ReturnFreedMemory() {
+  constexpr int kMmapThresholdBytes = 256 * 1024;
+  constexpr int kTrimThresholdBytes = 1024 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimThresholdBytes);
+}
+
 int Serve(const Settings& settings) {
   const char* event = "start_failed";
   try {
@@ -49,6 +61,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  ReturnFreedMemory();
   EventLoop::BlockSignals({SIGTERM, SIGINT});
   CLI::App app{"gentianroute serves multi-stage model pipelines"};
   std::string file;
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -48,14 +48,10 @@
 inline constexpr Duration kResponseFlushTime = std::chrono::milliseconds(50);
 inline constexpr Duration kShutdownCheckPeriod = std::chrono::milliseconds(50);
 inline constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(250);
-/// Answers that callers have not read yet may take this part of the memory.
-inline constexpr std::size_t kUnsentMemoryDivisor = 4;
-/// Most bytes of answers of servers that are collected before they are sent on.
-inline std::size_t CollectedBytesLimit(const GatewaySettings& settings) {
-  constexpr std::size_t kMemoryDivisor = 4;
-  constexpr std::size_t kLimitOfUnlimitedMemory = 64'000'000;
-  return settings.memory_bytes > 0 ? settings.memory_bytes / kMemoryDivisor
-                                   : kLimitOfUnlimitedMemory;
+/// Memory that is shared out among requests.
+inline std::size_t MemoryOf(const GatewaySettings& settings) {
+  constexpr std::size_t kIfUnlimited = 256'000'000;
+  return settings.memory_bytes > 0 ? settings.memory_bytes : kIfUnlimited;
 }
 /// After this time a daemon reads the store's tables even if it has not learnt
 /// its neighbours.
@@ -74,6 +70,7 @@
       : loop_(loop),
         callbacks_(loop),
         settings_(std::move(settings)),
+        memory_(detail::MemoryOf(settings_)),
         translator_(translator),
         topology_(settings_.data_centre, settings_.regions),
         notices_(servers_, static_cast<std::uint64_t>(loop.WallTime())),
@@ -117,13 +114,12 @@
                  [this] { return HasNewestServers(); }),
         retry_budgets_(settings_.retry_ratio, settings_.retry_slack),
         start_queue_(loop.Now()),
-        collected_bytes_(detail::CollectedBytesLimit(settings_)),
         flow_context_{
-            loop,      client,           translator,      servers_,
-            topology_, placement_rules_, stage_router_,   cluster_,
-            reach_,    streams_,         retry_budgets_,  service_times_,
-            weights_,  suspects_,        suspect_parts_,  recorder_,
-            notices_,  drain_,           collected_bytes_} {
+            loop,      client,           translator,     servers_,
+            topology_, placement_rules_, stage_router_,  cluster_,
+            reach_,    streams_,         retry_budgets_, service_times_,
+            weights_,  suspects_,        suspect_parts_, recorder_,
+            notices_,  drain_,           memory_} {
     reach_.SetOnChanged([this](std::string_view service, bool cut_off) {
       OnReachChanged(service, cut_off);
     });
@@ -199,9 +195,19 @@
   void RunHandedRequest(RelayExchangePtr exchange,
                         RequestProgress progress,
                         OnAnswerSource on_source) override {
+    AccountForHandedBody(*exchange);
     RequestFlow::Begin(flow_context_, std::move(exchange), table_, flows_,
                        progress, std::move(on_source));
   }
+  /// Refuses a handed request whose body there is no room for.
+  void AccountForHandedBody(RelayExchange& exchange) {
+    SharedBody& body = *exchange.shared_body();
+    if (memory_.Fits(body.size(), memory_.collection_watermark())) {
+      body.ChargeTo(memory_, admission::HeldKind::kPeerRequest);
+    } else {
+      exchange.DropBody();
+    }
+  }
   void OnPeerStreams(std::span<const routing::BegunStream> streams) override {
     streams_.OnPeerStreams(streams);
   }
@@ -264,10 +270,11 @@
   void Listen() {
     RelayServer::Options callers{settings_.callers.address,
                                  settings_.callers.port,
-                                 [this] { return CurrentLimits(); }};
+                                 [this] { return CurrentLimits(); }, &memory_};
     callers_ = std::make_unique<RelayServer>(
         loop_, std::move(callers), [this](RelayExchangePtr exchange) {
-          if (is_configured() || !start_queue_.TryPush(loop_.Now(), exchange)) {
+          if (is_configured() || exchange->lacks_body() ||
+              !start_queue_.TryPush(loop_.Now(), exchange)) {
             RequestFlow::Begin(flow_context_, std::move(exchange), table_,
                                flows_);
           }
@@ -330,6 +337,7 @@
   }
 
   void AnswerMetrics(RelayExchange& exchange);
+  void WriteMemory(MetricWriter& writer) const;
   /// Adds the services whose servers are brittle.
   void FillBrittleServices(schema::Beat::Builder heartbeat);
   void ApplyBrittleServices(const std::string& peer,
@@ -455,8 +463,7 @@
     if (settings_.memory_bytes == 0) {
       return;
     }
-    const std::size_t limit =
-        settings_.memory_bytes / detail::kUnsentMemoryDivisor;
+    const std::size_t limit = memory_.unsent_limit();
     const std::size_t closed = callers_->LimitUnsentBytes(limit);
     if (closed > 0) {
       LogEvent("slow_readers_closed", LogLevel::kWarning)
@@ -555,6 +562,7 @@
   EventLoop& loop_;
   ScopedCallbacks callbacks_;
   GatewaySettings settings_;
+  admission::MemoryAccount memory_;  ///< outlives all that is charged to it
   const Translator& translator_;
   routing::Topology topology_;
   routing::RouteTablePtr table_;
@@ -580,7 +588,6 @@
   routing::RequestWeights weights_;
   StartQueue start_queue_;
   routing::DrainTimes drain_;
-  admission::HeldBytes collected_bytes_;
   FlowContext flow_context_;
   RequestFlow::List flows_;
   std::unique_ptr<RelayServer> callers_;
--- a/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
@@ -61,14 +61,18 @@
  public:
   PeerAttempt(RequestFlow& flow, const Membership::Peer& peer)
       : flow_(&flow),
+        message_share_(flow.context_.memory, admission::HeldKind::kPeerRequest),
         handle_(flow.context_.cluster.HandOverTo(peer,
                                                  flow.HandedToPeer(),
-                                                 *this)) {}
+                                                 *this)) {
+    message_share_.Set(flow.exchange_->body().size());
+  }
   ~PeerAttempt() override { PeerAttempt::Cancel(); }
 
   void Cancel() override {
     flow_ = nullptr;
     handle_.reset();
+    message_share_.Set(0);
   }
 
   void OnWholeAnswer(int status,
@@ -99,6 +103,7 @@
 
  private:
   RequestFlow* flow_;
+  admission::MemoryAccount::Share message_share_;  ///< copy for the peer
   std::unique_ptr<HandedRequestHandle> handle_;
 };
 
--- a/packages/gateway/include/gentianroute/gateway/handed_request.h
+++ b/packages/gateway/include/gentianroute/gateway/handed_request.h
@@ -11,6 +11,7 @@
 #include "gentianroute/decision/leaving_server_gossip.h"
 #include "gentianroute/loop/http.h"
 #include "gentianroute/loop/message_parser.h"
+#include "gentianroute/loop/shared_body.h"
 #include "gentianroute/routing/stream_origin.h"
 
 namespace gentianroute::gateway {
@@ -42,7 +43,7 @@
 /// @brief A caller's request that its daemon can't send to any backend server.
 struct HandedRequest {
   MessageHead head;
-  std::string body;
+  SharedBodyPtr body;
   Duration age{};  ///< since its first byte arrived
   RequestProgress progress;
 };
--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-#include "gentianroute/admission/held_bytes.h"
+#include "gentianroute/admission/memory_account.h"
 #include "gentianroute/base/error_kind.h"
 #include "gentianroute/base/id.h"
 #include "gentianroute/decision/suspect_parts.h"
@@ -59,8 +59,7 @@
   RequestRecorder& recorder;
   ServerNotices& notices;
   const routing::DrainTimes& drain_times;
-  /// Of answers that are collected before they are sent on.
-  admission::HeldBytes& collected_bytes;
+  admission::MemoryAccount& memory;
 };
 
 /// @brief One caller's request: runs its stages, sends it to a backend server
@@ -224,7 +223,8 @@
   routing::ServerChoice ChooseServer() const;
   bool IsGeneration() const;
   /// The request as it is sent to a server, head and body.
-  std::string MessageFor(const routing::Server& server) const;
+  /// Head of the request to a server; the body follows.
+  std::string MessageHeadFor(const routing::Server& server) const;
   void OnHead(const ServerAnswer& answer, bool ends_with_connection);
   void OnBody(std::string_view part);
   void OnAnswered();
@@ -378,7 +378,8 @@
 
   ServerAnswer answer_;
   std::string body_;  ///< of an answer that is not streamed
-  admission::HeldBytes::Share body_share_{context_.collected_bytes};
+  admission::MemoryAccount::Share body_share_{
+      context_.memory, admission::HeldKind::kCollectedAnswer};
   bool answer_begun_ = false;  ///< a streamed answer to the caller
   bool streaming_ = false;     ///< the current server has sent events
   /// Nothing but the end of its connection ends the answer.
--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -123,7 +123,7 @@
   out.setTarget(head.target);
   WriteFields(head.fields,
               out.initFields(static_cast<unsigned>(head.fields.size())));
-  out.setBody(BytesOf(request.body));
+  out.setBody(BytesOf(request.body->view()));
   out.setAgeMs(static_cast<std::uint32_t>(WholeMilliseconds(request.age)));
   const RequestProgress& progress = request.progress;
   out.setAttempts(progress.attempts);
@@ -141,7 +141,8 @@
   request.head.method = in.getMethod();
   request.head.target = in.getTarget();
   request.head.fields = ReadFields(in.getFields());
-  request.body = TextOf(in.getBody());
+  request.body = new SharedBody(nullptr, admission::HeldKind::kPeerRequest);
+  request.body->Append(TextOf(in.getBody()));
   request.age = std::chrono::milliseconds(in.getAgeMs());
   request.progress.attempts = in.getAttempts();
   request.progress.may_have_run = in.getMayHaveRun();
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -1,5 +1,6 @@
 #include "gentianroute/gateway/gateway.h"
 
+#include <array>
 #include <utility>
 
 #include "gentianroute/gateway/detail/gateway_impl.h"
@@ -45,6 +46,7 @@
   gauge("gentianroute_gateway_active_requests",
         "Requests under way, or with an answer not sent in full.",
         static_cast<double>(callers_->active_requests()));
+  WriteMemory(writer);
   gauge("gentianroute_gateway_stage_calls", "Stage calls sent.",
         static_cast<double>(stage_scheduler_.calls_sent()));
   gauge("gentianroute_gateway_stage_calls_broken",
@@ -65,6 +67,30 @@
                    writer.text());
 }
 
+void Gateway::Impl::WriteMemory(MetricWriter& writer) const {
+  constexpr std::array<std::string_view, admission::kHeldKinds> kNames = {
+      "input", "request_body", "peer_request", "collected_answer",
+      "unsent_answer"};
+  constexpr std::string_view kHeld = "gentianroute_gateway_held_bytes";
+  writer.AddMetric(kHeld, "gauge", "Bytes held for callers, by kind.");
+  for (std::size_t kind = 0; kind < kNames.size(); ++kind) {
+    const MetricLabel label{"kind", std::string(kNames[kind])};
+    const auto bytes = memory_.held(static_cast<admission::HeldKind>(kind));
+    writer.AddSample(kHeld, {&label, 1}, static_cast<std::uint64_t>(bytes));
+  }
+  const auto counter = [&writer](std::string_view name, std::string_view help,
+                                 std::uint64_t value) {
+    writer.AddMetric(name, "counter", help);
+    writer.AddSample(name, {}, value);
+  };
+  counter("gentianroute_gateway_bodies_waited_total",
+          "Requests whose body had to wait for memory.",
+          callers_->bodies_waited());
+  counter("gentianroute_gateway_bodies_refused_total",
+          "Requests refused for want of memory for their body.",
+          callers_->bodies_refused());
+}
+
 Gateway::Gateway(EventLoop& loop,
                  GatewaySettings settings,
                  RelayClient& client,
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -70,6 +70,10 @@
   const Ptr flow(new RequestFlow(context, std::move(exchange), std::move(table),
                                  all, progress, std::move(on_source)));
   flow->self_ = flow;
+  if (flow->exchange_->lacks_body()) {
+    flow->Refuse(ErrorKind::kOverloaded, "no memory for the request's body");
+    return;
+  }
   if (const auto kind = flow->Admit()) {
     flow->Refuse(*kind, "");
     return;
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -63,7 +63,7 @@
   }
 }
 
-std::string RequestFlow::MessageFor(const routing::Server& server) const {
+std::string RequestFlow::MessageHeadFor(const routing::Server& server) const {
   ServerRequest added;
   added.expected_server = server.record().id;
   if (organisation_ != nullptr) {
@@ -73,16 +73,14 @@
   added.inputs = plan_->FinalInputs();
   added.resume_after = ResumePosition();
   const MessageHead& head = exchange_->head();
-  const std::string& body = exchange_->body();
+  const std::string_view body = exchange_->body();
   const bool bodiless =
       body.empty() && (head.method == "GET" || head.method == "HEAD" ||
                        head.method == "DELETE");
   return SerialiseRequestHead(
-             head.method, head.target,
-             context_.translator.ServerFields(request_, added),
-             bodiless ? BodyFraming::kNone : BodyFraming::kLength,
-             body.size()) +
-         body;
+      head.method, head.target,
+      context_.translator.ServerFields(request_, added),
+      bodiless ? BodyFraming::kNone : BodyFraming::kLength, body.size());
 }
 
 void RequestFlow::SendToServer() {
@@ -103,7 +101,8 @@
   const routing::ServerRecord& record = choice.server->record();
   RelayCall call;
   call.endpoint = {record.address, record.port};
-  call.message = MessageFor(*choice.server);
+  call.message = MessageHeadFor(*choice.server);
+  call.body = exchange_->shared_body();
   call.response_has_no_body = exchange_->head().method == "HEAD";
   if (route_->kind == routing::RouteKind::kStream) {
     call.max_body_bytes = kMaxStreamBytes;
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -141,7 +141,7 @@
 HandedRequest RequestFlow::HandedToPeer() const {
   HandedRequest handed;
   handed.head = exchange_->head();
-  handed.body = exchange_->body();
+  handed.body = exchange_->shared_body();
   handed.age = context_.loop.Now() - started_at_;
   handed.progress.attempts = attempts_;
   handed.progress.may_have_run = earlier_may_have_run_;
--- a/packages/loop/include/gentianroute/loop/message_parser.h
+++ b/packages/loop/include/gentianroute/loop/message_parser.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -74,10 +75,14 @@
 
   /// @brief Valid from kHead until StartNext().
   MessageHead& head();
-  /// @brief Body data of the last kBody event.
+  /// @brief Length of the body, once the head is known, if it states one.
+  std::optional<std::uint64_t> content_length() const;
+  /// @brief Body data of the last kBody event, until the next Poll().
   const std::string& body() const;
   /// @brief Whether any byte of the current message has arrived.
   bool started() const;
+  /// @brief Bytes that have been fed and not parsed yet.
+  std::size_t buffered_bytes() const;
   /// @brief Whether any byte after the end of the current message has arrived.
   bool has_next() const;
 
--- a/packages/loop/include/gentianroute/loop/relay_client.h
+++ b/packages/loop/include/gentianroute/loop/relay_client.h
@@ -12,6 +12,7 @@
 #include "gentianroute/base/time.h"
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/message_parser.h"
+#include "gentianroute/loop/shared_body.h"
 
 namespace gentianroute {
 
@@ -31,7 +32,8 @@
 /// @brief One HTTP request in serialised form, with its connection options.
 struct RelayCall {
   Endpoint endpoint;
-  std::string message;                ///< the complete request, head and body
+  std::string message;  ///< the request, without `body`
+  SharedBodyPtr body;   ///< sent after `message`; null: nothing more
   bool response_has_no_body = false;  ///< the request was a HEAD
   /// An idle connection is reused only if it has been idle for less than this.
   /// Zero forces a new connection, which can't fail because the server closed
--- a/packages/loop/include/gentianroute/loop/relay_server.h
+++ b/packages/loop/include/gentianroute/loop/relay_server.h
@@ -10,11 +10,13 @@
 #include <string>
 #include <string_view>
 
+#include "gentianroute/admission/memory_account.h"
 #include "gentianroute/base/caller_limits.h"
 #include "gentianroute/base/time.h"
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/loop/message_parser.h"
 #include "gentianroute/loop/message_text.h"
+#include "gentianroute/loop/shared_body.h"
 
 namespace gentianroute {
 
@@ -29,7 +31,18 @@
   virtual ~RelayExchange() = default;
 
   const MessageHead& head() const { return head_; }
-  const std::string& body() const { return body_; }
+  const SharedBodyPtr& shared_body() const { return body_; }
+  std::string_view body() const {
+    return body_ == nullptr ? std::string_view() : body_->view();
+  }
+  /// @brief Whether the body was not read, or not to its end, because there is
+  /// no memory for it. The request can only be refused.
+  bool lacks_body() const { return lacks_body_; }
+  /// @brief Gives the body up for want of memory.
+  void DropBody() {
+    lacks_body_ = true;
+    body_->Discard();
+  }
   /// @brief Time at which the first byte of the request arrived.
   TimePoint start_time() const { return start_time_; }
 
@@ -55,7 +68,8 @@
 
  protected:
   MessageHead head_;
-  std::string body_;
+  SharedBodyPtr body_;
+  bool lacks_body_ = false;
   TimePoint start_time_{};
   std::function<void()> on_disconnect_;
 };
@@ -73,6 +87,9 @@
     std::string address;
     std::uint16_t port = 0;
     std::function<CallerLimits()> limits;  ///< called for each request
+    /// Charged for what is held for clients, whose bodies wait while it is
+    /// full; must outlive the server. Null if none is kept.
+    admission::MemoryAccount* account = nullptr;
   };
   using Handler = std::function<void(RelayExchangePtr)>;
 
@@ -96,6 +113,11 @@
   /// otherwise
   std::size_t LimitUnsentBytes(std::size_t max_bytes);
 
+  /// @brief Requests whose body had to wait for memory, and that were refused
+  /// for want of it.
+  std::uint64_t bodies_waited() const;
+  std::uint64_t bodies_refused() const;
+
   /// @brief Sends `Connection: close` with the last response of a connection
   /// from now on, which is the one that no pipelined request follows, and
   /// closes the connection after it.
--- /dev/null
+++ b/packages/loop/include/gentianroute/loop/shared_body.h
@@ -0,0 +1,65 @@
+#ifndef GENTIANROUTE_LOOP_SHARED_BODY_H_
+#define GENTIANROUTE_LOOP_SHARED_BODY_H_
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "gentianroute/admission/memory_account.h"
+
+namespace gentianroute {
+
+/// @brief Body of a request, held once by all that need it: the caller's
+/// connection, the request, and the sockets that send it to servers.
+class SharedBody
+    : public boost::intrusive_ref_counter<SharedBody,
+                                          boost::thread_unsafe_counter> {
+ public:
+  /// @brief An empty body that grows as its parts arrive.
+  /// @param account charged for the body; null if none is kept
+  SharedBody(admission::MemoryAccount* account, admission::HeldKind kind) {
+    if (account != nullptr) {
+      share_.emplace(*account, kind);
+    }
+  }
+
+  std::string_view view() const { return bytes_; }
+  std::size_t size() const { return bytes_.size(); }
+  /// @brief What the account is charged. Absent if none is kept.
+  std::optional<admission::MemoryAccount::Share>& share() { return share_; }
+
+  /// @brief Charges a body that was received without an account.
+  void ChargeTo(admission::MemoryAccount& account, admission::HeldKind kind) {
+    share_.emplace(account, kind);
+    Complete();
+  }
+  /// @brief Makes room, so that the body isn't copied while it grows.
+  void Reserve(std::size_t bytes) { bytes_.reserve(bytes); }
+  void Append(std::string_view part) { bytes_.append(part); }
+  /// @brief No more parts follow: charges what the body has become.
+  void Complete() { Charge(bytes_.size()); }
+  /// @brief Drops what has arrived of a body that won't be read to its end.
+  void Discard() {
+    std::string().swap(bytes_);
+    Charge(0);
+  }
+
+ private:
+  void Charge(std::size_t bytes) {
+    if (share_) {
+      share_->Set(bytes);
+    }
+  }
+
+  std::string bytes_;
+  std::optional<admission::MemoryAccount::Share> share_;
+};
+using SharedBodyPtr = boost::intrusive_ptr<SharedBody>;
+
+}  // namespace gentianroute
+
+#endif  // GENTIANROUTE_LOOP_SHARED_BODY_H_
--- a/packages/loop/include/gentianroute/loop/stream_socket.h
+++ b/packages/loop/include/gentianroute/loop/stream_socket.h
@@ -6,9 +6,11 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/loop/event_loop.h"
+#include "gentianroute/loop/shared_body.h"
 
 namespace gentianroute {
 
@@ -21,7 +23,9 @@
 /// @brief A TCP connection that is read for as long as it is open.
 ///
 /// Reading continues while a request is being handled, so that a disconnect is
-/// detected at once and the request can be cancelled.
+/// detected at once and the request can be cancelled. Its owner may pause it
+/// when there is no memory for what comes; the sender then has to wait. Input
+/// is read in parts of bounded size, and none of it is kept here.
 class StreamSocket {
  public:
   /// @brief Receives the events of a connection. Any of its functions may
@@ -49,12 +53,17 @@
   StreamSocket& operator=(const StreamSocket&) = delete;
 
   void Write(std::string_view data);
+  /// @brief Writes `data` and then `body` without copies. The body is kept
+  /// until the kernel has it; null: nothing follows `data`.
+  void WriteOwned(std::string data, SharedBodyPtr body = nullptr);
   /// @brief Closes the write side; the peer's data is still read.
   void ShutdownWrite();
+  /// @brief Stops reading. The end of the connection is not noticed either,
+  /// unless a write fails.
+  void PauseReading();
+  void ResumeReading();
   /// @brief Number of written bytes that the kernel has not accepted yet.
-  std::size_t unsent_bytes() const {
-    return queued_.size() + in_flight_.size();
-  }
+  std::size_t unsent_bytes() const { return unsent_bytes_; }
   bool connected() const { return connected_; }
 
  private:
@@ -62,14 +71,27 @@
   static void OnWritten(st_h2o_socket_t* socket, const char* error);
   static void OnConnect(st_h2o_socket_t* socket, const char* error);
   void StartReading();
+  void OnReadEnd(StreamEnd end);
   void Flush();
 
+  /// Bytes to be written, either its own or a shared body.
+  struct Piece {
+    std::string_view view() const {
+      return body == nullptr ? std::string_view(bytes) : body->view();
+    }
+
+    std::string bytes;
+    SharedBodyPtr body;
+  };
+
   Observer& observer_;
   st_h2o_socket_t* socket_ = nullptr;
   bool connected_ = false;
   bool writing_ = false;
-  std::string queued_;
-  std::string in_flight_;
+  bool paused_ = false;
+  std::vector<Piece> queued_;
+  std::vector<Piece> in_flight_;
+  std::size_t unsent_bytes_ = 0;  ///< in both
   /// Points to a flag of the running callback, which the destructor sets, so
   /// that the callback stops using this object. Null outside of callbacks.
   bool* destroyed_ = nullptr;
--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -179,6 +179,11 @@
                                                        : response_->got_some());
   }
   bool has_next() const { return end_reported_ && !input_.empty(); }
+  std::optional<std::uint64_t> content_length() const {
+    const auto length = kind_ == Kind::kRequest ? request_->content_length()
+                                                : response_->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+  }
 
   std::string input_;
   std::string body_part_;
@@ -192,6 +197,7 @@
 
   template <typename Parser>
   Event PollWith(Parser& parser) {
+    ReleaseIfLarge(body_part_);
     if (!failure_ && !parser.is_done() && !input_.empty()) {
       Parse(parser);
     }
@@ -240,6 +246,9 @@
       }
     }
     input_.erase(0, consumed);
+    if (input_.empty()) {
+      ReleaseIfLarge(input_);
+    }
     if (error && error != http::error::need_more) {
       failure_ = EventForError(error);
     } else if (!parser.is_done() && input_.size() > head_limit_) {
@@ -248,6 +257,15 @@
     }
   }
 
+  /// Thousands of connections that have each carried a body once must not keep
+  /// the memory of it.
+  static void ReleaseIfLarge(std::string& buffer) {
+    constexpr std::size_t kKeptBytes = 4 * 1024;
+    if (buffer.capacity() > kKeptBytes) {
+      std::string().swap(buffer);
+    }
+  }
+
   /// Requests with several Host fields are rejected: two hops that use
   /// different ones would route the request to different services and so bypass
   /// the checks of one route.
@@ -304,6 +322,12 @@
 bool MessageParser::started() const {
   return impl_->started();
 }
+std::optional<std::uint64_t> MessageParser::content_length() const {
+  return impl_->content_length();
+}
+std::size_t MessageParser::buffered_bytes() const {
+  return impl_->input_.size();
+}
 bool MessageParser::has_next() const {
   return impl_->has_next();
 }
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -80,7 +80,7 @@
       bytes_before_head_ = 0;
       limits_.body_bytes = call.max_body_bytes;
       parser_.StartNext(limits_);
-      socket_->Write(call.message);
+      socket_->WriteOwned(std::move(call.message), std::move(call.body));
     }
 
     const Endpoint& endpoint() const { return endpoint_; }
--- a/packages/loop/src/relay_server.cc
+++ b/packages/loop/src/relay_server.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <boost/intrusive/list.hpp>
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "gentianroute/admission/body_queue.h"
 #include "gentianroute/loop/stream_socket.h"
 
 namespace gentianroute {
@@ -27,6 +29,15 @@
 constexpr Duration kIdleTimeoutWhenStopping = std::chrono::milliseconds(250);
 /// Limits the memory used for a client that doesn't read its response.
 constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
+/// Input of pipelined requests that is read while another one is answered.
+constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+/// How often bodies that wait for memory are looked at.
+constexpr Duration kBodyQueuePeriod = std::chrono::milliseconds(10);
+/// What a chunked body, whose length isn't known, has room for at first, and
+/// once it has outgrown that. After that it may become the longest.
+constexpr std::size_t kFirstChunkedBytes =
+    admission::MemoryAccount::kSmallBytes;
+constexpr std::size_t kSecondChunkedBytes = 256 * 1024;
 
 }  // namespace
 
@@ -36,6 +47,9 @@
       : loop_(loop),
         options_(std::move(options)),
         handler_(std::move(handler)) {
+    if (options_.account != nullptr) {
+      body_queue_.emplace(*options_.account);
+    }
     listener_ =
         loop_.Listen(options_.address, options_.port,
                      [this](st_h2o_socket_t* socket) { Accept(socket); });
@@ -47,6 +61,7 @@
     }
     DeleteClosed();
     loop_.Cancel(deletion_timer_);
+    loop_.Cancel(body_queue_timer_);
   }
 
   class Connection;
@@ -66,7 +81,9 @@
     void End() override;
     void Abort() override;
 
-    void AppendBody(std::string_view part) { body_.append(part); }
+    void BeginBody(admission::MemoryAccount* account) {
+      body_ = new SharedBody(account, admission::HeldKind::kRequestBody);
+    }
     void Detach() { connection_ = nullptr; }
     void NotifyDisconnect() {
       if (auto callback = std::exchange(on_disconnect_, nullptr)) {
@@ -80,12 +97,19 @@
   };
 
   class Connection final : public intrusive::list_base_hook<>,
-                           public StreamSocket::Observer {
+                           public StreamSocket::Observer,
+                           public admission::BodyQueue::Reader {
    public:
     Connection(Impl& server, st_h2o_socket_t* socket)
         : server_(server),
           parser_(MessageParser::Kind::kRequest, {}),
           socket_(std::make_unique<StreamSocket>(socket, *this)) {
+      if (server.options_.account != nullptr) {
+        input_share_.emplace(*server.options_.account,
+                             admission::HeldKind::kInput);
+        unsent_share_.emplace(*server.options_.account,
+                              admission::HeldKind::kUnsentAnswer);
+      }
       WaitForRequest();
     }
 
@@ -108,6 +132,8 @@
     /// Sends an error and closes the connection, since it is unknown where the
     /// next request would begin.
     void Reject(int status) {
+      admission::BodyQueue::Remove(*this);
+      waits_for_memory_ = false;
       incoming_ = nullptr;
       SendResponse(status, {}, "");
     }
@@ -118,6 +144,9 @@
       }
       server_.loop_.Cancel(timer_);
       socket_.reset();
+      admission::BodyQueue::Remove(*this);
+      incoming_ = nullptr;
+      Charge();
       if (exchange_ != nullptr) {
         exchange_->Detach();
         auto exchange = std::exchange(exchange_, nullptr);
@@ -131,9 +160,18 @@
         return;
       }
       parser_.Feed(data);
+      if (server_.body_queue_) {
+        server_.body_queue_->OnProgress(server_.loop_.Now(), *this);
+      }
       ProcessInput();
+      if (exchange_ != nullptr &&
+          parser_.buffered_bytes() > kMaxPipelinedBytes) {
+        socket_->PauseReading();
+      }
+      Charge();
     }
     void OnDrained() override {
+      Charge();
       if (lingering_) {
         socket_->ShutdownWrite();
       } else if (!busy()) {
@@ -142,6 +180,18 @@
     }
     void OnEnd(StreamEnd /*end*/) override { Close(); }
 
+    void OnRoom() override {
+      waits_for_memory_ = false;
+      BeginReadingBody();
+      socket_->ResumeReading();
+      ProcessInput();
+      Charge();
+    }
+    void OnNoRoom() override {
+      waits_for_memory_ = false;
+      RefuseBody();
+    }
+
     void SendResponse(int status,
                       const HttpHeaders& fields,
                       std::string_view body) {
@@ -151,7 +201,8 @@
       if (exchange_ == nullptr || exchange_->head().method != "HEAD") {
         text += body;
       }
-      socket_->Write(text);
+      socket_->WriteOwned(std::move(text));
+      Charge();
       FinishResponse(close);
     }
     void SendHead(int status, const HttpHeaders& fields) {
@@ -168,6 +219,7 @@
         return;
       }
       socket_->Write(chunked_ ? SerialiseChunk(part) : std::string(part));
+      Charge();
       if (socket_->unsent_bytes() > kMaxUnsentBytes) {
         Close();
       }
@@ -183,7 +235,8 @@
     /// A pipelined request that has been read is answered before the
     /// connection closes: its client may not repeat it.
     bool ShouldClose() const {
-      return exchange_ == nullptr || !exchange_->head().keep_alive ||
+      return exchange_ == nullptr || exchange_->lacks_body() ||
+             !exchange_->head().keep_alive ||
              (server_.closing_ && !parser_.has_next());
     }
 
@@ -203,7 +256,8 @@
     }
 
     bool CanParse() const {
-      return !closed_ && !lingering_ && exchange_ == nullptr;
+      return !closed_ && !lingering_ && exchange_ == nullptr &&
+             !waits_for_memory_;
     }
 
     /// @return false if more input is needed
@@ -223,12 +277,10 @@
           incoming_ =
               new Exchange(*this, std::move(parser_.head()), start_time_);
           RestartTimer(server_.options_.limits().idle_timeout);
-          if (incoming_->head().expects_continue) {
-            socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
-          }
+          BeginBody();
           return true;
         case Event::kBody:
-          incoming_->AppendBody(parser_.body());
+          AppendBody(parser_.body());
           return true;
         case Event::kEnd:
           Dispatch();
@@ -246,6 +298,85 @@
       return false;
     }
 
+    void BeginBody() {
+      incoming_->BeginBody(server_.options_.account);
+      const auto length = parser_.content_length();
+      if (length && *length > server_.options_.limits().body_bytes) {
+        return;  // the parser rejects it
+      }
+      body_bytes_ = length.value_or(kFirstChunkedBytes);
+      if (server_.body_queue_) {
+        AskForMemory();
+      } else {
+        BeginReadingBody();
+      }
+    }
+
+    /// Asks for room for `body_bytes_` before they are read.
+    void AskForMemory() {
+      using Verdict = admission::BodyQueue::Verdict;
+      SharedBody& body = *incoming_->shared_body();
+      switch (server_.body_queue_->Add(server_.loop_.Now(), *this,
+                                       *body.share(), body_bytes_)) {
+        case Verdict::kRead:
+          BeginReadingBody();
+          return;
+        case Verdict::kWait:
+          waits_for_memory_ = true;
+          socket_->PauseReading();
+          server_.StartBodyQueueTimer();
+          return;
+        case Verdict::kRefuse:
+          RefuseBody();
+          return;
+      }
+    }
+
+    void BeginReadingBody() {
+      SharedBody& body = *incoming_->shared_body();
+      if (parser_.content_length() || body_bytes_ > kFirstChunkedBytes) {
+        body.Reserve(body_bytes_);
+      }
+      if (incoming_->head().expects_continue && body.size() == 0) {
+        socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+    }
+
+    void AppendBody(std::string_view part) {
+      SharedBody& body = *incoming_->shared_body();
+      body.Append(part);
+      if (body.size() > body_bytes_ && server_.body_queue_) {
+        body_bytes_ = LongerBody(body.size());
+        AskForMemory();
+      }
+    }
+
+    /// How long a chunked body may become that has outgrown its room.
+    std::size_t LongerBody(std::size_t bytes) const {
+      if (bytes < kSecondChunkedBytes) {
+        return kSecondChunkedBytes;
+      }
+      const std::size_t most = server_.options_.account->request_watermark();
+      return std::min(server_.options_.limits().body_bytes,
+                      std::max(most, bytes));
+    }
+
+    /// Has the request refused by the handler, which knows how.
+    void RefuseBody() {
+      admission::BodyQueue::Remove(*this);
+      socket_->ResumeReading();
+      incoming_->DropBody();
+      Dispatch();
+    }
+
+    /// Tells the account what is held for this connection.
+    void Charge() {
+      if (unsent_share_) {
+        input_share_->Set(closed_ ? 0 : parser_.buffered_bytes());
+        unsent_share_->Set(closed_ ? 0 : unsent_bytes());
+      }
+    }
+
     void BeginRequest() {
       request_started_ = true;
       start_time_ = server_.loop_.Now();
@@ -254,6 +385,10 @@
 
     void Dispatch() {
       server_.loop_.Cancel(timer_);
+      admission::BodyQueue::Remove(*this);
+      if (!incoming_->lacks_body()) {
+        incoming_->shared_body()->Complete();
+      }
       exchange_ = std::move(incoming_);
       request_started_ = false;
       // Keeps the exchange alive during the call: the handler may respond at
@@ -263,6 +398,7 @@
     }
 
     void FinishResponse(bool close) {
+      socket_->ResumeReading();
       if (exchange_ != nullptr) {
         exchange_->ClearOnDisconnect();
         exchange_->Detach();
@@ -341,6 +477,10 @@
     bool close_after_ = false;
     bool lingering_ = false;
     bool closed_ = false;
+    bool waits_for_memory_ = false;  ///< to read the body of `incoming_`
+    std::size_t body_bytes_ = 0;     ///< that `incoming_` has room for
+    std::optional<admission::MemoryAccount::Share> input_share_;
+    std::optional<admission::MemoryAccount::Share> unsent_share_;
   };
 
   void Accept(st_h2o_socket_t* socket) {
@@ -359,6 +499,19 @@
   }
   void DeleteClosed() { closed_connections_.clear(); }
 
+  void StartBodyQueueTimer() {
+    if (std::exchange(body_queue_timer_running_, true)) {
+      return;
+    }
+    body_queue_timer_ = loop_.After(kBodyQueuePeriod, [this] {
+      body_queue_timer_running_ = false;
+      body_queue_->Run(loop_.Now());
+      if (body_queue_->has_waiting()) {
+        StartBodyQueueTimer();
+      }
+    });
+  }
+
   void StopAccepting() {
     listener_.reset();
     closing_ = true;
@@ -423,6 +576,9 @@
   intrusive::list<Connection> connections_;
   std::vector<std::unique_ptr<Connection>> closed_connections_;
   TimerId deletion_timer_;
+  std::optional<admission::BodyQueue> body_queue_;
+  TimerId body_queue_timer_;
+  bool body_queue_timer_running_ = false;
 };
 
 void RelayServer::Impl::Exchange::Respond(int status,
@@ -474,6 +630,12 @@
 std::size_t RelayServer::LimitUnsentBytes(std::size_t max_bytes) {
   return impl_->LimitUnsentBytes(max_bytes);
 }
+std::uint64_t RelayServer::bodies_waited() const {
+  return impl_->body_queue_ ? impl_->body_queue_->waited() : 0;
+}
+std::uint64_t RelayServer::bodies_refused() const {
+  return impl_->body_queue_ ? impl_->body_queue_->refused() : 0;
+}
 void RelayServer::AnnounceClose() {
   impl_->closing_ = true;
 }
--- a/packages/loop/src/rpc.cc
+++ b/packages/loop/src/rpc.cc
@@ -16,6 +16,10 @@
 namespace gentianroute {
 namespace {
 
+/// Larger buffers of a connection are given back once they are empty: one large
+/// message on each of many connections must not keep the memory.
+constexpr std::size_t kMaxKeptBytes = 256 * 1024;
+
 /// Adapts an h2o socket to KJ's stream interface. KJ guarantees at most one
 /// pending read and one pending write.
 class H2oStream final : public kj::AsyncIoStream {
@@ -82,6 +86,9 @@
     auto* self = static_cast<H2oStream*>(socket->data);
     kj::Own<kj::PromiseFulfiller<void>> writing =
         kj::mv(self->write_fulfiller_);
+    if (self->write_buffer_.capacity() > kMaxKeptBytes) {
+      std::string().swap(self->write_buffer_);
+    }
     if (error == nullptr) {
       writing->fulfill();
     } else {
@@ -110,6 +117,7 @@
     if (part > 0) {
       std::memcpy(read_buffer_ + read_bytes_, input->bytes, part);
       h2o_buffer_consume(&input, part);
+      ReleaseIfLarge(input);
       read_bytes_ += part;
     }
     if (read_bytes_ >= read_min_ || ended_) {
@@ -118,6 +126,13 @@
     }
   }
 
+  static void ReleaseIfLarge(h2o_buffer_t*& input) {
+    if (input->size == 0 && input->capacity > kMaxKeptBytes) {
+      h2o_buffer_dispose(&input);
+      h2o_buffer_init(&input, &h2o_socket_buffer_prototype);
+    }
+  }
+
   h2o_socket_t* socket_;
   bool ended_ = false;
   char* read_buffer_ = nullptr;
--- a/packages/loop/src/stream_socket.cc
+++ b/packages/loop/src/stream_socket.cc
@@ -1,7 +1,10 @@
 #include "gentianroute/loop/stream_socket.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <utility>
 
 #include "gentianroute/loop/h2o.h"
@@ -9,6 +12,34 @@
 #include "gentianroute/loop/socket_options.h"
 
 namespace gentianroute {
+namespace {
+
+/// Most bytes that are read for one event of the loop. More would let one
+/// sender delay all others, and take memory that nobody has granted.
+constexpr std::size_t kMaxReadBytes = 64 * 1024;
+
+/// Input of the socket that is being read; the loop has one thread, and
+/// observers don't run it.
+std::array<char, kMaxReadBytes>& ReadBuffer() {
+  static std::array<char, kMaxReadBytes> buffer;
+  return buffer;
+}
+
+ssize_t ReadAvailable(int descriptor) {
+  for (;;) {
+    const ssize_t bytes =
+        read(descriptor, ReadBuffer().data(), ReadBuffer().size());
+    if (bytes >= 0 || errno != EINTR) {
+      return bytes;
+    }
+  }
+}
+
+bool WouldBlock() {
+  return errno == EAGAIN || errno == EWOULDBLOCK;
+}
+
+}  // namespace
 
 StreamSocket::StreamSocket(h2o_socket_t* accepted, Observer& observer)
     : observer_(observer), socket_(accepted) {
@@ -45,7 +76,23 @@
   socket_->data = this;
   connected_ = true;
   EnableDeadPeerDetection(h2o_socket_get_fd(socket_), DeadPeerTimeout::kServer);
-  h2o_socket_read_start(socket_, &StreamSocket::OnReadable);
+  // h2o would read until nothing is left, into a buffer that keeps its size.
+  h2o_socket_dont_read(socket_, 1);
+  if (!paused_) {
+    h2o_socket_read_start(socket_, &StreamSocket::OnReadable);
+  }
+}
+
+void StreamSocket::PauseReading() {
+  if (!std::exchange(paused_, true) && connected_) {
+    h2o_socket_read_stop(socket_);
+  }
+}
+
+void StreamSocket::ResumeReading() {
+  if (std::exchange(paused_, false) && connected_) {
+    h2o_socket_read_start(socket_, &StreamSocket::OnReadable);
+  }
 }
 
 void StreamSocket::OnConnect(h2o_socket_t* socket, const char* error) {
@@ -67,32 +114,40 @@
 
 void StreamSocket::OnReadable(h2o_socket_t* socket, const char* error) {
   auto* self = static_cast<StreamSocket*>(socket->data);
-  bool destroyed = false;
-  self->destroyed_ = &destroyed;
-  if (socket->input->size > 0) {
-    const std::string data(socket->input->bytes, socket->input->size);
-    h2o_buffer_consume(&socket->input, socket->input->size);
-    self->observer_.OnData(data);
+  if (error != nullptr) {
+    self->OnReadEnd(StreamEnd::kBroken);
+    return;
   }
-  if (destroyed) {
+  const ssize_t bytes = ReadAvailable(h2o_socket_get_fd(socket));
+  if (bytes > 0) {
+    self->observer_.OnData(
+        {ReadBuffer().data(), static_cast<std::size_t>(bytes)});
     return;
   }
-  self->destroyed_ = nullptr;
-  if (error != nullptr) {
-    h2o_socket_read_stop(socket);
-    self->observer_.OnEnd(error == h2o_socket_error_closed
-                              ? StreamEnd::kClosed
-                              : StreamEnd::kBroken);
+  if (bytes == 0) {
+    self->OnReadEnd(StreamEnd::kClosed);
+  } else if (!WouldBlock()) {
+    self->OnReadEnd(StreamEnd::kBroken);
   }
 }
 
+void StreamSocket::OnReadEnd(StreamEnd end) {
+  h2o_socket_read_stop(socket_);
+  observer_.OnEnd(end);
+}
+
 void StreamSocket::OnWritten(h2o_socket_t* socket, const char* error) {
   auto* self = static_cast<StreamSocket*>(socket->data);
   self->writing_ = false;
+  for (const Piece& piece : self->in_flight_) {
+    self->unsent_bytes_ -= piece.view().size();
+  }
   self->in_flight_.clear();
   if (error != nullptr) {
     // OnReadable receives the same error and reports the end exactly once.
     self->queued_.clear();
+    self->unsent_bytes_ = 0;
+    self->ResumeReading();
     return;
   }
   if (!self->queued_.empty()) {
@@ -103,7 +158,21 @@
 }
 
 void StreamSocket::Write(std::string_view data) {
-  queued_.append(data);
+  unsent_bytes_ += data.size();
+  if (queued_.empty() || queued_.back().body != nullptr) {
+    queued_.emplace_back();
+  }
+  queued_.back().bytes.append(data);
+  Flush();
+}
+
+void StreamSocket::WriteOwned(std::string data, SharedBodyPtr body) {
+  unsent_bytes_ += data.size();
+  queued_.push_back({std::move(data), nullptr});
+  if (body != nullptr) {
+    unsent_bytes_ += body->size();
+    queued_.push_back({{}, std::move(body)});
+  }
   Flush();
 }
 
@@ -117,11 +186,16 @@
   if (!connected_ || writing_ || queued_.empty()) {
     return;
   }
-  in_flight_ = std::move(queued_);
-  queued_.clear();
+  std::swap(in_flight_, queued_);
   writing_ = true;
-  h2o_iovec_t buffer = h2o_iovec_init(in_flight_.data(), in_flight_.size());
-  h2o_socket_write(socket_, &buffer, 1, &StreamSocket::OnWritten);
+  std::vector<h2o_iovec_t> buffers;
+  buffers.reserve(in_flight_.size());
+  for (const Piece& piece : in_flight_) {
+    const std::string_view view = piece.view();
+    buffers.push_back(h2o_iovec_init(view.data(), view.size()));
+  }
+  h2o_socket_write(socket_, buffers.data(), buffers.size(),
+                   &StreamSocket::OnWritten);
 }
 
 }  // namespace gentianroute
