--- a/packages/loop/include/gentianroute/loop/shared_body.h
+++ b/packages/loop/include/gentianroute/loop/shared_body.h
@@ -35,13 +35,13 @@
   /// @brief Charges a body that was received without an account.
   void ChargeTo(admission::MemoryAccount& account, admission::HeldKind kind) {
     share_.emplace(account, kind);
-    Complete();
+    ChargeSize();
   }
   /// @brief Makes room, so that the body isn't copied while it grows.
   void Reserve(std::size_t bytes) { bytes_.reserve(bytes); }
   void Append(std::string_view part) { bytes_.append(part); }
-  /// @brief No more parts follow: charges what the body has become.
-  void Complete() { Charge(bytes_.size()); }
+  /// @brief Charges what has arrived, in place of what was expected.
+  void ChargeSize() { Charge(bytes_.size()); }
   /// @brief Drops what has arrived of a body that won't be read to its end.
   void Discard() {
     std::string().swap(bytes_);
--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -197,6 +197,7 @@
 
   template <typename Parser>
   Event PollWith(Parser& parser) {
+    body_part_.clear();
     ReleaseIfLarge(body_part_);
     if (!failure_ && !parser.is_done() && !input_.empty()) {
       Parse(parser);
--- a/packages/loop/src/relay_server.cc
+++ b/packages/loop/src/relay_server.cc
@@ -280,7 +280,7 @@
           BeginBody();
           return true;
         case Event::kBody:
-          AppendBody(parser_.body());
+          AppendPart();
           return true;
         case Event::kEnd:
           Dispatch();
@@ -337,23 +337,28 @@
       if (parser_.content_length() || body_bytes_ > kFirstChunkedBytes) {
         body.Reserve(body_bytes_);
       }
-      if (incoming_->head().expects_continue && body.size() == 0) {
+      if (!parser_.body().empty()) {
+        body.Append(parser_.body());  // the part that had no room
+      } else if (incoming_->head().expects_continue) {
         socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
       }
     }
 
-    void AppendBody(std::string_view part) {
-      SharedBody& body = *incoming_->shared_body();
-      body.Append(part);
-      if (body.size() > body_bytes_ && server_.body_queue_) {
-        body_bytes_ = LongerBody(body.size());
+    /// Appends the part that the parser has, once there is room for it.
+    void AppendPart() {
+      const std::size_t bytes =
+          incoming_->body().size() + parser_.body().size();
+      if (bytes > body_bytes_ && server_.body_queue_) {
+        body_bytes_ = LongerBody(bytes);
         AskForMemory();
+      } else {
+        incoming_->shared_body()->Append(parser_.body());
       }
     }
 
     /// How long a chunked body may become that has outgrown its room.
     std::size_t LongerBody(std::size_t bytes) const {
-      if (bytes < kSecondChunkedBytes) {
+      if (bytes <= kSecondChunkedBytes) {
         return kSecondChunkedBytes;
       }
       const std::size_t most = server_.options_.account->request_watermark();
@@ -387,7 +392,7 @@
       server_.loop_.Cancel(timer_);
       admission::BodyQueue::Remove(*this);
       if (!incoming_->lacks_body()) {
-        incoming_->shared_body()->Complete();
+        incoming_->shared_body()->ChargeSize();
       }
       exchange_ = std::move(incoming_);
       request_started_ = false;
--- a/tests/process/kept_connection.h
+++ b/tests/process/kept_connection.h
@@ -39,6 +39,12 @@
       socket_->Write(bytes);
     }
   }
+  /// @brief Sends bytes without a copy, see StreamSocket.
+  void SendOwned(std::string data, SharedBodyPtr body) {
+    if (!closed()) {
+      socket_->WriteOwned(std::move(data), std::move(body));
+    }
+  }
   /// @brief The complete answers, in order.
   const std::vector<Answer>& answers() const { return answers_; }
   bool closed() const { return socket_ == nullptr; }
