Take no single version for the origin of a stream whose route has moved

Callers saw: a stream began at one service, its route was moved or split while it was under way, and its caller was answered 200 at another daemon with the rest from another service; nothing in the answer showed it.

Cause: "one version" was asked of the service to which the request would go now. With one version a service nobody is told who began a stream, so that no daemon has to fail for it. On a split route whose caller doesn't name the beginning, the service was picked by another id.

Change: RouteMoves remembers the services of routes that have changed; their single version is no evidence, and the origins of their streams are told. Unnamed beginnings on split routes are refused. The memory of versions and moves follows from the routes' timeouts and the time of propagation.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -108,10 +108,12 @@
                          reach_,
                          notices_),
         stage_router_(loop, cluster_, stage_scheduler_, servers_, topology_),
-        streams_(loop,
-                 cluster_,
-                 servers_,
-                 [this] { return HasNewestServers(); }),
+        streams_(
+            loop,
+            cluster_,
+            servers_,
+            [this] { return HasNewestServers(); },
+            settings_.max_propagation_time),
         retry_budgets_(settings_.retry_ratio, settings_.retry_slack),
         start_queue_(loop.Now()),
         flow_context_{
--- a/packages/gateway/include/gentianroute/gateway/stream_registry.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_registry.h
@@ -9,6 +9,7 @@
 #include "gentianroute/gateway/cluster.h"
 #include "gentianroute/gateway/stream_origin_lookup.h"
 #include "gentianroute/loop/event_loop.h"
+#include "gentianroute/routing/route_moves.h"
 #include "gentianroute/routing/server_directory.h"
 #include "gentianroute/routing/software_versions.h"
 #include "gentianroute/routing/stream_origin.h"
@@ -28,10 +29,12 @@
 class StreamRegistry {
  public:
   /// @param has_newest_servers whether the host list is up to date
+  /// @param max_propagation_time after which all daemons know a deployment
   StreamRegistry(EventLoop& loop,
                  Cluster& cluster,
                  const routing::ServerDirectory& servers,
-                 std::function<bool()> has_newest_servers);
+                 std::function<bool()> has_newest_servers,
+                 Duration max_propagation_time);
   ~StreamRegistry();
 
   /// @brief Records a stream that this daemon begins.
@@ -50,6 +53,10 @@
                                              std::string_view service,
                                              StreamOriginLookup::Done done);
 
+  /// @brief A newer deployment takes the place of an older one.
+  /// @param before null for the first one
+  void OnDeployment(const routing::RouteTable* before,
+                    const routing::RouteTable& after);
   /// @brief The whole host list has been read.
   void OnServersListed(routing::SoftwareVersions::FleetState fleet);
   /// @brief A server is new or has changed.
@@ -72,8 +79,11 @@
   Cluster& cluster_;
   const routing::ServerDirectory& servers_;
   std::function<bool()> has_newest_servers_;
+  Duration max_propagation_time_;
   routing::StreamOrigins origins_;
-  routing::SoftwareVersions versions_;
+  // Both vouch for nothing until a deployment sets their memory.
+  routing::SoftwareVersions versions_{Duration::max() / 2};
+  routing::RouteMoves route_moves_{Duration::max() / 2};
   bool tell_pending_ = false;
   TimerId tell_timer_;
 };
--- a/packages/gateway/src/gateway_operators.cc
+++ b/packages/gateway/src/gateway_operators.cc
@@ -71,7 +71,9 @@
 }
 
 void Gateway::Impl::ApplyDeployment(routing::Deployment deployment) {
-  table_ = std::make_shared<routing::RouteTable>(std::move(deployment));
+  const routing::RouteTablePtr before = std::exchange(
+      table_, std::make_shared<routing::RouteTable>(std::move(deployment)));
+  streams_.OnDeployment(before.get(), *table_);
   placement_rules_.cold_servers.SetServices(table_->deployment().services);
   cluster_.SetStageServices(table_->StageServices());
   stage_scheduler_.SetTable(table_);
--- a/packages/gateway/src/request_flow_streams.cc
+++ b/packages/gateway/src/request_flow_streams.cc
@@ -25,6 +25,13 @@
 }
 
 void RequestFlow::LookUpOrigin() {
+  if (request_.stream_begun_by.empty() && route_->services.size() > 1) {
+    // The service was picked by the id of this request, which may differ from
+    // that of the request that began the stream.
+    Refuse(ErrorKind::kNoServer,
+           "the request that began the stream is not named");
+    return;
+  }
   origin_lookup_ = context_.streams.LookUp(
       StreamId(), service_name_,
       [this](const std::optional<routing::StreamOrigin>& origin) {
--- a/packages/gateway/src/stream_registry.cc
+++ b/packages/gateway/src/stream_registry.cc
@@ -21,11 +21,13 @@
 StreamRegistry::StreamRegistry(EventLoop& loop,
                                Cluster& cluster,
                                const routing::ServerDirectory& servers,
-                               std::function<bool()> has_newest_servers)
+                               std::function<bool()> has_newest_servers,
+                               Duration max_propagation_time)
     : loop_(loop),
       cluster_(cluster),
       servers_(servers),
-      has_newest_servers_(std::move(has_newest_servers)) {}
+      has_newest_servers_(std::move(has_newest_servers)),
+      max_propagation_time_(max_propagation_time) {}
 
 StreamRegistry::~StreamRegistry() {
   loop_.Cancel(tell_timer_);
@@ -71,6 +73,18 @@
                                               std::move(done));
 }
 
+void StreamRegistry::OnDeployment(const routing::RouteTable* before,
+                                  const routing::RouteTable& after) {
+  const Duration memory = routing::StreamMemory(after, max_propagation_time_);
+  versions_.SetMemory(memory);
+  route_moves_.SetMemory(memory);
+  if (before != nullptr) {
+    route_moves_.OnDeployment(loop_.Now(), *before, after);
+    // Streams that began before their route moved.
+    TellLater();
+  }
+}
+
 void StreamRegistry::OnServersListed(
     routing::SoftwareVersions::FleetState fleet) {
   versions_.OnListed(loop_.Now(), fleet);
@@ -93,7 +107,11 @@
 
 routing::OriginReport StreamRegistry::VersionReport(
     std::string_view service) const {
-  return versions_.Report(loop_.Now(), service, servers_.ServersOf(service));
+  const TimePoint now = loop_.Now();
+  if (route_moves_.Concerns(now, service)) {
+    return {OriginEvidence::kSeveralVersions, {}};
+  }
+  return versions_.Report(now, service, servers_.ServersOf(service));
 }
 
 bool StreamRegistry::IsDue(std::string_view service) const {
--- a/packages/routing/include/gentianroute/routing/deployment.h
+++ b/packages/routing/include/gentianroute/routing/deployment.h
@@ -31,6 +31,9 @@
 struct WeightedService {
   std::string service;
   std::uint32_t weight = 1;
+
+  friend bool operator==(const WeightedService&,
+                         const WeightedService&) = default;
 };
 
 struct Route {
--- a/packages/routing/include/gentianroute/routing/software_versions.h
+++ b/packages/routing/include/gentianroute/routing/software_versions.h
@@ -19,11 +19,14 @@
 /// which versions can have begun a stream that is still wanted.
 class SoftwareVersions {
  public:
-  /// Callers don't wait longer for a whole stream, over all their requests.
-  static constexpr Duration kMaxStreamAge = std::chrono::seconds(30);
+  /// @param memory see StreamMemory()
+  explicit SoftwareVersions(Duration memory) : memory_(memory) {}
 
   /// @brief Whether streams may have begun before the host list was known.
   enum class FleetState : std::uint8_t { kNew, kRunning };
+  /// @brief Sets for how long gone versions are remembered. What is already
+  /// forgotten stays so.
+  void SetMemory(Duration memory) { memory_ = memory; }
   /// @brief The host list is known from now on.
   void OnListed(TimePoint now, FleetState fleet);
   /// @brief A server has left the host list.
@@ -36,6 +39,8 @@
                       std::span<const ServerPtr> servers) const;
 
  private:
+  Duration memory_;
+  FleetState fleet_ = FleetState::kRunning;  ///< when the list became known
   std::optional<TimePoint> listed_since_;
   /// When the last server of a version has gone, by service and version.
   std::map<std::string, std::map<std::string, TimePoint>, std::less<>> gone_at_;
--- a/packages/routing/src/software_versions.cc
+++ b/packages/routing/src/software_versions.cc
@@ -8,13 +8,14 @@
   if (listed_since_) {
     return;
   }
-  listed_since_ = fleet == FleetState::kNew ? now - kMaxStreamAge : now;
+  fleet_ = fleet;
+  listed_since_ = now;
 }
 
 void SoftwareVersions::OnGone(TimePoint now, const ServerRecord& server) {
   auto& versions = gone_at_[server.service];
-  std::erase_if(versions, [now](const auto& version) {
-    return version.second + kMaxStreamAge <= now;
+  std::erase_if(versions, [this, now](const auto& version) {
+    return version.second + memory_ <= now;
   });
   versions[server.software_version] = now;
 }
@@ -32,7 +33,7 @@
   });
   if (const auto gone = gone_at_.find(service); gone != gone_at_.end()) {
     is_only &= std::ranges::all_of(gone->second, [&](const auto& other) {
-      return other.first == version || other.second + kMaxStreamAge <= now;
+      return other.first == version || other.second + memory_ <= now;
     });
   }
   if (!is_only) {
@@ -40,7 +41,8 @@
   }
   // A version may have gone before the list was known.
   const bool covers_streams =
-      listed_since_ && *listed_since_ + kMaxStreamAge <= now;
+      listed_since_ &&
+      (fleet_ == FleetState::kNew || *listed_since_ + memory_ <= now);
   if (!covers_streams) {
     return {};
   }
--- a/packages/routing/tests/software_versions_test.cc
+++ b/packages/routing/tests/software_versions_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -13,7 +14,7 @@
 namespace {
 
 using FleetState = SoftwareVersions::FleetState;
-constexpr Duration kAge = SoftwareVersions::kMaxStreamAge;
+constexpr Duration kAge = std::chrono::seconds(32);
 
 ServerPtr ServerOf(const std::string& version) {
   ServerRecord record;
@@ -24,7 +25,7 @@
 }
 
 struct VersionsFixture {
-  SoftwareVersions versions;
+  SoftwareVersions versions{kAge};
   std::vector<ServerPtr> servers{ServerOf("v1"), ServerOf("v1")};
 
   explicit VersionsFixture(FleetState fleet = FleetState::kNew) {
