Believe no unnamed answer on a connection that was used before

Callers saw: an order ran at two servers, or its client got bytes that belong to no request as a success, when a faulty server sent bytes after a complete answer and they arrived with the next request on the connection.

Cause: an answer without a request's id was taken for the answer to whatever request the connection had.

Change: on a connection that has carried a request before, an answer without an id is discarded like one with another id; servers echo the id.

--- a/packages/gateway/include/gentianroute/gateway/translator.h
+++ b/packages/gateway/include/gentianroute/gateway/translator.h
@@ -117,8 +117,10 @@
   virtual ServerAnswer ReadAnswer(const MessageHead& head) const = 0;
   virtual ServerNotice ReadNotice(const MessageHead& head) const = 0;
   /// @brief Whether an answer belongs to the request with this id.
+  /// @param use of the connection that it arrives on
   virtual bool IsAnswerTo(const MessageHead& head,
-                          std::string_view request) const = 0;
+                          std::string_view request,
+                          ConnectionUse use) const = 0;
   /// @brief Header fields of an answer that this daemon generates.
   virtual HttpHeaders OwnAnswerFields(
       std::string_view request,
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -108,9 +108,9 @@
     call.max_body_bytes = kMaxStreamBytes;
   }
   call.max_idle = repeatable() ? kMaxIdleRepeatable : kMaxIdleNonRepeatable;
-  call.matches_response = [&translator = context_.translator,
-                           id = request_.id](const MessageHead& head) {
-    return translator.IsAnswerTo(head, id);
+  call.matches_response = [&translator = context_.translator, id = request_.id](
+                              const MessageHead& head, ConnectionUse use) {
+    return translator.IsAnswerTo(head, id, use);
   };
   RequestSent sent;
   sent.id = request_.id;
--- a/packages/loop/include/gentianroute/loop/relay_client.h
+++ b/packages/loop/include/gentianroute/loop/relay_client.h
@@ -29,6 +29,11 @@
 /// server in trouble may send bytes without end.
 inline constexpr std::size_t kMaxCollectedBodyBytes = 4 * 1024 * 1024;
 
+/// @brief Whether a connection has carried a request before. Bytes that a
+/// faulty server sends after a complete response may then arrive where the next
+/// one is expected.
+enum class ConnectionUse : std::uint8_t { kFirst, kReused };
+
 /// @brief One HTTP request in serialised form, with its connection options.
 struct RelayCall {
   Endpoint endpoint;
@@ -43,9 +48,9 @@
   bool keep_connection = true;
   /// An answer with a longer body is malformed, and its connection is closed.
   std::size_t max_body_bytes = kMaxCollectedBodyBytes;
-  /// Returns whether a response belongs to this request; a late response to an
-  /// earlier request is discarded. Null accepts the first response.
-  std::function<bool(const MessageHead&)> matches_response;
+  /// Returns whether a response belongs to this request; others are discarded.
+  /// Null accepts the first response.
+  std::function<bool(const MessageHead&, ConnectionUse)> matches_response;
 };
 
 using RelayCallId = Id<struct RelayCallTag>;
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -74,6 +74,7 @@
       id_ = id;
       observer_ = &observer;
       matches_response_ = std::move(call.matches_response);
+      use_ = std::exchange(next_use_, ConnectionUse::kReused);
       response_has_no_body_ = call.response_has_no_body;
       keep_connection_ = call.keep_connection;
       head_received_ = false;
@@ -166,7 +167,7 @@
       MessageHead& head = parser_.head();
       keep_alive_ = head.keep_alive;
       skip_response_ = head.status < kFirstFinalStatus ||
-                       (matches_response_ && !matches_response_(head));
+                       (matches_response_ && !matches_response_(head, use_));
       if (skip_response_) {
         return;
       }
@@ -221,7 +222,9 @@
     TimerId timer_;
     RelayCallId id_;
     RelayCallObserver* observer_ = nullptr;
-    std::function<bool(const MessageHead&)> matches_response_;
+    std::function<bool(const MessageHead&, ConnectionUse)> matches_response_;
+    ConnectionUse use_ = ConnectionUse::kFirst;  ///< of the current call
+    ConnectionUse next_use_ = ConnectionUse::kFirst;
     bool response_has_no_body_ = false;
     bool keep_connection_ = true;
     bool head_received_ = false;
