--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -74,7 +74,7 @@
   constexpr std::string_view kHeld = "gentianroute_gateway_held_bytes";
   writer.AddMetric(kHeld, "gauge", "Bytes held for callers, by kind.");
   for (std::size_t kind = 0; kind < kNames.size(); ++kind) {
-    const MetricLabel label{"kind", std::string(kNames[kind])};
+    const MetricLabel label{"kind", kNames[kind]};
     const auto bytes = memory_.held(static_cast<admission::HeldKind>(kind));
     writer.AddSample(kHeld, {&label, 1}, static_cast<std::uint64_t>(bytes));
   }
