--- a/packages/admission/include/gentianroute/admission/memory_account.h
+++ b/packages/admission/include/gentianroute/admission/memory_account.h
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <cstddef>
 #include <cstdint>
 
@@ -26,6 +28,14 @@
 /// abandoned at the middle one, and callers that don't read their answers are
 /// disconnected at the highest. What is left is for everything else.
 class MemoryAccount {
+  /// Counted, since the event loop may keep holders for longer than the
+  /// account.
+  struct Sums
+      : boost::intrusive_ref_counter<Sums, boost::thread_unsafe_counter> {
+    std::size_t total = 0;
+    std::array<std::size_t, kHeldKinds> held{};
+  };
+
  public:
   /// @param memory_bytes that the process may use
   explicit MemoryAccount(std::size_t memory_bytes)
@@ -33,9 +43,9 @@
   MemoryAccount(const MemoryAccount&) = delete;
   MemoryAccount& operator=(const MemoryAccount&) = delete;
 
-  std::size_t total() const { return total_; }
+  std::size_t total() const { return sums_->total; }
   std::size_t held(HeldKind kind) const {
-    return held_[static_cast<std::size_t>(kind)];
+    return sums_->held[static_cast<std::size_t>(kind)];
   }
 
   /// @brief Sum up to which bodies of requests are read.
@@ -45,48 +55,49 @@
   /// @brief Most bytes of answers that callers may leave unread beside what is
   /// held otherwise.
   std::size_t unsent_limit() const {
-    const std::size_t others = total_ - held(HeldKind::kUnsentAnswer);
+    const std::size_t others = total() - held(HeldKind::kUnsentAnswer);
     return std::min(Difference(Sixteenths(12), others), kind_limit());
   }
   /// @brief Bytes of answers that may still be collected.
   std::size_t room_to_collect() const {
     const std::size_t own = held(HeldKind::kCollectedAnswer);
-    return std::min(Difference(collection_watermark(), total_),
+    return std::min(Difference(collection_watermark(), total()),
                     Difference(kind_limit(), own));
   }
   /// @brief Whether `bytes` more stay below a watermark.
   bool Fits(std::size_t bytes, std::size_t watermark) const {
-    return bytes <= Difference(watermark, total_);
+    return bytes <= Difference(watermark, total());
   }
 
   /// @brief What one holder has, which is given back when this is destroyed.
   class Share {
    public:
-    /// @param account must outlive this object
     Share(MemoryAccount& account, HeldKind kind)
-        : account_(account), kind_(kind) {}
+        : account_(account), sums_(account.sums_), kind_(kind) {}
     Share(const Share&) = delete;
     Share& operator=(const Share&) = delete;
     ~Share() { Set(0); }
 
     std::size_t bytes() const { return bytes_; }
     void Set(std::size_t bytes) {
-      std::size_t& held = account_.held_[static_cast<std::size_t>(kind_)];
+      std::size_t& held = sums_->held[static_cast<std::size_t>(kind_)];
       held += bytes;
       held -= bytes_;
-      account_.total_ += bytes;
-      account_.total_ -= bytes_;
+      sums_->total += bytes;
+      sums_->total -= bytes_;
       bytes_ = bytes;
     }
     /// @brief Whether the holder of a collected answer has more than it may
     /// have now, which is half of what is still free: one alone may have much,
-    /// and many, such as servers that send without end, little each.
+    /// and many, such as servers that send without end, little each. Requires
+    /// the account.
     bool is_excessive() const {
       return bytes_ > kSmallBytes && bytes_ > account_.room_to_collect() / 2;
     }
 
    private:
     MemoryAccount& account_;
+    boost::intrusive_ptr<Sums> sums_;
     HeldKind kind_;
     std::size_t bytes_ = 0;
   };
@@ -105,8 +116,7 @@
   }
 
   std::size_t memory_bytes_;
-  std::size_t total_ = 0;
-  std::array<std::size_t, kHeldKinds> held_{};
+  boost::intrusive_ptr<Sums> sums_{new Sums};
 };
 
 }  // namespace gentianroute::admission
--- a/packages/admission/tests/memory_account_test.cc
+++ b/packages/admission/tests/memory_account_test.cc
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <list>
+#include <memory>
 
 using gentianroute::admission::HeldKind;
 using gentianroute::admission::MemoryAccount;
@@ -70,6 +71,17 @@
   cr_assert_eq(account.held(HeldKind::kInput), 0);
 }
 
+// Guards against a read of freed memory at an orderly stop, when the loop still
+// keeps a body that a peer has handed in.
+Test(memory_account, holder_outlives_the_account_its_end_is_harmless) {
+  auto account = std::make_unique<MemoryAccount>(kMemory);
+  MemoryAccount::Share share(*account, HeldKind::kPeerRequest);
+  share.Set(kPart);
+  account.reset();
+  share.Set(0);
+  cr_assert_eq(share.bytes(), 0);
+}
+
 Test(memory_account, small_holder_is_served_beside_large_ones) {
   MemoryAccount account(kMemory);
   MemoryAccount::Share large(account, HeldKind::kCollectedAnswer);
