--- a/packages/admission/include/gentianroute/admission/memory_account.h
+++ b/packages/admission/include/gentianroute/admission/memory_account.h
@@ -7,6 +7,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace gentianroute::admission {
 
@@ -18,7 +19,10 @@
   kCollectedAnswer,  ///< of servers, collected before it is sent on
   kUnsentAnswer,     ///< not read by its caller yet
 };
-inline constexpr std::size_t kHeldKinds = 5;
+/// @brief Names of the kinds in metrics, in their order.
+inline constexpr std::array<std::string_view, 5> kHeldKindNames = {
+    "input", "request_body", "peer_request", "collected_answer",
+    "unsent_answer"};
 
 /// @brief Account of the bytes that a daemon holds for others, by kind.
 ///
@@ -33,7 +37,7 @@
   struct Sums
       : boost::intrusive_ref_counter<Sums, boost::thread_unsafe_counter> {
     std::size_t total = 0;
-    std::array<std::size_t, kHeldKinds> held{};
+    std::array<std::size_t, kHeldKindNames.size()> held{};
   };
 
  public:
--- a/packages/gateway/include/gentianroute/gateway/stream_registry.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_registry.h
@@ -68,6 +68,10 @@
   void RunMaintenance();
 
  private:
+  /// Longer than any, so that nothing is vouched for or forgotten until a
+  /// deployment tells how long streams may last.
+  static constexpr Duration kMemoryAtStart = Duration::max() / 2;
+
   routing::OriginReport VersionReport(std::string_view service) const;
   /// Whether the peers have to know the streams of a service.
   bool IsDue(std::string_view service) const;
@@ -81,9 +85,8 @@
   std::function<bool()> has_newest_servers_;
   Duration max_propagation_time_;
   routing::StreamOrigins origins_;
-  // Both vouch for nothing until a deployment sets their memory.
-  routing::SoftwareVersions versions_{Duration::max() / 2};
-  routing::RouteMoves route_moves_{Duration::max() / 2};
+  routing::SoftwareVersions versions_{kMemoryAtStart};
+  routing::RouteMoves route_moves_{kMemoryAtStart};
   bool tell_pending_ = false;
   TimerId tell_timer_;
 };
--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -141,7 +141,7 @@
   request.head.method = in.getMethod();
   request.head.target = in.getTarget();
   request.head.fields = ReadFields(in.getFields());
-  request.body = new SharedBody(nullptr, admission::HeldKind::kPeerRequest);
+  request.body = new SharedBody;
   request.body->Append(TextOf(in.getBody()));
   request.age = std::chrono::milliseconds(in.getAgeMs());
   request.progress.attempts = in.getAttempts();
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -1,6 +1,5 @@
 #include "gentianroute/gateway/gateway.h"
 
-#include <array>
 #include <utility>
 
 #include "gentianroute/gateway/detail/gateway_impl.h"
@@ -68,13 +67,10 @@
 }
 
 void Gateway::Impl::WriteMemory(MetricWriter& writer) const {
-  constexpr std::array<std::string_view, admission::kHeldKinds> kNames = {
-      "input", "request_body", "peer_request", "collected_answer",
-      "unsent_answer"};
   constexpr std::string_view kHeld = "gentianroute_gateway_held_bytes";
   writer.AddMetric(kHeld, "gauge", "Bytes held for callers, by kind.");
-  for (std::size_t kind = 0; kind < kNames.size(); ++kind) {
-    const MetricLabel label{"kind", kNames[kind]};
+  for (std::size_t kind = 0; kind < admission::kHeldKindNames.size(); ++kind) {
+    const MetricLabel label{"kind", admission::kHeldKindNames[kind]};
     const auto bytes = memory_.held(static_cast<admission::HeldKind>(kind));
     writer.AddSample(kHeld, {&label, 1}, static_cast<std::uint64_t>(bytes));
   }
--- a/packages/loop/include/gentianroute/loop/relay_server.h
+++ b/packages/loop/include/gentianroute/loop/relay_server.h
@@ -32,9 +32,7 @@
 
   const MessageHead& head() const { return head_; }
   const SharedBodyPtr& shared_body() const { return body_; }
-  std::string_view body() const {
-    return body_ == nullptr ? std::string_view() : body_->view();
-  }
+  std::string_view body() const { return body_->view(); }
   /// @brief Whether the body was not read, or not to its end, because there is
   /// no memory for it. The request can only be refused.
   bool lacks_body() const { return lacks_body_; }
@@ -68,7 +66,7 @@
 
  protected:
   MessageHead head_;
-  SharedBodyPtr body_;
+  SharedBodyPtr body_{new SharedBody};
   bool lacks_body_ = false;
   TimePoint start_time_{};
   std::function<void()> on_disconnect_;
--- a/packages/loop/include/gentianroute/loop/shared_body.h
+++ b/packages/loop/include/gentianroute/loop/shared_body.h
@@ -7,7 +7,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 #include "gentianroute/admission/memory_account.h"
 
@@ -19,20 +18,12 @@
     : public boost::intrusive_ref_counter<SharedBody,
                                           boost::thread_unsafe_counter> {
  public:
-  /// @brief An empty body that grows as its parts arrive.
-  /// @param account charged for the body; null if none is kept
-  SharedBody(admission::MemoryAccount* account, admission::HeldKind kind) {
-    if (account != nullptr) {
-      share_.emplace(*account, kind);
-    }
-  }
-
   std::string_view view() const { return bytes_; }
   std::size_t size() const { return bytes_.size(); }
-  /// @brief What the account is charged. Absent if none is kept.
+  /// @brief What an account is charged. Absent before ChargeTo().
   std::optional<admission::MemoryAccount::Share>& share() { return share_; }
 
-  /// @brief Charges a body that was received without an account.
+  /// @brief Charges an account for the body from now on.
   void ChargeTo(admission::MemoryAccount& account, admission::HeldKind kind) {
     share_.emplace(account, kind);
     ChargeSize();
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -74,7 +74,7 @@
       id_ = id;
       observer_ = &observer;
       matches_response_ = std::move(call.matches_response);
-      use_ = std::exchange(next_use_, ConnectionUse::kReused);
+      ++calls_;
       response_has_no_body_ = call.response_has_no_body;
       keep_connection_ = call.keep_connection;
       head_received_ = false;
@@ -133,6 +133,10 @@
     }
 
    private:
+    ConnectionUse use() const {
+      return calls_ > 1 ? ConnectionUse::kReused : ConnectionUse::kFirst;
+    }
+
     void ProcessInput() {
       while (!closed_ && !idle()) {
         const MessageParser::Event event = parser_.Poll();
@@ -167,7 +171,7 @@
       MessageHead& head = parser_.head();
       keep_alive_ = head.keep_alive;
       skip_response_ = head.status < kFirstFinalStatus ||
-                       (matches_response_ && !matches_response_(head, use_));
+                       (matches_response_ && !matches_response_(head, use()));
       if (skip_response_) {
         return;
       }
@@ -223,8 +227,7 @@
     RelayCallId id_;
     RelayCallObserver* observer_ = nullptr;
     std::function<bool(const MessageHead&, ConnectionUse)> matches_response_;
-    ConnectionUse use_ = ConnectionUse::kFirst;  ///< of the current call
-    ConnectionUse next_use_ = ConnectionUse::kFirst;
+    std::size_t calls_ = 0;  ///< that have used the connection
     bool response_has_no_body_ = false;
     bool keep_connection_ = true;
     bool head_received_ = false;
--- a/packages/loop/src/relay_server.cc
+++ b/packages/loop/src/relay_server.cc
@@ -68,10 +68,17 @@
 
   class Exchange final : public RelayExchange {
    public:
-    Exchange(Connection& connection, MessageHead head, TimePoint start_time)
+    /// @param account charged for the body; null if none is kept
+    Exchange(Connection& connection,
+             MessageHead head,
+             TimePoint start_time,
+             admission::MemoryAccount* account)
         : connection_(&connection) {
       head_ = std::move(head);
       start_time_ = start_time;
+      if (account != nullptr) {
+        body_->ChargeTo(*account, admission::HeldKind::kRequestBody);
+      }
     }
     void Respond(int status,
                  const HttpHeaders& fields,
@@ -81,9 +88,6 @@
     void End() override;
     void Abort() override;
 
-    void BeginBody(admission::MemoryAccount* account) {
-      body_ = new SharedBody(account, admission::HeldKind::kRequestBody);
-    }
     void Detach() { connection_ = nullptr; }
     void NotifyDisconnect() {
       if (auto callback = std::exchange(on_disconnect_, nullptr)) {
@@ -274,8 +278,8 @@
         case Event::kNeedMore:
           return false;
         case Event::kHead:
-          incoming_ =
-              new Exchange(*this, std::move(parser_.head()), start_time_);
+          incoming_ = new Exchange(*this, std::move(parser_.head()),
+                                   start_time_, server_.options_.account);
           RestartTimer(server_.options_.limits().idle_timeout);
           BeginBody();
           return true;
@@ -299,7 +303,6 @@
     }
 
     void BeginBody() {
-      incoming_->BeginBody(server_.options_.account);
       const auto length = parser_.content_length();
       if (length && *length > server_.options_.limits().body_bytes) {
         return;  // the parser rejects it
@@ -368,7 +371,6 @@
 
     /// Has the request refused by the handler, which knows how.
     void RefuseBody() {
-      admission::BodyQueue::Remove(*this);
       socket_->ResumeReading();
       incoming_->DropBody();
       Dispatch();
@@ -391,9 +393,7 @@
     void Dispatch() {
       server_.loop_.Cancel(timer_);
       admission::BodyQueue::Remove(*this);
-      if (!incoming_->lacks_body()) {
-        incoming_->shared_body()->ChargeSize();
-      }
+      incoming_->shared_body()->ChargeSize();
       exchange_ = std::move(incoming_);
       request_started_ = false;
       // Keeps the exchange alive during the call: the handler may respond at
--- a/packages/loop/tests/relay_server_memory_test.cc
+++ b/packages/loop/tests/relay_server_memory_test.cc
@@ -5,8 +5,6 @@
 #include "gentianroute/admission/body_queue.h"
 #include "gentianroute/loop/relay_server.h"
 
-#include <malloc.h>
-
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -16,16 +14,13 @@
 #include <string_view>
 #include <vector>
 
+#include "allocated_bytes.h"
 #include "kept_connection.h"
 
-#if defined(__SANITIZE_ADDRESS__)
-/// Of the address sanitizer, whose header not every compiler package has.
-extern "C" std::size_t __sanitizer_get_current_allocated_bytes();
-#endif
-
 using namespace gentianroute;
 using admission::BodyQueue;
 using admission::MemoryAccount;
+using gentianroute::testing::AllocatedBytes;
 using gentianroute::testing::KeptConnection;
 using std::chrono::milliseconds;
 
@@ -40,35 +35,19 @@
 constexpr std::size_t kPerConnection = 128 * 1024;
 constexpr int kUnavailable = 503;
 
-/// Allocated by this process, which holds the server and its clients.
-std::size_t AllocatedBytes() {
-#if defined(__SANITIZE_ADDRESS__)
-  return __sanitizer_get_current_allocated_bytes();
-#else
-  const auto info = mallinfo2();
-  return info.uordblks + info.hblkhd;
-#endif
+SharedBodyPtr BodyOf(std::string_view bytes) {
+  SharedBodyPtr body(new SharedBody);
+  body->Append(bytes);
+  return body;
 }
 
 /// The body that all clients send. They share it, so that what they hold
 /// doesn't hide what the server does.
 const SharedBodyPtr& CommonBody() {
-  static const SharedBodyPtr kShared = [] {
-    SharedBodyPtr body(
-        new SharedBody(nullptr, admission::HeldKind::kRequestBody));
-    body->Append(std::string(kBody, 'b'));
-    return body;
-  }();
+  static const SharedBodyPtr kShared = BodyOf(std::string(kBody, 'b'));
   return kShared;
 }
 
-SharedBodyPtr BodyOf(std::string_view bytes) {
-  SharedBodyPtr body(
-      new SharedBody(nullptr, admission::HeldKind::kRequestBody));
-  body->Append(bytes);
-  return body;
-}
-
 std::string HeadOf(std::size_t body_bytes, std::string_view fields = "") {
   return "POST /x HTTP/1.1\r\nHost: h\r\n" + std::string(fields) +
          "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
--- a/packages/routing/include/gentianroute/routing/software_versions.h
+++ b/packages/routing/include/gentianroute/routing/software_versions.h
@@ -40,8 +40,7 @@
 
  private:
   Duration memory_;
-  FleetState fleet_ = FleetState::kRunning;  ///< when the list became known
-  std::optional<TimePoint> listed_since_;
+  std::optional<TimePoint> listed_since_;  ///< min() in a new fleet
   /// When the last server of a version has gone, by service and version.
   std::map<std::string, std::map<std::string, TimePoint>, std::less<>> gone_at_;
 };
--- a/packages/routing/src/software_versions.cc
+++ b/packages/routing/src/software_versions.cc
@@ -8,8 +8,8 @@
   if (listed_since_) {
     return;
   }
-  fleet_ = fleet;
-  listed_since_ = now;
+  // No stream can have begun before a new fleet was listed.
+  listed_since_ = fleet == FleetState::kNew ? TimePoint::min() : now;
 }
 
 void SoftwareVersions::OnGone(TimePoint now, const ServerRecord& server) {
@@ -40,9 +40,7 @@
     return {OriginEvidence::kSeveralVersions, {}};
   }
   // A version may have gone before the list was known.
-  const bool covers_streams =
-      listed_since_ &&
-      (fleet_ == FleetState::kNew || *listed_since_ + memory_ <= now);
+  const bool covers_streams = listed_since_ && *listed_since_ + memory_ <= now;
   if (!covers_streams) {
     return {};
   }
--- a/packages/routing/tests/route_moves_test.cc
+++ b/packages/routing/tests/route_moves_test.cc
@@ -37,6 +37,12 @@
   RouteTable before =
       TableOf({RouteTo("/chat/", {{"a", 1}}), RouteTo("/draft/", {{"b", 1}})});
 
+  /// Moves a route from service a to c.
+  void MoveChat() {
+    moves.OnDeployment(kStart, before,
+                       TableOf({RouteTo("/chat/", {{"c", 1}}),
+                                RouteTo("/draft/", {{"b", 1}})}));
+  }
   bool ConcernsAt(TimePoint now, std::string_view service) const {
     return moves.Concerns(now, service);
   }
@@ -56,9 +62,7 @@
 // Guards against a stream of the old service that goes on at the new one.
 Test(route_moves, route_moves_both_services_are_concerned) {
   RouteMovesFixture fixture;
-  fixture.moves.OnDeployment(
-      kStart, fixture.before,
-      TableOf({RouteTo("/chat/", {{"c", 1}}), RouteTo("/draft/", {{"b", 1}})}));
+  fixture.MoveChat();
   cr_assert(fixture.ConcernsAt(kStart, "a"));
   cr_assert(fixture.ConcernsAt(kStart, "c"));
   cr_assert_not(fixture.ConcernsAt(kStart, "b"));
@@ -120,9 +124,7 @@
 
 Test(route_moves, time_has_passed_the_move_is_forgotten) {
   RouteMovesFixture fixture;
-  fixture.moves.OnDeployment(
-      kStart, fixture.before,
-      TableOf({RouteTo("/chat/", {{"c", 1}}), RouteTo("/draft/", {{"b", 1}})}));
+  fixture.MoveChat();
   cr_assert(fixture.ConcernsAt(kStart + kMemory - Duration(1), "a"));
   cr_assert_not(fixture.ConcernsAt(kStart + kMemory, "a"));
 }
