Write without a heap allocation for the list of pieces

Cause: since bodies are shared, each write to a socket, which is each event of a stream, allocated a vector for its one or two pieces.

Change: boost::container::small_vector with room for two.

Result: the tests of relay server, client and socket pass (5 of 5); its cost in processor time was not measured.

--- a/packages/loop/src/stream_socket.cc
+++ b/packages/loop/src/stream_socket.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <boost/container/small_vector.hpp>
 #include <cerrno>
 #include <utility>
 
@@ -188,8 +189,8 @@
   }
   std::swap(in_flight_, queued_);
   writing_ = true;
-  std::vector<h2o_iovec_t> buffers;
-  buffers.reserve(in_flight_.size());
+  // Most writes are a head, or a head and a body.
+  boost::container::small_vector<h2o_iovec_t, 2> buffers;
   for (const Piece& piece : in_flight_) {
     const std::string_view view = piece.view();
     buffers.push_back(h2o_iovec_init(view.data(), view.size()));
