Go on at the only version once the store has confirmed it

What callers saw: a stream began at servers of a version that had just joined, broke, and was taken up at a daemon that had been cut off from the store or stood still for a moment. It answered 200 and went on at servers of the old version.

Cause: a belief without an age. "One version only" was vouched for as long as no call to the store had failed, which takes 1.1 s where the link is silent and any time where the daemon stood still; peers that did not answer within 150 ms, or were gone, counted as peers that knew nothing. The same for a route that had moved meanwhile.

Change: that one version can have begun a stream counts only if the store has confirmed, after the question, that it is still the only one in service and that no route has moved. The daemon that follows the store asks it for what is missing (StoreFollower::AskIfFresh, shared by all questions of a moment); others ask two peers that do, and so does a daemon that the store doesn't answer. The contact to the store has an age besides. Recorded origins that arrive during the search count now.

stream_origin tells the evidence, whether it was confirmed, and who answered, so that the hypotheses of the incident can be told apart.

Two cases of origin_reports were made stricter: a single version needs a confirmation to be an origin at all.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -23,6 +23,7 @@
 #include "gentianroute/gateway/membership.h"
 #include "gentianroute/gateway/peer_calls.h"
 #include "gentianroute/gateway/settings.h"
+#include "gentianroute/gateway/store_confirmation.h"
 #include "gentianroute/gateway/store_follower.h"
 #include "gentianroute/loop/datagram_socket.h"
 #include "gentianroute/loop/event_loop.h"
@@ -63,6 +64,13 @@
   virtual routing::OriginReport ReportOnStream(
       std::string_view stream,
       std::string_view service) const = 0;
+  /// @brief The same, after the store has confirmed it or has not answered.
+  /// @param done not called from this function, nor after the returned object
+  /// is destroyed
+  virtual std::unique_ptr<StoreConfirmation> ConfirmReportOnStream(
+      std::string_view stream,
+      std::string_view service,
+      std::function<void(const routing::OriginReport&)> done) = 0;
   /// @brief Runs a group for a peer; `done` is called once, unless the returned
   /// object is destroyed before.
   virtual std::unique_ptr<GroupHandle> RunGroup(std::string_view service,
@@ -151,8 +159,10 @@
       const Membership::Peer& peer,
       std::string_view stream,
       std::string_view service,
+      OriginQuestion question,
       std::function<void(std::optional<routing::OriginReport>)> done) {
-    return calls_.AskStreamOrigin(peer.state, stream, service, std::move(done));
+    return calls_.AskStreamOrigin(peer.state, stream, service, question,
+                                  std::move(done));
   }
 
   /// @brief Tells the scheduler of a pool which results are no longer needed.
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_GATEWAY_DETAIL_GATEWAY_IMPL_H_
 #define GENTIANROUTE_GATEWAY_DETAIL_GATEWAY_IMPL_H_
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <map>
@@ -108,12 +109,18 @@
                          reach_,
                          notices_),
         stage_router_(loop, cluster_, stage_scheduler_, servers_, topology_),
-        streams_(
-            loop,
-            cluster_,
-            servers_,
-            [this] { return HasNewestServers(); },
-            settings_.max_propagation_time),
+        streams_(loop,
+                 cluster_,
+                 servers_,
+                 StreamRegistry::Copies{[this] { return HasNewestServers(); },
+                                        [this] {
+                                          return server_rows_.contact() !=
+                                                 StoreContact::kNotAsked;
+                                        },
+                                        [this](StoreConfirmation::Done done) {
+                                          return ConfirmRows(std::move(done));
+                                        }},
+                 settings_.max_propagation_time),
         retry_budgets_(settings_.retry_ratio, settings_.retry_slack),
         start_queue_(loop.Now()),
         flow_context_{
@@ -218,6 +225,12 @@
       std::string_view service) const override {
     return streams_.ReportOn(stream, service);
   }
+  std::unique_ptr<StoreConfirmation> ConfirmReportOnStream(
+      std::string_view stream,
+      std::string_view service,
+      std::function<void(const routing::OriginReport&)> done) override {
+    return streams_.ReportConfirmed(stream, service, std::move(done));
+  }
   std::unique_ptr<GroupHandle> RunGroup(std::string_view service,
                                         std::string_view data_centre,
                                         routing::StageGroup group,
@@ -307,8 +320,13 @@
   }
   bool ready() const { return is_configured() && !draining_; }
 
+  std::unique_ptr<StoreConfirmation> ConfirmRows(StoreConfirmation::Done done) {
+    const std::array<StoreFollower*, 2> copies = {&deployment_, &server_rows_};
+    return std::make_unique<StoreConfirmation>(copies, std::move(done));
+  }
+
   bool HasNewestServers() const {
-    return server_rows_.contact() == StoreContact::kReachable ||
+    return server_rows_.HasAnsweredLately(loop_.Now()) ||
            cluster_.members().HasNewestServers(loop_.Now(),
                                                server_rows_.newest_change());
   }
--- a/packages/gateway/include/gentianroute/gateway/peer_calls.h
+++ b/packages/gateway/include/gentianroute/gateway/peer_calls.h
@@ -30,6 +30,10 @@
   virtual ~PeerQuestion() = default;
 };
 
+/// @brief Whether a peer says what it knows, or asks the store first whether
+/// that is still so.
+enum class OriginQuestion : std::uint8_t { kPlain, kConfirmed };
+
 /// @brief Calls to other daemons, over one persistent connection to each.
 class PeerCalls {
  public:
@@ -76,6 +80,7 @@
       const DaemonState& peer,
       std::string_view stream,
       std::string_view service,
+      OriginQuestion question,
       std::function<void(std::optional<routing::OriginReport>)> done);
 
   /// @brief Asks a peer for the rows of the store that are newer than these
--- a/packages/gateway/include/gentianroute/gateway/request_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/request_recorder.h
@@ -12,11 +12,11 @@
 #include "gentianroute/base/id.h"
 #include "gentianroute/base/time.h"
 #include "gentianroute/decision/suspect_table.h"
+#include "gentianroute/gateway/origin_finding.h"
 #include "gentianroute/observe/duration_histogram.h"
 #include "gentianroute/observe/metric_writer.h"
 #include "gentianroute/routing/deployment.h"
 #include "gentianroute/routing/placement.h"
-#include "gentianroute/routing/stream_origin.h"
 
 namespace gentianroute::gateway {
 
@@ -97,12 +97,11 @@
   void OnHandedOver(std::string_view id,
                     std::string_view peer,
                     std::uint32_t hops);
-  /// @brief Records the result of asking the peers for the origin of a stream
-  /// that its caller takes up.
-  /// @param origin empty: it is unknown
+  /// @brief Records the result of asking the store and the peers for the origin
+  /// of a stream that its caller takes up.
   void OnOriginLookedUp(std::string_view id,
                         std::string_view stream,
-                        const std::optional<routing::StreamOrigin>& origin);
+                        const OriginFinding& finding);
   /// @brief Records that a request crashes servers and is refused from now on.
   void OnQuarantined(Fingerprint fingerprint, std::size_t crashes);
   /// @brief Records that a part of prompts crashes servers: requests with it
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -1,10 +1,12 @@
 #ifndef GENTIANROUTE_GATEWAY_STORE_FOLLOWER_H_
 #define GENTIANROUTE_GATEWAY_STORE_FOLLOWER_H_
 
+#include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gentianroute/gateway/store.h"
@@ -29,6 +31,25 @@
 /// @brief Where a daemon has a changed row from.
 enum class ChangeSource : std::uint8_t { kStore, kPeer };
 
+/// @brief A question whether a copy has all rows that the store had when it was
+/// asked. Destroying it withdraws it.
+class FreshnessQuestion
+    : public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+ public:
+  using Done = std::function<void(bool is_fresh)>;
+
+  explicit FreshnessQuestion(Done done) : done_(std::move(done)) {}
+  /// @brief Answers the question, which may be destroyed by that.
+  void Answer(bool is_fresh) {
+    unlink();
+    std::exchange(done_, nullptr)(is_fresh);
+  }
+
+ private:
+  Done done_;
+};
+
 /// @brief Keeps a copy of one of the store's tables.
 ///
 /// Reads the whole table once. One daemon of each data centre then follows the
@@ -65,6 +86,10 @@
   void SetFollowing(bool following);
   /// @brief Merges rows that a peer has read. Older ones are ignored.
   void MergePeerCopy(const StoreChanges& changes);
+  /// @brief Asks the store for rows that are missing, and then answers the
+  /// question. Questions that come during a call share the next one.
+  /// @param question answered later, not by this function
+  void AskIfFresh(FreshnessQuestion& question);
   /// @brief Returns the changes that a peer does not have, oldest first, up to
   /// the size of one message. The peer asks for the rest after it has merged
   /// these.
@@ -76,6 +101,9 @@
   bool is_complete() const { return is_complete_; }
   bool reachable() const { return reachable_; }
   StoreContact contact() const;
+  /// @brief Whether the store has answered since the last call to it that was
+  /// due. A daemon that stood still has not, though no call has failed.
+  bool HasAnsweredLately(TimePoint now) const;
   /// @brief Returns the time since the last successful call.
   Duration Age(TimePoint now) const { return now - answered_at_; }
   /// @brief Returns the version that this copy is complete up to.
@@ -84,11 +112,19 @@
   std::uint64_t newest_change() const { return newest_change_; }
 
  private:
+  using QuestionList =
+      boost::intrusive::list<FreshnessQuestion,
+                             boost::intrusive::constant_time_size<false>>;
+
   void ReadTable();
   void MergeRows(const StoreChanges& changes);
   void FollowChanges();
   void OnTable(const StoreAnswer& answer);
   void OnChanges(const StoreAnswer& answer);
+  void ApplyChanges(const StoreAnswer& answer);
+  void AskNow();
+  void OnAsked(const StoreAnswer& answer);
+  void AnswerAsked(bool is_fresh);
   void ReplaceTable(const std::vector<StoredRow>& rows, std::uint64_t version);
   /// Rows and deletions, oldest first.
   std::vector<const StoredRow*> NewerThan(std::uint64_t known) const;
@@ -119,6 +155,10 @@
   std::uint32_t failures_ = 0;
   TimePoint answered_at_{};
   TimerId timer_;
+  QuestionList questions_;  ///< for the next call
+  QuestionList asked_;      ///< by the present call
+  bool asking_ = false;
+  TimerId question_timer_;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/include/gentianroute/gateway/stream_origin_lookup.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_origin_lookup.h
@@ -2,43 +2,62 @@
 #define GENTIANROUTE_GATEWAY_STREAM_ORIGIN_LOOKUP_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
 #include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/origin_finding.h"
+#include "gentianroute/gateway/store_confirmation.h"
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/routing/stream_origin.h"
 
 namespace gentianroute::gateway {
 
-/// @brief Asks peers for the origin of one stream. Destroying it ends the
-/// search.
+class StreamRegistry;
+
+/// @brief Asks the store and peers for the origin of one stream. Destroying it
+/// ends the search.
 class StreamOriginLookup {
  public:
-  /// @brief Called once, not from the constructor: with nothing if the origin
-  /// can't be found out. May destroy the lookup.
-  using Done = std::function<void(std::optional<routing::StreamOrigin>)>;
+  /// @brief Called once, not from the constructor. May destroy the lookup.
+  using Done = std::function<void(const OriginFinding&)>;
 
-  /// @param own what this daemon itself can say
   StreamOriginLookup(EventLoop& loop,
                      Cluster& cluster,
+                     StreamRegistry& registry,
                      std::string_view stream,
                      std::string_view service,
-                     const routing::OriginReport& own,
                      Done done);
   ~StreamOriginLookup();
 
  private:
-  void OnReply(const std::optional<routing::OriginReport>& report);
+  void AskPeers();
+  void Ask(const Membership::Peer& peer, OriginQuestion question);
+  /// Asks the store, by peers that it answers if it doesn't answer this daemon.
+  void AskStore();
+  /// @return whether there is any
+  bool AskStoreReaders();
+  void OnConfirmed(const routing::OriginReport& report);
+  void OnReply(const routing::OriginReport& report);
+  void OnPeersOverdue();
   void Finish();
 
   EventLoop& loop_;
+  Cluster& cluster_;
+  StreamRegistry& registry_;
+  std::string stream_;
+  std::string service_;
+  TimePoint started_at_;
   routing::OriginReports reports_;
   std::vector<std::unique_ptr<PeerQuestion>> questions_;
+  std::unique_ptr<StoreConfirmation> confirmation_;
   std::size_t unanswered_ = 0;
+  bool peers_overdue_ = false;
   Done done_;
   TimerId timer_;
 };
--- a/packages/gateway/include/gentianroute/gateway/stream_registry.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_registry.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "gentianroute/gateway/cluster.h"
+#include "gentianroute/gateway/store_confirmation.h"
 #include "gentianroute/gateway/stream_origin_lookup.h"
 #include "gentianroute/loop/event_loop.h"
 #include "gentianroute/routing/route_moves.h"
@@ -25,15 +26,28 @@
 /// a few peers, which keep this until the caller's deadline. A daemon whose
 /// caller takes up a stream that it doesn't know asks its peers. While all
 /// servers of a service have one version, that answers the question, and nobody
-/// is told.
+/// is told. It does so only once the store has confirmed the list: a daemon
+/// that is out of step believes in the version that was the only one before.
 class StreamRegistry {
  public:
-  /// @param has_newest_servers whether the host list is up to date
+  /// @brief How this daemon's copies of the store's tables stand.
+  struct Copies {
+    /// Whether the host list is up to date, as far as this daemon can tell.
+    std::function<bool()> have_newest_servers;
+    /// Whether this daemon follows the store itself, and not by its peers.
+    std::function<bool()> follow_store;
+    /// Has the host list and the deployment confirmed by the store.
+    std::function<std::unique_ptr<StoreConfirmation>(
+        StoreConfirmation::Done done)>
+        confirm;
+  };
+  using ReportDone = std::function<void(const routing::OriginReport&)>;
+
   /// @param max_propagation_time after which all daemons know a deployment
   StreamRegistry(EventLoop& loop,
                  Cluster& cluster,
                  const routing::ServerDirectory& servers,
-                 std::function<bool()> has_newest_servers,
+                 Copies copies,
                  Duration max_propagation_time);
   ~StreamRegistry();
 
@@ -46,7 +60,17 @@
   /// @brief What this daemon can say without asking others.
   routing::OriginReport ReportOn(std::string_view stream,
                                  std::string_view service) const;
-  /// @brief Asks the peers for the origin of a stream.
+  /// @brief Whether this daemon can ask the store without reading more than the
+  /// newest changes.
+  bool follows_store() const { return copies_.follow_store(); }
+  /// @brief Reports on a stream after the store has confirmed what the report
+  /// says, or has not answered.
+  /// @param done not called from this function, nor after the returned object
+  /// is destroyed
+  std::unique_ptr<StoreConfirmation> ReportConfirmed(std::string_view stream,
+                                                     std::string_view service,
+                                                     ReportDone done);
+  /// @brief Asks the store and the peers for the origin of a stream.
   /// @param service that would have begun it
   /// @param done see StreamOriginLookup
   std::unique_ptr<StreamOriginLookup> LookUp(std::string_view stream,
@@ -73,6 +97,9 @@
   static constexpr Duration kMemoryAtStart = Duration::max() / 2;
 
   routing::OriginReport VersionReport(std::string_view service) const;
+  /// The store has just confirmed the host list.
+  routing::OriginReport ConfirmedReportOn(std::string_view stream,
+                                          std::string_view service) const;
   /// Whether the peers have to know the streams of a service.
   bool IsDue(std::string_view service) const;
   /// Tells the peers soon, together with what else begins until then.
@@ -82,7 +109,7 @@
   EventLoop& loop_;
   Cluster& cluster_;
   const routing::ServerDirectory& servers_;
-  std::function<bool()> has_newest_servers_;
+  Copies copies_;
   Duration max_propagation_time_;
   routing::StreamOrigins origins_;
   routing::SoftwareVersions versions_{kMemoryAtStart};
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -177,10 +177,27 @@
 
   kj::Promise<void> streamOrigin(StreamOriginContext context) override {
     const auto params = context.getParams();
-    detail::WriteReport(cluster_.handler_.ReportOnStream(
-                            params.getId().cStr(), params.getService().cStr()),
-                        context.getResults().initReport());
-    return kj::READY_NOW;
+    const std::string stream = params.getId();
+    const std::string service = params.getService();
+    if (!params.getConfirm()) {
+      detail::WriteReport(cluster_.handler_.ReportOnStream(stream, service),
+                          context.getResults().initReport());
+      return kj::READY_NOW;
+    }
+    // The caller waits for a moment only, which cancels the question.
+    context.allowCancellation();
+    auto done = kj::newPromiseAndFulfiller<void>();
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+        kj::mv(done.fulfiller));
+    std::unique_ptr<StoreConfirmation> confirmation =
+        cluster_.handler_.ConfirmReportOnStream(
+            stream, service,
+            [context, fulfiller](const routing::OriginReport& report) mutable {
+              detail::WriteReport(report, context.getResults().initReport());
+              (*fulfiller)->fulfill();
+            });
+    return done.promise.attach(
+        kj::heap<std::unique_ptr<StoreConfirmation>>(std::move(confirmation)));
   }
 
   kj::Promise<void> knownDaemons(KnownDaemonsContext context) override {
--- a/packages/gateway/src/cluster_messages.cc
+++ b/packages/gateway/src/cluster_messages.cc
@@ -209,20 +209,24 @@
                  schema::OriginReport::Builder out) {
   out.setEvidence(static_cast<std::uint8_t>(report.evidence));
   WriteOrigin(report.origin, out.initOrigin());
+  if (report.serving) {
+    WriteOrigin(*report.serving, out.initServing());
+  }
 }
 
 routing::OriginReport ReadReport(schema::OriginReport::Reader in) {
   using routing::OriginEvidence;
   const auto evidence = static_cast<OriginEvidence>(in.getEvidence());
   const auto origin = ReadOrigin(in.getOrigin());
+  const auto serving = ReadOrigin(in.getServing());
   const bool has_origin = evidence == OriginEvidence::kOneVersion ||
                           evidence == OriginEvidence::kRecorded;
   if (has_origin && origin) {
-    return {evidence, *origin};
+    return {evidence, *origin, serving};
   }
   return evidence == OriginEvidence::kSeveralVersions
-             ? routing::OriginReport{evidence, {}}
-             : routing::OriginReport{};
+             ? routing::OriginReport{evidence, {}, serving}
+             : routing::OriginReport{OriginEvidence::kNone, {}, serving};
 }
 
 }  // namespace gentianroute::gateway::detail
--- a/packages/gateway/src/membership_streams.cc
+++ b/packages/gateway/src/membership_streams.cc
@@ -65,6 +65,21 @@
   return sources;
 }
 
+Membership::Targets Membership::StoreReaders(TimePoint now,
+                                             std::size_t max_count) const {
+  Targets readers;
+  for (const auto& [name, peer] : peers_) {
+    const bool is_recent = now < peer->last_heartbeat + kMaxHeartbeatAge;
+    if (peer->alive && is_recent &&
+        peer->state.store == StoreContact::kReachable) {
+      readers.push_back(peer.get());
+    }
+  }
+  std::ranges::stable_sort(readers, {}, &Peer::distance);
+  readers.resize(std::min(readers.size(), max_count));
+  return readers;
+}
+
 bool Membership::HearsFromStore(TimePoint now) const {
   return std::ranges::any_of(peers_, [now](const auto& item) {
     const Peer& peer = *item.second;
--- a/packages/gateway/src/peer_calls.cc
+++ b/packages/gateway/src/peer_calls.cc
@@ -252,6 +252,7 @@
     const DaemonState& peer,
     std::string_view stream,
     std::string_view service,
+    OriginQuestion question,
     std::function<void(std::optional<routing::OriginReport>)> done) {
   auto remote =
       std::make_unique<RemoteCall<PeerQuestion, routing::OriginReport>>(
@@ -259,6 +260,7 @@
   auto request = ClientOf(peer).streamOriginRequest();
   request.setId(std::string(stream));
   request.setService(std::string(service));
+  request.setConfirm(question == OriginQuestion::kConfirmed);
   Send(*remote, kj::mv(request), [](const auto& response) {
     return detail::ReadReport(response.getReport());
   });
--- a/packages/gateway/src/request_flow_streams.cc
+++ b/packages/gateway/src/request_flow_streams.cc
@@ -33,15 +33,14 @@
     return;
   }
   origin_lookup_ = context_.streams.LookUp(
-      StreamId(), service_name_,
-      [this](const std::optional<routing::StreamOrigin>& origin) {
+      StreamId(), service_name_, [this](const OriginFinding& finding) {
         const Ptr keep(this);
         origin_lookup_.reset();
-        context_.recorder.OnOriginLookedUp(request_.id, StreamId(), origin);
-        if (!origin) {
+        context_.recorder.OnOriginLookedUp(request_.id, StreamId(), finding);
+        if (!finding.origin) {
           Refuse(ErrorKind::kNoServer,
                  "the software version that began the stream is unknown");
-        } else if (!BindTo(*origin)) {
+        } else if (!BindTo(*finding.origin)) {
           Refuse(ErrorKind::kNoServer,
                  "the route has left the service that began the stream");
         } else {
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -16,6 +16,10 @@
     {"accepted", "outside_regions", "evacuated", "cold", "rate_limited",
      "not_sender", "no_room", "other_version", "backoff"});
 
+/// Values of a log field, by OriginEvidence.
+constexpr auto kEvidenceNames = std::to_array<std::string_view>(
+    {"none", "one_version", "several_versions", "recorded"});
+
 /// Whether the request was answered or cancelled by its caller.
 bool IsExpectedOutcome(std::string_view outcome) {
   return outcome == "answered" || outcome == "caller_gone";
@@ -85,18 +89,24 @@
       .Field("hops", hops);
 }
 
-void RequestRecorder::OnOriginLookedUp(
-    std::string_view id,
-    std::string_view stream,
-    const std::optional<routing::StreamOrigin>& origin) {
-  ++(origin ? origins_found_ : origins_unknown_);
+void RequestRecorder::OnOriginLookedUp(std::string_view id,
+                                       std::string_view stream,
+                                       const OriginFinding& finding) {
+  ++(finding.origin ? origins_found_ : origins_unknown_);
   LogEvent event("stream_origin",
-                 origin ? LogLevel::kInfo : LogLevel::kWarning);
+                 finding.origin ? LogLevel::kInfo : LogLevel::kWarning);
   event.ForRequest(id, LogPriority::kHigh)
       .Field("begun_by", stream)
-      .Field("known", origin ? "yes" : "no");
-  if (origin) {
-    event.Field("software", origin->software_version);
+      .Field("known", finding.origin ? "yes" : "no")
+      .Field("evidence",
+             kEvidenceNames[static_cast<std::size_t>(finding.evidence)])
+      .Field("confirmed", finding.is_confirmed ? "yes" : "no")
+      .Field("asked", finding.asked)
+      .Field("unanswered", finding.unanswered)
+      .Field("taken_ms", Milliseconds(finding.taken));
+  if (finding.origin) {
+    event.Field("service", finding.origin->service)
+        .Field("software", finding.origin->software_version);
   }
 }
 
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -40,6 +40,9 @@
 /// for a whole table at once, larger copies exhaust the memory and the link of
 /// the daemon that sends them.
 constexpr std::size_t kMaxCopyBytes = 64 * 1024;
+/// Time beyond the long poll after which an answer is missing: that of a slow
+/// call, and the pause before the next one.
+constexpr Duration kMaxAnswerDelay = std::chrono::seconds(1);
 /// Consecutive failures that count as an outage; a single one does not.
 constexpr std::uint32_t kOutageFailures = 2;
 
@@ -69,6 +72,7 @@
 
 StoreFollower::~StoreFollower() {
   loop_.Cancel(timer_);
+  loop_.Cancel(question_timer_);
 }
 
 void StoreFollower::Start(Duration delay) {
@@ -134,6 +138,15 @@
     return;
   }
   OnCallSucceeded();
+  ApplyChanges(answer);
+  if (answer.rows.empty()) {
+    SendNextCall();
+    return;
+  }
+  ScheduleCall(kBatchInterval);
+}
+
+void StoreFollower::ApplyChanges(const StoreAnswer& answer) {
   // A newer copy of a peer may have been merged during the call. Rows up to its
   // version are ignored; an old row could restore one that has been deleted
   // since.
@@ -144,11 +157,46 @@
     }
   }
   version_ = std::max(version_, answer.version);
-  if (answer.rows.empty()) {
-    SendNextCall();
+}
+
+void StoreFollower::AskIfFresh(FreshnessQuestion& question) {
+  questions_.push_back(question);
+  if (std::exchange(asking_, true)) {
     return;
   }
-  ScheduleCall(kBatchInterval);
+  question_timer_ = loop_.After(Duration{0}, [this] { AskNow(); });
+}
+
+void StoreFollower::AskNow() {
+  asked_.splice(asked_.end(), questions_);
+  if (!is_complete_) {
+    AnswerAsked(false);
+    return;
+  }
+  store_.Follow(table_, version_, Duration{0},
+                [this](const StoreAnswer& answer) { OnAsked(answer); });
+}
+
+void StoreFollower::OnAsked(const StoreAnswer& answer) {
+  const bool is_fresh = answer.kind == StoreAnswer::Kind::kRows;
+  if (is_fresh) {
+    ApplyChanges(answer);
+  } else {
+    LogEvent("store_not_confirmed", LogLevel::kWarning)
+        .Field("table", NameOf(table_))
+        .Field("reason", answer.detail);
+  }
+  AnswerAsked(is_fresh);
+}
+
+void StoreFollower::AnswerAsked(bool is_fresh) {
+  while (!asked_.empty()) {
+    asked_.front().Answer(is_fresh);
+  }
+  asking_ = !questions_.empty();
+  if (asking_) {
+    AskNow();
+  }
 }
 
 void StoreFollower::MergePeerCopy(const StoreChanges& changes) {
@@ -312,6 +360,11 @@
                                       : StoreContact::kUnreachable;
 }
 
+bool StoreFollower::HasAnsweredLately(TimePoint now) const {
+  return contact() == StoreContact::kReachable &&
+         now - answered_at_ <= long_poll_timeout_ + kMaxAnswerDelay;
+}
+
 void StoreFollower::OnCallSucceeded() {
   failures_ = 0;
   answered_at_ = loop_.Now();
--- a/packages/gateway/src/stream_registry.cc
+++ b/packages/gateway/src/stream_registry.cc
@@ -21,12 +21,12 @@
 StreamRegistry::StreamRegistry(EventLoop& loop,
                                Cluster& cluster,
                                const routing::ServerDirectory& servers,
-                               std::function<bool()> has_newest_servers,
+                               Copies copies,
                                Duration max_propagation_time)
     : loop_(loop),
       cluster_(cluster),
       servers_(servers),
-      has_newest_servers_(std::move(has_newest_servers)),
+      copies_(std::move(copies)),
       max_propagation_time_(max_propagation_time) {}
 
 StreamRegistry::~StreamRegistry() {
@@ -55,22 +55,46 @@
 routing::OriginReport StreamRegistry::ReportOn(std::string_view stream,
                                                std::string_view service) const {
   if (const routing::StreamOrigin* origin = Find(stream)) {
-    return {OriginEvidence::kRecorded, *origin};
+    return {OriginEvidence::kRecorded, *origin, {}};
   }
   const routing::OriginReport report = VersionReport(service);
   // With an old list, a version that began streams elsewhere may be missing.
   const bool may_miss_versions =
-      report.evidence == OriginEvidence::kOneVersion && !has_newest_servers_();
+      report.evidence == OriginEvidence::kOneVersion &&
+      !copies_.have_newest_servers();
   return may_miss_versions ? routing::OriginReport{} : report;
 }
 
+routing::OriginReport StreamRegistry::ConfirmedReportOn(
+    std::string_view stream,
+    std::string_view service) const {
+  routing::OriginReport report = VersionReport(service);
+  if (const routing::StreamOrigin* origin = Find(stream)) {
+    report = {OriginEvidence::kRecorded, *origin, {}};
+  }
+  report.serving =
+      routing::OnlyListedVersion(service, servers_.ServersOf(service));
+  return report;
+}
+
+std::unique_ptr<StoreConfirmation> StreamRegistry::ReportConfirmed(
+    std::string_view stream,
+    std::string_view service,
+    ReportDone done) {
+  return copies_.confirm([this, stream = std::string(stream),
+                          service = std::string(service),
+                          done = std::move(done)](bool is_confirmed) {
+    done(is_confirmed ? ConfirmedReportOn(stream, service)
+                      : ReportOn(stream, service));
+  });
+}
+
 std::unique_ptr<StreamOriginLookup> StreamRegistry::LookUp(
     std::string_view stream,
     std::string_view service,
     StreamOriginLookup::Done done) {
-  return std::make_unique<StreamOriginLookup>(loop_, cluster_, stream, service,
-                                              ReportOn(stream, service),
-                                              std::move(done));
+  return std::make_unique<StreamOriginLookup>(loop_, cluster_, *this, stream,
+                                              service, std::move(done));
 }
 
 void StreamRegistry::OnDeployment(const routing::RouteTable* before,
@@ -109,7 +133,7 @@
     std::string_view service) const {
   const TimePoint now = loop_.Now();
   if (route_moves_.Concerns(now, service)) {
-    return {OriginEvidence::kSeveralVersions, {}};
+    return {OriginEvidence::kSeveralVersions, {}, {}};
   }
   return versions_.Report(now, service, servers_.ServersOf(service));
 }
--- a/packages/gateway/tests/store_follower_test.cc
+++ b/packages/gateway/tests/store_follower_test.cc
@@ -276,3 +276,95 @@
   cr_assert_eq(other.changes, std::vector<std::string>{"+a"});
   cr_assert_eq(other.follower.newest_change(), 4);
 }
+
+namespace {
+
+/// A follower that holds the first rows, and waits for changes.
+struct AskedFollowerFixture : FollowerFixture {
+  std::vector<bool> answers;
+  FreshnessQuestion question{
+      [this](bool is_fresh) { answers.push_back(is_fresh); }};
+
+  AskedFollowerFixture() {
+    Start();
+    store.RespondWithRows({{"a", "1", 4, false}}, 7);
+    store.calls.clear();
+    follower.AskIfFresh(question);
+    RunFor(Duration{0});
+  }
+};
+
+}  // namespace
+
+Test(store_follower, store_is_asked_missing_rows_arrive_before_the_answer) {
+  AskedFollowerFixture fixture;
+  cr_assert_eq(fixture.store.calls.size(), 1);
+  cr_assert_eq(fixture.store.calls.front().after, 7);
+  cr_assert(fixture.answers.empty());
+  fixture.store.RespondWithRows({{"b", "1", 9, false}}, 9);
+  cr_assert_eq(fixture.changes, std::vector<std::string>{"+b"});
+  cr_assert_eq(fixture.answers, std::vector<bool>{true});
+}
+
+// Guards against a daemon that takes a store which doesn't answer, or has
+// dropped its history, for one that has no changes.
+Test(store_follower, store_gives_no_rows_copy_is_not_fresh) {
+  for (const auto kind :
+       {StoreAnswer::Kind::kNone, StoreAnswer::Kind::kHistoryGone}) {
+    AskedFollowerFixture fixture;
+    StoreAnswer answer;
+    answer.kind = kind;
+    fixture.store.Respond(std::move(answer));
+    cr_assert_eq(fixture.answers, std::vector<bool>{false});
+  }
+}
+
+// Guards against a question being answered by a call that began before it.
+Test(store_follower, question_comes_during_a_call_the_next_one_answers_it) {
+  AskedFollowerFixture fixture;
+  std::vector<bool> later;
+  FreshnessQuestion question(
+      [&later](bool is_fresh) { later.push_back(is_fresh); });
+  fixture.follower.AskIfFresh(question);
+  cr_assert_eq(fixture.store.calls.size(), 1);
+  fixture.store.RespondWithRows({}, 8);
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert(later.empty());
+  cr_assert_eq(fixture.store.calls.size(), 1);
+  fixture.store.RespondWithRows({}, 9);
+  cr_assert_eq(later, std::vector<bool>{true});
+  cr_assert(fixture.store.calls.empty());
+}
+
+Test(store_follower, question_is_withdrawn_it_is_not_answered) {
+  AskedFollowerFixture fixture;
+  bool answered = false;
+  {
+    FreshnessQuestion question([&answered](bool) { answered = true; });
+    fixture.follower.AskIfFresh(question);
+  }
+  fixture.store.RespondWithRows({}, 8);
+  cr_assert_not(answered);
+  cr_assert(fixture.store.calls.empty());
+}
+
+Test(store_follower, copy_is_incomplete_it_is_not_fresh) {
+  FollowerFixture fixture;
+  std::vector<bool> answers;
+  FreshnessQuestion question(
+      [&answers](bool is_fresh) { answers.push_back(is_fresh); });
+  fixture.follower.AskIfFresh(question);
+  fixture.RunFor(Duration{0});
+  cr_assert_eq(answers, std::vector<bool>{false});
+}
+
+// Guards against a daemon that stood still believing that the store has just
+// answered it: no call has failed, as none was looked at.
+Test(store_follower, daemon_stood_still_store_has_not_answered_lately) {
+  AskedFollowerFixture fixture;
+  const TimePoint now = fixture.loop.Now();
+  cr_assert(fixture.follower.HasAnsweredLately(now));
+  cr_assert(fixture.follower.contact() == StoreContact::kReachable);
+  cr_assert_not(
+      fixture.follower.HasAnsweredLately(now + std::chrono::seconds(2)));
+}
--- a/packages/routing/include/gentianroute/routing/software_versions.h
+++ b/packages/routing/include/gentianroute/routing/software_versions.h
@@ -15,6 +15,13 @@
 
 namespace gentianroute::routing {
 
+/// @brief Returns the software version of the listed servers of a service.
+/// @return empty if there are no servers, or several versions
+/// @complexity linear in the number of servers
+std::optional<StreamOrigin> OnlyListedVersion(
+    std::string_view service,
+    std::span<const ServerPtr> servers);
+
 /// @brief Remembers the software versions of servers that have gone, to tell
 /// which versions can have begun a stream that is still wanted.
 class SoftwareVersions {
--- a/packages/routing/include/gentianroute/routing/stream_origin.h
+++ b/packages/routing/include/gentianroute/routing/stream_origin.h
@@ -37,34 +37,50 @@
 struct OriginReport {
   OriginEvidence evidence = OriginEvidence::kNone;
   StreamOrigin origin;  ///< valid for kOneVersion and kRecorded
+  /// The only version that serves, by a list that the store has confirmed since
+  /// the question was asked. Empty if there are several, or if it has not.
+  std::optional<StreamOrigin> serving;
 };
 
 /// @brief Combines the reports of several daemons on one stream.
+///
+/// A daemon that has been cut off or stood still for a moment doesn't know it,
+/// and believes in a version that was the only one before. That one version can
+/// have begun a stream therefore counts only if it is still the only one by a
+/// list that the store has confirmed since.
 class OriginReports {
  public:
   void Add(const OriginReport& report) {
-    const bool contradicts = report.evidence == OriginEvidence::kOneVersion &&
-                             best_.evidence == OriginEvidence::kOneVersion &&
-                             report.origin != best_.origin;
-    if (contradicts) {
-      best_ = {OriginEvidence::kSeveralVersions, {}};
-    } else if (report.evidence > best_.evidence) {
-      best_ = report;
+    if (report.serving) {
+      contradicts_ |= serving_ && *serving_ != *report.serving;
+      serving_ = report.serving;
+    }
+    contradicts_ |= report.evidence == OriginEvidence::kOneVersion &&
+                    evidence_ == OriginEvidence::kOneVersion &&
+                    report.origin != origin_;
+    if (report.evidence > evidence_) {
+      evidence_ = report.evidence;
+      origin_ = report.origin;
     }
   }
   /// @brief Whether no further report can change the origin.
-  bool is_certain() const {
-    return best_.evidence == OriginEvidence::kRecorded;
-  }
+  bool is_certain() const { return evidence_ == OriginEvidence::kRecorded; }
   /// @return empty if the stream can't go on: any version would be a guess
   std::optional<StreamOrigin> Origin() const {
-    const bool known = best_.evidence == OriginEvidence::kRecorded ||
-                       best_.evidence == OriginEvidence::kOneVersion;
-    return known ? std::optional(best_.origin) : std::nullopt;
+    const bool is_only = evidence_ == OriginEvidence::kOneVersion &&
+                         !contradicts_ && serving_ == origin_;
+    return is_certain() || is_only ? std::optional(origin_) : std::nullopt;
   }
+  /// @brief The weightiest evidence.
+  OriginEvidence evidence() const { return evidence_; }
+  /// @brief Whether the store has confirmed that one version serves.
+  bool is_confirmed() const { return serving_.has_value(); }
 
  private:
-  OriginReport best_;
+  OriginEvidence evidence_ = OriginEvidence::kNone;
+  StreamOrigin origin_;
+  std::optional<StreamOrigin> serving_;
+  bool contradicts_ = false;
 };
 
 }  // namespace gentianroute::routing
--- a/packages/routing/tests/stream_origins_test.cc
+++ b/packages/routing/tests/stream_origins_test.cc
@@ -116,7 +116,7 @@
 // Guards against going on at the only version that an outdated daemon knows.
 Test(origin_reports, one_daemon_knows_of_several_versions_origin_is_unknown) {
   OriginReports reports;
-  reports.Add({OriginEvidence::kOneVersion, {"model", "v1"}});
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1"), OriginOf("v1")});
   reports.Add({OriginEvidence::kSeveralVersions, {}});
   cr_assert_not(reports.Origin().has_value());
 }
@@ -125,17 +125,51 @@
 // the same one.
 Test(origin_reports, daemons_know_of_different_versions_origin_is_unknown) {
   OriginReports reports;
-  reports.Add({OriginEvidence::kOneVersion, {"model", "v1"}});
-  reports.Add({OriginEvidence::kOneVersion, {"model", "v2"}});
-  reports.Add({OriginEvidence::kOneVersion, {"model", "v1"}});
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1"), OriginOf("v1")});
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v2")});
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1")});
   cr_assert_not(reports.Origin().has_value());
 }
 
-Test(origin_reports, only_one_version_is_known_it_is_the_origin) {
+Test(origin_reports, only_one_version_is_confirmed_it_is_the_origin) {
   OriginReports reports;
   cr_assert_not(reports.Origin().has_value());
   reports.Add({});
-  reports.Add({OriginEvidence::kOneVersion, {"model", "v1"}});
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1")});
+  reports.Add({OriginEvidence::kNone, {}, OriginOf("v1")});
   cr_assert(reports.Origin() == OriginOf("v1"));
   cr_assert_not(reports.is_certain());
 }
+
+// Guards against going on at the version that was the only one when the daemon
+// last heard from the store.
+Test(origin_reports, only_version_is_not_confirmed_origin_is_unknown) {
+  OriginReports reports;
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1")});
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1")});
+  cr_assert_not(reports.Origin().has_value());
+}
+
+// Guards against the same where that version has been replaced since.
+Test(origin_reports, another_version_serves_now_origin_is_unknown) {
+  OriginReports reports;
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1")});
+  reports.Add({OriginEvidence::kNone, {}, OriginOf("v2")});
+  cr_assert_not(reports.Origin().has_value());
+}
+
+// Guards against a version that nobody has seen for long enough to know that no
+// other one was there before.
+Test(origin_reports, one_version_serves_its_past_is_unknown_no_origin) {
+  OriginReports reports;
+  reports.Add({OriginEvidence::kNone, {}, OriginOf("v1")});
+  cr_assert_not(reports.Origin().has_value());
+}
+
+Test(origin_reports, stores_answers_differ_origin_is_unknown) {
+  OriginReports reports;
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1")});
+  reports.Add({OriginEvidence::kNone, {}, OriginOf("v2")});
+  reports.Add({OriginEvidence::kNone, {}, OriginOf("v1")});
+  cr_assert_not(reports.Origin().has_value());
+}
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -170,6 +170,8 @@
   evidence @0 :UInt8;                 # 0: nothing, 1: one version only can have
                                       # begun it, 2: several can, 3: it is recorded
   origin @1 :StreamOrigin;            # valid for 1 and 3
+  serving @2 :StreamOrigin;           # the only version that serves, confirmed by
+                                      # the store after the question; may be empty
 }
 
 struct HandedRequest {
@@ -207,7 +209,8 @@
   knownDaemons @3 () -> (daemons :List(KnownDaemon));
   streamsBegun @5 (streams :List(BegunStream)) -> ();
   # Told to the daemons that keep the origins of the sender's streams.
-  streamOrigin @6 (id :Text, service :Text) -> (report :OriginReport);
+  streamOrigin @6 (id :Text, service :Text, confirm :Bool) -> (report :OriginReport);
   # Asked by a daemon whose caller takes up a stream that it doesn't know.
+  # `confirm`: the store is asked first whether there are newer rows.
   storeCopy @1 (deploymentVersion :UInt64, serversVersion :UInt64) -> (copy :StoreCopy);
 }
