--- a/packages/gateway/include/gentianroute/gateway/stream_origin_lookup.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_origin_lookup.h
@@ -42,6 +42,8 @@
   void AskStore();
   /// @return whether there is any
   bool AskStoreReaders();
+  /// Whether the store can still tell the origin.
+  bool MayBeOneVersion() const;
   void OnConfirmed(const routing::OriginReport& report);
   void OnReply(const routing::OriginReport& report);
   void OnPeersOverdue();
--- a/packages/gateway/src/stream_origin_lookup.cc
+++ b/packages/gateway/src/stream_origin_lookup.cc
@@ -33,8 +33,11 @@
       started_at_(loop.Now()),
       done_(std::move(done)) {
   AskPeers();
-  AskStore();
-  timer_ = loop_.After(kMaxSearchTime, [this] { OnPeersOverdue(); });
+  if (MayBeOneVersion()) {
+    AskStore();
+  }
+  timer_ = loop_.After(unanswered_ == 0 ? Duration{0} : kMaxSearchTime,
+                       [this] { OnPeersOverdue(); });
 }
 
 StreamOriginLookup::~StreamOriginLookup() {
@@ -84,19 +87,22 @@
 }
 
 void StreamOriginLookup::OnConfirmed(const routing::OriginReport& report) {
-  const bool is_open =
-      !report.serving &&
-      report.evidence != routing::OriginEvidence::kSeveralVersions;
-  if (is_open && registry_.follows_store()) {
+  reports_.Add(report);
+  if (!report.serving && MayBeOneVersion() && registry_.follows_store()) {
     AskStoreReaders();
   }
   OnReply(report);
 }
 
+bool StreamOriginLookup::MayBeOneVersion() const {
+  return reports_.evidence() < routing::OriginEvidence::kSeveralVersions;
+}
+
 void StreamOriginLookup::OnReply(const routing::OriginReport& report) {
   --unanswered_;
   reports_.Add(report);
-  const bool is_enough = peers_overdue_ && reports_.Origin();
+  const bool is_enough =
+      peers_overdue_ && (reports_.Origin() || !MayBeOneVersion());
   if (reports_.is_certain() || unanswered_ == 0 || is_enough) {
     Finish();
   }
@@ -104,7 +110,7 @@
 
 void StreamOriginLookup::OnPeersOverdue() {
   peers_overdue_ = true;
-  if (reports_.Origin()) {
+  if (reports_.Origin() || !MayBeOneVersion()) {
     Finish();
     return;
   }
