Know a stream by the request that took it up last, too

What callers saw: a caller whose stream has broken twice, and that names its second request, is turned away with 503 while several versions serve.

Cause: the origin was recorded by the id of the request that began the stream only.

Evidence: stream_versions.caller_names_its_last_request_stream_goes_on failed before (503, four of four streams), passes now.

--- a/packages/gateway/src/request_flow_streams.cc
+++ b/packages/gateway/src/request_flow_streams.cc
@@ -70,9 +70,14 @@
   if (route_->resumable) {
     const TimePoint caller_deadline =
         started_at_ + request_.timeout.value_or(route_->timeout);
-    const Duration remaining = caller_deadline - context_.loop.Now();
-    context_.streams.OnBegun(
-        {StreamId(), origin, std::max(remaining, Duration{0}) + kCallerDelay});
+    const Duration remaining =
+        std::max(caller_deadline - context_.loop.Now(), Duration{0}) +
+        kCallerDelay;
+    context_.streams.OnBegun({StreamId(), origin, remaining});
+    if (StreamId() != request_.id) {
+      // The caller may name the request that it sent last.
+      context_.streams.OnBegun({request_.id, origin, remaining});
+    }
   }
   source_.origin = origin;
   TellSource();
