Vouch for nothing where servers may have come and gone unseen

What callers saw: nothing yet; found by looking for the same cause elsewhere. A daemon that is out of touch for some seconds learns the newest state of each row, not what was in between: a version that came and went meanwhile was never there for it, and it vouched for the only one that it saw.

Change: the deletion of a row that was never seen, and a table read again after more than 2 s without an answer because the history is gone, are told to the registry of streams, which starts its memory anew (servers_missed in the log).

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -260,7 +260,8 @@
           SendRowUpdate(source);
         },
         [](bool /*answers*/) {},
-        [this] { cluster_.SendUpdate(Cluster::UpdateScope::kDataCentre); }};
+        [this] { cluster_.SendUpdate(Cluster::UpdateScope::kDataCentre); },
+        [] {}};
   }
   StoreFollower::Listener ServersListener() {
     return {[this](const std::vector<StoredRow>& rows) { OnServerRows(rows); },
@@ -273,7 +274,12 @@
                 servers_.OnStoreRecovered(loop_.Now());
               }
             },
-            [this] { cluster_.SendUpdate(Cluster::UpdateScope::kDataCentre); }};
+            [this] { cluster_.SendUpdate(Cluster::UpdateScope::kDataCentre); },
+            [this] {
+              LogEvent("servers_missed", LogLevel::kWarning)
+                  .Field("version", server_rows_.version());
+              streams_.OnServersMissed();
+            }};
   }
 
   void SendRowUpdate(ChangeSource source) {
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -69,6 +69,8 @@
     std::function<void(bool reachable)> on_reachable;  ///< reachability changed
     /// First failed call after a successful one.
     std::function<void()> on_call_failed;
+    /// Rows may have come and gone since the last answer without being seen.
+    std::function<void()> on_rows_missed;
   };
 
   /// @param max_propagation_time limit for the time from a change in the store
--- a/packages/gateway/include/gentianroute/gateway/stream_registry.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_registry.h
@@ -87,6 +87,8 @@
   void OnServerSeen();
   /// @brief A server has left the host list.
   void OnServerGone(const routing::ServerRecord& server);
+  /// @brief Servers may have come and gone that this daemon has not seen.
+  void OnServersMissed();
   /// @brief Drops what is too old, and tells the peers what they had to know
   /// earlier, if there were none.
   void RunMaintenance();
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -43,6 +43,9 @@
 /// Time beyond the long poll after which an answer is missing: that of a slow
 /// call, and the pause before the next one.
 constexpr Duration kMaxAnswerDelay = std::chrono::seconds(1);
+/// Rows that come and go within this time are not told of, as those of servers
+/// stay for longer.
+constexpr Duration kMaxUnseenTime = std::chrono::seconds(2);
 /// Consecutive failures that count as an outage; a single one does not.
 constexpr std::uint32_t kOutageFailures = 2;
 
@@ -126,6 +129,9 @@
 void StoreFollower::OnChanges(const StoreAnswer& answer) {
   call_pending_ = false;
   if (answer.kind == StoreAnswer::Kind::kHistoryGone) {
+    if (loop_.Now() - answered_at_ > kMaxUnseenTime) {
+      listener_.on_rows_missed();
+    }
     OnCallSucceeded();
     LogEvent("store_history_gone", LogLevel::kWarning)
         .Field("table", NameOf(table_))
@@ -327,6 +333,7 @@
       tombstone->second.version >= row.version) {
     return;
   }
+  const bool was_missed = row.deleted && found == rows_.end();
   if (row.deleted) {
     rows_.erase(row.key);
     AddTombstone(row);
@@ -335,6 +342,9 @@
     newest_change_ = std::max(newest_change_, row.version);
   }
   listener_.on_change(row, source);
+  if (was_missed) {
+    listener_.on_rows_missed();
+  }
 }
 
 void StoreFollower::AddTombstone(const StoredRow& row) {
--- a/packages/gateway/src/stream_registry.cc
+++ b/packages/gateway/src/stream_registry.cc
@@ -124,6 +124,12 @@
   versions_.OnGone(loop_.Now(), server);
 }
 
+void StreamRegistry::OnServersMissed() {
+  versions_.OnMissed(loop_.Now());
+  // From now on, this daemon does not know that there is one version only.
+  TellLater();
+}
+
 void StreamRegistry::RunMaintenance() {
   origins_.Expire(loop_.Now());
   Tell();
--- a/packages/gateway/tests/store_follower_test.cc
+++ b/packages/gateway/tests/store_follower_test.cc
@@ -25,6 +25,7 @@
   std::vector<std::string> changes;
   std::size_t full_reads = 0;
   std::size_t call_failures = 0;
+  std::size_t missed = 0;  ///< reports of rows that came and went unseen
   explicit FollowerFixture(Duration max_propagation_time = kMaxPropagationTime)
       : follower(loop,
                  store,
@@ -39,7 +40,8 @@
             [this](const StoredRow& row, ChangeSource /*source*/) {
               changes.push_back((row.deleted ? "-" : "+") + row.key);
             },
-            [](bool /*answers*/) {}, [this] { ++call_failures; }};
+            [](bool /*answers*/) {}, [this] { ++call_failures; },
+            [this] { ++missed; }};
   }
   void RunFor(Duration time) { RunLoopFor(loop, time); }
   void Start() { StartFollower(loop, follower); }
@@ -64,7 +66,7 @@
                   [this](const StoredRow& row, ChangeSource /*source*/) {
                     changes.push_back((row.deleted ? "-" : "+") + row.key);
                   },
-                  [](bool /*answers*/) {}, [] {}}) {}
+                  [](bool /*answers*/) {}, [] {}, [] {}}) {}
   void Start() { StartFollower(loop, follower); }
 };
 
@@ -368,3 +370,41 @@
   cr_assert_not(
       fixture.follower.HasAnsweredLately(now + std::chrono::seconds(2)));
 }
+
+// Guards against a daemon vouching for the past that was out of touch while a
+// row came and went.
+Test(store_follower, row_came_and_went_unseen_it_is_reported) {
+  FollowerFixture fixture;
+  fixture.Start();
+  fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+  fixture.store.RespondWithRows({{"b", "", 9, true}}, 9);
+  cr_assert_eq(fixture.missed, 1);
+}
+
+Test(store_follower, known_row_goes_nothing_was_missed) {
+  FollowerFixture fixture;
+  fixture.Start();
+  fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+  fixture.store.RespondWithRows({{"a", "", 9, true}}, 9);
+  cr_assert_eq(fixture.missed, 0);
+}
+
+// Guards against the same where the store has dropped its history meanwhile, so
+// that the table is read again.
+Test(store_follower, history_is_gone_rows_are_missed_after_a_long_silence) {
+  for (const bool is_long : {false, true}) {
+    FollowerFixture fixture;
+    fixture.Start();
+    fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+    fixture.RunFor(is_long ? std::chrono::milliseconds(2100)
+                           : std::chrono::milliseconds(100));
+    fixture.store.calls.front().done({});
+    fixture.store.calls.clear();
+    fixture.RunFor(kLongerThanAnyDelay);
+    StoreAnswer gone;
+    gone.kind = StoreAnswer::Kind::kHistoryGone;
+    fixture.store.Respond(std::move(gone));
+    fixture.store.RespondWithRows({{"a", "1", 4, false}}, 12);
+    cr_assert_eq(fixture.missed, is_long ? 1 : 0);
+  }
+}
--- a/packages/routing/include/gentianroute/routing/software_versions.h
+++ b/packages/routing/include/gentianroute/routing/software_versions.h
@@ -36,6 +36,8 @@
   void SetMemory(Duration memory) { memory_ = memory; }
   /// @brief The host list is known from now on.
   void OnListed(TimePoint now, FleetState fleet);
+  /// @brief Servers of any version may have come and gone unseen until now.
+  void OnMissed(TimePoint now);
   /// @brief A server has left the host list.
   void OnGone(TimePoint now, const ServerRecord& server);
   /// @brief Reports which versions can have begun a stream of a service.
--- a/packages/routing/src/software_versions.cc
+++ b/packages/routing/src/software_versions.cc
@@ -27,6 +27,12 @@
   listed_since_ = fleet == FleetState::kNew ? TimePoint::min() : now;
 }
 
+void SoftwareVersions::OnMissed(TimePoint now) {
+  if (listed_since_) {
+    listed_since_ = now;
+  }
+}
+
 void SoftwareVersions::OnGone(TimePoint now, const ServerRecord& server) {
   auto& versions = gone_at_[server.service];
   std::erase_if(versions, [this, now](const auto& version) {
--- a/packages/routing/tests/software_versions_test.cc
+++ b/packages/routing/tests/software_versions_test.cc
@@ -75,6 +75,16 @@
   cr_assert(fixture.ReportAt(kStart).evidence == OriginEvidence::kOneVersion);
 }
 
+// Guards against a version that came and went while the daemon was out of
+// touch.
+Test(software_versions, servers_may_have_been_missed_it_knows_nothing) {
+  VersionsFixture fixture;
+  fixture.versions.OnMissed(kStart + kMs);
+  cr_assert(fixture.ReportAt(kStart + kAge).evidence == OriginEvidence::kNone);
+  cr_assert(fixture.ReportAt(kStart + kMs + kAge).evidence ==
+            OriginEvidence::kOneVersion);
+}
+
 // Guards against a daemon that has just started taking the versions that it
 // sees for all that there were.
 Test(software_versions, daemon_has_just_started_it_knows_nothing) {
