Ask further peers where the store turns the first ones away

The store's answers took 240 ms, two of them more than the 500 ms; all store readers were among those turned away, while the daemons that follow no table could have asked.

Now 1 s, pairs of peers in turn, first those that follow the store, then those that don't, then the daemon itself; a copy that is older than the store's history is read anew. A takeover by a new store reader and deletions that are older than the copy don't count as unseen rows any more.

--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -305,9 +305,11 @@
   /// another daemon has begun. Which one that was isn't known, so that in a
   /// large fleet all known peers may keep it.
   Targets StreamOriginSources(OriginSearch search) const;
-  /// @brief Returns peers that have said lately that the store answers them,
-  /// the nearest first.
-  Targets StoreReaders(TimePoint now, std::size_t max_count) const;
+  /// @brief Returns the live peers that may be able to ask the store: first
+  /// those that have said lately that it answers them, the nearest first, then
+  /// those that don't follow it.
+  /// @complexity linear in the number of daemons
+  Targets StoreReaders(TimePoint now) const;
   /// @brief Whether a peer has said lately that the store answers it.
   bool HearsFromStore(TimePoint now) const;
   /// @brief Whether the rows of the backend servers are as new as the store's,
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -126,6 +126,7 @@
   void ApplyChanges(const StoreAnswer& answer);
   void AskNow();
   void OnAsked(const StoreAnswer& answer);
+  void OnAskedTable(const StoreAnswer& answer);
   void AnswerAsked(bool is_fresh);
   void ReplaceTable(const std::vector<StoredRow>& rows, std::uint64_t version);
   /// Rows and deletions, oldest first.
@@ -156,6 +157,7 @@
   bool reachable_ = false;
   std::uint32_t failures_ = 0;
   TimePoint answered_at_{};
+  TimePoint following_since_{};
   TimerId timer_;
   QuestionList questions_;  ///< for the next call
   QuestionList asked_;      ///< by the present call
--- a/packages/gateway/include/gentianroute/gateway/stream_origin_lookup.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_origin_lookup.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,10 +39,12 @@
  private:
   void AskPeers();
   void Ask(const Membership::Peer& peer, OriginQuestion question);
-  /// Asks the store, by peers that it answers if it doesn't answer this daemon.
+  /// Has what is known confirmed by the store: by this daemon if it follows the
+  /// store, and by peers if not or if the store doesn't answer.
   void AskStore();
+  void AskStoreItself();
   /// @return whether there is any
-  bool AskStoreReaders();
+  bool AskNextReaders();
   /// Whether the store can still tell the origin.
   bool MayBeOneVersion() const;
   void OnConfirmed(const routing::OriginReport& report);
@@ -58,7 +61,9 @@
   routing::OriginReports reports_;
   std::vector<std::unique_ptr<PeerQuestion>> questions_;
   std::unique_ptr<StoreConfirmation> confirmation_;
+  std::deque<std::string> readers_;  ///< peers not yet asked to confirm
   std::size_t unanswered_ = 0;
+  std::size_t unconfirmed_ = 0;  ///< unanswered questions that ask the store
   bool peers_overdue_ = false;
   Done done_;
   TimerId timer_;
--- a/packages/gateway/src/membership_streams.cc
+++ b/packages/gateway/src/membership_streams.cc
@@ -65,18 +65,19 @@
   return sources;
 }
 
-Membership::Targets Membership::StoreReaders(TimePoint now,
-                                             std::size_t max_count) const {
+Membership::Targets Membership::StoreReaders(TimePoint now) const {
   Targets readers;
   for (const auto& [name, peer] : peers_) {
     const bool is_recent = now < peer->last_heartbeat + kMaxHeartbeatAge;
     if (peer->alive && is_recent &&
-        peer->state.store == StoreContact::kReachable) {
+        peer->state.store != StoreContact::kUnreachable) {
       readers.push_back(peer.get());
     }
   }
-  std::ranges::stable_sort(readers, {}, &Peer::distance);
-  readers.resize(std::min(readers.size(), max_count));
+  std::ranges::stable_sort(readers, {}, [](const Peer* peer) {
+    const bool follows = peer->state.store == StoreContact::kReachable;
+    return std::pair(!follows, peer->distance);
+  });
   return readers;
 }
 
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -84,6 +84,9 @@
 
 void StoreFollower::SetFollowing(bool following) {
   const bool followed = std::exchange(following_, following);
+  if (following && !followed) {
+    following_since_ = loop_.Now();
+  }
   if (is_complete_ && following && !followed && !call_pending_) {
     SendNextCall();
   }
@@ -129,7 +132,9 @@
 void StoreFollower::OnChanges(const StoreAnswer& answer) {
   call_pending_ = false;
   if (answer.kind == StoreAnswer::Kind::kHistoryGone) {
-    if (loop_.Now() - answered_at_ > kMaxUnseenTime) {
+    // Until it followed the store itself, its peers kept this copy up to date.
+    const TimePoint in_touch = std::max(answered_at_, following_since_);
+    if (loop_.Now() - in_touch > kMaxUnseenTime) {
       listener_.on_rows_missed();
     }
     OnCallSucceeded();
@@ -184,6 +189,11 @@
 }
 
 void StoreFollower::OnAsked(const StoreAnswer& answer) {
+  if (answer.kind == StoreAnswer::Kind::kHistoryGone) {
+    store_.Read(table_, "",
+                [this](const StoreAnswer& table) { OnAskedTable(table); });
+    return;
+  }
   const bool is_fresh = answer.kind == StoreAnswer::Kind::kRows;
   if (is_fresh) {
     ApplyChanges(answer);
@@ -195,6 +205,15 @@
   AnswerAsked(is_fresh);
 }
 
+void StoreFollower::OnAskedTable(const StoreAnswer& answer) {
+  const bool is_fresh =
+      answer.kind == StoreAnswer::Kind::kRows && answer.version >= version_;
+  if (is_fresh) {
+    ReplaceTable(answer.rows, answer.version);
+  }
+  AnswerAsked(is_fresh);
+}
+
 void StoreFollower::AnswerAsked(bool is_fresh) {
   while (!asked_.empty()) {
     asked_.front().Answer(is_fresh);
@@ -333,7 +352,9 @@
       tombstone->second.version >= row.version) {
     return;
   }
-  const bool was_missed = row.deleted && found == rows_.end();
+  // A copy that is newer than the deletion has begun without the row.
+  const bool was_missed =
+      row.deleted && found == rows_.end() && row.version > version_;
   if (row.deleted) {
     rows_.erase(row.key);
     AddTombstone(row);
--- a/packages/gateway/src/stream_origin_lookup.cc
+++ b/packages/gateway/src/stream_origin_lookup.cc
@@ -11,11 +11,13 @@
 /// A peer that doesn't answer by then is cut off, or has just failed. Longer
 /// than any round trip between data centres.
 constexpr Duration kMaxSearchTime = std::chrono::milliseconds(150);
-/// Time for a slow store to confirm. A caller that waits for longer is better
-/// off with a refusal, after which it asks another daemon.
-constexpr Duration kMaxConfirmTime = std::chrono::milliseconds(500);
-/// Peers that are asked to confirm what they say by the store.
+/// Time for a slow store to confirm. Callers wait for the next event of a
+/// stream for two seconds at least, most of which the server needs.
+constexpr Duration kMaxConfirmTime = std::chrono::seconds(1);
+/// Peers that are asked at a time to confirm what they say by the store.
 constexpr std::size_t kConfirmingPeers = 2;
+/// Those that are asked at most, one pair after the other.
+constexpr std::size_t kMaxConfirmingPeers = 6;
 
 }  // namespace
 
@@ -62,34 +64,51 @@
   ++unanswered_;
   questions_.push_back(cluster_.AskStreamOrigin(
       peer, stream_, service_, question,
-      [this](const std::optional<routing::OriginReport>& report) {
-        OnReply(report.value_or(routing::OriginReport{}));
+      [this, question](const std::optional<routing::OriginReport>& report) {
+        const auto told = report.value_or(routing::OriginReport{});
+        question == OriginQuestion::kConfirmed ? OnConfirmed(told)
+                                               : OnReply(told);
       }));
 }
 
 void StreamOriginLookup::AskStore() {
-  if (!registry_.follows_store() && AskStoreReaders()) {
-    return;
+  for (const Membership::Peer* reader :
+       cluster_.members().StoreReaders(loop_.Now())) {
+    if (readers_.size() < kMaxConfirmingPeers) {
+      readers_.push_back(reader->state.name);
+    }
+  }
+  if (registry_.follows_store() || !AskNextReaders()) {
+    AskStoreItself();
   }
+}
+
+void StreamOriginLookup::AskStoreItself() {
   ++unanswered_;
+  ++unconfirmed_;
   confirmation_ = registry_.ReportConfirmed(
       stream_, service_,
       [this](const routing::OriginReport& report) { OnConfirmed(report); });
 }
 
-bool StreamOriginLookup::AskStoreReaders() {
-  const Membership::Targets readers =
-      cluster_.members().StoreReaders(loop_.Now(), kConfirmingPeers);
-  for (const Membership::Peer* reader : readers) {
-    Ask(*reader, OriginQuestion::kConfirmed);
+bool StreamOriginLookup::AskNextReaders() {
+  for (std::size_t i = 0; i < kConfirmingPeers && !readers_.empty(); ++i) {
+    const Membership::Peer* reader = cluster_.members().Find(readers_.front());
+    readers_.pop_front();
+    if (reader != nullptr) {
+      ++unconfirmed_;
+      Ask(*reader, OriginQuestion::kConfirmed);
+    }
   }
-  return !readers.empty();
+  return unconfirmed_ > 0;
 }
 
 void StreamOriginLookup::OnConfirmed(const routing::OriginReport& report) {
   reports_.Add(report);
-  if (!report.serving && MayBeOneVersion() && registry_.follows_store()) {
-    AskStoreReaders();
+  const bool is_open =
+      --unconfirmed_ == 0 && !reports_.is_confirmed() && MayBeOneVersion();
+  if (is_open && !AskNextReaders() && confirmation_ == nullptr) {
+    AskStoreItself();
   }
   OnReply(report);
 }
