--- a/packages/gateway/src/membership_streams.cc
+++ b/packages/gateway/src/membership_streams.cc
@@ -65,6 +65,22 @@
   return sources;
 }
 
+Membership::Targets Membership::StoreReaders(TimePoint now) const {
+  Targets readers;
+  for (const auto& [name, peer] : peers_) {
+    const bool is_recent = now < peer->last_heartbeat + kMaxHeartbeatAge;
+    if (peer->alive && is_recent &&
+        peer->state.store != StoreContact::kUnreachable) {
+      readers.push_back(peer.get());
+    }
+  }
+  std::ranges::stable_sort(readers, {}, [](const Peer* peer) {
+    const bool follows = peer->state.store == StoreContact::kReachable;
+    return std::pair(!follows, peer->distance);
+  });
+  return readers;
+}
+
 bool Membership::HearsFromStore(TimePoint now) const {
   return std::ranges::any_of(peers_, [now](const auto& item) {
     const Peer& peer = *item.second;
--- a/packages/gateway/src/request_flow_streams.cc
+++ b/packages/gateway/src/request_flow_streams.cc
@@ -33,15 +33,14 @@
     return;
   }
   origin_lookup_ = context_.streams.LookUp(
-      StreamId(), service_name_,
-      [this](const std::optional<routing::StreamOrigin>& origin) {
+      StreamId(), service_name_, [this](const OriginFinding& finding) {
         const Ptr keep(this);
         origin_lookup_.reset();
-        context_.recorder.OnOriginLookedUp(request_.id, StreamId(), origin);
-        if (!origin) {
+        context_.recorder.OnOriginLookedUp(request_.id, StreamId(), finding);
+        if (!finding.origin) {
           Refuse(ErrorKind::kNoServer,
                  "the software version that began the stream is unknown");
-        } else if (!BindTo(*origin)) {
+        } else if (!BindTo(*finding.origin)) {
           Refuse(ErrorKind::kNoServer,
                  "the route has left the service that began the stream");
         } else {
@@ -71,9 +70,14 @@
   if (route_->resumable) {
     const TimePoint caller_deadline =
         started_at_ + request_.timeout.value_or(route_->timeout);
-    const Duration remaining = caller_deadline - context_.loop.Now();
-    context_.streams.OnBegun(
-        {StreamId(), origin, std::max(remaining, Duration{0}) + kCallerDelay});
+    const Duration remaining =
+        std::max(caller_deadline - context_.loop.Now(), Duration{0}) +
+        kCallerDelay;
+    context_.streams.OnBegun({StreamId(), origin, remaining});
+    if (StreamId() != request_.id) {
+      // The caller may name the request that it sent last.
+      context_.streams.OnBegun({request_.id, origin, remaining});
+    }
   }
   source_.origin = origin;
   TellSource();
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -40,6 +40,12 @@
 /// for a whole table at once, larger copies exhaust the memory and the link of
 /// the daemon that sends them.
 constexpr std::size_t kMaxCopyBytes = 64 * 1024;
+/// Time beyond the long poll after which an answer is missing: that of a slow
+/// call, and the pause before the next one.
+constexpr Duration kMaxAnswerDelay = std::chrono::seconds(1);
+/// Rows that come and go within this time are not told of, as those of servers
+/// stay for longer.
+constexpr Duration kMaxUnseenTime = std::chrono::seconds(2);
 /// Consecutive failures that count as an outage; a single one does not.
 constexpr std::uint32_t kOutageFailures = 2;
 
@@ -69,6 +75,7 @@
 
 StoreFollower::~StoreFollower() {
   loop_.Cancel(timer_);
+  loop_.Cancel(question_timer_);
 }
 
 void StoreFollower::Start(Duration delay) {
@@ -77,6 +84,9 @@
 
 void StoreFollower::SetFollowing(bool following) {
   const bool followed = std::exchange(following_, following);
+  if (following && !followed) {
+    following_since_ = loop_.Now();
+  }
   if (is_complete_ && following && !followed && !call_pending_) {
     SendNextCall();
   }
@@ -122,6 +132,11 @@
 void StoreFollower::OnChanges(const StoreAnswer& answer) {
   call_pending_ = false;
   if (answer.kind == StoreAnswer::Kind::kHistoryGone) {
+    // Until it followed the store itself, its peers kept this copy up to date.
+    const TimePoint in_touch = std::max(answered_at_, following_since_);
+    if (loop_.Now() - in_touch > kMaxUnseenTime) {
+      listener_.on_rows_missed();
+    }
     OnCallSucceeded();
     LogEvent("store_history_gone", LogLevel::kWarning)
         .Field("table", NameOf(table_))
@@ -134,6 +149,15 @@
     return;
   }
   OnCallSucceeded();
+  ApplyChanges(answer);
+  if (answer.rows.empty()) {
+    SendNextCall();
+    return;
+  }
+  ScheduleCall(kBatchInterval);
+}
+
+void StoreFollower::ApplyChanges(const StoreAnswer& answer) {
   // A newer copy of a peer may have been merged during the call. Rows up to its
   // version are ignored; an old row could restore one that has been deleted
   // since.
@@ -144,11 +168,60 @@
     }
   }
   version_ = std::max(version_, answer.version);
-  if (answer.rows.empty()) {
-    SendNextCall();
+}
+
+void StoreFollower::AskIfFresh(FreshnessQuestion& question) {
+  questions_.push_back(question);
+  if (std::exchange(asking_, true)) {
     return;
   }
-  ScheduleCall(kBatchInterval);
+  question_timer_ = loop_.After(Duration{0}, [this] { AskNow(); });
+}
+
+void StoreFollower::AskNow() {
+  asked_.splice(asked_.end(), questions_);
+  if (!is_complete_) {
+    AnswerAsked(false);
+    return;
+  }
+  store_.Follow(table_, version_, Duration{0},
+                [this](const StoreAnswer& answer) { OnAsked(answer); });
+}
+
+void StoreFollower::OnAsked(const StoreAnswer& answer) {
+  if (answer.kind == StoreAnswer::Kind::kHistoryGone) {
+    store_.Read(table_, "",
+                [this](const StoreAnswer& table) { OnAskedTable(table); });
+    return;
+  }
+  const bool is_fresh = answer.kind == StoreAnswer::Kind::kRows;
+  if (is_fresh) {
+    ApplyChanges(answer);
+  } else {
+    LogEvent("store_not_confirmed", LogLevel::kWarning)
+        .Field("table", NameOf(table_))
+        .Field("reason", answer.detail);
+  }
+  AnswerAsked(is_fresh);
+}
+
+void StoreFollower::OnAskedTable(const StoreAnswer& answer) {
+  const bool is_fresh =
+      answer.kind == StoreAnswer::Kind::kRows && answer.version >= version_;
+  if (is_fresh) {
+    ReplaceTable(answer.rows, answer.version);
+  }
+  AnswerAsked(is_fresh);
+}
+
+void StoreFollower::AnswerAsked(bool is_fresh) {
+  while (!asked_.empty()) {
+    asked_.front().Answer(is_fresh);
+  }
+  asking_ = !questions_.empty();
+  if (asking_) {
+    AskNow();
+  }
 }
 
 void StoreFollower::MergePeerCopy(const StoreChanges& changes) {
@@ -279,6 +352,9 @@
       tombstone->second.version >= row.version) {
     return;
   }
+  // A copy that is newer than the deletion has begun without the row.
+  const bool was_missed =
+      row.deleted && found == rows_.end() && row.version > version_;
   if (row.deleted) {
     rows_.erase(row.key);
     AddTombstone(row);
@@ -287,6 +363,9 @@
     newest_change_ = std::max(newest_change_, row.version);
   }
   listener_.on_change(row, source);
+  if (was_missed) {
+    listener_.on_rows_missed();
+  }
 }
 
 void StoreFollower::AddTombstone(const StoredRow& row) {
@@ -312,6 +391,11 @@
                                       : StoreContact::kUnreachable;
 }
 
+bool StoreFollower::HasAnsweredLately(TimePoint now) const {
+  return contact() == StoreContact::kReachable &&
+         now - answered_at_ <= long_poll_timeout_ + kMaxAnswerDelay;
+}
+
 void StoreFollower::OnCallSucceeded() {
   failures_ = 0;
   answered_at_ = loop_.Now();
--- a/packages/gateway/tests/store_follower_test.cc
+++ b/packages/gateway/tests/store_follower_test.cc
@@ -25,6 +25,7 @@
   std::vector<std::string> changes;
   std::size_t full_reads = 0;
   std::size_t call_failures = 0;
+  std::size_t missed = 0;  ///< reports of rows that came and went unseen
   explicit FollowerFixture(Duration max_propagation_time = kMaxPropagationTime)
       : follower(loop,
                  store,
@@ -39,7 +40,8 @@
             [this](const StoredRow& row, ChangeSource /*source*/) {
               changes.push_back((row.deleted ? "-" : "+") + row.key);
             },
-            [](bool /*answers*/) {}, [this] { ++call_failures; }};
+            [](bool /*answers*/) {}, [this] { ++call_failures; },
+            [this] { ++missed; }};
   }
   void RunFor(Duration time) { RunLoopFor(loop, time); }
   void Start() { StartFollower(loop, follower); }
@@ -64,7 +66,7 @@
                   [this](const StoredRow& row, ChangeSource /*source*/) {
                     changes.push_back((row.deleted ? "-" : "+") + row.key);
                   },
-                  [](bool /*answers*/) {}, [] {}}) {}
+                  [](bool /*answers*/) {}, [] {}, [] {}}) {}
   void Start() { StartFollower(loop, follower); }
 };
 
@@ -276,3 +278,158 @@
   cr_assert_eq(other.changes, std::vector<std::string>{"+a"});
   cr_assert_eq(other.follower.newest_change(), 4);
 }
+
+namespace {
+
+/// A follower that holds the first rows, and waits for changes.
+struct AskedFollowerFixture : FollowerFixture {
+  std::vector<bool> answers;
+  FreshnessQuestion question{
+      [this](bool is_fresh) { answers.push_back(is_fresh); }};
+
+  AskedFollowerFixture() {
+    Start();
+    store.RespondWithRows({{"a", "1", 4, false}}, 7);
+    store.calls.clear();
+    follower.AskIfFresh(question);
+    RunFor(Duration{0});
+  }
+};
+
+}  // namespace
+
+Test(store_follower, store_is_asked_missing_rows_arrive_before_the_answer) {
+  AskedFollowerFixture fixture;
+  cr_assert_eq(fixture.store.calls.size(), 1);
+  cr_assert_eq(fixture.store.calls.front().after, 7);
+  cr_assert(fixture.answers.empty());
+  fixture.store.RespondWithRows({{"b", "1", 9, false}}, 9);
+  cr_assert_eq(fixture.changes, std::vector<std::string>{"+b"});
+  cr_assert_eq(fixture.answers, std::vector<bool>{true});
+}
+
+// Guards against a daemon that takes a store which doesn't answer for one that
+// has no changes.
+Test(store_follower, store_gives_no_rows_copy_is_not_fresh) {
+  AskedFollowerFixture fixture;
+  fixture.store.Respond({});
+  cr_assert_eq(fixture.answers, std::vector<bool>{false});
+}
+
+// Guards against the same where the store has dropped its history, and against
+// a copy that nobody follows being refused for it.
+Test(store_follower, history_is_gone_table_is_read_before_the_answer) {
+  for (const bool is_read : {false, true}) {
+    AskedFollowerFixture fixture;
+    StoreAnswer gone;
+    gone.kind = StoreAnswer::Kind::kHistoryGone;
+    fixture.store.Respond(std::move(gone));
+    cr_assert(fixture.answers.empty());
+    if (is_read) {
+      fixture.store.RespondWithRows({{"c", "1", 12, false}}, 12);
+    } else {
+      fixture.store.Respond({});
+    }
+    cr_assert_eq(fixture.answers, std::vector<bool>{is_read});
+    cr_assert_eq(fixture.full_reads, is_read ? 2 : 1);
+  }
+}
+
+// Guards against a question being answered by a call that began before it.
+Test(store_follower, question_comes_during_a_call_the_next_one_answers_it) {
+  AskedFollowerFixture fixture;
+  std::vector<bool> later;
+  FreshnessQuestion question(
+      [&later](bool is_fresh) { later.push_back(is_fresh); });
+  fixture.follower.AskIfFresh(question);
+  cr_assert_eq(fixture.store.calls.size(), 1);
+  fixture.store.RespondWithRows({}, 8);
+  cr_assert_eq(fixture.answers.size(), 1);
+  cr_assert(later.empty());
+  cr_assert_eq(fixture.store.calls.size(), 1);
+  fixture.store.RespondWithRows({}, 9);
+  cr_assert_eq(later, std::vector<bool>{true});
+  cr_assert(fixture.store.calls.empty());
+}
+
+Test(store_follower, question_is_withdrawn_it_is_not_answered) {
+  AskedFollowerFixture fixture;
+  bool answered = false;
+  {
+    FreshnessQuestion question([&answered](bool) { answered = true; });
+    fixture.follower.AskIfFresh(question);
+  }
+  fixture.store.RespondWithRows({}, 8);
+  cr_assert_not(answered);
+  cr_assert(fixture.store.calls.empty());
+}
+
+Test(store_follower, copy_is_incomplete_it_is_not_fresh) {
+  FollowerFixture fixture;
+  std::vector<bool> answers;
+  FreshnessQuestion question(
+      [&answers](bool is_fresh) { answers.push_back(is_fresh); });
+  fixture.follower.AskIfFresh(question);
+  fixture.RunFor(Duration{0});
+  cr_assert_eq(answers, std::vector<bool>{false});
+}
+
+// Guards against a daemon that stood still believing that the store has just
+// answered it: no call has failed, as none was looked at.
+Test(store_follower, daemon_stood_still_store_has_not_answered_lately) {
+  AskedFollowerFixture fixture;
+  const TimePoint now = fixture.loop.Now();
+  cr_assert(fixture.follower.HasAnsweredLately(now));
+  cr_assert(fixture.follower.contact() == StoreContact::kReachable);
+  cr_assert_not(
+      fixture.follower.HasAnsweredLately(now + std::chrono::seconds(2)));
+}
+
+// Guards against a daemon vouching for the past that was out of touch while a
+// row came and went.
+Test(store_follower, row_came_and_went_unseen_it_is_reported) {
+  FollowerFixture fixture;
+  fixture.Start();
+  fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+  fixture.store.RespondWithRows({{"b", "", 9, true}}, 9);
+  cr_assert_eq(fixture.missed, 1);
+}
+
+Test(store_follower, peer_tells_of_an_older_deletion_nothing_was_missed) {
+  FollowerFixture fixture;
+  fixture.Start();
+  fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+  StoreChanges copy;
+  copy.rows = {{"b", "", 6, true}};
+  copy.version = 7;
+  fixture.follower.MergePeerCopy(copy);
+  cr_assert_eq(fixture.missed, 0);
+}
+
+Test(store_follower, known_row_goes_nothing_was_missed) {
+  FollowerFixture fixture;
+  fixture.Start();
+  fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+  fixture.store.RespondWithRows({{"a", "", 9, true}}, 9);
+  cr_assert_eq(fixture.missed, 0);
+}
+
+// Guards against the same where the store has dropped its history meanwhile, so
+// that the table is read again.
+Test(store_follower, history_is_gone_rows_are_missed_after_a_long_silence) {
+  for (const bool is_long : {false, true}) {
+    FollowerFixture fixture;
+    fixture.Start();
+    fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+    fixture.RunFor(is_long ? std::chrono::milliseconds(2100)
+                           : std::chrono::milliseconds(100));
+    fixture.store.calls.front().done({});
+    fixture.store.calls.clear();
+    fixture.RunFor(kLongerThanAnyDelay);
+    StoreAnswer gone;
+    gone.kind = StoreAnswer::Kind::kHistoryGone;
+    fixture.store.Respond(std::move(gone));
+    fixture.store.RespondWithRows({{"a", "1", 4, false}}, 12);
+    cr_assert_eq(fixture.missed, is_long ? 1 : 0);
+  }
+}
--- a/packages/routing/include/gentianroute/routing/software_versions.h
+++ b/packages/routing/include/gentianroute/routing/software_versions.h
@@ -15,6 +15,13 @@
 
 namespace gentianroute::routing {
 
+/// @brief Returns the software version of the listed servers of a service.
+/// @return empty if there are no servers, or several versions
+/// @complexity linear in the number of servers
+std::optional<StreamOrigin> OnlyListedVersion(
+    std::string_view service,
+    std::span<const ServerPtr> servers);
+
 /// @brief Remembers the software versions of servers that have gone, to tell
 /// which versions can have begun a stream that is still wanted.
 class SoftwareVersions {
@@ -29,6 +36,8 @@
   void SetMemory(Duration memory) { memory_ = memory; }
   /// @brief The host list is known from now on.
   void OnListed(TimePoint now, FleetState fleet);
+  /// @brief Servers of any version may have come and gone unseen until now.
+  void OnMissed(TimePoint now);
   /// @brief A server has left the host list.
   void OnGone(TimePoint now, const ServerRecord& server);
   /// @brief Reports which versions can have begun a stream of a service.
