Keep the half event of a server that goes on after a silence

What callers saw: an event without its first half, in an answer that ends as complete.

Cause: the timer that detects a silent server dropped the partial event before it was known whether the stream can be repeated. If its attempts, its time or the retry budget are used up, the attempt goes on, and so does the event. The same was done, without harm, where an attempt had ended.

It was not shown that this is what the users saw.

Change: the partial event is dropped where the next attempt begins, at a server or at a peer, and nowhere else. Until then nothing else can follow it than its own rest.

--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -136,6 +136,7 @@
   std::string().swap(body_);
   body_share_.Set(0);
   streaming_ = false;
+  events_.DropPartial();
   events_when_sent_ = events_.events();
   event_pace_ = {};
   attempt_ = std::make_unique<ServerAttempt>(*this, std::move(call));
@@ -414,7 +415,6 @@
   ReportCrash();
   earlier_may_have_run_ = true;
   UnassignServer();
-  events_.DropPartial();
   if (repeatable() && TryRetry("broken", "the connection broke")) {
     return;
   }
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -118,6 +118,7 @@
   if (attempt_ != nullptr) {
     old_attempts_.push_back(std::move(attempt_));
   }
+  events_.DropPartial();
   attempt_ = std::make_unique<PeerAttempt>(*this, peer);
   ++attempts_;
   may_have_run_ = true;
@@ -216,7 +217,6 @@
 
 void RequestFlow::OnPeerFailed() {
   earlier_may_have_run_ = true;
-  events_.DropPartial();
   if (repeatable() && TryRetry("peer", "the peer failed")) {
     return;
   }
--- a/packages/gateway/src/request_flow_retries.cc
+++ b/packages/gateway/src/request_flow_retries.cc
@@ -56,7 +56,6 @@
   const Ptr keep(this);
   server_->history().OnConnectionFailure(now);
   context_.reach.OnNoAnswer(server_->record());
-  events_.DropPartial();
   RetryAndCancel("silent", "the server stopped sending");
 }
 
--- a/packages/routing/include/gentianroute/routing/event_framer.h
+++ b/packages/routing/include/gentianroute/routing/event_framer.h
@@ -24,7 +24,8 @@
   bool is_partial() const { return !partial_.empty(); }
   /// @brief Whether they are more than an event may have.
   bool is_overlong() const { return partial_.size() > kMaxEventBytes; }
-  /// @brief Drops the partial event at the end, which will not be completed.
+  /// @brief Drops the partial event at the end. To be called only when another
+  /// attempt begins: until then its rest may still arrive.
   void DropPartial() { partial_.clear(); }
   std::string TakePartial();
   /// @brief Number of complete events that had an id.
