Check that a server which goes on with a stream does so

Cause: the daemon asked a server to go on after an event and never looked at where it did. Class of fault: an answer is trusted to be the one that was asked for.

That servers of the users do this was not seen.

Change: the framer knows with which event the next server has to go on.

What remains: ids may be any distance apart, so a server that leaves out events right after the position can't be told from one that sends several tokens in an event.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -232,7 +232,7 @@
   void OnNotRun(const ServerAnswer& answer);
   void OnAttemptFailure(RelayFailure failure);
   /// Closes the connection of a server that sends more than an answer or an
-  /// event may have.
+  /// event may have, or events of another run than the caller's.
   void AbandonAnswer();
   /// Starts the timer for the first byte of the answer of a repeatable request.
   void StartFirstByteTimer();
@@ -282,7 +282,8 @@
   void RelayPart(std::string_view part);
   /// Passes on what follows the last whole event of a stream.
   void WriteRestOfStream();
-  /// Whether a stream that ended with its connection has ended inside an event.
+  /// Whether a stream that has ended isn't whole: it ended with its connection
+  /// inside an event, or before the last event that the caller has.
   bool HasBrokenOff() const;
   /// Frees the storage of stage results that are no longer needed.
   void ReleaseResults(std::vector<routing::StageResults> unneeded);
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -136,7 +136,7 @@
   std::string().swap(body_);
   body_share_.Set(0);
   streaming_ = false;
-  events_.DropPartial();
+  events_.BeginRun(route_->resumable ? ResumePosition() : "");
   events_when_sent_ = events_.events();
   event_pace_ = {};
   attempt_ = std::make_unique<ServerAttempt>(*this, std::move(call));
@@ -241,7 +241,7 @@
   RecordPace(event_pace_.OnPart(last_byte_at_, part));
   const bool had_proven_itself = HasProvenItself();
   RelayPart(part);
-  if (events_.is_overlong()) {
+  if (events_.is_overlong() || events_.IsOtherRun()) {
     AbandonAnswer();
     return;
   }
@@ -317,7 +317,8 @@
 }
 
 bool RequestFlow::HasBrokenOff() const {
-  return ends_with_connection_ && answer_begun_ && events_.is_partial();
+  const bool ends_inside_event = ends_with_connection_ && events_.is_partial();
+  return answer_begun_ && (ends_inside_event || events_.IsBehind());
 }
 
 void RequestFlow::OnAnswered() {
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -118,7 +118,7 @@
   if (attempt_ != nullptr) {
     old_attempts_.push_back(std::move(attempt_));
   }
-  events_.DropPartial();
+  events_.BeginRun(route_->resumable ? ResumePosition() : "");
   attempt_ = std::make_unique<PeerAttempt>(*this, peer);
   ++attempts_;
   may_have_run_ = true;
