Don't run a stream again for an empty line after its last event

What callers saw: nothing wrong; a stream whose server ends it with its connection, and sends one more line end after the last event in a packet of its own, was run again at another server after it had ended, and the bytes of its end were lost.

Cause: the framer took any byte after the last event for the beginning of the next, also the end of an empty line.

Change: line ends alone are no part of an event. A break inside the empty line that ends an event is still told by the rest of that event.

--- a/packages/routing/include/gentianroute/routing/event_framer.h
+++ b/packages/routing/include/gentianroute/routing/event_framer.h
@@ -34,8 +34,11 @@
   /// @return the events that they complete and that the caller doesn't have,
   /// unchanged; none after IsOtherRun()
   std::string Feed(std::string_view data);
-  /// @brief Whether the received bytes end inside an event.
-  bool is_partial() const { return !partial_.empty(); }
+  /// @brief Whether the received bytes end inside an event. Further empty lines
+  /// between events belong to none.
+  bool is_partial() const {
+    return partial_.find_first_not_of("\r\n") != std::string::npos;
+  }
   /// @brief Whether they are more than an event may have.
   bool is_overlong() const { return partial_.size() > kMaxEventBytes; }
   std::string TakePartial();
