Check the streams that come through a peer too

What callers saw: during an update, a daemon without links to the servers hands a stream to a peer of an earlier build, which passes on what comes. Where the stream broke off and the next server ran the request anew, the events of the other run were dropped, but the answer ended as complete (rule ORDER).

Cause: only the answers of servers were checked against the events that the caller has; those of peers were believed.

Evidence: of the three new tests, two failed before (their answers were complete); all ten tests of broken streams pass now (x86_64, one run). The peers of the tests run this build with a route that may not be resumed; no earlier build was run.

Change: a peer's answer with events of another run, or that ends before the caller's last event, has failed like one that broke off.

--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -206,9 +206,17 @@
 void RequestFlow::OnPeerPart(std::string_view part) {
   last_byte_at_ = context_.loop.Now();
   RelayPart(part);
+  if (events_.IsOtherRun()) {
+    attempt_->Cancel();
+    OnPeerFailed();
+  }
 }
 
 void RequestFlow::OnPeerAnswerEnded() {
+  if (events_.IsBehind()) {
+    OnPeerFailed();
+    return;
+  }
   WriteRestOfStream();
   exchange_->End();
   constexpr int kOk = 200;
