Tell a stream of another coding that broke off from a whole one

What callers saw: half an event at the end of an answer that looks complete, where a server names a Transfer-Encoding other than chunked and breaks off.

Cause: whether the end of its connection ends an answer was guessed from the presence of two fields. The parser, which decides it, reads on until the end of the connection also if a coding is named that isn't chunked.

No server that sends such an answer was seen.

Change: the head carries what the parser has decided.

--- a/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/request_attempt.h
@@ -35,7 +35,7 @@
   void OnHead(MessageHead head) override {
     const Ptr flow(flow_);
     flow->OnHead(flow->context_.translator.ReadAnswer(head),
-                 EndsWithConnection(head));
+                 head.ends_with_connection);
   }
   void OnBody(std::string_view part) override {
     const Ptr flow(flow_);
--- a/packages/loop/include/gentianroute/loop/message_parser.h
+++ b/packages/loop/include/gentianroute/loop/message_parser.h
@@ -21,6 +21,9 @@
   bool keep_alive = true;
   bool version_1_0 = false;  ///< the sender does not support chunked coding
   bool expects_continue = false;
+  /// The body has neither a length nor chunks, so that the end of the
+  /// connection ends it, also if the sender has crashed; responses only.
+  bool ends_with_connection = false;
 };
 
 /// @brief Finds the first field with this name, ignoring case.
@@ -34,10 +37,6 @@
 /// @brief Whether two field names are equal, ignoring case.
 bool SameFieldName(std::string_view a, std::string_view b);
 
-/// @brief Whether the body of a response has neither a length nor chunks, so
-/// that the end of its connection ends it, also if the sender has crashed.
-bool EndsWithConnection(const MessageHead& response);
-
 /// @brief Incremental parser for the HTTP/1.1 messages of one connection.
 ///
 /// Input after the end of a message stays buffered until StartNext(): a
--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -89,6 +89,7 @@
   }
   void on_header_impl(Error& error) override {
     head_.keep_alive = this->keep_alive();
+    head_.ends_with_connection = !IsRequest && this->need_eof();
     // With a final coding other than chunked the end of a request body is
     // ambiguous: the next hop could find another request in it (request
     // smuggling).
@@ -116,11 +117,6 @@
 
 }  // namespace
 
-bool EndsWithConnection(const MessageHead& response) {
-  return FindField(response.fields, "Content-Length") == nullptr &&
-         FindField(response.fields, "Transfer-Encoding") == nullptr;
-}
-
 bool SameFieldName(std::string_view a, std::string_view b) {
   return beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
 }
