Reset the connection of a caller without chunks when a stream breaks off

Cause: a stream was broken off by closing its connection in order, which such a caller takes for the end of the answer.

Change: the connection is reset if the answer isn't chunked, as a server's broken answer without a length has to end too. The end of the whole process can't do that; its kernel closes in order what the process has read to its end.

--- a/packages/loop/include/gentianroute/loop/relay_server.h
+++ b/packages/loop/include/gentianroute/loop/relay_server.h
@@ -61,7 +61,7 @@
   virtual void Write(std::string_view part) = 0;
   virtual void End() = 0;
   /// @brief Closes the connection, so that the client sees a streamed response
-  /// as truncated.
+  /// as truncated; resets it if the response isn't chunked.
   virtual void Abort() = 0;
 
  protected:
--- a/packages/loop/include/gentianroute/loop/stream_socket.h
+++ b/packages/loop/include/gentianroute/loop/stream_socket.h
@@ -56,6 +56,10 @@
   /// @brief Writes `data` and then `body` without copies. The body is kept
   /// until the kernel has it; null: nothing follows `data`.
   void WriteOwned(std::string data, SharedBodyPtr body = nullptr);
+  /// @brief Lets the destructor reset the connection instead of closing it in
+  /// order, so that the peer doesn't take the end for one that was meant. Data
+  /// that it hasn't read yet may be lost.
+  void ResetOnClose();
   /// @brief Closes the write side; the peer's data is still read.
   void ShutdownWrite();
   /// @brief Stops reading. The end of the connection is not noticed either,
--- a/packages/loop/src/relay_server.cc
+++ b/packages/loop/src/relay_server.cc
@@ -225,7 +225,7 @@
       socket_->Write(chunked_ ? SerialiseChunk(part) : std::string(part));
       Charge();
       if (socket_->unsent_bytes() > kMaxUnsentBytes) {
-        Close();
+        Abort();
       }
     }
     void SendEnd() {
@@ -234,6 +234,13 @@
       }
       FinishResponse(close_after_);
     }
+    /// Closes the connection before the end of a response.
+    void Abort() {
+      if (!chunked_) {
+        socket_->ResetOnClose();
+      }
+      Close();
+    }
 
    private:
     /// A pipelined request that has been read is answered before the
@@ -611,7 +618,7 @@
 void RelayServer::Impl::Exchange::Abort() {
   ClearOnDisconnect();
   if (connection_ != nullptr) {
-    connection_->Close();
+    connection_->Abort();
   }
 }
 
--- a/packages/loop/src/stream_socket.cc
+++ b/packages/loop/src/stream_socket.cc
@@ -177,6 +177,14 @@
   Flush();
 }
 
+void StreamSocket::ResetOnClose() {
+  if (socket_ != nullptr) {
+    constexpr linger kReset = {1, 0};
+    setsockopt(h2o_socket_get_fd(socket_), SOL_SOCKET, SO_LINGER, &kReset,
+               sizeof(kReset));
+  }
+}
+
 void StreamSocket::ShutdownWrite() {
   if (socket_ != nullptr) {
     shutdown(h2o_socket_get_fd(socket_), SHUT_WR);
