Let a third server go on with a stream when the second one fails

What callers saw: a stream that broke off ended there if the server that was to go on with it answered 500, though attempts and time were left.

Cause: an answer with an error to a stream that had begun ended the request before it was asked whether it can be repeated.

Change: a failure is repeated first, as before the first event; the answer breaks off if that isn't possible, or if the server refuses the request (4xx).

--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -354,18 +354,18 @@
   }
   const routing::ServerPtr server = server_;
   UnassignServer();
-  if (answer_begun_) {
-    // The server refused to resume a stream that the caller has partly
-    // received.
-    Fail("the server failed to resume the stream");
-    return;
-  }
   if (failed && repeatable()) {
     earlier_may_have_run_ = true;
     if (TryRetry("failure", "server failure")) {
       return;
     }
   }
+  if (answer_begun_) {
+    // The server refused to resume a stream that the caller has partly
+    // received.
+    Fail("the server failed to resume the stream");
+    return;
+  }
   if (!failed) {
     ClearSuspicion(now, server->record());
   }
