Watch for the answer of a server that goes on with a stream

What callers saw: a stream that broke off stood still until the time limit if the server that was to go on with it didn't answer (3.9 s of a limit of 4 s), though attempts were left.

Cause: the check for an overdue first byte did nothing once the answer to the caller had begun. The timer is cancelled when the head of the current attempt arrives, so it fires for that attempt only.

Change: only the head of the current attempt ends the wait.

--- a/packages/gateway/src/request_flow_retries.cc
+++ b/packages/gateway/src/request_flow_retries.cc
@@ -84,7 +84,7 @@
 }
 
 void RequestFlow::OnFirstByteOverdue() {
-  if (server_ == nullptr || answer_begun_ || answer_.status != 0) {
+  if (server_ == nullptr || answer_.status != 0) {
     return;
   }
   const Ptr keep(this);
