--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -118,6 +118,7 @@
   if (attempt_ != nullptr) {
     old_attempts_.push_back(std::move(attempt_));
   }
+  events_.BeginRun(route_->resumable ? ResumePosition() : "");
   attempt_ = std::make_unique<PeerAttempt>(*this, peer);
   ++attempts_;
   may_have_run_ = true;
@@ -205,9 +206,17 @@
 void RequestFlow::OnPeerPart(std::string_view part) {
   last_byte_at_ = context_.loop.Now();
   RelayPart(part);
+  if (events_.IsOtherRun()) {
+    attempt_->Cancel();
+    OnPeerFailed();
+  }
 }
 
 void RequestFlow::OnPeerAnswerEnded() {
+  if (events_.IsBehind()) {
+    OnPeerFailed();
+    return;
+  }
   WriteRestOfStream();
   exchange_->End();
   constexpr int kOk = 200;
@@ -216,7 +225,6 @@
 
 void RequestFlow::OnPeerFailed() {
   earlier_may_have_run_ = true;
-  events_.DropPartial();
   if (repeatable() && TryRetry("peer", "the peer failed")) {
     return;
   }
--- a/packages/gateway/src/request_flow_retries.cc
+++ b/packages/gateway/src/request_flow_retries.cc
@@ -56,7 +56,6 @@
   const Ptr keep(this);
   server_->history().OnConnectionFailure(now);
   context_.reach.OnNoAnswer(server_->record());
-  events_.DropPartial();
   RetryAndCancel("silent", "the server stopped sending");
 }
 
@@ -85,7 +84,7 @@
 }
 
 void RequestFlow::OnFirstByteOverdue() {
-  if (server_ == nullptr || answer_begun_ || answer_.status != 0) {
+  if (server_ == nullptr || answer_.status != 0) {
     return;
   }
   const Ptr keep(this);
