Take late in a stop only what ends in the grace in the worst case

What callers saw: a planned stop of one daemon, in calm. Requests that came on open connections after the listener had closed were passed on, and at the end of the grace the connection was closed in the middle of a stream, or a request that may run only once was answered 502 though it ran.

Cause: DrainTimes took a late request if twice the usual time of its kind fits into the rest of the grace. A server may be far slower than usual, and for a stream of a service without a model the usual time is that of the first event only. Beyond its estimate a request is bounded by its deadline alone (the lesser of the caller's and the route's limit).

Change: a late request is taken if its deadline is within the grace. The usual time decides only where a cut does no harm: the request may be repeated, and its answer is sent whole. All else is refused at once with 503, before it runs. What comes in the first 2.6 s is taken as before.

Price: a late stream whose deadline is after the end is refused also where its server would have been quick.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -134,6 +134,8 @@
   bool RefuseIfBackedOff();
   /// Refuses the request if the daemon drains and may stop before the answer.
   bool RefuseIfDraining();
+  /// What is known of the end of the answer.
+  routing::AnswerTimes TimesOfAnswer() const;
   void RecordAdmission();
   void Start();
   /// Continues with a request whose origin is known if it takes up a stream.
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -287,18 +287,22 @@
   return true;
 }
 
-bool RequestFlow::RefuseIfDraining() {
+routing::AnswerTimes RequestFlow::TimesOfAnswer() const {
   const routing::ServiceTimeEstimate& estimate =
       context_.service_times.Of(service_name_);
   const Duration answer =
       IsGeneration() ? TypicalTimeToFirstByte() +
                            estimate.DecodeTime(request_.prompt.tokens_out)
                      : estimate.ServiceTime();
-  if (context_.drain_times.CanAccept(context_.loop.Now(),
-                                     expected_stage_time_ + answer)) {
+  return {expected_stage_time_ + answer, deadline_,
+          route_->kind == routing::RouteKind::kIdempotent};
+}
+
+bool RequestFlow::RefuseIfDraining() {
+  if (context_.drain_times.CanAccept(context_.loop.Now(), TimesOfAnswer())) {
     return false;
   }
-  Refuse(ErrorKind::kShuttingDown, "the daemon will stop before it can answer");
+  Refuse(ErrorKind::kShuttingDown, "the daemon may stop before it can answer");
   return true;
 }
 
