Bound the answer to a stage call by the number of its pieces

What callers saw: nothing yet; the users' report is of a host that ran out of memory while a server sent bytes without end.

Cause: the answer to a stage call could have 4 MiB, whatever its pieces, and is collected outside of the account of memory. Ten servers in trouble at once fill a scheduler with ten of them, and a whole answer of that length with more results than pieces takes many times as much once it is parsed.

Change: an answer has 16 KiB and 4 KiB for each of its pieces; a result is a name of some tens of bytes. More is a broken call, as an answer that was too long was before.

--- a/packages/gateway/src/stage_scheduler.cc
+++ b/packages/gateway/src/stage_scheduler.cc
@@ -21,6 +21,10 @@
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(1);
 /// A caller that is refused within this time has lost none that matters.
 constexpr Duration kPromptRefusal = std::chrono::milliseconds(250);
+/// Most bytes in the answer to a call beside its results, and in one result.
+/// Parsed, an answer takes many times its length.
+constexpr std::size_t kMaxAnswerBytes = 16 * 1024;
+constexpr std::size_t kMaxResultBytes = 4 * 1024;
 
 }  // namespace
 
@@ -238,6 +242,7 @@
   // get another request's results, since a stage answer has no id.
   relay_call.max_idle = Duration{0};
   relay_call.keep_connection = false;
+  relay_call.max_body_bytes = kMaxAnswerBytes + pieces.size() * kMaxResultBytes;
   relay_call.message =
       translator_.StageCallMessage(relay_call.endpoint, server.id, pieces);
   ++calls_sent_;
