End an answer that a peer doesn't take

What callers saw: nothing yet; the users' report is of a host that ran out of memory while a server sent bytes without end.

Cause: a daemon that runs a request for a peer passes each part of a stream on as a message, and keeps it until the peer has taken it. Nothing bounded these: a peer that stands still, or is slower than the server, left up to 64 MiB of each such stream with the daemon. Callers have had a bound for this (8 MiB) since before.

Change: the same bound for a peer. Beyond it the answer ends as incomplete, and the request as if its caller had left, so that the server is cancelled too.

Evidence: gateway.peer_exchange_test, over a real connection. A peer that takes nothing: allocated bytes grew by 73,928,736 before and the answer went on (the test fails); now it ends and the test passes in 3 of 3 runs (33,554,432 bytes are allowed; both ends are in its process). 64 MiB to a peer that takes all arrive, before and now. adapter.handed_requests_test passes. x86_64, beside other work.

What remains: the bound is per answer, and these bytes are not in the account of memory.

--- a/packages/gateway/include/gentianroute/gateway/detail/peer_exchange.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/peer_exchange.h
@@ -4,6 +4,7 @@
 #include <cluster.capnp.h>
 #include <kj/async.h>
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -47,12 +48,18 @@
  private:
   /// Ends the call once the peer has received the last message.
   void EndAfter(kj::Promise<void> last);
+  /// Ends an answer that the peer doesn't take.
+  void GiveUp();
+  void NotifyDisconnect();
 
   RequestProgress progress_;
   AnswerSource source_;
   schema::AnswerReader::Client reader_;
   kj::TaskSet& messages_;
   std::shared_ptr<kj::Own<kj::PromiseFulfiller<void>>> done_;
+  /// Of the parts that the peer has not taken yet. Counted by their messages,
+  /// which may outlive this object.
+  std::shared_ptr<std::size_t> unsent_bytes_ = std::make_shared<std::size_t>(0);
   bool answered_ = false;
 };
 
--- a/packages/gateway/src/peer_exchange.cc
+++ b/packages/gateway/src/peer_exchange.cc
@@ -9,6 +9,14 @@
 using detail::BytesOf;
 using detail::WriteFields;
 
+namespace {
+
+/// Limits the memory used for a peer that doesn't take its answer, as for a
+/// caller that doesn't read it.
+constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
+
+}  // namespace
+
 PeerExchange::PeerExchange(TimePoint now,
                            HandedRequest request,
                            schema::AnswerReader::Client reader,
@@ -28,9 +36,18 @@
 
 void PeerExchange::OnCallEnded() {
   if (!std::exchange(answered_, true)) {
-    if (const auto callback = std::exchange(on_disconnect_, nullptr)) {
-      callback();
-    }
+    NotifyDisconnect();
+  }
+}
+
+void PeerExchange::GiveUp() {
+  Abort();
+  NotifyDisconnect();
+}
+
+void PeerExchange::NotifyDisconnect() {
+  if (const auto callback = std::exchange(on_disconnect_, nullptr)) {
+    callback();
   }
 }
 
@@ -72,7 +89,12 @@
   }
   auto message = reader_.partRequest();
   message.setBytes(BytesOf(part));
-  messages_.add(message.send().ignoreResult());
+  *unsent_bytes_ += part.size();
+  messages_.add(message.send().ignoreResult().then(
+      [unsent = unsent_bytes_, size = part.size()] { *unsent -= size; }));
+  if (*unsent_bytes_ > kMaxUnsentBytes) {
+    GiveUp();
+  }
 }
 
 void PeerExchange::End() {
