Send nothing in the last moments of a stop that can't be answered

What callers saw: a stream that came right after the stop signal had waited for its stages, was sent to its server shortly before the end of the grace, began, and was cut. It hadn't run until then, and another daemon could have served it.

Cause: a request was weighed against the end of the grace when it came (in the first 2.6 s all are taken), and not again when its stages were done. For streams of a service without a model the expected time left out the stream itself.

Change: once the stages are done, a request that can't usually be answered in the rest of the grace, and whose deadline is later, is refused with 503 as not run. The expected time of a stream has its StreamTime(). Requests that may have run already go on as before.

What remains: a request that waits for a server with room (WaitForServer) is not weighed again when one has room.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -134,8 +134,14 @@
   bool RefuseIfBackedOff();
   /// Refuses the request if the daemon drains and may stop before the answer.
   bool RefuseIfDraining();
+  /// Refuses a request whose stages are done, but too late for the daemon to
+  /// get its answer before it stops.
+  bool RefuseIfTooLateToSend();
+  /// Usual time from sending the request to the end of its answer.
+  Duration ExpectedAnswerTime() const;
   /// What is known of the end of the answer.
-  routing::AnswerTimes TimesOfAnswer() const;
+  /// @param stage_time until the request will be sent
+  routing::AnswerTimes TimesOfAnswer(Duration stage_time) const;
   void RecordAdmission();
   void Start();
   /// Continues with a request whose origin is known if it takes up a stream.
--- a/packages/gateway/src/request_flow.cc
+++ b/packages/gateway/src/request_flow.cc
@@ -287,25 +287,42 @@
   return true;
 }
 
-routing::AnswerTimes RequestFlow::TimesOfAnswer() const {
+Duration RequestFlow::ExpectedAnswerTime() const {
   const routing::ServiceTimeEstimate& estimate =
       context_.service_times.Of(service_name_);
-  const Duration answer =
-      IsGeneration() ? TypicalTimeToFirstByte() +
-                           estimate.DecodeTime(request_.prompt.tokens_out)
-                     : estimate.ServiceTime();
-  return {expected_stage_time_ + answer, deadline_,
+  if (IsGeneration()) {
+    return TypicalTimeToFirstByte() +
+           estimate.DecodeTime(request_.prompt.tokens_out);
+  }
+  return route_->kind == routing::RouteKind::kStream
+             ? estimate.ServiceTime() + estimate.StreamTime()
+             : estimate.ServiceTime();
+}
+
+routing::AnswerTimes RequestFlow::TimesOfAnswer(Duration stage_time) const {
+  return {stage_time + ExpectedAnswerTime(), deadline_,
           route_->kind == routing::RouteKind::kIdempotent};
 }
 
 bool RequestFlow::RefuseIfDraining() {
-  if (context_.drain_times.CanAccept(context_.loop.Now(), TimesOfAnswer())) {
+  if (context_.drain_times.CanAccept(context_.loop.Now(),
+                                     TimesOfAnswer(expected_stage_time_))) {
     return false;
   }
   Refuse(ErrorKind::kShuttingDown, "the daemon may stop before it can answer");
   return true;
 }
 
+bool RequestFlow::RefuseIfTooLateToSend() {
+  if (may_have_run_ || answer_begun_ ||
+      context_.drain_times.CanSend(context_.loop.Now(),
+                                   TimesOfAnswer(Duration{0}))) {
+    return false;
+  }
+  Refuse(ErrorKind::kShuttingDown, "the daemon stops before it can answer");
+  return true;
+}
+
 Duration RequestFlow::MinAnswerTime() const {
   if (route_->kind != routing::RouteKind::kStream) {
     return kMinAnswerTime;
--- a/packages/gateway/src/request_flow_stages.cc
+++ b/packages/gateway/src/request_flow_stages.cc
@@ -28,7 +28,9 @@
   }
   if (plan_->complete()) {
     stages_done_at_ = context_.loop.Now();
-    SendToServer();
+    if (!RefuseIfTooLateToSend()) {
+      SendToServer();
+    }
     return;
   }
   for (const std::uint32_t stage : plan_->Ready()) {
--- a/packages/routing/include/gentianroute/routing/drain_times.h
+++ b/packages/routing/include/gentianroute/routing/drain_times.h
@@ -29,11 +29,23 @@
   /// time in the worst case. The usual time of its kind says enough only where
   /// a cut does no harm: a server may be far slower than usual.
   bool CanAccept(TimePoint now, const AnswerTimes& answer) const {
+    return now < last_expected_request || answer.deadline <= ends_at ||
+           (answer.may_be_cut && UsuallyEnds(now, answer));
+  }
+
+  /// @brief Whether a request that has been accepted, and has waited since, may
+  /// still be sent to a server. Otherwise it hasn't run, and its caller is told
+  /// so.
+  bool CanSend(TimePoint now, const AnswerTimes& answer) const {
+    return now < last_expected_request || answer.deadline <= ends_at ||
+           UsuallyEnds(now, answer);
+  }
+
+  /// @brief Whether an answer that takes its usual time ends in the grace.
+  bool UsuallyEnds(TimePoint now, const AnswerTimes& answer) const {
     // Queueing and long answers vary by about this factor.
     constexpr int kSafetyFactor = 2;
-    return now < last_expected_request || answer.deadline <= ends_at ||
-           (answer.may_be_cut &&
-            now + answer.expected * kSafetyFactor <= ends_at);
+    return now + answer.expected * kSafetyFactor <= ends_at;
   }
 };
 
--- a/packages/routing/tests/drain_times_test.cc
+++ b/packages/routing/tests/drain_times_test.cc
@@ -49,3 +49,12 @@
   const TimePoint now = kStart + 4600 * kMs;
   cr_assert(kDrain.CanAccept(now, {2900 * kMs, kDrain.ends_at, kMayBeCut}));
 }
+
+// Guards against a request that has waited since before the stop being sent in
+// the last moments, and one that can be answered being refused.
+Test(drain_times, accepted_request_is_sent_if_it_usually_ends_in_time) {
+  const TimePoint now = kStart + 4600 * kMs;
+  cr_assert(kDrain.CanSend(now, {50 * kMs, kNever}));
+  cr_assert(kDrain.CanSend(now, {2900 * kMs, kDrain.ends_at}));
+  cr_assert_not(kDrain.CanSend(now, {2900 * kMs, kNever}));
+}
