Stop at a part whose caller has been closed for not reading

What callers saw: nothing yet; found by reading. A caller that leaves 8 MiB unread is closed while a part is passed on to it, which ends the request. The code after it went on with the server that the request no longer had, if the same part also made an event too long, contradicted an earlier run, or proved the server sound: the daemon would have ended by itself.

--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -241,6 +241,10 @@
   RecordPace(event_pace_.OnPart(last_byte_at_, part));
   const bool had_proven_itself = HasProvenItself();
   RelayPart(part);
+  const bool caller_was_closed = self_ == nullptr;
+  if (caller_was_closed) {
+    return;
+  }
   if (events_.is_overlong() || events_.IsOtherRun()) {
     AbandonAnswer();
     return;
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -206,6 +206,10 @@
 void RequestFlow::OnPeerPart(std::string_view part) {
   last_byte_at_ = context_.loop.Now();
   RelayPart(part);
+  const bool caller_was_closed = self_ == nullptr;
+  if (caller_was_closed) {
+    return;
+  }
   if (events_.IsOtherRun()) {
     attempt_->Cancel();
     OnPeerFailed();
