Weigh a request that has waited for a server against the end of a stop

A request that is not sent for want of a server with room is tried again every 50 ms, and was sent then however late in the grace of a stop it was, though one that had waited for its stages is refused as not run at that moment.

Now both are weighed where a request is sent.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -134,8 +134,8 @@
   bool RefuseIfBackedOff();
   /// Refuses the request if the daemon drains and may stop before the answer.
   bool RefuseIfDraining();
-  /// Refuses a request whose stages are done, but too late for the daemon to
-  /// get its answer before it stops.
+  /// Refuses a request that has waited for its stages or for a server for so
+  /// long that the daemon stops before it can have the answer.
   bool RefuseIfTooLateToSend();
   /// Usual time from sending the request to the end of its answer.
   Duration ExpectedAnswerTime() const;
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -84,7 +84,7 @@
 }
 
 void RequestFlow::SendToServer() {
-  if (RefuseIfCrashing()) {
+  if (RefuseIfCrashing() || RefuseIfTooLateToSend()) {
     return;
   }
   if (HandToPeer()) {
--- a/packages/gateway/src/request_flow_stages.cc
+++ b/packages/gateway/src/request_flow_stages.cc
@@ -28,9 +28,7 @@
   }
   if (plan_->complete()) {
     stages_done_at_ = context_.loop.Now();
-    if (!RefuseIfTooLateToSend()) {
-      SendToServer();
-    }
+    SendToServer();
     return;
   }
   for (const std::uint32_t stage : plan_->Ready()) {
