Let one daemon confirm both the past and the present of a version

The store confirmed that one version serves now; that no other had served before was believed from whoever said so, also from the daemon itself before it found out that it had missed rows. Four ways hid what was missed: a question that finds the history gone, a copy of a peer that lists only the keys which are left, a daemon that begins to follow the store after it stood still, and heartbeats that counted as new after a pause.

Change: one version counts only by one daemon's report, confirmed by the store. Wherever a gap in the changes can hide rows, the copy has missed them unless the store answered, or a peer that follows it vouched for the copy, within 2 s. When heartbeats were heard is kept apart from the restart of their timeouts after a pause. An answer that is older than the copy confirms nothing. A table that is read again no longer hides deletions from peers.

The case that expected a missing history to be "not fresh" had become "read, then fresh" without asking for missed rows; that is asked now.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -503,6 +503,10 @@
     LimitUnsentAnswers();
     servers_.Expire(now);
     notices_.Sweep(now);
+    if (cluster_.members().HasNewestServers(now,
+                                            server_rows_.newest_change())) {
+      server_rows_.OnVouchedFor(now);
+    }
     const bool is_list_current = IsHostListCurrent();
     suspects_.SetConfirmable(now, is_list_current);
     suspects_.Sweep(now);
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -106,6 +106,9 @@
   struct Peer {
     DaemonState state;
     TimePoint last_heartbeat{};
+    /// Of the last heartbeat; unlike last_heartbeat, it stays after this daemon
+    /// stood still.
+    TimePoint heard_at{};
     bool alive = false;
     Distance distance = Distance::kOtherRegion;
   };
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -88,6 +88,8 @@
   void SetFollowing(bool following);
   /// @brief Merges rows that a peer has read. Older ones are ignored.
   void MergePeerCopy(const StoreChanges& changes);
+  /// @brief A peer that follows the store has no newer rows than this copy.
+  void OnVouchedFor(TimePoint now) { vouched_at_ = now; }
   /// @brief Asks the store for rows that are missing, and then answers the
   /// question. Questions that come during a call share the next one.
   /// @param question answered later, not by this function
@@ -119,6 +121,8 @@
                              boost::intrusive::constant_time_size<false>>;
 
   void ReadTable();
+  /// To be called where a gap in the changes hides rows that came and went.
+  void ReportIfRowsMissed();
   void MergeRows(const StoreChanges& changes);
   void FollowChanges();
   void OnTable(const StoreAnswer& answer);
@@ -157,7 +161,7 @@
   bool reachable_ = false;
   std::uint32_t failures_ = 0;
   TimePoint answered_at_{};
-  TimePoint following_since_{};
+  TimePoint vouched_at_{};
   TimerId timer_;
   QuestionList questions_;  ///< for the next call
   QuestionList asked_;      ///< by the present call
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -201,6 +201,7 @@
   lost_at_.erase(state.name);
   SetState(peer, std::move(state));
   peer.last_heartbeat = now;
+  peer.heard_at = now;
   if (restarted) {
     return was_alive ? Arrival::kRestarted : Arrival::kNew;
   }
--- a/packages/gateway/src/membership_streams.cc
+++ b/packages/gateway/src/membership_streams.cc
@@ -68,7 +68,7 @@
 Membership::Targets Membership::StoreReaders(TimePoint now) const {
   Targets readers;
   for (const auto& [name, peer] : peers_) {
-    const bool is_recent = now < peer->last_heartbeat + kMaxHeartbeatAge;
+    const bool is_recent = now < peer->heard_at + kMaxHeartbeatAge;
     if (peer->alive && is_recent &&
         peer->state.store != StoreContact::kUnreachable) {
       readers.push_back(peer.get());
@@ -84,7 +84,7 @@
 bool Membership::HearsFromStore(TimePoint now) const {
   return std::ranges::any_of(peers_, [now](const auto& item) {
     const Peer& peer = *item.second;
-    return now < peer.last_heartbeat + kMaxHeartbeatAge &&
+    return now < peer.heard_at + kMaxHeartbeatAge &&
            peer.state.store == StoreContact::kReachable;
   });
 }
@@ -93,7 +93,7 @@
                                   std::uint64_t servers_version) const {
   const bool is_behind = std::ranges::any_of(peers_, [&](const auto& item) {
     const Peer& peer = *item.second;
-    return now < peer.last_heartbeat + kMaxHeartbeatAge &&
+    return now < peer.heard_at + kMaxHeartbeatAge &&
            peer.state.servers_version > servers_version;
   });
   return !is_behind && HearsFromStore(now);
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -222,6 +222,10 @@
     return;
   }
   WriteRestOfStream();
+  const bool caller_was_closed = self_ == nullptr;
+  if (caller_was_closed) {
+    return;
+  }
   exchange_->End();
   constexpr int kOk = 200;
   Finish("answered", kOk, "");
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -84,9 +84,6 @@
 
 void StoreFollower::SetFollowing(bool following) {
   const bool followed = std::exchange(following_, following);
-  if (following && !followed) {
-    following_since_ = loop_.Now();
-  }
   if (is_complete_ && following && !followed && !call_pending_) {
     SendNextCall();
   }
@@ -132,11 +129,7 @@
 void StoreFollower::OnChanges(const StoreAnswer& answer) {
   call_pending_ = false;
   if (answer.kind == StoreAnswer::Kind::kHistoryGone) {
-    // Until it followed the store itself, its peers kept this copy up to date.
-    const TimePoint in_touch = std::max(answered_at_, following_since_);
-    if (loop_.Now() - in_touch > kMaxUnseenTime) {
-      listener_.on_rows_missed();
-    }
+    ReportIfRowsMissed();
     OnCallSucceeded();
     LogEvent("store_history_gone", LogLevel::kWarning)
         .Field("table", NameOf(table_))
@@ -190,11 +183,13 @@
 
 void StoreFollower::OnAsked(const StoreAnswer& answer) {
   if (answer.kind == StoreAnswer::Kind::kHistoryGone) {
+    ReportIfRowsMissed();
     store_.Read(table_, "",
                 [this](const StoreAnswer& table) { OnAskedTable(table); });
     return;
   }
-  const bool is_fresh = answer.kind == StoreAnswer::Kind::kRows;
+  const bool is_fresh =
+      answer.kind == StoreAnswer::Kind::kRows && answer.version >= version_;
   if (is_fresh) {
     ApplyChanges(answer);
   } else {
@@ -205,6 +200,13 @@
   AnswerAsked(is_fresh);
 }
 
+void StoreFollower::ReportIfRowsMissed() {
+  const TimePoint in_touch = std::max(answered_at_, vouched_at_);
+  if (is_loaded_ && loop_.Now() - in_touch > kMaxUnseenTime) {
+    listener_.on_rows_missed();
+  }
+}
+
 void StoreFollower::OnAskedTable(const StoreAnswer& answer) {
   const bool is_fresh =
       answer.kind == StoreAnswer::Kind::kRows && answer.version >= version_;
@@ -250,6 +252,7 @@
   if (changes.live_key_hashes.empty()) {
     return;
   }
+  ReportIfRowsMissed();
   const std::unordered_set<std::uint64_t> live_key_hashes(
       changes.live_key_hashes.begin(), changes.live_key_hashes.end());
   std::vector<StoredRow> gone;
@@ -334,9 +337,8 @@
   for (auto& [key, row] : before) {
     AddTombstone({key, "", version, true});
   }
-  if (!is_loaded_) {
-    tombstones_since_ = version;
-  }
+  // Rows that others still have may have gone unseen.
+  tombstones_since_ = std::max(tombstones_since_, version);
   version_ = std::max(version_, version);
   is_loaded_ = true;
   listener_.on_rows(rows);
--- a/packages/gateway/src/stream_origin_lookup.cc
+++ b/packages/gateway/src/stream_origin_lookup.cc
@@ -92,7 +92,7 @@
 }
 
 bool StreamOriginLookup::AskNextReaders() {
-  for (std::size_t i = 0; i < kConfirmingPeers && !readers_.empty(); ++i) {
+  while (unconfirmed_ < kConfirmingPeers && !readers_.empty()) {
     const Membership::Peer* reader = cluster_.members().Find(readers_.front());
     readers_.pop_front();
     if (reader != nullptr) {
--- a/packages/gateway/tests/store_follower_test.cc
+++ b/packages/gateway/tests/store_follower_test.cc
@@ -433,3 +433,86 @@
     cr_assert_eq(fixture.missed, is_long ? 1 : 0);
   }
 }
+
+// Guards against a daemon vouching for the past that has not followed the store
+// for a while, where its question shows that the history is gone.
+Test(store_follower, asked_after_a_long_silence_without_history_rows_missed) {
+  for (const bool is_vouched_for : {false, true}) {
+    FollowerFixture fixture;
+    fixture.Start();
+    fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+    fixture.store.calls.clear();
+    fixture.follower.SetFollowing(false);
+    fixture.RunFor(std::chrono::milliseconds(2500));
+    if (is_vouched_for) {
+      fixture.follower.OnVouchedFor(fixture.loop.Now());
+    }
+    FreshnessQuestion question([](bool /*is_fresh*/) {});
+    fixture.follower.AskIfFresh(question);
+    fixture.RunFor(Duration{0});
+    StoreAnswer gone;
+    gone.kind = StoreAnswer::Kind::kHistoryGone;
+    fixture.store.Respond(std::move(gone));
+    cr_assert_eq(fixture.missed, is_vouched_for ? 0 : 1);
+  }
+}
+
+// Guards against the same where the daemon stood still and then follows the
+// store, as its peers seem to be lost.
+Test(store_follower, follows_after_a_long_silence_without_history_rows_missed) {
+  FollowerFixture fixture;
+  fixture.follower.SetFollowing(false);
+  fixture.Start();
+  fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+  fixture.RunFor(std::chrono::milliseconds(2500));
+  fixture.follower.SetFollowing(true);
+  StoreAnswer gone;
+  gone.kind = StoreAnswer::Kind::kHistoryGone;
+  fixture.store.Respond(std::move(gone));
+  cr_assert_eq(fixture.missed, 1);
+}
+
+// Guards against the same where a peer has read the table later and can't tell
+// which rows came and went.
+Test(store_follower, peer_copy_lists_the_keys_that_are_left_rows_missed) {
+  FollowerFixture fixture;
+  fixture.Start();
+  fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+  fixture.store.calls.clear();
+  fixture.follower.SetFollowing(false);
+  fixture.RunFor(std::chrono::milliseconds(2500));
+  PeerFixture peer(fixture);
+  peer.Start();
+  peer.store.RespondWithRows({{"a", "2", 15, false}}, 20);
+  fixture.follower.MergePeerCopy(
+      peer.follower.ChangesAfter(fixture.follower.newest_change()));
+  cr_assert_eq(fixture.missed, 1);
+}
+
+// Guards against an answer of a store that is behind the copy passing for its
+// confirmation.
+Test(store_follower, older_answer_arrives_it_does_not_confirm) {
+  AskedFollowerFixture fixture;
+  fixture.store.RespondWithRows({}, 5);
+  cr_assert_eq(fixture.answers, std::vector<bool>{false});
+}
+
+// Guards against a peer keeping a row for good whose deletion was lost when the
+// table was read again.
+Test(store_follower, table_is_read_again_peer_drops_the_rows_that_are_gone) {
+  FollowerFixture fixture;
+  fixture.Start();
+  fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
+  PeerFixture peer(fixture);
+  peer.Start();
+  peer.store.RespondWithRows({{"a", "1", 4, false}, {"b", "1", 9, false}}, 9);
+  StoreAnswer gone;
+  gone.kind = StoreAnswer::Kind::kHistoryGone;
+  fixture.store.Respond(std::move(gone));
+  fixture.store.RespondWithRows({{"a", "1", 4, false}, {"c", "1", 12, false}},
+                                14);
+  peer.follower.MergePeerCopy(
+      fixture.follower.ChangesAfter(peer.follower.newest_change()));
+  const std::vector<std::string> expected = {"-b", "+c"};
+  cr_assert_eq(peer.changes, expected);
+}
--- a/packages/routing/include/gentianroute/routing/stream_origin.h
+++ b/packages/routing/include/gentianroute/routing/stream_origin.h
@@ -46,15 +46,21 @@
 ///
 /// A daemon that has been cut off or stood still for a moment doesn't know it,
 /// and believes in a version that was the only one before. That one version can
-/// have begun a stream therefore counts only if it is still the only one by a
-/// list that the store has confirmed since.
+/// have begun a stream therefore counts only if a daemon says so whose list the
+/// store has confirmed since.
 class OriginReports {
  public:
   void Add(const OriginReport& report) {
-    if (report.serving) {
-      contradicts_ |= serving_ && *serving_ != *report.serving;
-      serving_ = report.serving;
+    // Of two daemons, one may know the past and the other one the present, and
+    // neither what was in between.
+    const bool is_confirmed = report.evidence == OriginEvidence::kOneVersion &&
+                              report.serving == report.origin;
+    if (is_confirmed) {
+      confirmed_ = report.origin;
     }
+    contradicts_ |= report.serving &&
+                    evidence_ == OriginEvidence::kOneVersion &&
+                    *report.serving != origin_;
     contradicts_ |= report.evidence == OriginEvidence::kOneVersion &&
                     evidence_ == OriginEvidence::kOneVersion &&
                     report.origin != origin_;
@@ -68,18 +74,19 @@
   /// @return empty if the stream can't go on: any version would be a guess
   std::optional<StreamOrigin> Origin() const {
     const bool is_only = evidence_ == OriginEvidence::kOneVersion &&
-                         !contradicts_ && serving_ == origin_;
+                         !contradicts_ && confirmed_ == origin_;
     return is_certain() || is_only ? std::optional(origin_) : std::nullopt;
   }
   /// @brief The weightiest evidence.
   OriginEvidence evidence() const { return evidence_; }
-  /// @brief Whether the store has confirmed that one version serves.
-  bool is_confirmed() const { return serving_.has_value(); }
+  /// @brief Whether a daemon that knows of one version only has had this
+  /// confirmed by the store.
+  bool is_confirmed() const { return confirmed_.has_value(); }
 
  private:
   OriginEvidence evidence_ = OriginEvidence::kNone;
   StreamOrigin origin_;
-  std::optional<StreamOrigin> serving_;
+  std::optional<StreamOrigin> confirmed_;
   bool contradicts_ = false;
 };
 
--- a/packages/routing/tests/stream_origins_test.cc
+++ b/packages/routing/tests/stream_origins_test.cc
@@ -135,8 +135,7 @@
   OriginReports reports;
   cr_assert_not(reports.Origin().has_value());
   reports.Add({});
-  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1")});
-  reports.Add({OriginEvidence::kNone, {}, OriginOf("v1")});
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1"), OriginOf("v1")});
   cr_assert(reports.Origin() == OriginOf("v1"));
   cr_assert_not(reports.is_certain());
 }
@@ -150,6 +149,15 @@
   cr_assert_not(reports.Origin().has_value());
 }
 
+// Guards against the same where the daemon itself has found out, by asking the
+// store, that servers may have come and gone unseen.
+Test(origin_reports, daemon_takes_its_belief_back_origin_is_unknown) {
+  OriginReports reports;
+  reports.Add({OriginEvidence::kOneVersion, OriginOf("v1")});
+  reports.Add({OriginEvidence::kNone, {}, OriginOf("v1")});
+  cr_assert_not(reports.Origin().has_value());
+}
+
 // Guards against the same where that version has been replaced since.
 Test(origin_reports, another_version_serves_now_origin_is_unknown) {
   OriginReports reports;
