Read the change again: one piece where two said the same

No behaviour changes.

- RelayPart() says whether the request goes on, in place of a check of its own after each call; BeginRun() for the two ways to begin an attempt.
- A confirmed report is combined once; it was added twice.
- One bound for what a caller or a peer leaves unread, beside RelayExchange.

--- a/packages/gateway/include/gentianroute/gateway/request_flow.h
+++ b/packages/gateway/include/gentianroute/gateway/request_flow.h
@@ -287,7 +287,13 @@
   /// Removes the request from the load of its server, if it has one.
   void UnassignServer();
 
-  void RelayPart(std::string_view part);
+  /// @return whether the request goes on: a caller who doesn't read is closed
+  bool RelayPart(std::string_view part);
+  /// Makes the next attempt's events follow those that the caller has.
+  void BeginRun() {
+    events_.BeginRun(route_->resumable ? std::string_view(ResumePosition())
+                                       : std::string_view());
+  }
   /// Passes on what follows the last whole event of a stream.
   void WriteRestOfStream();
   /// Whether a stream that has ended isn't whole: it ended with its connection
--- a/packages/gateway/include/gentianroute/gateway/stream_origin_lookup.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_origin_lookup.h
@@ -49,6 +49,8 @@
   bool MayBeOneVersion() const;
   void OnConfirmed(const routing::OriginReport& report);
   void OnReply(const routing::OriginReport& report);
+  /// A question has been answered.
+  void FinishIfEnough();
   void OnPeersOverdue();
   void Finish();
 
--- a/packages/gateway/src/peer_exchange.cc
+++ b/packages/gateway/src/peer_exchange.cc
@@ -9,14 +9,6 @@
 using detail::BytesOf;
 using detail::WriteFields;
 
-namespace {
-
-/// Limits the memory used for a peer that doesn't take its answer, as for a
-/// caller that doesn't read it.
-constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
-
-}  // namespace
-
 PeerExchange::PeerExchange(TimePoint now,
                            HandedRequest request,
                            schema::AnswerReader::Client reader,
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -136,7 +136,7 @@
   std::string().swap(body_);
   body_share_.Set(0);
   streaming_ = false;
-  events_.BeginRun(route_->resumable ? ResumePosition() : "");
+  BeginRun();
   events_when_sent_ = events_.events();
   event_pace_ = {};
   attempt_ = std::make_unique<ServerAttempt>(*this, std::move(call));
@@ -240,9 +240,7 @@
   }
   RecordPace(event_pace_.OnPart(last_byte_at_, part));
   const bool had_proven_itself = HasProvenItself();
-  RelayPart(part);
-  const bool caller_was_closed = self_ == nullptr;
-  if (caller_was_closed) {
+  if (!RelayPart(part)) {
     return;
   }
   if (events_.is_overlong() || events_.IsOtherRun()) {
@@ -296,9 +294,10 @@
   }
 }
 
-void RequestFlow::RelayPart(std::string_view part) {
+bool RequestFlow::RelayPart(std::string_view part) {
   const std::string whole = events_.Feed(part);
   exchange_->Write(route_->resumable ? whole : part);
+  return self_ != nullptr;
 }
 
 void RequestFlow::ClearSuspicion(TimePoint now,
--- a/packages/gateway/src/request_flow_peers.cc
+++ b/packages/gateway/src/request_flow_peers.cc
@@ -118,7 +118,7 @@
   if (attempt_ != nullptr) {
     old_attempts_.push_back(std::move(attempt_));
   }
-  events_.BeginRun(route_->resumable ? ResumePosition() : "");
+  BeginRun();
   attempt_ = std::make_unique<PeerAttempt>(*this, peer);
   ++attempts_;
   may_have_run_ = true;
@@ -205,9 +205,7 @@
 
 void RequestFlow::OnPeerPart(std::string_view part) {
   last_byte_at_ = context_.loop.Now();
-  RelayPart(part);
-  const bool caller_was_closed = self_ == nullptr;
-  if (caller_was_closed) {
+  if (!RelayPart(part)) {
     return;
   }
   if (events_.IsOtherRun()) {
--- a/packages/gateway/src/stream_origin_lookup.cc
+++ b/packages/gateway/src/stream_origin_lookup.cc
@@ -110,7 +110,7 @@
   if (is_open && !AskNextReaders() && confirmation_ == nullptr) {
     AskStoreItself();
   }
-  OnReply(report);
+  FinishIfEnough();
 }
 
 bool StreamOriginLookup::MayBeOneVersion() const {
@@ -118,8 +118,12 @@
 }
 
 void StreamOriginLookup::OnReply(const routing::OriginReport& report) {
-  --unanswered_;
   reports_.Add(report);
+  FinishIfEnough();
+}
+
+void StreamOriginLookup::FinishIfEnough() {
+  --unanswered_;
   const bool is_enough =
       peers_overdue_ && (reports_.Origin() || !MayBeOneVersion());
   if (reports_.is_certain() || unanswered_ == 0 || is_enough) {
--- a/packages/gateway/tests/fake_store.h
+++ b/packages/gateway/tests/fake_store.h
@@ -57,6 +57,11 @@
     answer.version = version;
     Respond(std::move(answer));
   }
+  void RespondHistoryGone() {
+    StoreAnswer answer;
+    answer.kind = StoreAnswer::Kind::kHistoryGone;
+    Respond(std::move(answer));
+  }
   void Respond(StoreAnswer answer) {
     const Call first = std::move(calls.front());
     calls.pop_front();
--- a/packages/gateway/tests/store_follower_test.cc
+++ b/packages/gateway/tests/store_follower_test.cc
@@ -321,9 +321,7 @@
 Test(store_follower, history_is_gone_table_is_read_before_the_answer) {
   for (const bool is_read : {false, true}) {
     AskedFollowerFixture fixture;
-    StoreAnswer gone;
-    gone.kind = StoreAnswer::Kind::kHistoryGone;
-    fixture.store.Respond(std::move(gone));
+    fixture.store.RespondHistoryGone();
     cr_assert(fixture.answers.empty());
     if (is_read) {
       fixture.store.RespondWithRows({{"c", "1", 12, false}}, 12);
@@ -426,9 +424,7 @@
     fixture.store.calls.front().done({});
     fixture.store.calls.clear();
     fixture.RunFor(kLongerThanAnyDelay);
-    StoreAnswer gone;
-    gone.kind = StoreAnswer::Kind::kHistoryGone;
-    fixture.store.Respond(std::move(gone));
+    fixture.store.RespondHistoryGone();
     fixture.store.RespondWithRows({{"a", "1", 4, false}}, 12);
     cr_assert_eq(fixture.missed, is_long ? 1 : 0);
   }
@@ -450,9 +446,7 @@
     FreshnessQuestion question([](bool /*is_fresh*/) {});
     fixture.follower.AskIfFresh(question);
     fixture.RunFor(Duration{0});
-    StoreAnswer gone;
-    gone.kind = StoreAnswer::Kind::kHistoryGone;
-    fixture.store.Respond(std::move(gone));
+    fixture.store.RespondHistoryGone();
     cr_assert_eq(fixture.missed, is_vouched_for ? 0 : 1);
   }
 }
@@ -466,9 +460,7 @@
   fixture.store.RespondWithRows({{"a", "1", 4, false}}, 7);
   fixture.RunFor(std::chrono::milliseconds(2500));
   fixture.follower.SetFollowing(true);
-  StoreAnswer gone;
-  gone.kind = StoreAnswer::Kind::kHistoryGone;
-  fixture.store.Respond(std::move(gone));
+  fixture.store.RespondHistoryGone();
   cr_assert_eq(fixture.missed, 1);
 }
 
@@ -506,9 +498,7 @@
   PeerFixture peer(fixture);
   peer.Start();
   peer.store.RespondWithRows({{"a", "1", 4, false}, {"b", "1", 9, false}}, 9);
-  StoreAnswer gone;
-  gone.kind = StoreAnswer::Kind::kHistoryGone;
-  fixture.store.Respond(std::move(gone));
+  fixture.store.RespondHistoryGone();
   fixture.store.RespondWithRows({{"a", "1", 4, false}, {"c", "1", 12, false}},
                                 14);
   peer.follower.MergePeerCopy(
--- a/packages/loop/include/gentianroute/loop/relay_server.h
+++ b/packages/loop/include/gentianroute/loop/relay_server.h
@@ -20,6 +20,9 @@
 
 namespace gentianroute {
 
+/// @brief Limits the memory used for a client that doesn't read its response.
+inline constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
+
 /// @brief A client's complete request and the means to send one response.
 ///
 /// Reference-counted, since the connection and the request handler share it and
--- a/packages/loop/src/relay_server.cc
+++ b/packages/loop/src/relay_server.cc
@@ -27,8 +27,6 @@
 /// accepted. A client that wasn't told of the close sends its next request at
 /// once; closing then would cross that request.
 constexpr Duration kIdleTimeoutWhenStopping = std::chrono::milliseconds(250);
-/// Limits the memory used for a client that doesn't read its response.
-constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
 /// Input of pipelined requests that is read while another one is answered.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 /// How often bodies that wait for memory are looked at.
