--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -272,47 +272,78 @@
   using Serve = std::function<void(Conn&)>;
 
   /// @param receive_bytes size of the receive buffers; 0: the system's
+  /// @param port 0: a free one
   explicit Listener(Serve serve,
                     int receive_bytes = 0,
-                    const std::string& ip = "127.0.0.1")
-      : ip_(ip), serve_(std::move(serve)) {
-    fd_ = socket(AF_INET, SOCK_STREAM, 0);
+                    const std::string& ip = "127.0.0.1",
+                    int port = 0)
+      : state_(std::make_shared<State>()), ip_(ip) {
+    state_->serve = std::move(serve);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
     const int on = 1;
-    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     if (receive_bytes > 0) {
-      setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+      setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
                  sizeof receive_bytes);
     }
-    sockaddr_in address = AddressOf(ip, 0);
-    if (bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
-        listen(fd_, 512) != 0) {
-      std::exit(kCannotRun);
+    sockaddr_in address = AddressOf(ip, port);
+    if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+        listen(fd, 512) != 0) {
+      std::_Exit(kCannotRun);
     }
     socklen_t size = sizeof address;
-    getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
-    std::thread([this] { Run(); }).detach();
+    fd_ = fd;
+    std::thread([state = state_, fd] { Run(state, fd); }).detach();
   }
 
   int port() const { return port_; }
   std::string address() const { return ip_ + ":" + std::to_string(port_); }
 
+  /// Closes the port and all connections, as the end of a process does.
+  void Stop() {
+    const std::lock_guard<std::mutex> lock(state_->mutex);
+    state_->stopped = true;
+    shutdown(fd_, SHUT_RDWR);
+    close(fd_);
+    for (const int fd : state_->open) {
+      shutdown(fd, SHUT_RDWR);
+    }
+  }
+
  private:
-  void Run() {
+  struct State {
+    Serve serve;
+    std::mutex mutex;
+    bool stopped = false;
+    std::vector<int> open;
+  };
+
+  static void Run(const std::shared_ptr<State>& state, int fd) {
     for (;;) {
-      const int accepted = accept(fd_, nullptr, nullptr);
+      const int accepted = accept(fd, nullptr, nullptr);
       if (accepted < 0) {
         return;
       }
-      std::thread([this, accepted] {
+      std::thread([state, accepted] {
         Conn connection(accepted);
-        serve_(connection);
+        {
+          const std::lock_guard<std::mutex> lock(state->mutex);
+          if (state->stopped) {
+            return;
+          }
+          state->open.push_back(accepted);
+        }
+        state->serve(connection);
+        const std::lock_guard<std::mutex> lock(state->mutex);
+        std::erase(state->open, accepted);
       }).detach();
     }
   }
 
+  std::shared_ptr<State> state_;
   std::string ip_;
-  Serve serve_;
   int fd_ = -1;
   int port_ = 0;
 };
@@ -321,7 +352,7 @@
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address = AddressOf(ip, 0);
   if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
-    std::exit(kCannotRun);
+    std::_Exit(kCannotRun);
   }
   socklen_t size = sizeof address;
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
@@ -559,53 +590,26 @@
 class Daemon {
  public:
   /// @param index from 1; part of its name and of its loopback address
-  Daemon(const std::string& store, int index = 1) {
+  explicit Daemon(const std::string& store, int index = 1)
+      : store_(store), index_(index) {
     ip = "127.0.0." + std::to_string(index);
     callers = FreePort(ip);
     readiness = FreePort(ip);
     char folder[] = "/tmp/review-2-XXXXXX";
     if (mkdtemp(folder) == nullptr) {
-      std::exit(kCannotRun);
+      std::_Exit(kCannotRun);
     }
     folder_ = folder;
-    const std::string file = folder_ + "/local.conf";
-    const auto at = [this](int port) { return ip + ":" + std::to_string(port); };
-    // The daemons find each other through the store; one range serves all.
-    static const int peers = FreePort();
-    std::FILE* out = std::fopen(file.c_str(), "w");
-    std::fprintf(
-        out,
-        "nodeName=edge-north-a-%d\nrole=gateway\nmachineClass=edge\n"
-        "serves=edge\nip=%s\nzone=north-a\nregion=north\n"
-        "zones.north-a=north\nlisten.frontend=%s\nlisten.readiness=%s\n"
-        "portRange=%d,%d\nbootstrap=true\ninTolerance=false\n"
-        "limits.cpuShare=0.25\nlimits.cpuCores=1\nlimits.memoryMb=260\n"
-        "limits.maxFds=4100\nlimits.bandwidthMbps=1000.0\n"
-        "discovery=platform\nentrypoint=vip\nheartbeatMs=1200\n"
-        "contracts=base,drain,config,cost,retry,recover,engine,stream,"
-        "tenants,platform,stages\n"
-        "faultTolerance.machines=2\nfaultTolerance.zones=0\n"
-        "faultTolerance.regions=0\nbounds.seedLagS=3\nbounds.reuseAfterS=2\n"
-        "bounds.contactMs=4000\nbounds.ackMs=5000\nbounds.catchUpS=4\n"
-        "bounds.drainMs=2500\nbounds.graceS=8\nbounds.lossSlackMs=200\n"
-        "bounds.configApplyMs=2500\nbounds.rollbackSlackMs=250\n"
-        "bounds.partitionMaxMs=6000\nbounds.revokeFailClosed=false\n"
-        "bounds.revokeMs=5000\nbounds.retryBudgetRatio=0.2\n"
-        "bounds.budgetWindowS=10\nbounds.retryBudgetSlack=58\n"
-        "bounds.recoverS=12\nbounds.passMs=300\nbounds.reuseWindowS=9.5\n"
-        "platform.address=%s\nplatform.form=table\nplatform.writesPerS=400\n"
-        "platform.readsPerS=2000\nplatform.txMs=5.0\n"
-        "platform.partitionWritesS=200\nplatform.rowBytes=65536\n"
-        "platform.cross=false\nplatform.historyS=20\n"
-        "platform.blobBytes=8388608\nplatform.blobMs=25.0\n"
-        "platform.blobMbS=80.0\n",
-        index, ip.c_str(), at(callers).c_str(), at(readiness).c_str(), peers,
-        peers, store.c_str());
-    std::fclose(out);
-    settings_ = "GENTIANROUTE_SETTINGS=" + file;
+    WriteSettings(true);
     metrics_ = std::to_string(FreePort(ip));
+    All().push_back(this);
   }
-  ~Daemon() {
+  static std::vector<Daemon*>& All() {
+    static std::vector<Daemon*> all;
+    return all;
+  }
+  /// Kills it and removes its folder.
+  void End() {
     Signal(SIGKILL);
     Wait();
     if (std::getenv("KEEP_LOGS") == nullptr) {
@@ -660,6 +664,11 @@
                             "\r\nConnection: close\r\n\r\n") &&
            connection.ReadHead(head, Now() + 1) && head.Status() == 200;
   }
+  /// Starts it again, as the platform does after its process has ended.
+  void Restart() {
+    WriteSettings(false);
+    Start();
+  }
   /// Ends the case if the daemon doesn't become ready.
   void StartAndWait() {
     Start();
@@ -670,8 +679,8 @@
       SleepMs(100);
     }
     Record("the daemon did not become ready");
-    Signal(SIGKILL);
-    std::exit(kCannotRun);
+    End();
+    std::_Exit(kCannotRun);
   }
 
   std::string ip;
@@ -679,6 +688,48 @@
   int readiness = 0;
 
  private:
+  /// Writes the settings file, as the platform does at each start.
+  /// @param bootstrap whether the whole system starts for the first time
+  void WriteSettings(bool bootstrap) {
+    const std::string file = folder_ + "/local.conf";
+    const auto at = [this](int port) { return ip + ":" + std::to_string(port); };
+    // The daemons find each other through the store; one range serves all.
+    static const int peers = FreePort();
+    std::FILE* out = std::fopen(file.c_str(), "w");
+    std::fprintf(
+        out,
+        "nodeName=edge-north-a-%d\nrole=gateway\nmachineClass=edge\n"
+        "serves=edge\nip=%s\nzone=north-a\nregion=north\n"
+        "zones.north-a=north\nlisten.frontend=%s\nlisten.readiness=%s\n"
+        "portRange=%d,%d\nbootstrap=%s\ninTolerance=false\n"
+        "limits.cpuShare=0.25\nlimits.cpuCores=1\nlimits.memoryMb=260\n"
+        "limits.maxFds=4100\nlimits.bandwidthMbps=1000.0\n"
+        "discovery=platform\nentrypoint=vip\nheartbeatMs=1200\n"
+        "contracts=base,drain,config,cost,retry,recover,engine,stream,"
+        "tenants,platform,stages\n"
+        "faultTolerance.machines=2\nfaultTolerance.zones=0\n"
+        "faultTolerance.regions=0\nbounds.seedLagS=3\nbounds.reuseAfterS=2\n"
+        "bounds.contactMs=4000\nbounds.ackMs=5000\nbounds.catchUpS=4\n"
+        "bounds.drainMs=2500\nbounds.graceS=8\nbounds.lossSlackMs=200\n"
+        "bounds.configApplyMs=2500\nbounds.rollbackSlackMs=250\n"
+        "bounds.partitionMaxMs=6000\nbounds.revokeFailClosed=false\n"
+        "bounds.revokeMs=5000\nbounds.retryBudgetRatio=0.2\n"
+        "bounds.budgetWindowS=10\nbounds.retryBudgetSlack=58\n"
+        "bounds.recoverS=12\nbounds.passMs=300\nbounds.reuseWindowS=9.5\n"
+        "platform.address=%s\nplatform.form=table\nplatform.writesPerS=400\n"
+        "platform.readsPerS=2000\nplatform.txMs=5.0\n"
+        "platform.partitionWritesS=200\nplatform.rowBytes=65536\n"
+        "platform.cross=false\nplatform.historyS=20\n"
+        "platform.blobBytes=8388608\nplatform.blobMs=25.0\n"
+        "platform.blobMbS=80.0\n",
+        index_, ip.c_str(), at(callers).c_str(), at(readiness).c_str(), peers,
+        peers, bootstrap ? "true" : "false", store_.c_str());
+    std::fclose(out);
+    settings_ = "GENTIANROUTE_SETTINGS=" + file;
+  }
+
+  std::string store_;
+  int index_ = 1;
   std::string folder_;
   std::string settings_;
   std::string metrics_;
@@ -723,8 +774,175 @@
   return answer;
 }
 
-/// Ends the case without waiting for its threads.
+// A model engine with streams ------------------------------------------------
+
+/// The number of the last event that a request has, 0 if none. Events have the
+/// ids 3, 6, 9 and so on.
+inline int LastEventOf(const Head& head) {
+  return std::atoi(head.Get("Last-Event-Id").c_str()) / 3;
+}
+
+/// Serves a stream of `events` events, one each `pause_ms`, and goes on after
+/// the event that the request names. The data of each event names the software
+/// version that made it.
+inline void ServeStreams(Conn& connection,
+                         const std::string& engine,
+                         const std::string& version,
+                         int events,
+                         int pause_ms) {
+  Head head;
+  std::string body;
+  while (connection.ReadHead(head, Now() + 60) &&
+         connection.ReadBody(head, body, Now() + 5)) {
+    const std::string id = head.Get("Gentianroute-Request-Id");
+    const int after = LastEventOf(head);
+    if (head.Get("Gentianroute-Expect-Instance") != engine) {
+      connection.Write(
+          "HTTP/1.1 421 Misdirected Request\r\nGentianroute-Request-Id: " + id +
+          "\r\nContent-Length: 0\r\n\r\n");
+      continue;
+    }
+    Record("engine %s, software %s: runs %s after event %d", engine.c_str(),
+           version.c_str(), id.c_str(), after);
+    connection.Write("HTTP/1.1 200 OK\r\nGentianroute-Request-Id: " + id +
+                     "\r\nGentianroute-Response-Signature: sig-" + id +
+                     "\r\nContent-Type: text/event-stream\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n");
+    for (int i = after + 1; i <= events; ++i) {
+      const std::string event = "id: " + std::to_string(3 * i) +
+                                "\ndata: " + version + " piece " +
+                                std::to_string(i) + "\n\n";
+      char size[16];
+      std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+      if (!connection.Write(size + event + "\r\n")) {
+        return;
+      }
+      SleepMs(pause_ms);
+    }
+    connection.Write("0\r\n\r\n");
+    body.clear();
+  }
+}
+
+/// A client's stream over its tries.
+struct Stream {
+  std::string id;  ///< of the first try, which brought the first event
+  std::string versions;  ///< of the engines, in the order of their events
+  int last = 0;          ///< number of the last event
+  bool joined = false;   ///< has events of two versions
+  bool complete = false;
+  int takes_up = 0;      ///< tries after the first event
+  int went_on = 0;       ///< of these, those that brought more events
+};
+
+inline std::vector<std::string> StreamFields(const Stream& stream) {
+  std::vector<std::string> fields = {
+      "Gentianroute-Model: m", "Gentianroute-Token-Usage: 400,300",
+      "Gentianroute-Prefix-Hash: 5c1e07a2:300," +
+          std::to_string(std::hash<std::string>{}(stream.id) % 100000000) +
+          ":100"};
+  if (stream.last > 0) {
+    fields.push_back("Last-Event-Id: " + std::to_string(3 * stream.last));
+    fields.push_back("Resumes: " + stream.id);
+  }
+  return fields;
+}
+
+/// One try of a stream, to its end or to its break.
+/// @return the status, 0 if there was no answer; `retry_after` in seconds
+inline int TryStream(Stream& stream,
+                     const std::string& ip,
+                     int port,
+                     const std::string& id,
+                     double deadline,
+                     double& retry_after) {
+  retry_after = 0;
+  Conn client = Connect(ip, port);
+  const int left = static_cast<int>((deadline - Now()) * 1000);
+  if (client.fd < 0 || left <= 0 ||
+      !client.Write(RequestHead("POST", "/chat/new", id, left, 4,
+                                StreamFields(stream)) +
+                    "text")) {
+    return 0;
+  }
+  const bool takes_up = stream.last > 0;
+  stream.takes_up += takes_up ? 1 : 0;
+  Head head;
+  if (!client.ReadHead(head, deadline)) {
+    return 0;
+  }
+  if (head.Status() != 200) {
+    retry_after = std::atof(head.Get("Retry-After").c_str());
+    return head.Status();
+  }
+  const int before = stream.last;
+  std::string text;
+  std::string chunk;
+  for (;;) {
+    std::size_t at;
+    while ((at = client.input.find("\r\n")) == std::string::npos) {
+      if (!client.ReadMore(deadline)) {
+        return 200;
+      }
+    }
+    const std::size_t count = std::strtoull(client.input.c_str(), nullptr, 16);
+    client.input.erase(0, at + 2);
+    if (count == 0) {
+      stream.complete = true;
+      return 200;
+    }
+    if (!client.ReadBytes(count + 2, chunk, deadline)) {
+      return 200;
+    }
+    text += chunk.substr(0, count);
+    while ((at = text.find("\n\n")) != std::string::npos) {
+      const std::string event = text.substr(0, at);
+      text.erase(0, at + 2);
+      const int number = std::atoi(event.substr(event.find(':') + 1).c_str()) / 3;
+      const std::string data = event.substr(event.find("data: ") + 6);
+      const std::string version = data.substr(0, data.find(' '));
+      if (stream.versions.find(version) == std::string::npos) {
+        stream.joined = !stream.versions.empty();
+        stream.versions += version + " ";
+      }
+      stream.last = number;
+      stream.went_on += takes_up && number == before + 1 ? 1 : 0;
+    }
+  }
+}
+
+/// The configuration with one route of streams that may be resumed.
+inline json StreamConfig() {
+  return {{"version", 1},
+          {"routes",
+           {{{"name", "chat"},
+             {"hostname", "app.example"},
+             {"prefix", "/chat/"},
+             {"type", "streaming"},
+             {"timeoutMs", 15000},
+             {"targetLatencyMs", 1600},
+             {"priority", 1},
+             {"service", "model"},
+             {"maxAttempts", 2},
+             {"public", true},
+             {"sessionAffinity", true},
+             {"resumable", true},
+             {"gapTargetMs", 400}}}},
+          {"services",
+           {{{"name", "model"},
+             {"healthPath", "/healthz"},
+             {"maxConnections", 370},
+             {"protocol", "h1"},
+             {"tls", false},
+             {"backend", {{"slots", 64}, {"kvCapacity", 454255}}}}}},
+          {"limits", Limits()}};
+}
+
+/// Ends the daemons and the case, without waiting for its threads.
 [[noreturn]] inline void Finish(int result) {
+  for (Daemon* daemon : Daemon::All()) {
+    daemon->End();
+  }
   Record("result: %s", result == kHeld      ? "the rule held"
                        : result == kBroken ? "the rule was broken"
                                            : "the case could not run");
