--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -348,16 +348,29 @@
   int port_ = 0;
 };
 
+/// Whether a port is free for TCP and UDP.
+inline bool IsFree(const std::string& ip, int port) {
+  bool free = true;
+  for (const int type : {SOCK_STREAM, SOCK_DGRAM}) {
+    const int fd = socket(AF_INET, type, 0);
+    sockaddr_in address = AddressOf(ip, port);
+    free = free && bind(fd, reinterpret_cast<sockaddr*>(&address),
+                        sizeof address) == 0;
+    close(fd);
+  }
+  return free;
+}
+
+/// A free port below those that the system gives to outgoing connections.
 inline int FreePort(const std::string& ip = "127.0.0.1") {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = AddressOf(ip, 0);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
-    std::_Exit(kCannotRun);
+  static std::mt19937 random(std::random_device{}());
+  for (int i = 0; i < 1000; ++i) {
+    const int port = 15000 + static_cast<int>(random() % 15000);
+    if (IsFree(ip, port)) {
+      return port;
+    }
   }
-  socklen_t size = sizeof address;
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+  std::_Exit(kCannotRun);
 }
 
 /// @param receive_bytes size of the receive buffer; 0: the system's
@@ -414,6 +427,12 @@
     changed_.notify_all();
     return version_;
   }
+  /// While it is down, it answers 503 to each call: nothing was done.
+  void SetDown(bool down) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    down_ = down;
+    changed_.notify_all();
+  }
   void Remove(const std::string& table, const std::string& key) {
     const std::lock_guard<std::mutex> lock(mutex_);
     Drop(table, "", key, ++version_);
@@ -487,6 +506,10 @@
     const std::string path = target.substr(0, target.find('?'));
     auto query = Query(target);
     std::unique_lock<std::mutex> lock(mutex_);
+    const std::pair<int, json> busy = {503, {{"error", "busy"}}};
+    if (down_) {
+      return busy;
+    }
     json answer = {{"rows", json::array()}};
     if (path == "/gentianroute/rows-get") {
       for (const auto& [key, row] : rows_) {
@@ -512,7 +535,10 @@
       };
       changed_.wait_for(lock,
                         std::chrono::milliseconds(std::stoi(query["waitMs"])),
-                        fill);
+                        [&] { return down_ || fill(); });
+      if (down_) {
+        return busy;
+      }
     } else if (path == "/gentianroute/rows-tx") {
       return Write(json::parse(body, nullptr, false));
     } else {
@@ -556,6 +582,7 @@
 
   std::mutex mutex_;
   std::condition_variable changed_;
+  bool down_ = false;
   std::uint64_t version_ = 100;
   std::map<Key, json> rows_;
   std::map<std::uint64_t, std::vector<json>> history_;
@@ -789,11 +816,20 @@
                          const std::string& engine,
                          const std::string& version,
                          int events,
-                         int pause_ms) {
+                         int pause_ms,
+                         long long born = 1790000000000) {
   Head head;
   std::string body;
   while (connection.ReadHead(head, Now() + 60) &&
          connection.ReadBody(head, body, Now() + 5)) {
+    if (head.Target() == "/gentianroute/report") {
+      const std::string report =
+          json{{"phase", "prefill_decode"}, {"born", born}, {"version", version}}
+              .dump();
+      connection.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                       std::to_string(report.size()) + "\r\n\r\n" + report);
+      continue;
+    }
     const std::string id = head.Get("Gentianroute-Request-Id");
     const int after = LastEventOf(head);
     if (head.Get("Gentianroute-Expect-Instance") != engine) {
@@ -827,6 +863,7 @@
 /// A client's stream over its tries.
 struct Stream {
   std::string id;  ///< of the first try, which brought the first event
+  std::string subject = "5c1e07a2";  ///< the shared part of its prompt
   std::string versions;  ///< of the engines, in the order of their events
   int last = 0;          ///< number of the last event
   bool joined = false;   ///< has events of two versions
@@ -838,7 +875,7 @@
 inline std::vector<std::string> StreamFields(const Stream& stream) {
   std::vector<std::string> fields = {
       "Gentianroute-Model: m", "Gentianroute-Token-Usage: 400,300",
-      "Gentianroute-Prefix-Hash: 5c1e07a2:300," +
+      "Gentianroute-Prefix-Hash: " + stream.subject + ":300," +
           std::to_string(std::hash<std::string>{}(stream.id) % 100000000) +
           ":100"};
   if (stream.last > 0) {
