--- a/review/10/case.cc
+++ b/review/10/case.cpp
@@ -1,7 +1,7 @@
 // Long uploads fill the memory that a daemon has for bodies. Clients whose
 // shorter requests wait for it meanwhile give up and close their connections.
 
-#include "../kit-2/kit.h"
+#include "../kit-2/kit.hpp"
 
 using namespace kit;
 
@@ -134,9 +134,10 @@
   }
   SleepMs(1000);
   const std::lock_guard<std::mutex> lock(mutex);
-  Record("%d of %d streams complete; %d of %d orders answered; %d orders run, "
-         "%d of them over half a second after their client had left",
-         streams.load(), kUploads, answered.load(), kOrders, orders_run, late);
+  Record(
+      "%d of %d streams complete; %d of %d orders answered; %d orders run, "
+      "%d of them over half a second after their client had left",
+      streams.load(), kUploads, answered.load(), kOrders, orders_run, late);
   if (!Trouble() && answered < kOrders) {
     Finish(kCannotRun);
   }
--- a/review/7/case.cc
+++ b/review/7/case.cpp
@@ -4,7 +4,7 @@
 
 #include <set>
 
-#include "../kit-2/kit.h"
+#include "../kit-2/kit.hpp"
 
 using namespace kit;
 
@@ -26,8 +26,7 @@
 /// One engine of the stage. It can be ended and then answers nothing more.
 class StageEngine {
  public:
-  StageEngine()
-      : listener_([this](Conn& connection) { Serve(connection); }) {}
+  StageEngine() : listener_([this](Conn& connection) { Serve(connection); }) {}
   std::string address() const { return listener_.address(); }
   void Crash() {
     dead_ = true;
@@ -160,13 +159,16 @@
 
 Answer Send(const Daemon& daemon, const std::string& id) {
   Conn client = Connect(daemon.ip, daemon.callers);
-  client.Write(RequestHead(
-      "POST", "/draft/new", id, 6000, 4,
-      {"Gentianroute-Model: m", "Gentianroute-Token-Usage: 400,20",
-       "Gentianroute-Prefix-Hash: 5c1e07a2:300," + std::to_string(
-           std::hash<std::string>{}(id) % 100000000) + ":100",
-       "Gentianroute-Chunk-Count: 1", "Gentianroute-Chunk-Key: 7c1e07a291bd"}) +
-               "text");
+  client.Write(
+      RequestHead(
+          "POST", "/draft/new", id, 6000, 4,
+          {"Gentianroute-Model: m", "Gentianroute-Token-Usage: 400,20",
+           "Gentianroute-Prefix-Hash: 5c1e07a2:300," +
+               std::to_string(std::hash<std::string>{}(id) % 100000000) +
+               ":100",
+           "Gentianroute-Chunk-Count: 1",
+           "Gentianroute-Chunk-Key: 7c1e07a291bd"}) +
+      "text");
   return ReadAnswer(client, Now() + 8);
 }
 
@@ -176,50 +178,49 @@
   Begin(arguments[1]);
   Store store;
   std::vector<std::unique_ptr<Listener>> model_engines;
-  store.Put(
-      "op", "config",
-      json{{"version", 1},
-           {"routes",
-            {{{"name", "draft"},
-              {"hostname", "app.example"},
-              {"prefix", "/draft/"},
-              {"type", "streaming"},
-              {"timeoutMs", 6000},
-              {"targetLatencyMs", 1300},
-              {"priority", 1},
-              {"service", "model"},
-              {"maxAttempts", 2},
-              {"phases",
-               {{{"service", "stage"},
-                 {"after", json::array()},
-                 {"sizeBytes", 8000}}}},
-              {"public", true},
-              {"sessionAffinity", true},
-              {"resumable", false},
-              {"gapTargetMs", 400}}}},
-           {"services",
-            {{{"name", "model"},
-              {"healthPath", "/healthz"},
-              {"maxConnections", 370},
-              {"protocol", "h1"},
-              {"tls", false},
-              {"backend", {{"slots", 64}, {"kvCapacity", 454255}}}},
-             {{"name", "stage"},
-              {"healthPath", "/healthz"},
-              {"maxConnections", 370},
-              {"protocol", "h1"},
-              {"tls", false},
-              {"segments",
-               {{"slots", 1},
-                {"queue", 2},
-                {"batch", 10},
-                {"callMs", 150.0},
-                {"itemMs", 3.0},
-                {"headroomMb", 49.0},
-                {"handleS", 4.0},
-                {"bandwidthMbps", 10000}}}}}},
-           {"limits", Limits()}}
-          .dump());
+  store.Put("op", "config",
+            json{{"version", 1},
+                 {"routes",
+                  {{{"name", "draft"},
+                    {"hostname", "app.example"},
+                    {"prefix", "/draft/"},
+                    {"type", "streaming"},
+                    {"timeoutMs", 6000},
+                    {"targetLatencyMs", 1300},
+                    {"priority", 1},
+                    {"service", "model"},
+                    {"maxAttempts", 2},
+                    {"phases",
+                     {{{"service", "stage"},
+                       {"after", json::array()},
+                       {"sizeBytes", 8000}}}},
+                    {"public", true},
+                    {"sessionAffinity", true},
+                    {"resumable", false},
+                    {"gapTargetMs", 400}}}},
+                 {"services",
+                  {{{"name", "model"},
+                    {"healthPath", "/healthz"},
+                    {"maxConnections", 370},
+                    {"protocol", "h1"},
+                    {"tls", false},
+                    {"backend", {{"slots", 64}, {"kvCapacity", 454255}}}},
+                   {{"name", "stage"},
+                    {"healthPath", "/healthz"},
+                    {"maxConnections", 370},
+                    {"protocol", "h1"},
+                    {"tls", false},
+                    {"segments",
+                     {{"slots", 1},
+                      {"queue", 2},
+                      {"batch", 10},
+                      {"callMs", 150.0},
+                      {"itemMs", 3.0},
+                      {"headroomMb", 49.0},
+                      {"handleS", 4.0},
+                      {"bandwidthMbps", 10000}}}}}},
+                 {"limits", Limits()}}
+                .dump());
   for (int i = 0; i < kModelEngines; ++i) {
     model_engines.push_back(std::make_unique<Listener>(ServeModelEngine));
     store.Put("servers", "i-model-" + std::to_string(i),
--- a/review/9/case.cc
+++ b/review/9/case.cpp
@@ -1,7 +1,7 @@
-// Daemons are restarted in turn; then the one that wasn't yet is killed while it
-// passes streams on. Their clients take them up at another daemon.
+// Daemons are restarted in turn; then the one that wasn't yet is killed while
+// it passes streams on. Their clients take them up at another daemon.
 
-#include "../kit-2/kit.h"
+#include "../kit-2/kit.hpp"
 
 using namespace kit;
 
@@ -124,9 +124,10 @@
   for (const Stream& stream : fresh) {
     begun += stream.last > 0 ? 1 : 0;
   }
-  Record("%d streams: %d complete, %d taken up, %d of them went on; "
-         "%d of %d new streams began",
-         kStreams, complete, taken_up, went_on, begun, kNewStreams);
+  Record(
+      "%d streams: %d complete, %d taken up, %d of them went on; "
+      "%d of %d new streams began",
+      kStreams, complete, taken_up, went_on, begun, kNewStreams);
   if (!Trouble()) {
     Finish(complete == kStreams ? kHeld : kCannotRun);
   }
--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.hpp
@@ -354,8 +354,8 @@
   for (const int type : {SOCK_STREAM, SOCK_DGRAM}) {
     const int fd = socket(AF_INET, type, 0);
     sockaddr_in address = AddressOf(ip, port);
-    free = free && bind(fd, reinterpret_cast<sockaddr*>(&address),
-                        sizeof address) == 0;
+    free = free &&
+           bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
     close(fd);
   }
   return free;
@@ -593,15 +593,9 @@
 inline json EngineEntry(const std::string& service,
                         const std::string& address,
                         int slots) {
-  return {{"service", service},
-          {"address", address},
-          {"zone", "north-a"},
-          {"version", "v1"},
-          {"slots", slots},
-          {"state", "ready"},
-          {"warmupLeftMs", 0},
-          {"sequence", 1},
-          {"born", 1790000000000}};
+  return {{"service", service}, {"address", address}, {"zone", "north-a"},
+          {"version", "v1"},    {"slots", slots},     {"state", "ready"},
+          {"warmupLeftMs", 0},  {"sequence", 1},      {"born", 1790000000000}};
 }
 
 inline json Limits() {
@@ -650,8 +644,8 @@
     pid_ = fork();
     if (pid_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int log = open((folder_ + "/log").c_str(),
-                           O_WRONLY | O_CREAT | O_APPEND, 0600);
+      const int log =
+          open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(log, 1);
       dup2(log, 2);
       const char* words[] = {"target/apps/gentianroute", "--platform",
@@ -719,7 +713,9 @@
   /// @param bootstrap whether the whole system starts for the first time
   void WriteSettings(bool bootstrap) {
     const std::string file = folder_ + "/local.conf";
-    const auto at = [this](int port) { return ip + ":" + std::to_string(port); };
+    const auto at = [this](int port) {
+      return ip + ":" + std::to_string(port);
+    };
     // The daemons find each other through the store; one range serves all.
     static const int peers = FreePort();
     std::FILE* out = std::fopen(file.c_str(), "w");
@@ -773,14 +769,14 @@
   int status() const { return head.Status(); }
 };
 
-inline std::string RequestHead(
-    const std::string& method,
-    const std::string& target,
-    const std::string& id,
-    int deadline_ms,
-    std::size_t body_bytes,
-    const std::vector<std::string>& more = {}) {
-  std::string text = method + " " + target + " HTTP/1.1\r\nHost: app.example\r\n";
+inline std::string RequestHead(const std::string& method,
+                               const std::string& target,
+                               const std::string& id,
+                               int deadline_ms,
+                               std::size_t body_bytes,
+                               const std::vector<std::string>& more = {}) {
+  std::string text =
+      method + " " + target + " HTTP/1.1\r\nHost: app.example\r\n";
   text += "Gentianroute-Request-Id: " + id + "\r\n";
   text += "Gentianroute-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
   for (const std::string& line : more) {
@@ -823,9 +819,10 @@
   while (connection.ReadHead(head, Now() + 60) &&
          connection.ReadBody(head, body, Now() + 5)) {
     if (head.Target() == "/gentianroute/report") {
-      const std::string report =
-          json{{"phase", "prefill_decode"}, {"born", born}, {"version", version}}
-              .dump();
+      const std::string report = json{
+          {"phase", "prefill_decode"},
+          {"born", born},
+          {"version", version}}.dump();
       connection.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
                        std::to_string(report.size()) + "\r\n\r\n" + report);
       continue;
@@ -868,8 +865,8 @@
   int last = 0;          ///< number of the last event
   bool joined = false;   ///< has events of two versions
   bool complete = false;
-  int takes_up = 0;      ///< tries after the first event
-  int went_on = 0;       ///< of these, those that brought more events
+  int takes_up = 0;  ///< tries after the first event
+  int went_on = 0;   ///< of these, those that brought more events
 };
 
 inline std::vector<std::string> StreamFields(const Stream& stream) {
@@ -897,9 +894,9 @@
   Conn client = Connect(ip, port);
   const int left = static_cast<int>((deadline - Now()) * 1000);
   if (client.fd < 0 || left <= 0 ||
-      !client.Write(RequestHead("POST", "/chat/new", id, left, 4,
-                                StreamFields(stream)) +
-                    "text")) {
+      !client.Write(
+          RequestHead("POST", "/chat/new", id, left, 4, StreamFields(stream)) +
+          "text")) {
     return 0;
   }
   const bool takes_up = stream.last > 0;
@@ -935,7 +932,8 @@
     while ((at = text.find("\n\n")) != std::string::npos) {
       const std::string event = text.substr(0, at);
       text.erase(0, at + 2);
-      const int number = std::atoi(event.substr(event.find(':') + 1).c_str()) / 3;
+      const int number =
+          std::atoi(event.substr(event.find(':') + 1).c_str()) / 3;
       const std::string data = event.substr(event.find("data: ") + 6);
       const std::string version = data.substr(0, data.find(' '));
       if (stream.versions.find(version) == std::string::npos) {
@@ -980,7 +978,7 @@
   for (Daemon* daemon : Daemon::All()) {
     daemon->End();
   }
-  Record("result: %s", result == kHeld      ? "the rule held"
+  Record("result: %s", result == kHeld     ? "the rule held"
                        : result == kBroken ? "the rule was broken"
                                            : "the case could not run");
   std::fclose(RecordFile());
