--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,5 +1,6 @@
-// Long uploads fill the memory that a daemon has for bodies. Clients whose
-// shorter requests wait for it meanwhile give up and close their connections.
+// All daemons are killed at the same moment while streams run through them, and
+// are started again at once. Clients take their streams up, some of them once
+// the daemons have run for contactMs again.
 
 #include "../kit-2/kit.hpp"
 
@@ -7,139 +8,140 @@
 
 namespace {
 
-constexpr std::size_t kUploadBytes = 4'000'000;  // maxBodyBytes is 4,194,304
-constexpr int kUploads = 34;                     // memoryMb is 260
-constexpr int kEvents = 12;
-constexpr int kPauseMs = 140;
-constexpr std::size_t kOrderBytes = 50'000;
-constexpr int kOrders = 30;
-constexpr int kGiveUpMs = 700;
-/// The rule: "over half a second later", "more than a few requests".
-constexpr double kLateS = 0.5;
-constexpr int kFew = 5;
-
-std::mutex mutex;
-std::map<std::string, double> closed_at;  ///< of the clients that gave up
-int late = 0;
-int orders_run = 0;
-
-void ServeOrders(Conn& connection) {
-  Head head;
-  std::string body;
-  while (connection.ReadHead(head, Now() + 60) &&
-         connection.ReadBody(head, body, Now() + 5)) {
-    const std::string id = head.Get("Gentianroute-Request-Id");
-    {
-      const std::lock_guard<std::mutex> lock(mutex);
-      ++orders_run;
-      const auto closed = closed_at.find(id);
-      const bool is_late =
-          closed != closed_at.end() && Now() - closed->second > kLateS;
-      late += is_late ? 1 : 0;
-      if (closed != closed_at.end()) {
-        Record("engine: runs %s of %zu bytes, its client left %.0f ms ago",
-               id.c_str(), body.size(), (Now() - closed->second) * 1000);
-      } else {
-        Record("engine: runs %s of %zu bytes", id.c_str(), body.size());
-      }
-    }
-    SleepMs(30);
-    connection.Write("HTTP/1.1 200 OK\r\nGentianroute-Request-Id: " + id +
-                     "\r\nGentianroute-Response-Signature: sig-" + id +
-                     "\r\nContent-Length: 2\r\n\r\nok");
-    body.clear();
-  }
-}
+constexpr int kDaemons = 3;
+constexpr int kEngines = 4;
+constexpr int kStreams = 18;
+constexpr int kNewStreams = 9;
+constexpr int kEvents = 87;
+constexpr int kPauseMs = 140;    // a stream lasts 12 s of its 15 s
+constexpr double kContactS = 4;  // bounds.contactMs
+/// Clients wait a little longer after each failure, and as long as they are
+/// told.
+constexpr int kRetries = 6;
+constexpr int kWaitMs = 300;
 
 }  // namespace
 
 int main(int, char** arguments) {
   Begin(arguments[1]);
   Store store;
-  json config = StreamConfig();
-  json orders = config["routes"][0];
-  orders["name"] = "orders";
-  orders["prefix"] = "/orders/";
-  orders["type"] = "non_idempotent";
-  orders["timeoutMs"] = 4000;
-  orders["targetLatencyMs"] = 250;
-  orders["service"] = "ledger";
-  orders["maxAttempts"] = 1;
-  orders["sessionAffinity"] = false;
-  orders["resumable"] = false;
-  config["routes"].push_back(orders);
-  json ledger = json::object();
-  ledger["name"] = "ledger";
-  ledger["healthPath"] = "/healthz";
-  ledger["maxConnections"] = 110;
-  ledger["protocol"] = "h1";
-  ledger["tls"] = false;
-  config["services"].push_back(ledger);
-  store.Put("op", "config", config.dump());
-  Listener model([](Conn& connection) {
-    ServeStreams(connection, "i-model-1", "v1", kEvents, kPauseMs);
-  });
-  store.Put("servers", "i-model-1",
-            EngineEntry("model", model.address(), 64).dump());
+  store.Put("op", "config", StreamConfig().dump());
   std::vector<std::unique_ptr<Listener>> engines;
-  for (int i = 1; i <= 6; ++i) {
-    engines.push_back(std::make_unique<Listener>(ServeOrders));
-    store.Put("servers", "i-ledger-" + std::to_string(i),
-              EngineEntry("ledger", engines.back()->address(), 6).dump());
+  for (int i = 1; i <= kEngines; ++i) {
+    const std::string id = "i-model-" + std::to_string(i);
+    engines.push_back(std::make_unique<Listener>([=](Conn& connection) {
+      ServeStreams(connection, id, "v1", kEvents, kPauseMs);
+    }));
+    store.Put("servers", id,
+              EngineEntry("model", engines.back()->address(), 64).dump());
+  }
+  std::vector<std::unique_ptr<Daemon>> daemons;
+  for (int i = 1; i <= kDaemons; ++i) {
+    daemons.push_back(std::make_unique<Daemon>(store.address(), i));
+    daemons.back()->Start();
+  }
+  for (int i = 0; i < 150 && !(daemons[0]->IsReady() && daemons[1]->IsReady() &&
+                               daemons[2]->IsReady());
+       ++i) {
+    SleepMs(100);
   }
-  Daemon daemon(store.address());
-  daemon.StartAndWait();
   SleepMs(4500);
 
+  std::mutex mutex;
+  double in_touch = Trouble() ? 1e9 : 0;
+  int tries = 0;          ///< to take a stream up at a daemon in touch
+  int tries_went_on = 0;  ///< of these
+  int early_tries = 0;    ///< before that
+  int early_went_on = 0;
+  std::vector<Stream> streams(kStreams);
   std::vector<std::thread> clients;
-  std::atomic<int> streams = 0;
-  for (int i = 1; i <= kUploads; ++i) {
+  for (int i = 0; i < kStreams; ++i) {
+    Stream& stream = streams[i];
+    stream.id = "s" + std::to_string(i);
+    stream.subject = std::to_string(10000000 + i);
     clients.emplace_back([&, i] {
-      const std::string id = "u" + std::to_string(i);
-      Conn client = Connect(daemon.ip, daemon.callers);
-      client.Write(RequestHead("POST", "/chat/new", id, 6000, kUploadBytes,
-                               {"Gentianroute-Model: m",
-                                "Gentianroute-Token-Usage: 400,300",
-                                "Gentianroute-Prefix-Hash: 5c1e07a2:300," +
-                                    std::to_string(20000000 + i) + ":100"}) +
-                   std::string(kUploadBytes, 'u'));
-      const Answer answer = ReadAnswer(client, Now() + 6);
-      streams += answer.status() == 200 && answer.complete ? 1 : 0;
+      const double deadline = Now() + 15;
+      double retry_after = 0;
+      const Daemon& first = *daemons[i % kDaemons];
+      TryStream(stream, first.ip, first.callers, stream.id, deadline,
+                retry_after);
+      for (int again = 1; again <= kRetries && !stream.complete; ++again) {
+        SleepMs(
+            std::max(static_cast<int>(retry_after * 1000), kWaitMs * again));
+        const Daemon& daemon = *daemons[(i + again) % kDaemons];
+        const int before = stream.last;
+        const int went_on = stream.went_on;
+        const double sent_at = Now();
+        const int status = TryStream(stream, daemon.ip, daemon.callers,
+                                     stream.id + "-" + std::to_string(again),
+                                     deadline, retry_after);
+        const std::lock_guard<std::mutex> lock(mutex);
+        const bool counts = sent_at >= in_touch;
+        if (status != 0) {
+          ++(counts ? tries : early_tries);
+          (counts ? tries_went_on : early_went_on) += stream.went_on - went_on;
+        }
+        Record(
+            "client: takes %s up after event %d, daemon %s: status %d, "
+            "event %d",
+            stream.id.c_str(), before, counts ? "in touch" : "just started",
+            status, stream.last);
+      }
     });
   }
-  SleepMs(300);
-  std::atomic<int> answered = 0;
-  for (int i = 1; i <= kOrders; ++i) {
-    clients.emplace_back([&, i] {
-      const std::string id = "o" + std::to_string(i);
-      Conn client = Connect(daemon.ip, daemon.callers);
-      client.Write(RequestHead("POST", "/orders/new", id, 4000, kOrderBytes) +
-                   std::string(kOrderBytes, 'o'));
-      const double until = Now() + (Trouble() ? kGiveUpMs / 1000.0 : 5);
-      const Answer answer = ReadAnswer(client, until);
-      answered += answer.status() == 200 && answer.complete ? 1 : 0;
-      if (answer.status() != 0) {
-        Record("client: %s answered with status %d", id.c_str(),
-               answer.status());
-        return;
-      }
-      const std::lock_guard<std::mutex> lock(mutex);
-      client.Close();
-      closed_at[id] = Now();
-      Record("client: %s has no answer and leaves", id.c_str());
+  SleepMs(1000);
+  if (Trouble()) {
+    for (const auto& daemon : daemons) {
+      daemon->Signal(SIGKILL);
+    }
+    for (const auto& daemon : daemons) {
+      daemon->Wait();
+      daemon->Restart();
+    }
+    const std::lock_guard<std::mutex> lock(mutex);
+    in_touch = Now() + kContactS + 0.1;
+    Record("all daemons have been killed and started again");
+  }
+  SleepMs(static_cast<int>((kContactS + 0.5) * 1000));
+  std::vector<Stream> fresh(kNewStreams);
+  std::vector<std::thread> others;
+  for (int i = 0; i < kNewStreams; ++i) {
+    Stream& stream = fresh[i];
+    stream.id = "n" + std::to_string(i);
+    stream.subject = std::to_string(10000000 + i);
+    others.emplace_back([&, i] {
+      const Daemon& daemon = *daemons[i % kDaemons];
+      double retry_after = 0;
+      TryStream(stream, daemon.ip, daemon.callers, stream.id, Now() + 2,
+                retry_after);
     });
   }
   for (std::thread& client : clients) {
     client.join();
   }
-  SleepMs(1000);
-  const std::lock_guard<std::mutex> lock(mutex);
+  for (std::thread& other : others) {
+    other.join();
+  }
+  int complete = 0;
+  for (const Stream& stream : streams) {
+    complete += stream.complete ? 1 : 0;
+  }
+  int begun = 0;
+  for (const Stream& stream : fresh) {
+    begun += stream.last > 0 ? 1 : 0;
+  }
   Record(
-      "%d of %d streams complete; %d of %d orders answered; %d orders run, "
-      "%d of them over half a second after their client had left",
-      streams.load(), kUploads, answered.load(), kOrders, orders_run, late);
-  if (!Trouble() && answered < kOrders) {
-    Finish(kCannotRun);
+      "%d streams: %d complete; taken up at daemons in touch %d times, went "
+      "on %d times; at daemons just started %d times, went on %d times; "
+      "%d of %d new streams began",
+      kStreams, complete, tries, tries_went_on, early_tries, early_went_on,
+      begun, kNewStreams);
+  if (!Trouble()) {
+    Finish(complete == kStreams ? kHeld : kCannotRun);
+  }
+  if (tries < 12 || begun < kNewStreams) {
+    Finish(tries_went_on + early_went_on > 0 ? kHeld : kCannotRun);
   }
-  Finish(late > kFew ? kBroken : kHeld);
+  const double share = static_cast<double>(tries_went_on) / tries;
+  Finish(share < 0.5 * begun / kNewStreams ? kBroken : kHeld);
 }
--- a/review/kit-2/kit.hpp
+++ b/review/kit-2/kit.hpp
@@ -273,15 +273,21 @@
 
   /// @param receive_bytes size of the receive buffers; 0: the system's
   /// @param port 0: a free one
+  /// @param segment_bytes largest segment of a packet; 0: that of the loopback
   explicit Listener(Serve serve,
                     int receive_bytes = 0,
                     const std::string& ip = "127.0.0.1",
-                    int port = 0)
+                    int port = 0,
+                    int segment_bytes = 0)
       : state_(std::make_shared<State>()), ip_(ip) {
     state_->serve = std::move(serve);
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (segment_bytes > 0) {
+      setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
+                 sizeof segment_bytes);
+    }
     if (receive_bytes > 0) {
       setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
                  sizeof receive_bytes);
