--- a/review/kit-2/kit.hpp
+++ b/review/kit-2/kit.hpp
@@ -307,6 +307,11 @@
   int port() const { return port_; }
   std::string address() const { return ip_ + ":" + std::to_string(port_); }
 
+  /// Closes the port only.
+  void StopAccepting() {
+    shutdown(fd_, SHUT_RDWR);
+    close(fd_);
+  }
   /// Closes the port and all connections, as the end of a process does.
   void Stop() {
     const std::lock_guard<std::mutex> lock(state_->mutex);
