--- a/review/kit-2/kit.hpp
+++ b/review/kit-2/kit.hpp
@@ -667,7 +667,10 @@
              const_cast<char**>(variables));
       _exit(127);
     }
-    Record("daemon %s started, log in %s", ip.c_str(), folder_.c_str());
+    Record("daemon %s started", ip.c_str());
+    if (std::getenv("KEEP_LOGS") != nullptr) {
+      std::fprintf(stderr, "log of %s in %s\n", ip.c_str(), folder_.c_str());
+    }
   }
   void Signal(int number) {
     if (pid_ > 0) {
