A reset under a long upload no longer ends an answer without a length

What callers saw: a server answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is still being written.

Cause: the write that meets the reset takes the error off the socket. h2o runs the callback for reading first; read() then returns 0, as after an orderly close, and StreamSocket reported kClosed. OnWritten() dropped the error, in the belief that reading gets the same one. The daemon's own user timeout of 3 s for a server that stops reading went the same way.

Change: StreamSocket remembers that a write failed. When nothing is left to read and a write is pending, it waits for the result of that write, which h2o reports in the same iteration, and is called again as the socket stays readable. Each reader of connections gets the true end without asking. A server whose close and reset both arrive before the loop has looked at the socket counts as broken: the system doesn't tell the two apart then.

--- a/packages/loop/include/gentianroute/loop/stream_socket.h
+++ b/packages/loop/include/gentianroute/loop/stream_socket.h
@@ -75,6 +75,7 @@
   static void OnWritten(st_h2o_socket_t* socket, const char* error);
   static void OnConnect(st_h2o_socket_t* socket, const char* error);
   void StartReading();
+  void OnNothingLeft();
   void OnReadEnd(StreamEnd end);
   void Flush();
 
@@ -93,6 +94,8 @@
   bool connected_ = false;
   bool writing_ = false;
   bool paused_ = false;
+  bool write_failed_ = false;
+  bool awaits_write_result_ = false;  ///< to tell how the connection has ended
   std::vector<Piece> queued_;
   std::vector<Piece> in_flight_;
   std::size_t unsent_bytes_ = 0;  ///< in both
--- a/packages/loop/src/stream_socket.cc
+++ b/packages/loop/src/stream_socket.cc
@@ -126,12 +126,22 @@
     return;
   }
   if (bytes == 0) {
-    self->OnReadEnd(StreamEnd::kClosed);
+    self->OnNothingLeft();
   } else if (!WouldBlock()) {
     self->OnReadEnd(StreamEnd::kBroken);
   }
 }
 
+void StreamSocket::OnNothingLeft() {
+  // A write that fails because of a reset takes the error off the socket, which
+  // then reads like one that was closed in order. h2o reports the failure after
+  // this callback, and calls it again for as long as the socket is readable.
+  if (writing_ && !std::exchange(awaits_write_result_, true)) {
+    return;
+  }
+  OnReadEnd(write_failed_ ? StreamEnd::kBroken : StreamEnd::kClosed);
+}
+
 void StreamSocket::OnReadEnd(StreamEnd end) {
   h2o_socket_read_stop(socket_);
   observer_.OnEnd(end);
@@ -145,7 +155,8 @@
   }
   self->in_flight_.clear();
   if (error != nullptr) {
-    // OnReadable receives the same error and reports the end exactly once.
+    // OnReadable reports the end, after what has been received before it.
+    self->write_failed_ = true;
     self->queued_.clear();
     self->unsent_bytes_ = 0;
     self->ResumeReading();
