An answer whose status is of no class is malformed

What callers saw: an answer with status 600 or 999 was passed on as it came, on routes that may not be repeated.

Cause: Beast's parser takes any three digits, and RelayClient skips everything below 200.

Change: MessageParser ends an answer whose status isn't 100 to 599 as malformed, so that each of its readers (requests, streams, stage calls, releases, store) has it, and the server counts as one that broke. IsStatus() stands beside the other HTTP types.

--- a/packages/loop/include/gentianroute/loop/http.h
+++ b/packages/loop/include/gentianroute/loop/http.h
@@ -24,6 +24,14 @@
 /// @return empty if there is none
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
 
+/// @brief Whether a status belongs to one of the classes 1xx to 5xx. A response
+/// with another one is malformed.
+constexpr bool IsStatus(int status) {
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  return status >= kFirst && status <= kLast;
+}
+
 /// @brief A complete request as received by HttpServer.
 struct HttpRequest {
   std::string method;
--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -73,8 +73,11 @@
   void on_response_impl(int code,
                         View /*reason*/,
                         int /*version*/,
-                        Error& /*error*/) override {
+                        Error& error) override {
     head_.status = code;
+    if (!IsStatus(code)) {
+      error = http::error::bad_status;
+    }
   }
   void on_field_impl(http::field field,
                      View name,
--- a/packages/loop/tests/message_parser_test.cc
+++ b/packages/loop/tests/message_parser_test.cc
@@ -147,3 +147,22 @@
     cr_assert(fixture.Read(text.substr(split)) == Event::kEnd, "%zu", split);
   }
 }
+
+// Guards against a response of a server in trouble being taken for an interim
+// one, or being passed on.
+Test(message_parser, response_with_a_status_of_no_class_is_malformed) {
+  for (const std::string_view status :
+       {"000", "001", "099", "600", "999", "20", "2000", "-20", "2x0", ""}) {
+    ResponseFixture fixture;
+    cr_assert(fixture.Read("HTTP/1.1 " + std::string(status) +
+                           " Odd\r\nContent-Length: 2\r\n\r\nhi") ==
+                  Event::kMalformed,
+              "%s", status.data());
+  }
+  for (const std::string_view status : {"100", "200", "599"}) {
+    ResponseFixture fixture;
+    cr_assert(fixture.Read("HTTP/1.1 " + std::string(status) +
+                           " X\r\nContent-Length: 0\r\n\r\n") == Event::kEnd,
+              "%s", status.data());
+  }
+}
