A line of an answer's head that begins with a blank makes it malformed

What callers saw: where a server in trouble put a blank or a tab before the name of a field, the line was joined to the value of the field before it. The caller got the answer with, for one, the signature "s X-Odd: 1".

Cause: Beast's parser unfolds lines as old versions of HTTP had them. All other names with a blank, a tab, a control byte, DEL, a high byte or nothing in them were refused already, also where the field tells the length of the body.

Change: MessageParser looks at the head of a response once, when it is whole, and takes one with a folded line for malformed. RFC 9112 leaves a proxy the choice to discard such a response. Requests keep being unfolded.

--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -153,6 +153,7 @@
     }
     head_reported_ = false;
     end_reported_ = false;
+    has_folded_line_ = false;
     failure_.reset();
   }
 
@@ -202,7 +203,7 @@
       Parse(parser);
     }
     if (parser.is_header_done() && !std::exchange(head_reported_, true)) {
-      if (HasMultipleHostFields()) {
+      if (has_folded_line_ || HasMultipleHostFields()) {
         failure_ = Event::kMalformed;
         return *failure_;
       }
@@ -225,6 +226,7 @@
   void Parse(Parser& parser) {
     beast::error_code error;
     std::size_t consumed = 0;
+    const bool expects_head = !parser.is_header_done();
     try {
       while (consumed < input_.size() && !parser.is_done()) {
         const std::size_t part =
@@ -245,6 +247,9 @@
         failure_ = Event::kMalformed;
       }
     }
+    if (expects_head && parser.is_header_done()) {
+      has_folded_line_ = kind_ == Kind::kResponse && HasFoldedLine(input_);
+    }
     input_.erase(0, consumed);
     if (input_.empty()) {
       ReleaseIfLarge(input_);
@@ -266,6 +271,15 @@
     }
   }
 
+  /// Whether a line of a head begins with a blank. The parser joins it to the
+  /// value of the field before, which a server in trouble didn't mean.
+  /// @param input begins with a whole head, which the parser takes at once
+  static bool HasFoldedLine(std::string_view input) {
+    const std::string_view head = input.substr(0, input.find("\r\n\r\n"));
+    return head.find("\r\n ") != std::string_view::npos ||
+           head.find("\r\n\t") != std::string_view::npos;
+  }
+
   /// Requests with several Host fields are rejected: two hops that use
   /// different ones would route the request to different services and so bypass
   /// the checks of one route.
@@ -294,6 +308,7 @@
   std::optional<Collector<false>> response_;
   bool head_reported_ = false;
   bool end_reported_ = false;
+  bool has_folded_line_ = false;
   std::optional<Event> failure_;
 };
 
--- a/packages/loop/tests/message_parser_test.cc
+++ b/packages/loop/tests/message_parser_test.cc
@@ -166,3 +166,24 @@
               "%s", status.data());
   }
 }
+
+// Guards against a line that a server in trouble begins with a blank being
+// joined to the field before it, whose value callers then get changed.
+Test(message_parser, response_with_a_folded_line_is_malformed) {
+  for (const std::string_view line :
+       {" X: 1", "\tX: 1", " ", "\t", "  two blanks"}) {
+    const std::string text = "HTTP/1.1 200 OK\r\nA: b\r\n" + std::string(line) +
+                             "\r\nContent-Length: 4\r\n\r\n\r\n b";
+    ResponseFixture whole;
+    cr_assert(whole.Read(text) == Event::kMalformed, "'%s'", line.data());
+    ResponseFixture in_parts;
+    Event last = Event::kNeedMore;
+    for (const char c : text) {
+      last = in_parts.Read({&c, 1});
+    }
+    cr_assert(last == Event::kMalformed, "'%s'", line.data());
+  }
+  ResponseFixture body_only;
+  cr_assert(body_only.Read("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+                           "\r\n b") == Event::kEnd);
+}
