An answer in a transfer coding other than chunks is malformed

What callers saw: where a server in trouble names a coding such as gzip, alone or in a list with chunked, the coded bytes, sizes of chunks included, were passed on as the body of a 200. The field that names the coding is one of the connection and isn't passed on.

Cause: Beast's parser treats each coding but a sole `chunked` like none, so that the body ends with the connection. MessageParser refused that for requests only.

Change: a response with a coding other than `chunked` or the former `identity`, or with several such fields, is malformed. No request asks for a coding.

--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -82,14 +82,27 @@
   void on_field_impl(http::field field,
                      View name,
                      View value,
-                     Error& /*error*/) override {
-    has_transfer_coding_ |= field == http::field::transfer_encoding;
+                     Error& error) override {
+    if (field == http::field::transfer_encoding) {
+      OnTransferCoding(value, error);
+    }
     if (field == http::field::expect) {
       head_.expects_continue = true;
     }
     head_.fields.push_back({std::string(name.data(), name.size()),
                             std::string(value.data(), value.size())});
   }
+  /// A coding that this parser doesn't undo would be lost with its field, which
+  /// is hop-by-hop, and its bytes would pass for the body. Requests ask for
+  /// none.
+  void OnTransferCoding(View coding, Error& error) {
+    const bool is_undone =
+        beast::iequals(coding, "chunked") || beast::iequals(coding, "identity");
+    const bool is_repeated = std::exchange(has_transfer_coding_, true);
+    if (!IsRequest && (!is_undone || is_repeated)) {
+      error = http::error::bad_transfer_encoding;
+    }
+  }
   void on_header_impl(Error& error) override {
     head_.keep_alive = this->keep_alive();
     head_.ends_with_connection = !IsRequest && this->need_eof();
--- a/packages/loop/tests/message_parser_test.cc
+++ b/packages/loop/tests/message_parser_test.cc
@@ -187,3 +187,27 @@
   cr_assert(body_only.Read("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
                            "\r\n b") == Event::kEnd);
 }
+
+// Guards against the bytes of a coding that nobody undoes passing for the body.
+Test(message_parser, response_in_another_coding_than_chunks_is_malformed) {
+  for (const std::string_view fields :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: \r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"}) {
+    ResponseFixture fixture;
+    cr_assert(fixture.Read("HTTP/1.1 200 OK\r\n" + std::string(fields) +
+                           "\r\n2\r\nhi\r\n0\r\n\r\n") == Event::kMalformed,
+              "%s", fields.data());
+  }
+  for (const std::string_view coding : {"chunked", "Chunked", " chunked "}) {
+    ResponseFixture fixture;
+    cr_assert(fixture.Read("HTTP/1.1 200 OK\r\nTransfer-Encoding:" +
+                           std::string(coding) +
+                           "\r\n\r\n2\r\nhi\r\n0\r\n\r\n") == Event::kEnd,
+              "%s", coding.data());
+  }
+}
