Fields after a chunked body are no fields of the head

What callers saw: where a chunked answer came in one read, the fields of its trailer were passed on as those of its head, and counted as such: one that says "not run" turned the answer to a request that had run into a refusal. In several reads they were dropped. Found in the check of the other ways by which answers are read; not among the reports.

Cause: Beast's parser gives the fields of the trailer to the same callback, and the head is reported once all that has arrived is parsed.

Change: MessageParser takes fields only until the head is done, for requests too.

Evidence: the new test failed (two fields instead of one) and passes now.

--- a/packages/loop/src/message_parser.cc
+++ b/packages/loop/src/message_parser.cc
@@ -83,6 +83,10 @@
                      View name,
                      View value,
                      Error& error) override {
+    const bool is_trailer = this->is_header_done();
+    if (is_trailer) {
+      return;
+    }
     if (field == http::field::transfer_encoding) {
       OnTransferCoding(value, error);
     }
--- a/packages/loop/tests/message_parser_test.cc
+++ b/packages/loop/tests/message_parser_test.cc
@@ -211,3 +211,17 @@
               "%s", coding.data());
   }
 }
+
+// Guards against fields after the body passing for those of the head, which say
+// for one that a request has not run, if all comes in one read.
+Test(message_parser, trailers_are_not_fields_of_the_head) {
+  ResponseFixture response;
+  cr_assert(
+      response.Read("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "2\r\nhi\r\n0\r\nX-Late: 1\r\n\r\n") == Event::kEnd);
+  cr_assert_eq(response.parser.head().fields.size(), 1);
+  RequestFixture request;
+  cr_assert(request.Read("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "2\r\nhi\r\n0\r\nX-Late: 1\r\n\r\n") == Event::kEnd);
+  cr_assert_eq(request.parser.head().fields.size(), 1);
+}
