The product's own path reads answers with the parser of the other path

Cause: this path read answers with h2o's client, a second reader with gaps of its own.

Change: HttpClient stands on RelayClient, as RelayHttpClient, so that all answers are read and checked in one place; the loop and the servers stay h2o's. RelayClient tells when a call is connected, and can discard the connections to a server.

--- a/apps/gentianctl/daemon_client.cc
+++ b/apps/gentianctl/daemon_client.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "gentianroute/loop/event_loop.h"
-#include "gentianroute/loop/h2o_http_client.h"
+#include "gentianroute/loop/relay_http_client.h"
 
 namespace gentianroute::ctl {
 namespace {
@@ -38,7 +38,7 @@
   HttpResult result;
   result.detail = "no answer in time";
   EventLoop loop;
-  H2oHttpClient client(loop);
+  RelayHttpClient client(loop);
   HttpCall call;
   call.address = daemon.address;
   call.port = daemon.port;
--- a/loadtool/load_run.h
+++ b/loadtool/load_run.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "gentianroute/loop/event_loop.h"
-#include "gentianroute/loop/h2o_http_client.h"
+#include "gentianroute/loop/relay_http_client.h"
 #include "load_result.h"
 
 namespace gentianroute::load {
@@ -51,7 +51,7 @@
 
   EventLoop& loop_;
   LoadOptions options_;
-  H2oHttpClient client_;
+  RelayHttpClient client_;
   std::mt19937_64 rng_;
   std::exponential_distribution<double> interarrival_s_;  ///< seconds
   TimePoint send_until_{};
--- a/packages/entry/include/gentianroute/entry/daemon.h
+++ b/packages/entry/include/gentianroute/entry/daemon.h
@@ -20,7 +20,7 @@
 #include "gentianroute/entry/peer_links.h"
 #include "gentianroute/entry/peer_revisions.h"
 #include "gentianroute/entry/peer_service.h"
-#include "gentianroute/loop/h2o_http_client.h"
+#include "gentianroute/loop/relay_http_client.h"
 #include "gentianroute/loop/http_server.h"
 #include "gentianroute/observe/request_metrics.h"
 #include "gentianroute/observe/service_level.h"
@@ -98,7 +98,7 @@
   std::uint64_t incarnation_;
   JsonClaimCodec claim_codec_;
   JsonConfigCodec config_codec_;
-  H2oHttpClient client_;
+  RelayHttpClient client_;
   HttpPlatform platform_;
   ServerTable servers_;
   LeavingServerGossip leaving_server_gossip_;
--- a/packages/loop/include/gentianroute/loop/h2o.h
+++ b/packages/loop/include/gentianroute/loop/h2o.h
@@ -13,10 +13,6 @@
 #include <h2o.h>
 #include <h2o/http1.h>
 #include <h2o/http2.h>
-#include <h2o/http1client.h>
-#include <h2o/hostinfo.h>
-#include <h2o/socketpool.h>
-#include <h2o/multithread.h>
 // clang-format on
 }
 #pragma GCC diagnostic pop
--- a/packages/loop/include/gentianroute/loop/relay_client.h
+++ b/packages/loop/include/gentianroute/loop/relay_client.h
@@ -67,6 +67,8 @@
 class RelayCallObserver {
  public:
   virtual ~RelayCallObserver() = default;
+  /// @brief Called when connected, before the first byte is sent.
+  virtual void OnConnected() {}
   virtual void OnHead(MessageHead head) = 0;
   virtual void OnBody(std::string_view part) = 0;
   virtual void OnDone() = 0;
@@ -75,10 +77,10 @@
 
 /// @brief HTTP/1.1 client with a connection pool per server.
 ///
-/// Unlike h2o's client, it distinguishes an orderly close from a reset, detects
-/// unexpected bytes after a response, and limits the idle time of a reused
-/// connection per request. It bounds what it reads: the head and the body of an
-/// answer, and the bytes of answers that belong to no call.
+/// It distinguishes an orderly close from a reset, detects unexpected bytes
+/// after a response, and limits the idle time of a reused connection per
+/// request. It bounds what it reads: the head and the body of an answer, and the
+/// bytes of answers that belong to no call.
 class RelayClient {
  public:
   /// @brief Returns the endpoint to connect to in place of another, which lets
@@ -102,6 +104,10 @@
              Duration time_limit,
              std::function<void(bool connected)> done);
 
+  /// @brief Closes idle connections to a server, and lets no connection that
+  /// is open now be reused.
+  void DiscardConnections(const Endpoint& endpoint);
+
   /// @brief Number of connections to one server, busy and idle.
   std::size_t connections(const Endpoint& endpoint) const;
   /// @brief Number of connections opened since this was constructed.
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -81,6 +81,9 @@
       bytes_before_head_ = 0;
       limits_.body_bytes = call.max_body_bytes;
       parser_.StartNext(limits_);
+      if (socket_->connected()) {
+        observer.OnConnected();  // can't cancel the call, whose id is unknown
+      }
       socket_->WriteOwned(std::move(call.message), std::move(call.body));
     }
 
@@ -90,6 +93,14 @@
       return idle() && now - idle_since_ < std::min(limit, idle_limit_);
     }
 
+    /// Closes the connection as soon as no call uses it.
+    void Discard() {
+      keep_connection_ = false;
+      if (idle()) {
+        Close();
+      }
+    }
+
     /// Closes the connection without notifying the observer of a call.
     void Close() {
       if (std::exchange(closed_, true)) {
@@ -101,7 +112,10 @@
       client_.Remove(*this, id_);
     }
 
-    void OnConnected() override { client_.loop_.Cancel(timer_); }
+    void OnConnected() override {
+      client_.loop_.Cancel(timer_);
+      observer_->OnConnected();
+    }
     void OnData(std::string_view data) override {
       if (idle()) {
         // Unsolicited data; a later response could not be assigned to its call.
@@ -305,6 +319,21 @@
     }
   }
 
+  void DiscardConnections(const Endpoint& endpoint) {
+    const auto found = connections_.find(endpoint);
+    if (found == connections_.end()) {
+      return;
+    }
+    // Close() removes a connection from the list.
+    std::vector<Connection*> open;
+    for (const auto& connection : found->second) {
+      open.push_back(connection.get());
+    }
+    for (Connection* connection : open) {
+      connection->Discard();
+    }
+  }
+
   std::size_t connections(const Endpoint& endpoint) const {
     const auto found = connections_.find(endpoint);
     return found == connections_.end() ? 0 : found->second.size();
@@ -388,6 +417,9 @@
                         std::function<void(bool connected)> done) {
   impl_->Probe(endpoint, time_limit, std::move(done));
 }
+void RelayClient::DiscardConnections(const Endpoint& endpoint) {
+  impl_->DiscardConnections(endpoint);
+}
 std::size_t RelayClient::connections(const Endpoint& endpoint) const {
   return impl_->connections(endpoint);
 }
--- a/packages/loop/tests/http_test.cc
+++ b/packages/loop/tests/http_test.cc
@@ -13,7 +13,7 @@
 #include <utility>
 
 #include "gentianroute/loop/event_loop.h"
-#include "gentianroute/loop/h2o_http_client.h"
+#include "gentianroute/loop/relay_http_client.h"
 #include "gentianroute/loop/http_server.h"
 
 #include <criterion/criterion.h>
@@ -31,7 +31,7 @@
 
   explicit Loopback(Handler handler,
                     HttpServer::Options options = {},
-                    H2oHttpClient::Options client_options = {})
+                    RelayHttpClient::Options client_options = {})
       : server(loop, std::move(options), std::move(handler)),
         client(loop, client_options) {}
 
@@ -58,7 +58,7 @@
 
   EventLoop loop;
   HttpServer server;
-  H2oHttpClient client;
+  RelayHttpClient client;
 };
 
 void Echo(const HttpRequest& request,
@@ -193,9 +193,8 @@
 // use must remain until its call has ended.
 Test(http, pools_without_connections_are_freed_and_calls_continue) {
   EventLoop* loop = nullptr;
-  H2oHttpClient::Options options;
+  RelayHttpClient::Options options;
   options.max_idle = milliseconds(10);
-  options.sweep_period = milliseconds(5);
   Loopback run(
       [&loop](const HttpRequest& request,
               const std::shared_ptr<HttpResponder>& responder) {
