A daemon's row of another writer no longer ends its readers

What operators would see: one row among those of the daemons whose data centre isn't a text ended each daemon that read it, again after each start, and a port out of range became another port (70000: 4464), where heartbeats then went.

Cause: the fields were read one by one, with a check of some of them only, and the exception of the JSON library left the loop.

Change: a row is parsed as a whole, or passed over with the log line that was there before. Ports fit into their type and aren't 0.

Evidence: the new test ended with json.exception.type_error before; eleven odd rows are passed over now, and the sound one beside them is read.

--- a/packages/gateway/src/daemon_rows.cc
+++ b/packages/gateway/src/daemon_rows.cc
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <utility>
 
+#include "gentianroute/base/json_number.h"
 #include "gentianroute/observe/log.h"
 
 namespace gentianroute::gateway {
@@ -41,22 +42,32 @@
       .dump();
 }
 
+/// @return nullopt if the row is not one that a daemon writes
+std::optional<DaemonState> ParseRow(const StoredRow& row) {
+  try {
+    const auto json = nlohmann::json::parse(row.value);
+    const auto port = ReadUnsigned<std::uint16_t>(json.at("port"));
+    if (!port || *port == 0) {
+      return std::nullopt;
+    }
+    DaemonState daemon;
+    daemon.name = row.key;
+    daemon.address = json.at("address").get<std::string>();
+    daemon.port = *port;
+    daemon.data_centre = json.value("data_centre", "");
+    daemon.processor_share =
+        json.value("processor_share", daemon.processor_share);
+    return daemon;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::optional<DaemonState> ReadRow(const StoredRow& row) {
-  const auto json = nlohmann::json::parse(row.value, nullptr, false);
-  if (!json.is_object() || !json.contains("address") ||
-      !json.contains("port") || !json["address"].is_string() ||
-      !json["port"].is_number_unsigned()) {
+  auto daemon = ParseRow(row);
+  if (!daemon) {
     LogEvent("daemon_row_unreadable", LogLevel::kWarning)
         .Field("daemon", row.key);
-    return std::nullopt;
-  }
-  DaemonState daemon;
-  daemon.name = row.key;
-  daemon.address = json["address"];
-  daemon.port = json["port"];
-  daemon.data_centre = json.value("data_centre", "");
-  if (json.contains("processor_share") && json["processor_share"].is_number()) {
-    daemon.processor_share = json["processor_share"];
   }
   return daemon;
 }
--- a/packages/gateway/tests/daemon_rows_test.cc
+++ b/packages/gateway/tests/daemon_rows_test.cc
@@ -129,3 +129,29 @@
                                 3);
   cr_assert_eq(fixture.read, std::vector<std::string>{"other@10.0.0.2"});
 }
+
+// Guards against a row of another writer that ends each daemon which reads it,
+// or gives it a port where no daemon listens.
+Test(daemon_rows, odd_rows_are_passed_over_and_the_others_hold) {
+  constexpr int kDepth = 100'000;
+  const std::vector<std::string> odd = {
+      std::string(kDepth, '['),
+      std::string(kDepth, '[') + std::string(kDepth, ']'),
+      R"({"address":"10.0.0.3","port":70000,"data_centre":"north"})",
+      R"({"address":"10.0.0.3","port":0,"data_centre":"north"})",
+      R"({"address":"10.0.0.3","port":-1,"data_centre":"north"})",
+      R"({"address":"10.0.0.3","port":1e300,"data_centre":"north"})",
+      R"({"address":"10.0.0.3","port":1e400,"data_centre":"north"})",
+      R"({"address":"10.0.0.3","port":"1","data_centre":"north"})",
+      R"({"address":"10.0.0.3","port":1,"data_centre":7})",
+      R"({"address":"10.0.0.3","port":1,"data_centre":[]})",
+      R"({"address":7,"port":1,"data_centre":"north"})"};
+  RowsFixture fixture;
+  fixture.rows.Start();
+  std::vector<StoredRow> rows = {{"other", std::string(kOtherRow), 3, false}};
+  for (const std::string& value : odd) {
+    rows.push_back({"odd-" + std::to_string(rows.size()), value, 3, false});
+  }
+  fixture.store.RespondWithRows(rows, 3);
+  cr_assert_eq(fixture.read, std::vector<std::string>{"other@10.0.0.2"});
+}
