One odd host in the list no longer stops daemons from following it

What operators would see on the product's own path: one host in the platform's list with a field missing or of another type made the whole list count as no answer, again and again (the report: "stopped following it"), and a port out of range became another one (70000: 4464).

Cause: the list was read as a whole or not at all, and the JSON library converts numbers without a check of their range.

Change: hosts are read one by one; those that can't be read, or whose port is out of range, are passed over with one log line a list.

--- a/packages/platform/src/http_platform.cc
+++ b/packages/platform/src/http_platform.cc
@@ -2,8 +2,12 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
+#include "gentianroute/base/json_number.h"
+#include "gentianroute/observe/log.h"
+
 namespace gentianroute {
 namespace {
 
@@ -101,11 +105,17 @@
   }
 }
 
-HostRecord ParseHost(const json& item) {
+/// @return nullopt if the port is out of range
+/// @throws json::exception if a field is missing or of another type
+std::optional<HostRecord> ParseHost(const json& item) {
+  const auto port = ReadUnsigned<std::uint16_t>(item.at("port"));
+  if (!port || *port == 0) {
+    return std::nullopt;
+  }
   HostRecord host;
   host.name = item.at("name");
   host.address = item.at("address");
-  host.port = item.at("port");
+  host.port = *port;
   host.pool = item.at("pool");
   host.data_centre = item.at("data_centre");
   host.region = item.at("region");
@@ -117,6 +127,29 @@
   return host;
 }
 
+/// An entry that can't be read must not hide the changes of all others.
+std::vector<HostRecord> ParseHosts(const json& items) {
+  std::vector<HostRecord> hosts;
+  std::size_t unreadable = 0;
+  for (const json& item : items) {
+    try {
+      if (auto host = ParseHost(item)) {
+        hosts.push_back(std::move(*host));
+        continue;
+      }
+    } catch (const json::exception&) {
+      // Counted below, like an entry with a port out of range.
+    }
+    ++unreadable;
+  }
+  if (unreadable > 0) {
+    LogEvent("hosts_unreadable", LogLevel::kWarning)
+        .Field("entries", unreadable)
+        .Field("hosts", hosts.size());
+  }
+  return hosts;
+}
+
 HttpCall MakeCall(std::string method, std::string path, std::string body = {}) {
   HttpCall call;
   call.method = std::move(method);
@@ -229,9 +262,11 @@
   }
   try {
     const json parsed = json::parse(result.body);
-    for (const json& item : parsed.at("hosts")) {
-      listing.hosts.push_back(ParseHost(item));
+    const json& items = parsed.at("hosts");
+    if (!items.is_array()) {
+      return {};
     }
+    listing.hosts = ParseHosts(items);
   } catch (const json::exception&) {
     return {};
   }
