--- a/packages/entry/src/caller_api.cc
+++ b/packages/entry/src/caller_api.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "gentianroute/base/ascii.h"
 #include "gentianroute/base/json_text.h"
 #include "gentianroute/entry/digest.h"
 #include "gentianroute/entry/problem.h"
@@ -54,10 +55,6 @@
   return std::nullopt;
 }
 
-bool IsVisibleAscii(std::string_view text) {
-  return std::ranges::all_of(text, [](char c) { return c > ' ' && c < 0x7f; });
-}
-
 /// The key is sent to backend servers in a header. HTTP/2 allows line breaks in
 /// a value, with which a caller could inject a header or a request there, so
 /// only visible ASCII characters are accepted.
