--- a/packages/loop/include/gentianroute/loop/relay_client.h
+++ b/packages/loop/include/gentianroute/loop/relay_client.h
@@ -79,8 +79,8 @@
 ///
 /// It distinguishes an orderly close from a reset, detects unexpected bytes
 /// after a response, and limits the idle time of a reused connection per
-/// request. It bounds what it reads: the head and the body of an answer, and the
-/// bytes of answers that belong to no call.
+/// request. It bounds what it reads: the head and the body of an answer, and
+/// the bytes of answers that belong to no call.
 class RelayClient {
  public:
   /// @brief Returns the endpoint to connect to in place of another, which lets
--- a/packages/loop/tests/http_test.cc
+++ b/packages/loop/tests/http_test.cc
@@ -13,8 +13,8 @@
 #include <utility>
 
 #include "gentianroute/loop/event_loop.h"
-#include "gentianroute/loop/relay_http_client.h"
 #include "gentianroute/loop/http_server.h"
+#include "gentianroute/loop/relay_http_client.h"
 
 #include <criterion/criterion.h>
 
