The store records the software versions that can have begun a stream

Cause: a daemon vouches for the only version by its own watching of the host list, for as long as streams are remembered. After a loss of all nobody has watched, and nothing about versions outlives the daemons. Ruled out: the look-up itself (the peers and the store answered within 1 ms), the list (complete).

Change: a record in the store for each service with streams, written on a change only, with a condition, by the daemon that reads the store for its data centre; the others copy it from peers. A daemon that lacks a past reads it when a stream is taken up, after the store has confirmed the list. So that no stream goes on at a version that nobody vouches for: new streams begin at recorded versions while a server of one is open; the record isn't believed if all servers are younger than it, if a daemon of an earlier release lives or has run on this host, or if it can't be read; versions retire in two steps; moved routes count by a digest.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -82,8 +82,7 @@
   virtual void OnReleased(std::string_view service,
                           std::string_view data_centre,
                           std::vector<std::string> results) = 0;
-  virtual void FillStoreCopy(std::uint64_t deployment_version,
-                             std::uint64_t servers_version,
+  virtual void FillStoreCopy(const StoreVersions& known,
                              schema::StoreCopy::Builder copy) = 0;
   virtual void OnStoreCopy(schema::StoreCopy::Reader copy) = 0;
   /// @brief The daemons of the own data centre are known.
@@ -129,6 +128,9 @@
   const Membership& members() const { return members_; }
   std::size_t live_daemons() const { return members_.live_daemons(); }
   bool IsStoreReader() const { return members_.IsStoreReader(); }
+  /// @brief Whether the last daemon of this name was of a release that begins
+  /// streams at software versions that are not recorded.
+  bool follows_unguarded() const { return rows_.follows_unguarded(); }
   /// @brief Number of groups and requests of peers that wait for an answer of
   /// this daemon.
   std::size_t peer_calls() const;
@@ -180,8 +182,7 @@
 
   /// @brief Asks the nearest peer that has newer rows of the store for a copy.
   /// Does nothing while an earlier call is in progress.
-  void FetchStoreCopy(std::uint64_t deployment_version,
-                      std::uint64_t servers_version);
+  void FetchStoreCopy(const StoreVersions& known);
 
  private:
   class Service;
--- a/packages/gateway/include/gentianroute/gateway/daemon_rows.h
+++ b/packages/gateway/include/gentianroute/gateway/daemon_rows.h
@@ -38,6 +38,9 @@
   ~DaemonRows();
 
   void Start();
+  /// @brief Whether the row of this daemon was of a release that begins streams
+  /// at software versions that are not recorded.
+  bool follows_unguarded() const { return follows_unguarded_; }
   /// @brief Reads the part of another data centre.
   void ReadOther(const std::string& data_centre);
 
@@ -56,6 +59,7 @@
   bool first_start_;
   OnRows on_rows_;
   bool written_ = false;
+  bool follows_unguarded_ = false;
   TimerId timer_;
 };
 
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -25,6 +25,7 @@
 #include "gentianroute/gateway/start_queue.h"
 #include "gentianroute/gateway/store_follower.h"
 #include "gentianroute/gateway/stream_registry.h"
+#include "gentianroute/gateway/version_recorder.h"
 #include "gentianroute/loop/relay_server.h"
 #include "gentianroute/loop/scoped_callbacks.h"
 #include "gentianroute/observe/log.h"
@@ -57,6 +58,9 @@
 /// After this time a daemon reads the store's tables even if it has not learnt
 /// its neighbours.
 inline constexpr Duration kMaxStartWait = std::chrono::seconds(3);
+/// Time that a data centre leaves a change of a version record to each one that
+/// ranks higher, whose daemons see it at about the same time.
+inline constexpr Duration kRecordWriteStep = std::chrono::milliseconds(200);
 
 }  // namespace detail
 
@@ -89,6 +93,12 @@
                      settings_.max_propagation_time,
                      ServersListener()),
         cluster_(loop, settings_, store, *this),
+        version_recorder_(
+            loop,
+            store,
+            detail::kRecordWriteStep *
+                static_cast<std::int64_t>(cluster_.members().DataCentreRank()),
+            RecorderHooks()),
         senders_(cluster_.members()),
         placement_rules_{
             topology_,
@@ -112,14 +122,8 @@
         streams_(loop,
                  cluster_,
                  servers_,
-                 StreamRegistry::Copies{[this] { return HasNewestServers(); },
-                                        [this] {
-                                          return server_rows_.contact() !=
-                                                 StoreContact::kNotAsked;
-                                        },
-                                        [this](StoreConfirmation::Done done) {
-                                          return ConfirmRows(std::move(done));
-                                        }},
+                 version_recorder_.records(),
+                 RegistryCopies(),
                  settings_.max_propagation_time),
         retry_budgets_(settings_.retry_ratio, settings_.retry_slack),
         start_queue_(loop.Now()),
@@ -243,8 +247,7 @@
                   std::vector<std::string> results) override {
     stage_scheduler_.Release(service, data_centre, std::move(results));
   }
-  void FillStoreCopy(std::uint64_t deployment_version,
-                     std::uint64_t servers_version,
+  void FillStoreCopy(const StoreVersions& known,
                      schema::StoreCopy::Builder copy) override;
   void OnStoreCopy(schema::StoreCopy::Reader copy) override;
   void OnNeighboursListed(std::size_t rank) override {
@@ -282,6 +285,23 @@
             }};
   }
 
+  VersionRecorder::Hooks RecorderHooks() {
+    return {[this] { return cluster_.IsStoreReader(); },
+            [this] { return streams_.StreamServices(); },
+            [this](std::string_view service) {
+              return streams_.KnowledgeOf(service);
+            },
+            [this](ChangeSource source) { SendRowUpdate(source); }};
+  }
+  StreamRegistry::Copies RegistryCopies() {
+    return {
+        [this] { return HasNewestServers(); },
+        [this] { return server_rows_.contact() != StoreContact::kNotAsked; },
+        [this](bool with_records, StoreConfirmation::Done done) {
+          return ConfirmRows(with_records, std::move(done));
+        }};
+  }
+
   void SendRowUpdate(ChangeSource source) {
     cluster_.SendUpdate(source == ChangeSource::kPeer
                             ? Cluster::UpdateScope::kForward
@@ -326,8 +346,12 @@
   }
   bool ready() const { return is_configured() && !draining_; }
 
-  std::unique_ptr<StoreConfirmation> ConfirmRows(StoreConfirmation::Done done) {
-    const std::array<StoreFollower*, 2> copies = {&deployment_, &server_rows_};
+  std::unique_ptr<StoreConfirmation> ConfirmRows(bool with_records,
+                                                 StoreConfirmation::Done done) {
+    std::vector<FreshnessSource*> copies = {&deployment_, &server_rows_};
+    if (with_records) {
+      copies.push_back(&version_recorder_);
+    }
     return std::make_unique<StoreConfirmation>(copies, std::move(done));
   }
 
@@ -423,6 +447,7 @@
     using FleetState = routing::SoftwareVersions::FleetState;
     streams_.OnServersListed(settings_.first_start ? FleetState::kNew
                                                    : FleetState::kRunning);
+    version_recorder_.Update();
     ServeStartQueueLater();
   }
 
@@ -450,6 +475,7 @@
     ConfirmEarlierCrashes(now, *record);
     servers_.Put(now, std::move(*record));
     streams_.OnServerSeen();
+    version_recorder_.Update();
   }
 
   /// @param service empty: all services
@@ -514,6 +540,7 @@
     suspect_parts_.Sweep(now);
     streams_.RunMaintenance();
     UpdateFollowing();
+    version_recorder_.Update();
     FetchNewerRows();
   }
 
@@ -523,6 +550,10 @@
     if (std::exchange(started_following_, true)) {
       return;
     }
+    if (cluster_.follows_unguarded()) {
+      streams_.OnUnguardedDaemon();
+    }
+    version_recorder_.Start(delay);
     deployment_.Start(delay);
     server_rows_.Start(delay);
   }
@@ -535,12 +566,14 @@
     server_rows_.SetFollowing(reader);
   }
 
-  /// Fetches rows from a peer that has newer ones.
-  void FetchNewerRows() {
-    cluster_.FetchStoreCopy(deployment_.newest_change(),
-                            server_rows_.newest_change());
+  StoreVersions KnownVersions() const {
+    return {deployment_.newest_change(), server_rows_.newest_change(),
+            version_recorder_.newest_change()};
   }
 
+  /// Fetches rows from a peer that has newer ones.
+  void FetchNewerRows() { cluster_.FetchStoreCopy(KnownVersions()); }
+
   routing::OutstandingWork Outstanding() const {
     routing::OutstandingWork work;
     work.caller_connections = callers_->connections();
@@ -603,9 +636,11 @@
   RequestRecorder recorder_;
   detail::RowWriter deployment_writer_;
   detail::RowWriter server_writer_;
+  detail::RowWriter record_writer_;
   StoreFollower deployment_;
   StoreFollower server_rows_;
   Cluster cluster_;
+  VersionRecorder version_recorder_;
   RankedSenders senders_;
   routing::PlacementRules placement_rules_;
   ResultReleaser releaser_;
--- a/packages/gateway/include/gentianroute/gateway/membership.h
+++ b/packages/gateway/include/gentianroute/gateway/membership.h
@@ -39,6 +39,19 @@
   friend bool operator==(const Reach&, const Reach&) = default;
 };
 
+/// @brief Newest changes that a daemon has of the store's tables.
+struct StoreVersions {
+  std::uint64_t deployment = 0;
+  std::uint64_t servers = 0;
+  std::uint64_t version_records = 0;
+
+  /// Whether any is newer than another daemon's.
+  bool HasNewerThan(const StoreVersions& other) const {
+    return deployment > other.deployment || servers > other.servers ||
+           version_records > other.version_records;
+  }
+};
+
 /// @brief State of a daemon, as it reports it in each heartbeat.
 struct DaemonState {
   std::string name;
@@ -50,8 +63,9 @@
   Reach reach;
   double processor_share = 0;  ///< CPU cores that it may use
   StoreContact store = StoreContact::kNotAsked;
-  std::uint64_t deployment_version = 0;
-  std::uint64_t servers_version = 0;
+  StoreVersions versions;
+  /// Whether it begins streams at recorded software versions, if it can.
+  bool records_versions = false;
   std::vector<PoolKey> pools;    ///< whose scheduler it is
   bool has_quarantined = false;  ///< requests or parts of prompts
   /// Daemons that it knows, including itself, alive or not.
@@ -276,10 +290,15 @@
   /// It does unless a live daemon there that ranks higher reads them or can do
   /// so.
   bool IsStoreReader() const;
-  /// @brief Returns the nearest peer that has newer rows of the store than
-  /// these versions; null if there is none.
-  const Peer* StoreCopySource(std::uint64_t deployment_version,
-                              std::uint64_t servers_version) const;
+  /// @brief Returns the nearest peer that has newer rows of the store; null if
+  /// there is none.
+  const Peer* StoreCopySource(const StoreVersions& known) const;
+  /// @brief Position of the own data centre among all, in an order that all
+  /// daemons agree on.
+  std::size_t DataCentreRank() const;
+  /// @brief Whether a live daemon of the own data centre begins streams at
+  /// software versions that are not recorded.
+  bool HasUnguardedNeighbour() const;
 
   /// @brief Returns the nearest live peer that reaches the servers of a
   /// service, for a request that this daemon can't send to any; null if there
--- a/packages/gateway/include/gentianroute/gateway/peer_calls.h
+++ b/packages/gateway/include/gentianroute/gateway/peer_calls.h
@@ -87,8 +87,7 @@
   /// versions.
   /// @pre no earlier call is in progress
   void FetchStoreCopy(const DaemonState& peer,
-                      std::uint64_t deployment_version,
-                      std::uint64_t servers_version,
+                      const StoreVersions& known,
                       std::function<void(schema::StoreCopy::Reader)> done);
   bool fetching() const { return fetching_; }
   /// @brief Asks a peer for the daemons that it knows.
--- a/packages/gateway/include/gentianroute/gateway/store.h
+++ b/packages/gateway/include/gentianroute/gateway/store.h
@@ -13,9 +13,10 @@
 
 /// @brief Tables that a daemon uses in the platform's store.
 enum class StoreTable : std::uint8_t {
-  kDeployment,  ///< deployment as set by operators; one row
-  kServers,     ///< one row for each backend server
-  kDaemons,     ///< one row for each daemon; a part for each data centre
+  kDeployment,      ///< deployment as set by operators; one row
+  kServers,         ///< one row for each backend server
+  kDaemons,         ///< one row for each daemon; a part for each data centre
+  kVersionRecords,  ///< one row for each service that has streams
 };
 
 /// @brief Row of a table, or its deletion.
@@ -31,12 +32,13 @@
   enum class Kind : std::uint8_t {
     kRows,
     kHistoryGone,  ///< the store no longer keeps the requested changes
+    kConflict,     ///< the condition of a write doesn't hold; nothing was done
     kNone,         ///< refused, connection broken, or timed out
   };
   Kind kind = Kind::kNone;
-  std::vector<StoredRow> rows;
-  std::uint64_t version = 0;  ///< the newest version of the store
-  std::string detail;         ///< reason of a failure, for the log
+  std::vector<StoredRow> rows;  ///< for kConflict: the present ones
+  std::uint64_t version = 0;    ///< the newest version of the store
+  std::string detail;           ///< reason of a failure, for the log
 };
 
 /// @brief Client of the platform's store, shared by all its users.
@@ -62,6 +64,13 @@
                    std::string_view key,
                    std::string_view value,
                    Done done) = 0;
+  /// @brief Writes a row if its version is the expected one. A call that fails
+  /// may take effect later, as long as that holds.
+  /// @param row with the expected version; 0: there is no such row
+  virtual void PutIf(StoreTable table,
+                     std::string_view part,
+                     const StoredRow& row,
+                     Done done) = 0;
 };
 
 }  // namespace gentianroute::gateway
--- a/packages/gateway/include/gentianroute/gateway/store_confirmation.h
+++ b/packages/gateway/include/gentianroute/gateway/store_confirmation.h
@@ -7,7 +7,7 @@
 #include <span>
 #include <utility>
 
-#include "gentianroute/gateway/store_follower.h"
+#include "gentianroute/gateway/freshness_question.h"
 
 namespace gentianroute::gateway {
 
@@ -19,9 +19,9 @@
   /// confirmation.
   using Done = std::function<void(bool is_confirmed)>;
 
-  StoreConfirmation(std::span<StoreFollower* const> copies, Done done)
+  StoreConfirmation(std::span<FreshnessSource* const> copies, Done done)
       : done_(std::move(done)) {
-    for (StoreFollower* copy : copies) {
+    for (FreshnessSource* copy : copies) {
       questions_.emplace_back([this](bool is_fresh) { OnAnswer(is_fresh); });
       copy->AskIfFresh(questions_.back());
     }
--- a/packages/gateway/include/gentianroute/gateway/store_follower.h
+++ b/packages/gateway/include/gentianroute/gateway/store_follower.h
@@ -1,7 +1,6 @@
 #ifndef GENTIANROUTE_GATEWAY_STORE_FOLLOWER_H_
 #define GENTIANROUTE_GATEWAY_STORE_FOLLOWER_H_
 
-#include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -9,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "gentianroute/gateway/freshness_question.h"
 #include "gentianroute/gateway/store.h"
 #include "gentianroute/gateway/store_contact.h"
 #include "gentianroute/loop/event_loop.h"
@@ -31,32 +31,13 @@
 /// @brief Where a daemon has a changed row from.
 enum class ChangeSource : std::uint8_t { kStore, kPeer };
 
-/// @brief A question whether a copy has all rows that the store had when it was
-/// asked. Destroying it withdraws it.
-class FreshnessQuestion
-    : public boost::intrusive::list_base_hook<
-          boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
- public:
-  using Done = std::function<void(bool is_fresh)>;
-
-  explicit FreshnessQuestion(Done done) : done_(std::move(done)) {}
-  /// @brief Answers the question, which may be destroyed by that.
-  void Answer(bool is_fresh) {
-    unlink();
-    std::exchange(done_, nullptr)(is_fresh);
-  }
-
- private:
-  Done done_;
-};
-
 /// @brief Keeps a copy of one of the store's tables.
 ///
 /// Reads the whole table once. One daemon of each data centre then follows the
 /// changes, and the others copy from it, since each call to the store is
 /// billed. Versions only increase: a read that is older than the copy is
 /// discarded, so that a daemon never returns to an older configuration.
-class StoreFollower {
+class StoreFollower final : public FreshnessSource {
  public:
   /// @param rows all current rows of the table
   using OnRows = std::function<void(const std::vector<StoredRow>& rows)>;
@@ -80,7 +61,7 @@
                 StoreTable table,
                 Duration max_propagation_time,
                 Listener listener);
-  ~StoreFollower();
+  ~StoreFollower() override;
 
   /// @brief Reads the table after a delay, unless a peer's copy arrives before.
   void Start(Duration delay);
@@ -90,10 +71,7 @@
   void MergePeerCopy(const StoreChanges& changes);
   /// @brief A peer that follows the store has no newer rows than this copy.
   void OnVouchedFor(TimePoint now) { vouched_at_ = now; }
-  /// @brief Asks the store for rows that are missing, and then answers the
-  /// question. Questions that come during a call share the next one.
-  /// @param question answered later, not by this function
-  void AskIfFresh(FreshnessQuestion& question);
+  void AskIfFresh(FreshnessQuestion& question) override;
   /// @brief Returns the changes that a peer does not have, oldest first, up to
   /// the size of one message. The peer asks for the rest after it has merged
   /// these.
@@ -116,10 +94,6 @@
   std::uint64_t newest_change() const { return newest_change_; }
 
  private:
-  using QuestionList =
-      boost::intrusive::list<FreshnessQuestion,
-                             boost::intrusive::constant_time_size<false>>;
-
   void ReadTable();
   /// To be called where a gap in the changes hides rows that came and went.
   void ReportIfRowsMissed();
@@ -163,8 +137,8 @@
   TimePoint answered_at_{};
   TimePoint vouched_at_{};
   TimerId timer_;
-  QuestionList questions_;  ///< for the next call
-  QuestionList asked_;      ///< by the present call
+  FreshnessQuestions questions_;  ///< for the next call
+  FreshnessQuestions asked_;      ///< by the present call
   bool asking_ = false;
   TimerId question_timer_;
 };
--- a/packages/gateway/include/gentianroute/gateway/stream_registry.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_registry.h
@@ -1,10 +1,16 @@
 #ifndef GENTIANROUTE_GATEWAY_STREAM_REGISTRY_H_
 #define GENTIANROUTE_GATEWAY_STREAM_REGISTRY_H_
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "gentianroute/gateway/cluster.h"
 #include "gentianroute/gateway/store_confirmation.h"
@@ -15,6 +21,7 @@
 #include "gentianroute/routing/software_versions.h"
 #include "gentianroute/routing/stream_origin.h"
 #include "gentianroute/routing/stream_origins.h"
+#include "gentianroute/routing/version_record.h"
 
 namespace gentianroute::gateway {
 
@@ -27,7 +34,9 @@
 /// caller takes up a stream that it doesn't know asks its peers. While all
 /// servers of a service have one version, that answers the question, and nobody
 /// is told. It does so only once the store has confirmed the list: a daemon
-/// that is out of step believes in the version that was the only one before.
+/// that is out of step believes in the version that was the only one before. A
+/// daemon that hasn't watched the list for long enough reads in the version
+/// record of the service what was before it started.
 class StreamRegistry {
  public:
   /// @brief How this daemon's copies of the store's tables stand.
@@ -37,7 +46,9 @@
     /// Whether this daemon follows the store itself, and not by its peers.
     std::function<bool()> follow_store;
     /// Has the host list and the deployment confirmed by the store.
+    /// @param with_records whether the version records are, too
     std::function<std::unique_ptr<StoreConfirmation>(
+        bool with_records,
         StoreConfirmation::Done done)>
         confirm;
   };
@@ -47,6 +58,7 @@
   StreamRegistry(EventLoop& loop,
                  Cluster& cluster,
                  const routing::ServerDirectory& servers,
+                 const routing::VersionRecords& records,
                  Copies copies,
                  Duration max_propagation_time);
   ~StreamRegistry();
@@ -77,6 +89,18 @@
                                              std::string_view service,
                                              StreamOriginLookup::Done done);
 
+  /// @brief Time for which a stream may be taken up after it has begun.
+  Duration memory() const { return memory_; }
+  /// @brief The services that have streams which may be taken up.
+  std::set<std::string, std::less<>> StreamServices() const;
+  /// @brief What this daemon knows for the version record of a service.
+  routing::StreamKnowledge KnowledgeOf(std::string_view service) const;
+  /// @brief Software versions at which a new stream may begin; empty: any.
+  std::vector<std::string> VersionsForNewStreams(
+      std::string_view service) const {
+    return records_.VersionsForNewStreams(service, servers_.ServersOf(service));
+  }
+
   /// @brief A newer deployment takes the place of an older one.
   /// @param before null for the first one
   void OnDeployment(const routing::RouteTable* before,
@@ -92,6 +116,9 @@
   /// @brief Drops what is too old, and tells the peers what they had to know
   /// earlier, if there were none.
   void RunMaintenance();
+  /// @brief A daemon of the own data centre begins streams at software versions
+  /// that are not recorded.
+  void OnUnguardedDaemon() { unguarded_at_ = loop_.Now(); }
 
  private:
   /// Longer than any, so that nothing is vouched for or forgotten until a
@@ -102,6 +129,11 @@
   /// The store has just confirmed the host list.
   routing::OriginReport ConfirmedReportOn(std::string_view stream,
                                           std::string_view service) const;
+  /// Whether a daemon of the own data centre may have begun a stream at a
+  /// software version that is not recorded.
+  bool IsUnguarded() const;
+  /// The version records have just been confirmed after the host list.
+  void OnRecordsConfirmed(std::string_view service);
   /// Whether the peers have to know the streams of a service.
   bool IsDue(std::string_view service) const;
   /// Tells the peers soon, together with what else begins until then.
@@ -111,8 +143,13 @@
   EventLoop& loop_;
   Cluster& cluster_;
   const routing::ServerDirectory& servers_;
+  const routing::VersionRecords& records_;
   Copies copies_;
   Duration max_propagation_time_;
+  Duration memory_ = kMemoryAtStart;
+  /// Digest of the routes of each service that has streams.
+  std::map<std::string, std::uint64_t, std::less<>> route_digests_;
+  std::optional<TimePoint> unguarded_at_;
   routing::StreamOrigins origins_;
   routing::SoftwareVersions versions_{kMemoryAtStart};
   routing::RouteMoves route_moves_{kMemoryAtStart};
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -84,8 +84,10 @@
   state.store = static_cast<StoreContact>(
       std::min<unsigned>(heartbeat.getStoreContact(),
                          static_cast<unsigned>(StoreContact::kUnreachable)));
-  state.deployment_version = heartbeat.getDeploymentVersion();
-  state.servers_version = heartbeat.getServersVersion();
+  state.versions = {heartbeat.getDeploymentVersion(),
+                    heartbeat.getServersVersion(),
+                    heartbeat.getVersionRecords()};
+  state.records_versions = heartbeat.getRecordsVersions();
   state.pools = PoolsOf(heartbeat);
   state.has_quarantined = HasQuarantines(heartbeat);
   state.known_daemons = heartbeat.getDaemonsKnown();
@@ -218,9 +220,10 @@
 
   kj::Promise<void> storeCopy(StoreCopyContext context) override {
     const auto params = context.getParams();
-    cluster_.handler_.FillStoreCopy(params.getDeploymentVersion(),
-                                    params.getServersVersion(),
-                                    context.getResults().initCopy());
+    const StoreVersions known{params.getDeploymentVersion(),
+                              params.getServersVersion(),
+                              params.getVersionRecords()};
+    cluster_.handler_.FillStoreCopy(known, context.getResults().initCopy());
     return kj::READY_NOW;
   }
 
@@ -334,6 +337,7 @@
   heartbeat.setPort(own.port);
   heartbeat.setDataCentre(own.data_centre);
   heartbeat.setDraining(own.leaving);
+  heartbeat.setRecordsVersions(true);
   WriteReach(own.reach, heartbeat);
   heartbeat.setProcessorShare(static_cast<float>(own.processor_share));
   heartbeat.setNextMs(static_cast<std::uint32_t>(WholeMilliseconds(next)));
@@ -474,18 +478,16 @@
   }
 }
 
-void Cluster::FetchStoreCopy(std::uint64_t deployment_version,
-                             std::uint64_t servers_version) {
+void Cluster::FetchStoreCopy(const StoreVersions& known) {
   if (calls_.fetching()) {
     return;
   }
-  const Membership::Peer* source =
-      members_.StoreCopySource(deployment_version, servers_version);
+  const Membership::Peer* source = members_.StoreCopySource(known);
   if (source == nullptr) {
     return;
   }
   calls_.FetchStoreCopy(
-      source->state, deployment_version, servers_version,
+      source->state, known,
       [this](schema::StoreCopy::Reader copy) { handler_.OnStoreCopy(copy); });
 }
 
--- a/packages/gateway/src/daemon_rows.cc
+++ b/packages/gateway/src/daemon_rows.cc
@@ -38,7 +38,8 @@
   return nlohmann::json{{"address", daemon.address},
                         {"port", daemon.port},
                         {"data_centre", daemon.data_centre},
-                        {"processor_share", daemon.processor_share}}
+                        {"processor_share", daemon.processor_share},
+                        {"records_versions", true}}
       .dump();
 }
 
@@ -57,6 +58,8 @@
     daemon.data_centre = json.value("data_centre", "");
     daemon.processor_share =
         json.value("processor_share", daemon.processor_share);
+    daemon.records_versions =
+        json.value("records_versions", daemon.records_versions);
     return daemon;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
@@ -121,6 +124,8 @@
   for (const StoredRow& row : answer.rows) {
     if (row.key == own_.name) {
       written_ = written_ || row.value == own_row_;
+      const auto before = ReadRow(row);
+      follows_unguarded_ |= !before || !before->records_versions;
     } else if (auto daemon = ReadRow(row)) {
       others.push_back(std::move(*daemon));
     }
--- a/packages/gateway/src/gateway_operators.cc
+++ b/packages/gateway/src/gateway_operators.cc
@@ -74,6 +74,8 @@
   const routing::RouteTablePtr before = std::exchange(
       table_, std::make_shared<routing::RouteTable>(std::move(deployment)));
   streams_.OnDeployment(before.get(), *table_);
+  version_recorder_.SetMemory(streams_.memory());
+  version_recorder_.Update();
   placement_rules_.cold_servers.SetServices(table_->deployment().services);
   cluster_.SetStageServices(table_->StageServices());
   stage_scheduler_.SetTable(table_);
--- a/packages/gateway/src/gateway_peers.cc
+++ b/packages/gateway/src/gateway_peers.cc
@@ -95,8 +95,10 @@
 
 void Gateway::Impl::FillHeartbeat(schema::Beat::Builder heartbeat,
                                   LoadReport load) {
-  heartbeat.setDeploymentVersion(deployment_.newest_change());
-  heartbeat.setServersVersion(server_rows_.newest_change());
+  const StoreVersions versions = KnownVersions();
+  heartbeat.setDeploymentVersion(versions.deployment);
+  heartbeat.setServersVersion(versions.servers);
+  heartbeat.setVersionRecords(versions.version_records);
   heartbeat.setStoreContact(static_cast<std::uint8_t>(
       std::max(server_rows_.contact(), deployment_.contact())));
   if (load == LoadReport::kIncluded) {
@@ -319,10 +321,9 @@
   peer_reports_.erase(found);
 }
 
-void Gateway::Impl::FillStoreCopy(std::uint64_t deployment_version,
-                                  std::uint64_t servers_version,
+void Gateway::Impl::FillStoreCopy(const StoreVersions& known,
                                   schema::StoreCopy::Builder copy) {
-  const StoreChanges deployment = deployment_.ChangesAfter(deployment_version);
+  const StoreChanges deployment = deployment_.ChangesAfter(known.deployment);
   copy.setDeploymentVersion(deployment.version);
   copy.setDeploymentWhole(deployment.is_full);
   copy.setDeploymentPartial(deployment.is_partial);
@@ -332,7 +333,7 @@
   deployment_writer_.Write(
       deployment.rows,
       copy.initDeployment(static_cast<unsigned>(deployment.rows.size())));
-  const StoreChanges servers = server_rows_.ChangesAfter(servers_version);
+  const StoreChanges servers = server_rows_.ChangesAfter(known.servers);
   server_writer_.Write(
       servers.rows,
       copy.initServers(static_cast<unsigned>(servers.rows.size())));
@@ -342,6 +343,10 @@
   copy.setServersListedVersion(servers.live_keys_version);
   copy.setServersListed(kj::arrayPtr(servers.live_key_hashes.data(),
                                      servers.live_key_hashes.size()));
+  const std::vector<StoredRow> records =
+      version_recorder_.RowsIfNewer(known.version_records);
+  record_writer_.Write(
+      records, copy.initVersionRecords(static_cast<unsigned>(records.size())));
 }
 
 void Gateway::Impl::OnStoreCopy(schema::StoreCopy::Reader copy) {
@@ -373,6 +378,7 @@
         .Field("rows", servers.rows.size());
     server_rows_.MergePeerCopy(servers);
   }
+  version_recorder_.MergePeerCopy(detail::ReadRows(copy.getVersionRecords()));
   ServeStartQueueLater();
   // The rest of a large table, without waiting for the next heartbeat.
   callbacks_.After(Duration{0}, [this] { FetchNewerRows(); });
--- a/packages/gateway/src/membership.cc
+++ b/packages/gateway/src/membership.cc
@@ -394,14 +394,11 @@
 }
 
 const Membership::Peer* Membership::StoreCopySource(
-    std::uint64_t deployment_version,
-    std::uint64_t servers_version) const {
+    const StoreVersions& known) const {
   const Peer* source = nullptr;
   std::pair<Distance, std::uint64_t> best;
   for (const auto& [name, peer] : peers_) {
-    const bool newer = peer->state.deployment_version > deployment_version ||
-                       peer->state.servers_version > servers_version;
-    if (!peer->alive || !newer) {
+    if (!peer->alive || !peer->state.versions.HasNewerThan(known)) {
       continue;
     }
     // Each daemon picks a different one of equally distant peers, which spreads
--- a/packages/gateway/src/membership_streams.cc
+++ b/packages/gateway/src/membership_streams.cc
@@ -94,9 +94,29 @@
   const bool is_behind = std::ranges::any_of(peers_, [&](const auto& item) {
     const Peer& peer = *item.second;
     return now < peer.heard_at + kMaxHeartbeatAge &&
-           peer.state.servers_version > servers_version;
+           peer.state.versions.servers > servers_version;
   });
   return !is_behind && HearsFromStore(now);
 }
 
+std::size_t Membership::DataCentreRank() const {
+  const auto weight = [](std::string_view data_centre) {
+    return RendezvousWeight("version-records", data_centre);
+  };
+  const std::uint64_t own = weight(own_.data_centre);
+  return static_cast<std::size_t>(
+      std::ranges::count_if(regions_, [&](const auto& data_centre) {
+        return weight(data_centre.first) > own;
+      }));
+}
+
+bool Membership::HasUnguardedNeighbour() const {
+  return std::ranges::any_of(peers_, [](const auto& item) {
+    const Peer& peer = *item.second;
+    const bool has_told = peer.heard_at != TimePoint{};
+    return peer.alive && has_told && !peer.state.records_versions &&
+           peer.distance == Distance::kSameDataCentre;
+  });
+}
+
 }  // namespace gentianroute::gateway
--- a/packages/gateway/src/peer_calls.cc
+++ b/packages/gateway/src/peer_calls.cc
@@ -316,13 +316,13 @@
 
 void PeerCalls::FetchStoreCopy(
     const DaemonState& peer,
-    std::uint64_t deployment_version,
-    std::uint64_t servers_version,
+    const StoreVersions& known,
     std::function<void(schema::StoreCopy::Reader)> done) {
   fetching_ = true;
   auto request = ClientOf(peer).storeCopyRequest();
-  request.setDeploymentVersion(deployment_version);
-  request.setServersVersion(servers_version);
+  request.setDeploymentVersion(known.deployment);
+  request.setServersVersion(known.servers);
+  request.setVersionRecords(known.version_records);
   auto timeout = kj::newPromiseAndFulfiller<void>();
   auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
       kj::mv(timeout.fulfiller));
--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -90,6 +90,10 @@
   if (HandToPeer()) {
     return;
   }
+  if (route_->kind == routing::RouteKind::kStream && route_->resumable) {
+    placement_->BeginStreamAt(
+        service_name_, context_.streams.VersionsForNewStreams(service_name_));
+  }
   const routing::ServerChoice choice = ChooseServer();
   if (choice.server == nullptr) {
     if (!HandToSender() && !WaitForServer(choice)) {
@@ -148,7 +152,8 @@
     return choice.verdicts[static_cast<std::size_t>(verdict)];
   };
   const auto held = count(routing::PlacementVerdict::kCold) +
-                    count(routing::PlacementVerdict::kNoRoom);
+                    count(routing::PlacementVerdict::kNoRoom) +
+                    count(routing::PlacementVerdict::kNotRecorded);
   // A few servers can all have been tried before the daemon knows that it is
   // cut off from them, and has to hand the request to a peer.
   const bool may_be_cut_off =
--- a/packages/gateway/src/request_recorder.cc
+++ b/packages/gateway/src/request_recorder.cc
@@ -14,7 +14,7 @@
 /// of the metrics, by PlacementVerdict.
 constexpr auto kLimitNames = std::to_array<std::string_view>(
     {"accepted", "outside_regions", "evacuated", "cold", "rate_limited",
-     "not_sender", "no_room", "other_version", "backoff"});
+     "not_sender", "no_room", "other_version", "backoff", "not_recorded"});
 
 /// Values of a log field, by OriginEvidence.
 constexpr auto kEvidenceNames = std::to_array<std::string_view>(
--- a/packages/gateway/src/store_follower.cc
+++ b/packages/gateway/src/store_follower.cc
@@ -49,8 +49,8 @@
 /// Consecutive failures that count as an outage; a single one does not.
 constexpr std::uint32_t kOutageFailures = 2;
 
-constexpr std::array<std::string_view, 3> kTableNames = {"deployment",
-                                                         "servers", "daemons"};
+constexpr std::array<std::string_view, 4> kTableNames = {
+    "deployment", "servers", "daemons", "version_records"};
 
 std::string_view NameOf(StoreTable table) {
   return kTableNames[static_cast<std::size_t>(table)];
@@ -217,9 +217,7 @@
 }
 
 void StoreFollower::AnswerAsked(bool is_fresh) {
-  while (!asked_.empty()) {
-    asked_.front().Answer(is_fresh);
-  }
+  AnswerAll(asked_, is_fresh);
   asking_ = !questions_.empty();
   if (asking_) {
     AskNow();
--- a/packages/gateway/src/stream_registry.cc
+++ b/packages/gateway/src/stream_registry.cc
@@ -1,11 +1,9 @@
 #include "gentianroute/gateway/stream_registry.h"
 
 #include <chrono>
-#include <functional>
-#include <map>
-#include <string>
 #include <utility>
-#include <vector>
+
+#include "gentianroute/observe/log.h"
 
 namespace gentianroute::gateway {
 namespace {
@@ -21,11 +19,13 @@
 StreamRegistry::StreamRegistry(EventLoop& loop,
                                Cluster& cluster,
                                const routing::ServerDirectory& servers,
+                               const routing::VersionRecords& records,
                                Copies copies,
                                Duration max_propagation_time)
     : loop_(loop),
       cluster_(cluster),
       servers_(servers),
+      records_(records),
       copies_(std::move(copies)),
       max_propagation_time_(max_propagation_time) {}
 
@@ -81,12 +81,66 @@
     std::string_view stream,
     std::string_view service,
     ReportDone done) {
-  return copies_.confirm([this, stream = std::string(stream),
-                          service = std::string(service),
-                          done = std::move(done)](bool is_confirmed) {
-    done(is_confirmed ? ConfirmedReportOn(stream, service)
-                      : ReportOn(stream, service));
-  });
+  const bool needs_record =
+      Find(stream) == nullptr && !versions_.CoversStreams(loop_.Now(), service);
+  return copies_.confirm(
+      needs_record,
+      [this, stream = std::string(stream), service = std::string(service),
+       needs_record, done = std::move(done)](bool is_confirmed) {
+        if (is_confirmed && needs_record) {
+          OnRecordsConfirmed(service);
+        }
+        done(is_confirmed ? ConfirmedReportOn(stream, service)
+                          : ReportOn(stream, service));
+      });
+}
+
+void StreamRegistry::OnRecordsConfirmed(std::string_view service) {
+  const auto& servers = servers_.ServersOf(service);
+  const auto digest = route_digests_.find(service);
+  const bool is_complete = !IsUnguarded() && digest != route_digests_.end() &&
+                           records_.IsComplete(service, servers);
+  const routing::VersionRecord* record = records_.Find(service);
+  LogEvent("version_record_read")
+      .Field("service", service)
+      .Field("found", record != nullptr)
+      .Field("unguarded", IsUnguarded())
+      .Field("complete", is_complete);
+  if (!is_complete) {
+    return;
+  }
+  const TimePoint now = loop_.Now();
+  versions_.OnRecordRead(now, service, record->VersionsBesides(servers));
+  if (record->routes_moved || record->routes != digest->second) {
+    route_moves_.OnMissed(now, service);
+  }
+}
+
+bool StreamRegistry::IsUnguarded() const {
+  return unguarded_at_ && loop_.Now() < *unguarded_at_ + memory_;
+}
+
+std::set<std::string, std::less<>> StreamRegistry::StreamServices() const {
+  std::set<std::string, std::less<>> services;
+  for (const auto& [service, digest] : route_digests_) {
+    services.insert(service);
+  }
+  return services;
+}
+
+routing::StreamKnowledge StreamRegistry::KnowledgeOf(
+    std::string_view service) const {
+  const TimePoint now = loop_.Now();
+  const auto digest = route_digests_.find(service);
+  routing::StreamKnowledge knowledge;
+  knowledge.servers = servers_.ServersOf(service);
+  knowledge.gone = versions_.GoneLately(now, service);
+  knowledge.covers_streams = versions_.CoversStreams(now, service);
+  knowledge.routes_moved = route_moves_.Concerns(now, service);
+  knowledge.routes = digest == route_digests_.end() ? 0 : digest->second;
+  knowledge.data_centre = cluster_.members().own().data_centre;
+  knowledge.is_unguarded = IsUnguarded();
+  return knowledge;
 }
 
 std::unique_ptr<StreamOriginLookup> StreamRegistry::LookUp(
@@ -99,9 +153,13 @@
 
 void StreamRegistry::OnDeployment(const routing::RouteTable* before,
                                   const routing::RouteTable& after) {
-  const Duration memory = routing::StreamMemory(after, max_propagation_time_);
-  versions_.SetMemory(memory);
-  route_moves_.SetMemory(memory);
+  memory_ = routing::StreamMemory(after, max_propagation_time_);
+  versions_.SetMemory(memory_);
+  route_moves_.SetMemory(memory_);
+  route_digests_.clear();
+  for (const std::string& service : routing::StreamServices(after)) {
+    route_digests_[service] = routing::DigestOfStreamRoutes(after, service);
+  }
   if (before != nullptr) {
     route_moves_.OnDeployment(loop_.Now(), *before, after);
     // Streams that began before their route moved.
@@ -132,6 +190,9 @@
 
 void StreamRegistry::RunMaintenance() {
   origins_.Expire(loop_.Now());
+  if (cluster_.members().HasUnguardedNeighbour()) {
+    OnUnguardedDaemon();
+  }
   Tell();
 }
 
--- a/packages/gateway/tests/fake_store.h
+++ b/packages/gateway/tests/fake_store.h
@@ -50,6 +50,14 @@
     calls.push_back({false, 0, std::move(done), std::string(part)});
   }
 
+  void PutIf(StoreTable /*table*/,
+             std::string_view part,
+             const StoredRow& row,
+             Done done) override {
+    written.push_back(row);
+    calls.push_back({false, row.version, std::move(done), std::string(part)});
+  }
+
   void RespondWithRows(std::vector<StoredRow> rows, std::uint64_t version) {
     StoreAnswer answer;
     answer.kind = StoreAnswer::Kind::kRows;
--- a/packages/routing/include/gentianroute/routing/placement.h
+++ b/packages/routing/include/gentianroute/routing/placement.h
@@ -1,13 +1,16 @@
 #ifndef GENTIANROUTE_ROUTING_PLACEMENT_H_
 #define GENTIANROUTE_ROUTING_PLACEMENT_H_
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/brittle_server_limiter.h"
@@ -42,8 +45,9 @@
   kNoRoom,  ///< it is brittle, and this daemon's part of its slots is taken
   kOtherVersion,  ///< its software is not of the version that began the stream
   kBackoff,       ///< it has asked this daemon to send it nothing now
+  kNotRecorded,   ///< streams may not begin at its software version yet
 };
-inline constexpr std::size_t kPlacementVerdicts = 9;
+inline constexpr std::size_t kPlacementVerdicts = 10;
 
 /// @brief Number of servers with each verdict.
 using PlacementCounts = std::array<std::uint32_t, kPlacementVerdicts>;
@@ -63,6 +67,14 @@
   /// @brief Binds the request to the servers that began its stream. Other
   /// services, such as those of its stages, are not affected.
   void BindTo(StreamOrigin origin) { origin_ = std::move(origin); }
+  /// @brief Sets the software versions at which a new stream of a service may
+  /// begin. Without effect once the request is bound.
+  /// @param versions empty: any
+  void BeginStreamAt(std::string_view service,
+                     std::vector<std::string> versions) {
+    stream_service_ = service;
+    stream_versions_ = std::move(versions);
+  }
 
   /// @brief Whether daemons in a data centre may get the request or parts of
   /// it.
@@ -87,8 +99,11 @@
     const bool other_version =
         origin_ && origin_->service == server.service &&
         origin_->software_version != server.software_version;
-    return other_version ? PlacementVerdict::kOtherVersion
-                         : Check(server.data_centre);
+    if (other_version) {
+      return PlacementVerdict::kOtherVersion;
+    }
+    return MayBeginStreamAt(server) ? Check(server.data_centre)
+                                    : PlacementVerdict::kNotRecorded;
   }
   bool Accepts(const ServerRecord& server) const {
     return Check(server) == PlacementVerdict::kAccepted;
@@ -120,9 +135,19 @@
   }
 
  private:
+  bool MayBeginStreamAt(const ServerRecord& server) const {
+    const bool is_free = origin_ || stream_versions_.empty() ||
+                         server.service != stream_service_;
+    return is_free ||
+           std::ranges::find(stream_versions_, server.software_version) !=
+               stream_versions_.end();
+  }
+
   const PlacementRules* rules_;
   PermittedRegions regions_;
   std::optional<StreamOrigin> origin_;
+  std::string stream_service_;
+  std::vector<std::string> stream_versions_;
 };
 
 /// @brief Whether any of the servers is open and accepts the work, whatever its
--- a/packages/routing/include/gentianroute/routing/route_moves.h
+++ b/packages/routing/include/gentianroute/routing/route_moves.h
@@ -48,6 +48,10 @@
   void OnDeployment(TimePoint now,
                     const RouteTable& before,
                     const RouteTable& after);
+  /// @brief Routes may have been moved to or from a service unseen until now.
+  void OnMissed(TimePoint now, std::string_view service) {
+    moved_at_[std::string(service)] = now;
+  }
   /// @brief Whether streams of a service may have begun at another one, or the
   /// reverse.
   bool Concerns(TimePoint now, std::string_view service) const;
--- a/packages/routing/include/gentianroute/routing/software_versions.h
+++ b/packages/routing/include/gentianroute/routing/software_versions.h
@@ -5,9 +5,11 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gentianroute/base/time.h"
 #include "gentianroute/routing/server.h"
@@ -40,6 +42,18 @@
   void OnMissed(TimePoint now);
   /// @brief A server has left the host list.
   void OnGone(TimePoint now, const ServerRecord& server);
+  /// @brief The store's record of a service has been read, which names all
+  /// versions that can have begun a stream until now.
+  /// @param unlisted those that no server of the list has
+  void OnRecordRead(TimePoint now,
+                    std::string_view service,
+                    std::span<const std::string> unlisted);
+  /// @brief Whether all versions are known that can have begun a stream of a
+  /// service which is still wanted.
+  bool CoversStreams(TimePoint now, std::string_view service) const;
+  /// @brief Versions of a service that have gone lately.
+  std::vector<std::string> GoneLately(TimePoint now,
+                                      std::string_view service) const;
   /// @brief Reports which versions can have begun a stream of a service.
   /// @param servers the listed servers of the service
   /// @complexity linear in the number of servers
@@ -50,6 +64,8 @@
  private:
   Duration memory_;
   std::optional<TimePoint> listed_since_;  ///< min() in a new fleet
+  /// Services whose record was read after the list.
+  std::set<std::string, std::less<>> recorded_;
   /// When the last server of a version has gone, by service and version.
   std::map<std::string, std::map<std::string, TimePoint>, std::less<>> gone_at_;
 };
--- a/packages/routing/src/software_versions.cc
+++ b/packages/routing/src/software_versions.cc
@@ -31,6 +31,7 @@
   if (listed_since_) {
     listed_since_ = now;
   }
+  recorded_.clear();
 }
 
 void SoftwareVersions::OnGone(TimePoint now, const ServerRecord& server) {
@@ -41,6 +42,38 @@
   versions[server.software_version] = now;
 }
 
+void SoftwareVersions::OnRecordRead(TimePoint now,
+                                    std::string_view service,
+                                    std::span<const std::string> unlisted) {
+  recorded_.emplace(service);
+  // Nobody knows when they went.
+  for (const std::string& version : unlisted) {
+    gone_at_[std::string(service)][version] = now;
+  }
+}
+
+bool SoftwareVersions::CoversStreams(TimePoint now,
+                                     std::string_view service) const {
+  return listed_since_ &&
+         (*listed_since_ + memory_ <= now || recorded_.contains(service));
+}
+
+std::vector<std::string> SoftwareVersions::GoneLately(
+    TimePoint now,
+    std::string_view service) const {
+  std::vector<std::string> lately;
+  const auto gone = gone_at_.find(service);
+  if (gone == gone_at_.end()) {
+    return lately;
+  }
+  for (const auto& [version, when] : gone->second) {
+    if (now < when + memory_) {
+      lately.push_back(version);
+    }
+  }
+  return lately;
+}
+
 OriginReport SoftwareVersions::Report(
     TimePoint now,
     std::string_view service,
@@ -51,19 +84,17 @@
   const std::optional<StreamOrigin> listed =
       OnlyListedVersion(service, servers);
   bool is_only = listed.has_value();
-  if (const auto gone = gone_at_.find(service);
-      is_only && gone != gone_at_.end()) {
-    is_only = std::ranges::all_of(gone->second, [&](const auto& other) {
-      return other.first == listed->software_version ||
-             other.second + memory_ <= now;
+  if (is_only) {
+    const std::vector<std::string> gone = GoneLately(now, service);
+    is_only = std::ranges::all_of(gone, [&](const std::string& other) {
+      return other == listed->software_version;
     });
   }
   if (!is_only) {
     return {OriginEvidence::kSeveralVersions, {}, {}};
   }
   // A version may have gone before the list was known.
-  const bool covers_streams = listed_since_ && *listed_since_ + memory_ <= now;
-  if (!covers_streams) {
+  if (!CoversStreams(now, service)) {
     return {};
   }
   return {OriginEvidence::kOneVersion, *listed, {}};
--- a/packages/schema/schema/cluster.capnp
+++ b/packages/schema/schema/cluster.capnp
@@ -82,6 +82,9 @@
   partCrashes @23 :List(Peer.PartCrash);
   partAnswers @24 :List(Peer.PartReport);       # latest answered requests
   partQuarantines @25 :List(Peer.PartReport);   # parts that crash servers
+  recordsVersions @26 :Bool;          # the sender begins streams at recorded
+                                      # software versions, if it can
+  versionRecords @27 :UInt64;         # newest change in the version records
 }
 
 struct Group {
@@ -135,6 +138,8 @@
   deploymentListedVersion @9 :UInt64;
   deploymentPartial @10 :Bool;        # more rows follow in the next copy
   serversPartial @11 :Bool;
+  # All version records, which are few; empty if the receiver has the newest.
+  versionRecords @12 :List(Row);
 }
 
 struct KnownDaemon {
@@ -212,5 +217,6 @@
   streamOrigin @6 (id :Text, service :Text, confirm :Bool) -> (report :OriginReport);
   # Asked by a daemon whose caller takes up a stream that it doesn't know.
   # `confirm`: the store is asked first whether there are newer rows.
-  storeCopy @1 (deploymentVersion :UInt64, serversVersion :UInt64) -> (copy :StoreCopy);
+  storeCopy @1 (deploymentVersion :UInt64, serversVersion :UInt64,
+                versionRecords :UInt64) -> (copy :StoreCopy);
 }
