No connection carries the same request id twice

Cause: a model server refused it with 409, as its input was gone, and sent that refusal a second time. The daemon had the stage run again and sent the request once more on the same connection, where the second 409 passed for the answer to the second sending: it has the right id, and nothing else tells two sendings apart. Ruled out: the 409 branch alone (a doubled refusal of any repeat to the same server does it), late bytes that come before the second sending (they close the idle connection).

Change: RelayCall names the request, and the connection pool gives it only a connection that has not carried the name. So a late answer to the first sending can't arrive where the second one's is due. A connection is replaced after 1,024 names. Handed requests, retries to the only server and callers that repeat an id by themselves get the same rule.

--- a/packages/gateway/src/request_flow_attempts.cc
+++ b/packages/gateway/src/request_flow_attempts.cc
@@ -112,6 +112,7 @@
     call.max_body_bytes = kMaxStreamBytes;
   }
   call.max_idle = repeatable() ? kMaxIdleRepeatable : kMaxIdleNonRepeatable;
+  call.request_id = request_.id;
   call.matches_response = [&translator = context_.translator, id = request_.id](
                               const MessageHead& head, ConnectionUse use) {
     return translator.IsAnswerTo(head, id, use);
--- a/packages/loop/include/gentianroute/loop/relay_client.h
+++ b/packages/loop/include/gentianroute/loop/relay_client.h
@@ -48,6 +48,10 @@
   bool keep_connection = true;
   /// An answer with a longer body is malformed, and its connection is closed.
   std::size_t max_body_bytes = kMaxCollectedBodyBytes;
+  /// Identifies the request to its server; empty if it has no id. No connection
+  /// carries the same one twice: a second, late response to the first sending
+  /// would pass for the response to the next one.
+  std::string request_id;
   /// Returns whether a response belongs to this request; others are discarded.
   /// Null accepts the first response.
   std::function<bool(const MessageHead&, ConnectionUse)> matches_response;
--- a/packages/loop/src/relay_client.cc
+++ b/packages/loop/src/relay_client.cc
@@ -4,6 +4,7 @@
 #include <list>
 #include <map>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,9 @@
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(700);
 constexpr Duration kSweepPeriod = std::chrono::seconds(1);
 constexpr int kFirstFinalStatus = 200;
+/// Requests with an id that a connection carries. Bounds the memory for their
+/// ids.
+constexpr std::size_t kMaxCarriedIds = 1024;
 
 /// How long a connection may stay idle after a response before it is no longer
 /// reused: the `timeout` parameter of its `Keep-Alive` field minus a margin.
@@ -77,6 +81,9 @@
       ++calls_;
       response_has_no_body_ = call.response_has_no_body;
       keep_connection_ = call.keep_connection;
+      if (!call.request_id.empty()) {
+        carried_ids_.insert(std::move(call.request_id));
+      }
       head_received_ = false;
       bytes_before_head_ = 0;
       limits_.body_bytes = call.max_body_bytes;
@@ -90,7 +97,11 @@
     const Endpoint& endpoint() const { return endpoint_; }
     bool idle() const { return observer_ == nullptr; }
     bool CanReuse(TimePoint now, Duration limit) const {
-      return idle() && now - idle_since_ < std::min(limit, idle_limit_);
+      return idle() && now - idle_since_ < std::min(limit, idle_limit_) &&
+             carried_ids_.size() < kMaxCarriedIds;
+    }
+    bool HasCarried(const std::string& request_id) const {
+      return carried_ids_.contains(request_id);
     }
 
     /// Closes the connection as soon as no call uses it.
@@ -242,6 +253,7 @@
     RelayCallObserver* observer_ = nullptr;
     std::function<bool(const MessageHead&, ConnectionUse)> matches_response_;
     std::size_t calls_ = 0;  ///< that have used the connection
+    std::unordered_set<std::string> carried_ids_;  ///< of these
     bool response_has_no_body_ = false;
     bool keep_connection_ = true;
     bool head_received_ = false;
@@ -348,7 +360,8 @@
     ConnectionList& list = connections_[call.endpoint];
     // The most recently used first, so that surplus connections expire.
     for (auto at = list.rbegin(); at != list.rend(); ++at) {
-      if ((*at)->CanReuse(now, call.max_idle)) {
+      if ((*at)->CanReuse(now, call.max_idle) &&
+          !(*at)->HasCarried(call.request_id)) {
         return **at;
       }
     }
