Keepers of streams that are new or restarted get all of them

Cause: a daemon tells its keepers of each stream once. Who has been told, and whether it still lives, wasn't kept: a keeper that was restarted had lost what it kept, one that took the place of another never got it, and a message that failed was not repeated. What a stopping daemon kept for others ended with it. Ruled out: the search (the restarted daemons were asked, and answered).

A daemon that stops shares all that it knows, also what it keeps.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -152,9 +152,11 @@
     return calls_.HandOver(peer.state, request, observer);
   }
 
-  /// @brief Tells peers the origins of streams, which they keep.
-  void TellBegunStreams(const Membership::Targets& keepers,
-                        std::span<const routing::BegunStream> streams);
+  /// @brief Tells a peer the origins of streams, as PeerCalls::TellBegunStreams
+  /// does.
+  void TellBegunStreams(const Membership::Peer& keeper,
+                        std::span<const routing::BegunStream> streams,
+                        std::function<void()> on_failed);
   /// @brief Asks another daemon for the origin of a stream, as
   /// PeerCalls::AskStreamOrigin does.
   std::unique_ptr<PeerQuestion> AskStreamOrigin(
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -192,6 +192,7 @@
     drain_ = {now + detail::kBalancerDetectionTime,
               now + settings_.drain_grace - detail::kDrainMargin};
     cluster_.AnnounceLeaving();
+    streams_.OnLeaving();
     callers_->AnnounceClose();
     callbacks_.After(detail::kBalancerDetectionTime,
                      [this] { callers_->StopAccepting(); });
--- a/packages/gateway/include/gentianroute/gateway/peer_calls.h
+++ b/packages/gateway/include/gentianroute/gateway/peer_calls.h
@@ -71,8 +71,11 @@
                                                 PeerAnswerObserver& observer);
 
   /// @brief Tells a peer the origins of streams, which it keeps.
+  /// @param on_failed called if the peer may not have got them; not after this
+  /// object is destroyed
   void TellBegunStreams(const DaemonState& peer,
-                        std::span<const routing::BegunStream> streams);
+                        std::span<const routing::BegunStream> streams,
+                        std::function<void()> on_failed);
   /// @brief Asks a peer for the origin of a stream of a service.
   /// @param done called once: with nothing if the call failed. Not called after
   /// the returned object is destroyed.
--- a/packages/gateway/include/gentianroute/gateway/stream_registry.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_registry.h
@@ -33,7 +33,9 @@
 /// a few peers, which keep this until the caller's deadline. A daemon whose
 /// caller takes up a stream that it doesn't know asks its peers. While all
 /// servers of a service have one version, that answers the question, and nobody
-/// is told. It does so only once the store has confirmed the list: a daemon
+/// is told. A keeper that is lost or restarted has its successor told again,
+/// and a daemon that stops gives its peers all that it keeps. It does so only
+/// once the store has confirmed the list: a daemon
 /// that is out of step believes in the version that was the only one before. A
 /// daemon that hasn't watched the list for long enough reads in the version
 /// record of the service what was before it started.
@@ -114,8 +116,10 @@
   /// @brief Servers may have come and gone that this daemon has not seen.
   void OnServersMissed();
   /// @brief Drops what is too old, and tells the peers what they had to know
-  /// earlier, if there were none.
+  /// earlier, if there were none or if others keep it now.
   void RunMaintenance();
+  /// @brief This daemon will end: its peers keep all that it knows from now on.
+  void OnLeaving();
   /// @brief A daemon of the own data centre begins streams at software versions
   /// that are not recorded.
   void OnUnguardedDaemon() { unguarded_at_ = loop_.Now(); }
@@ -136,9 +140,16 @@
   void OnRecordsConfirmed(std::string_view service);
   /// Whether the peers have to know the streams of a service.
   bool IsDue(std::string_view service) const;
+  /// The services whose streams the peers have to know, each looked up once.
+  std::function<bool(std::string_view service)> DueServices() const;
   /// Tells the peers soon, together with what else begins until then.
   void TellLater();
   void Tell();
+  /// Gives the streams to those that have become their keepers, or that were
+  /// restarted since they got them.
+  void TellNewKeepers();
+  void TellKeeper(const Membership::Peer& keeper,
+                  std::span<const routing::BegunStream> streams);
 
   EventLoop& loop_;
   Cluster& cluster_;
@@ -153,6 +164,9 @@
   routing::StreamOrigins origins_;
   routing::SoftwareVersions versions_{kMemoryAtStart};
   routing::RouteMoves route_moves_{kMemoryAtStart};
+  /// Incarnation of each keeper that has got all streams.
+  std::map<std::string, std::uint64_t, std::less<>> told_keepers_;
+  bool is_leaving_ = false;
   bool tell_pending_ = false;
   TimerId tell_timer_;
 };
--- a/packages/gateway/src/cluster.cc
+++ b/packages/gateway/src/cluster.cc
@@ -500,11 +500,10 @@
                          std::move(done));
 }
 
-void Cluster::TellBegunStreams(const Membership::Targets& keepers,
-                               std::span<const routing::BegunStream> streams) {
-  for (const Membership::Peer* peer : keepers) {
-    calls_.TellBegunStreams(peer->state, streams);
-  }
+void Cluster::TellBegunStreams(const Membership::Peer& keeper,
+                               std::span<const routing::BegunStream> streams,
+                               std::function<void()> on_failed) {
+  calls_.TellBegunStreams(keeper.state, streams, std::move(on_failed));
 }
 
 void Cluster::ReleaseAt(std::string_view peer,
--- a/packages/gateway/src/peer_calls.cc
+++ b/packages/gateway/src/peer_calls.cc
@@ -238,14 +238,15 @@
   return remote;
 }
 
-void PeerCalls::TellBegunStreams(
-    const DaemonState& peer,
-    std::span<const routing::BegunStream> streams) {
+void PeerCalls::TellBegunStreams(const DaemonState& peer,
+                                 std::span<const routing::BegunStream> streams,
+                                 std::function<void()> on_failed) {
   auto request = ClientOf(peer).streamsBegunRequest();
   detail::WriteBegunStreams(
       streams, request.initStreams(static_cast<unsigned>(streams.size())));
-  // A lost message is not repeated: other peers keep the same origins.
-  tasks_->add(request.send().ignoreResult());
+  tasks_->add(request.send().ignoreResult().then(
+      [] {}, [on_failed = std::move(on_failed)](
+                 kj::Exception&& /*broken*/) { on_failed(); }));
 }
 
 std::unique_ptr<PeerQuestion> PeerCalls::AskStreamOrigin(
--- a/packages/gateway/src/stream_registry.cc
+++ b/packages/gateway/src/stream_registry.cc
@@ -1,6 +1,8 @@
 #include "gentianroute/gateway/stream_registry.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <utility>
 
 #include "gentianroute/observe/log.h"
@@ -13,6 +15,8 @@
 /// Time for which begun streams are collected into one message. A daemon that
 /// fails within it takes its knowledge of them along.
 constexpr Duration kTellDelay = std::chrono::milliseconds(20);
+/// Limits the size of a message, some 60 bytes a stream.
+constexpr std::size_t kMaxStreamsInMessage = 500;
 
 }  // namespace
 
@@ -35,7 +39,7 @@
 
 void StreamRegistry::OnBegun(const routing::BegunStream& stream) {
   origins_.Put(loop_.Now(), stream, routing::StreamOrigins::Source::kOwn);
-  if (IsDue(stream.origin.service)) {
+  if (is_leaving_ || IsDue(stream.origin.service)) {
     TellLater();
   }
 }
@@ -45,6 +49,9 @@
   for (const routing::BegunStream& stream : streams) {
     origins_.Put(loop_.Now(), stream, routing::StreamOrigins::Source::kPeer);
   }
+  if (is_leaving_) {
+    TellLater();
+  }
 }
 
 const routing::StreamOrigin* StreamRegistry::Find(
@@ -194,6 +201,13 @@
     OnUnguardedDaemon();
   }
   Tell();
+  TellNewKeepers();
+}
+
+void StreamRegistry::OnLeaving() {
+  is_leaving_ = true;
+  origins_.OnLeaving();
+  TellLater();
 }
 
 routing::OriginReport StreamRegistry::VersionReport(
@@ -219,22 +233,63 @@
   });
 }
 
+std::function<bool(std::string_view service)> StreamRegistry::DueServices()
+    const {
+  return [this, due = std::map<std::string, bool, std::less<>>()](
+             std::string_view service) mutable {
+    auto found = due.find(service);
+    if (found == due.end()) {
+      found = due.emplace(service, is_leaving_ || IsDue(service)).first;
+    }
+    return found->second;
+  };
+}
+
 void StreamRegistry::Tell() {
   const Membership::Targets keepers = cluster_.members().StreamOriginKeepers();
   if (keepers.empty()) {
     return;
   }
-  std::map<std::string, bool, std::less<>> due;
   const std::vector<routing::BegunStream> streams =
-      origins_.TakeUntold(loop_.Now(), [&](std::string_view service) {
-        auto found = due.find(service);
-        if (found == due.end()) {
-          found = due.emplace(service, IsDue(service)).first;
-        }
-        return found->second;
-      });
-  if (!streams.empty()) {
-    cluster_.TellBegunStreams(keepers, streams);
+      origins_.TakeUntold(loop_.Now(), DueServices());
+  for (const Membership::Peer* keeper : keepers) {
+    TellKeeper(*keeper, streams);
+  }
+}
+
+void StreamRegistry::TellNewKeepers() {
+  const Membership::Targets keepers = cluster_.members().StreamOriginKeepers();
+  std::map<std::string, std::uint64_t, std::less<>> told;
+  for (const Membership::Peer* keeper : keepers) {
+    const DaemonState& state = keeper->state;
+    const auto before = told_keepers_.find(state.name);
+    const bool has_them =
+        before != told_keepers_.end() && before->second == state.incarnation;
+    told[state.name] = state.incarnation;
+    if (has_them) {
+      continue;
+    }
+    const std::vector<routing::BegunStream> streams =
+        origins_.ToShare(loop_.Now(), DueServices());
+    if (!streams.empty()) {
+      LogEvent("streams_given")
+          .Field("keeper", state.name)
+          .Field("streams", streams.size());
+    }
+    TellKeeper(*keeper, streams);
+  }
+  told_keepers_ = std::move(told);
+}
+
+void StreamRegistry::TellKeeper(const Membership::Peer& keeper,
+                                std::span<const routing::BegunStream> streams) {
+  while (!streams.empty()) {
+    const auto part =
+        streams.first(std::min(streams.size(), kMaxStreamsInMessage));
+    streams = streams.subspan(part.size());
+    cluster_.TellBegunStreams(keeper, part, [this, name = keeper.state.name] {
+      told_keepers_.erase(name);
+    });
   }
 }
 
--- a/packages/routing/include/gentianroute/routing/stream_origins.h
+++ b/packages/routing/include/gentianroute/routing/stream_origins.h
@@ -22,7 +22,7 @@
   static constexpr std::size_t kMaxStreams = 65'536;
 
   /// @brief Who has recorded a stream: peers have to be told only of those that
-  /// this daemon has begun.
+  /// this daemon has begun, until it leaves.
   enum class Source : std::uint8_t { kOwn, kPeer };
 
   /// @brief Records the origin of a stream, or extends the time for which it is
@@ -31,13 +31,22 @@
   void Put(TimePoint now, const BegunStream& stream, Source source);
   /// @return null if the stream is unknown
   const StreamOrigin* Find(TimePoint now, std::string_view id) const;
-  /// @brief Returns own streams that peers have not been told of, which count
+  /// @brief Returns the streams that peers have not been told of, which count
   /// as told from now on.
   /// @param is_due whether peers have to know the streams of a service
-  /// @complexity linear in the number of own streams not told of
+  /// @complexity linear in the number of streams not told of
   std::vector<BegunStream> TakeUntold(
       TimePoint now,
       const std::function<bool(std::string_view service)>& is_due);
+  /// @brief Returns the streams that peers have to know, told of or not: for a
+  /// peer that hasn't been told of any.
+  /// @complexity linear in the number of these streams
+  std::vector<BegunStream> ToShare(
+      TimePoint now,
+      const std::function<bool(std::string_view service)>& is_due) const;
+  /// @brief This daemon will end: peers have to know all streams from now on,
+  /// also those that it keeps for others.
+  void OnLeaving();
   /// @brief Drops streams that can't be taken up any more.
   void Expire(TimePoint now);
   std::size_t size() const { return streams_.size(); }
@@ -49,7 +58,12 @@
       : boost::intrusive::list_base_hook<
             boost::intrusive::tag<Untold>,
             boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {};
-  struct Entry : Hook, Untold {
+  /// Streams that peers have to know.
+  struct Shared
+      : boost::intrusive::list_base_hook<
+            boost::intrusive::tag<Shared>,
+            boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {};
+  struct Entry : Hook, Untold, Shared {
     std::string_view id;  ///< its key
     StreamOrigin origin;
     TimePoint expires{};
@@ -60,12 +74,15 @@
                              boost::intrusive::base_hook<Hooked>,
                              boost::intrusive::constant_time_size<false>>;
 
+  void Share(Entry& entry);
   void Erase(Entry& entry);
 
   /// Destroyed after the lists that refer to its entries.
   std::map<std::string, Entry, std::less<>> streams_;
   List<Hook> in_order_;  ///< as they were last recorded
-  List<Untold> untold_;
+  List<Untold> untold_;  ///< among `shared_`
+  List<Shared> shared_;
+  bool is_leaving_ = false;
 };
 
 }  // namespace gentianroute::routing
--- a/packages/routing/src/stream_origins.cc
+++ b/packages/routing/src/stream_origins.cc
@@ -14,14 +14,30 @@
   entry.expires = std::max(entry.expires, now + stream.remaining);
   entry.Hook::unlink();
   in_order_.push_back(entry);
-  if (source == Source::kOwn && !entry.Untold::is_linked()) {
-    untold_.push_back(entry);
+  if (source == Source::kOwn || is_leaving_) {
+    Share(entry);
   }
   if (streams_.size() > kMaxStreams) {
     Erase(in_order_.front());
   }
 }
 
+void StreamOrigins::Share(Entry& entry) {
+  if (!entry.Shared::is_linked()) {
+    shared_.push_back(entry);
+  }
+  if (!entry.Untold::is_linked()) {
+    untold_.push_back(entry);
+  }
+}
+
+void StreamOrigins::OnLeaving() {
+  is_leaving_ = true;
+  for (Entry& entry : in_order_) {
+    Share(entry);
+  }
+}
+
 const StreamOrigin* StreamOrigins::Find(TimePoint now,
                                         std::string_view id) const {
   const auto found = streams_.find(id);
@@ -45,6 +61,19 @@
   return taken;
 }
 
+std::vector<BegunStream> StreamOrigins::ToShare(
+    TimePoint now,
+    const std::function<bool(std::string_view service)>& is_due) const {
+  std::vector<BegunStream> streams;
+  for (const Entry& entry : shared_) {
+    if (entry.expires > now && is_due(entry.origin.service)) {
+      streams.push_back(
+          {std::string(entry.id), entry.origin, entry.expires - now});
+    }
+  }
+  return streams;
+}
+
 void StreamOrigins::Expire(TimePoint now) {
   // A long-lived stream delays the end of those recorded after it; Find()
   // doesn't return these any more.
--- a/packages/routing/tests/stream_origins_test.cc
+++ b/packages/routing/tests/stream_origins_test.cc
@@ -181,3 +181,29 @@
   reports.Add({OriginEvidence::kNone, {}, OriginOf("v1")});
   cr_assert_not(reports.Origin().has_value());
 }
+
+// Guards against a peer that has taken the place of another one lacking the
+// streams that the other was told of.
+Test(stream_origins, streams_told_of_are_shared_with_a_new_peer) {
+  StreamOrigins origins;
+  origins.Put(kStart, Stream("a"), Source::kOwn);
+  origins.Put(kStart, Stream("of a peer"), Source::kPeer);
+  cr_assert_eq(origins.TakeUntold(kStart, Always).size(), 1);
+  const auto shared = origins.ToShare(kStart + kSecond, Always);
+  cr_assert_eq(shared.size(), 1);
+  cr_assert_eq(shared.front().id, "a");
+  cr_assert(shared.front().remaining == 5 * kSecond);
+  cr_assert(origins.ToShare(kStart + 6 * kSecond, Always).empty());
+}
+
+// Guards against what a daemon keeps for others ending with it.
+Test(stream_origins, daemon_leaves_peers_are_told_of_all_streams) {
+  StreamOrigins origins;
+  origins.Put(kStart, Stream("of a peer"), Source::kPeer);
+  cr_assert(origins.TakeUntold(kStart, Always).empty());
+  origins.OnLeaving();
+  cr_assert_eq(origins.TakeUntold(kStart, Always).size(), 1);
+  origins.Put(kStart, Stream("told while it leaves"), Source::kPeer);
+  cr_assert_eq(origins.TakeUntold(kStart, Always).size(), 1);
+  cr_assert_eq(origins.ToShare(kStart, Always).size(), 2);
+}
