Version records cost little on a host with thousands of servers

Cause: each changed row of a server had the daemon that reads the store look at the whole service, and each new deployment had every daemon digest its routes. By reading, a release of 6,500 servers costs their square at a daemon with an eighth of a core. A daemon whose own row had not been read yet took its host for one without an earlier release.

Change: one look for all changes of a turn of the loop, and one a second for what time alone changes; routes are digested when a record is looked at; until the own row has been read, no record is believed.

Evidence: many_changes_at_once_cost_one_write, and two tests of daemon_rows for the row of an earlier release. Not measured at that size.

--- a/packages/gateway/include/gentianroute/gateway/cluster.h
+++ b/packages/gateway/include/gentianroute/gateway/cluster.h
@@ -128,9 +128,7 @@
   const Membership& members() const { return members_; }
   std::size_t live_daemons() const { return members_.live_daemons(); }
   bool IsStoreReader() const { return members_.IsStoreReader(); }
-  /// @brief Whether the last daemon of this name was of a release that begins
-  /// streams at software versions that are not recorded.
-  bool follows_unguarded() const { return rows_.follows_unguarded(); }
+  DaemonRows::Predecessor predecessor() const { return rows_.predecessor(); }
   /// @brief Number of groups and requests of peers that wait for an answer of
   /// this daemon.
   std::size_t peer_calls() const;
--- a/packages/gateway/include/gentianroute/gateway/daemon_rows.h
+++ b/packages/gateway/include/gentianroute/gateway/daemon_rows.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANROUTE_GATEWAY_DAEMON_ROWS_H_
 #define GENTIANROUTE_GATEWAY_DAEMON_ROWS_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -38,9 +39,13 @@
   ~DaemonRows();
 
   void Start();
-  /// @brief Whether the row of this daemon was of a release that begins streams
-  /// at software versions that are not recorded.
-  bool follows_unguarded() const { return follows_unguarded_; }
+  /// @brief The daemon that had this one's name before.
+  enum class Predecessor : std::uint8_t {
+    kUnknown,    ///< the row has not been read yet
+    kGuarded,    ///< there was none, or it followed the version records
+    kUnguarded,  ///< it was of an earlier release, which doesn't
+  };
+  Predecessor predecessor() const { return predecessor_; }
   /// @brief Reads the part of another data centre.
   void ReadOther(const std::string& data_centre);
 
@@ -59,7 +64,7 @@
   bool first_start_;
   OnRows on_rows_;
   bool written_ = false;
-  bool follows_unguarded_ = false;
+  Predecessor predecessor_ = Predecessor::kUnknown;
   TimerId timer_;
 };
 
--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -448,7 +448,7 @@
     using FleetState = routing::SoftwareVersions::FleetState;
     streams_.OnServersListed(settings_.first_start ? FleetState::kNew
                                                    : FleetState::kRunning);
-    version_recorder_.Update();
+    version_recorder_.UpdateSoon();
     ServeStartQueueLater();
   }
 
@@ -476,7 +476,7 @@
     ConfirmEarlierCrashes(now, *record);
     servers_.Put(now, std::move(*record));
     streams_.OnServerSeen();
-    version_recorder_.Update();
+    version_recorder_.UpdateSoon();
   }
 
   /// @param service empty: all services
@@ -541,7 +541,7 @@
     suspect_parts_.Sweep(now);
     streams_.RunMaintenance();
     UpdateFollowing();
-    version_recorder_.Update();
+    version_recorder_.RunMaintenance();
     FetchNewerRows();
   }
 
@@ -551,9 +551,6 @@
     if (std::exchange(started_following_, true)) {
       return;
     }
-    if (cluster_.follows_unguarded()) {
-      streams_.OnUnguardedDaemon();
-    }
     version_recorder_.Start(delay);
     deployment_.Start(delay);
     server_rows_.Start(delay);
--- a/packages/gateway/include/gentianroute/gateway/stream_registry.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_registry.h
@@ -106,7 +106,7 @@
   /// @brief A newer deployment takes the place of an older one.
   /// @param before null for the first one
   void OnDeployment(const routing::RouteTable* before,
-                    const routing::RouteTable& after);
+                    routing::RouteTablePtr after);
   /// @brief The whole host list has been read.
   void OnServersListed(routing::SoftwareVersions::FleetState fleet);
   /// @brief A server is new or has changed.
@@ -120,9 +120,6 @@
   void RunMaintenance();
   /// @brief This daemon will end: its peers keep all that it knows from now on.
   void OnLeaving();
-  /// @brief A daemon of the own data centre begins streams at software versions
-  /// that are not recorded.
-  void OnUnguardedDaemon() { unguarded_at_ = loop_.Now(); }
 
  private:
   /// Longer than any, so that nothing is vouched for or forgotten until a
@@ -133,9 +130,12 @@
   /// The store has just confirmed the host list.
   routing::OriginReport ConfirmedReportOn(std::string_view stream,
                                           std::string_view service) const;
-  /// Whether a daemon of the own data centre may have begun a stream at a
-  /// software version that is not recorded.
+  /// Looks for daemons of the own data centre that don't follow the version
+  /// records.
+  void FindUnguardedDaemons();
+  /// Whether one of them may have begun a stream that is still wanted.
   bool IsUnguarded() const;
+  std::uint64_t DigestOf(std::string_view service) const;
   /// The version records have just been confirmed after the host list.
   void OnRecordsConfirmed(std::string_view service);
   /// Whether the peers have to know the streams of a service.
@@ -158,8 +158,10 @@
   Copies copies_;
   Duration max_propagation_time_;
   Duration memory_ = kMemoryAtStart;
-  /// Digest of the routes of each service that has streams.
-  std::map<std::string, std::uint64_t, std::less<>> route_digests_;
+  routing::RouteTablePtr table_;
+  /// Those of the present deployment that were asked for.
+  mutable std::map<std::string, std::uint64_t, std::less<>> route_digests_;
+  bool has_unguarded_predecessor_ = false;
   std::optional<TimePoint> unguarded_at_;
   routing::StreamOrigins origins_;
   routing::SoftwareVersions versions_{kMemoryAtStart};
--- a/packages/gateway/include/gentianroute/gateway/version_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/version_recorder.h
@@ -49,8 +49,12 @@
   /// @param memory see routing::StreamMemory()
   void SetMemory(Duration memory) { records_.SetMemory(memory); }
   const routing::VersionRecords& records() const { return records_; }
-  /// @brief Writes the records that are out of date.
-  void Update();
+  /// @brief Writes the records that are out of date, together with what else
+  /// changes in the present turn of the loop.
+  void UpdateSoon();
+  /// @brief Writes what was left to other daemons or could not be written, and
+  /// what is out of date by the time alone.
+  void RunMaintenance();
   /// @brief Merges rows that a peer has. Older ones are ignored.
   void MergePeerCopy(const std::vector<StoredRow>& rows);
   /// @brief Returns all rows if there are newer ones than a given version.
@@ -67,6 +71,7 @@
     bool is_pending = false;
   };
 
+  void Update();
   void Read();
   void OnRead(const StoreAnswer& answer);
   void ReplaceRows(const StoreAnswer& answer);
@@ -91,6 +96,9 @@
   std::set<std::string, std::less<>> foreign_;
   std::map<std::string, Write, std::less<>> writes_;
   bool is_loaded_ = false;
+  bool update_pending_ = false;
+  TimePoint next_check_{};
+  TimerId update_timer_;
   TimerId read_timer_;
   FreshnessQuestions questions_;  ///< for the next call
   FreshnessQuestions asked_;      ///< by the present call
--- a/packages/gateway/src/daemon_rows.cc
+++ b/packages/gateway/src/daemon_rows.cc
@@ -87,7 +87,9 @@
       own_(std::move(own)),
       own_row_(RowOf(own_)),
       first_start_(first_start),
-      on_rows_(std::move(on_rows)) {}
+      on_rows_(std::move(on_rows)),
+      predecessor_(first_start ? Predecessor::kGuarded
+                               : Predecessor::kUnknown) {}
 
 DaemonRows::~DaemonRows() {
   loop_.Cancel(timer_);
@@ -111,7 +113,11 @@
     After(kRetryDelay, &DaemonRows::Read);
     return;
   }
-  on_rows_(own_.data_centre, ReadRows(answer));
+  const std::vector<DaemonState> others = ReadRows(answer);
+  if (predecessor_ == Predecessor::kUnknown) {
+    predecessor_ = Predecessor::kGuarded;
+  }
+  on_rows_(own_.data_centre, others);
   if (written_) {
     After(kReadInterval, &DaemonRows::Read);
   } else {
@@ -125,7 +131,9 @@
     if (row.key == own_.name) {
       written_ = written_ || row.value == own_row_;
       const auto before = ReadRow(row);
-      follows_unguarded_ |= !before || !before->records_versions;
+      if (!before || !before->records_versions) {
+        predecessor_ = Predecessor::kUnguarded;
+      }
     } else if (auto daemon = ReadRow(row)) {
       others.push_back(std::move(*daemon));
     }
--- a/packages/gateway/src/gateway_operators.cc
+++ b/packages/gateway/src/gateway_operators.cc
@@ -73,9 +73,9 @@
 void Gateway::Impl::ApplyDeployment(routing::Deployment deployment) {
   const routing::RouteTablePtr before = std::exchange(
       table_, std::make_shared<routing::RouteTable>(std::move(deployment)));
-  streams_.OnDeployment(before.get(), *table_);
+  streams_.OnDeployment(before.get(), table_);
   version_recorder_.SetMemory(streams_.memory());
-  version_recorder_.Update();
+  version_recorder_.UpdateSoon();
   placement_rules_.cold_servers.SetServices(table_->deployment().services);
   cluster_.SetStageServices(table_->StageServices());
   stage_scheduler_.SetTable(table_);
--- a/packages/gateway/src/stream_registry.cc
+++ b/packages/gateway/src/stream_registry.cc
@@ -104,47 +104,66 @@
 
 void StreamRegistry::OnRecordsConfirmed(std::string_view service) {
   const auto& servers = servers_.ServersOf(service);
-  const auto digest = route_digests_.find(service);
-  const bool is_complete = !IsUnguarded() && digest != route_digests_.end() &&
+  FindUnguardedDaemons();
+  const bool is_unguarded =
+      IsUnguarded() ||
+      cluster_.predecessor() == DaemonRows::Predecessor::kUnknown;
+  const bool is_complete = !is_unguarded && table_ != nullptr &&
                            records_.IsComplete(service, servers);
   const routing::VersionRecord* record = records_.Find(service);
   LogEvent("version_record_read")
       .Field("service", service)
       .Field("found", record != nullptr)
-      .Field("unguarded", IsUnguarded())
+      .Field("unguarded", is_unguarded)
       .Field("complete", is_complete);
   if (!is_complete) {
     return;
   }
   const TimePoint now = loop_.Now();
   versions_.OnRecordRead(now, service, record->VersionsBesides(servers));
-  if (record->routes_moved || record->routes != digest->second) {
+  if (record->routes_moved || record->routes != DigestOf(service)) {
     route_moves_.OnMissed(now, service);
   }
 }
 
+void StreamRegistry::FindUnguardedDaemons() {
+  const bool follows_one =
+      cluster_.predecessor() == DaemonRows::Predecessor::kUnguarded;
+  const bool is_news = follows_one && !has_unguarded_predecessor_;
+  has_unguarded_predecessor_ = follows_one;
+  if (is_news || cluster_.members().HasUnguardedNeighbour()) {
+    unguarded_at_ = loop_.Now();
+  }
+}
+
 bool StreamRegistry::IsUnguarded() const {
   return unguarded_at_ && loop_.Now() < *unguarded_at_ + memory_;
 }
 
 std::set<std::string, std::less<>> StreamRegistry::StreamServices() const {
-  std::set<std::string, std::less<>> services;
-  for (const auto& [service, digest] : route_digests_) {
-    services.insert(service);
+  return table_ == nullptr ? std::set<std::string, std::less<>>{}
+                           : routing::StreamServices(*table_);
+}
+
+std::uint64_t StreamRegistry::DigestOf(std::string_view service) const {
+  const auto found = route_digests_.find(service);
+  if (found != route_digests_.end()) {
+    return found->second;
   }
-  return services;
+  const std::uint64_t digest = routing::DigestOfStreamRoutes(*table_, service);
+  route_digests_.emplace(service, digest);
+  return digest;
 }
 
 routing::StreamKnowledge StreamRegistry::KnowledgeOf(
     std::string_view service) const {
   const TimePoint now = loop_.Now();
-  const auto digest = route_digests_.find(service);
   routing::StreamKnowledge knowledge;
   knowledge.servers = servers_.ServersOf(service);
   knowledge.gone = versions_.GoneLately(now, service);
   knowledge.covers_streams = versions_.CoversStreams(now, service);
   knowledge.routes_moved = route_moves_.Concerns(now, service);
-  knowledge.routes = digest == route_digests_.end() ? 0 : digest->second;
+  knowledge.routes = DigestOf(service);
   knowledge.data_centre = cluster_.members().own().data_centre;
   knowledge.is_unguarded = IsUnguarded();
   return knowledge;
@@ -159,16 +178,14 @@
 }
 
 void StreamRegistry::OnDeployment(const routing::RouteTable* before,
-                                  const routing::RouteTable& after) {
-  memory_ = routing::StreamMemory(after, max_propagation_time_);
+                                  routing::RouteTablePtr after) {
+  table_ = std::move(after);
+  route_digests_.clear();
+  memory_ = routing::StreamMemory(*table_, max_propagation_time_);
   versions_.SetMemory(memory_);
   route_moves_.SetMemory(memory_);
-  route_digests_.clear();
-  for (const std::string& service : routing::StreamServices(after)) {
-    route_digests_[service] = routing::DigestOfStreamRoutes(after, service);
-  }
   if (before != nullptr) {
-    route_moves_.OnDeployment(loop_.Now(), *before, after);
+    route_moves_.OnDeployment(loop_.Now(), *before, *table_);
     // Streams that began before their route moved.
     TellLater();
   }
@@ -197,9 +214,7 @@
 
 void StreamRegistry::RunMaintenance() {
   origins_.Expire(loop_.Now());
-  if (cluster_.members().HasUnguardedNeighbour()) {
-    OnUnguardedDaemon();
-  }
+  FindUnguardedDaemons();
   Tell();
   TellNewKeepers();
 }
--- a/packages/gateway/src/version_recorder.cc
+++ b/packages/gateway/src/version_recorder.cc
@@ -20,6 +20,9 @@
 /// Delay after a failed write, doubled with each further failure.
 constexpr Duration kFirstWriteRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxWriteRetryDelay = std::chrono::seconds(2);
+/// Time between looks at all records. Versions retire after half a minute and
+/// more, and a look takes time by the number of servers.
+constexpr Duration kCheckPeriod = std::chrono::seconds(1);
 /// Longer than any, until a deployment tells how long streams may last.
 constexpr Duration kMemoryAtStart = Duration::max() / 2;
 
@@ -44,6 +47,7 @@
       records_(kMemoryAtStart) {}
 
 VersionRecorder::~VersionRecorder() {
+  loop_.Cancel(update_timer_);
   loop_.Cancel(read_timer_);
   loop_.Cancel(question_timer_);
 }
@@ -87,7 +91,7 @@
   for (const std::string& service : missing) {
     RemoveRow(service);
   }
-  Update();
+  UpdateSoon();
 }
 
 void VersionRecorder::MergePeerCopy(const std::vector<StoredRow>& rows) {
@@ -173,6 +177,24 @@
               });
 }
 
+void VersionRecorder::UpdateSoon() {
+  if (std::exchange(update_pending_, true)) {
+    return;
+  }
+  update_timer_ = loop_.After(Duration{0}, [this] {
+    update_pending_ = false;
+    Update();
+  });
+}
+
+void VersionRecorder::RunMaintenance() {
+  const TimePoint now = loop_.Now();
+  if (!writes_.empty() || now >= next_check_) {
+    next_check_ = now + kCheckPeriod;
+    Update();
+  }
+}
+
 void VersionRecorder::Update() {
   if (!hooks_.may_write()) {
     std::erase_if(writes_,
@@ -245,7 +267,7 @@
           .Field("reason", answer.detail);
       return;
   }
-  Update();
+  UpdateSoon();
 }
 
 void VersionRecorder::OnConflict(const std::string& service,
--- a/packages/gateway/tests/daemon_rows_test.cc
+++ b/packages/gateway/tests/daemon_rows_test.cc
@@ -155,3 +155,28 @@
   fixture.store.RespondWithRows(rows, 3);
   cr_assert_eq(fixture.read, std::vector<std::string>{"other@10.0.0.2"});
 }
+
+// Guards against a record being believed that a daemon of an earlier release on
+// this host has not followed.
+Test(daemon_rows, row_of_an_earlier_release_is_known_as_such) {
+  using Predecessor = DaemonRows::Predecessor;
+  RowsFixture fixture;
+  cr_assert(fixture.rows.predecessor() == Predecessor::kUnknown);
+  fixture.rows.Start();
+  fixture.store.RespondWithRows({{"self", std::string(kOtherRow), 3, false}},
+                                3);
+  cr_assert(fixture.rows.predecessor() == Predecessor::kUnguarded);
+}
+
+Test(daemon_rows, row_of_this_release_is_known_as_such) {
+  using Predecessor = DaemonRows::Predecessor;
+  RowsFixture fixture;
+  fixture.rows.Start();
+  fixture.store.RespondWithRows({}, 3);
+  cr_assert(fixture.rows.predecessor() == Predecessor::kGuarded);
+  const StoredRow own = fixture.store.written.front();
+  fixture.store.RespondWithRows({}, 4);
+  fixture.RunFor(kLongerThanAnyDelay);
+  fixture.store.RespondWithRows({own}, 5);
+  cr_assert(fixture.rows.predecessor() == Predecessor::kGuarded);
+}
--- a/packages/gateway/tests/version_recorder_test.cc
+++ b/packages/gateway/tests/version_recorder_test.cc
@@ -64,6 +64,11 @@
     knowledge.covers_streams = covers_streams;
     return knowledge;
   }
+  /// Writes what is out of date now.
+  void Update() {
+    recorder.UpdateSoon();
+    RunLoopFor(loop, milliseconds(3));
+  }
   bool Has(std::string_view version) const {
     const auto* record = recorder.records().Find("model");
     return record != nullptr && record->in_use.contains(version);
@@ -82,7 +87,7 @@
 
 Test(version_recorder, first_record_is_written_if_there_is_none) {
   RecorderFixture fixture;
-  fixture.recorder.Update();
+  fixture.Update();
   cr_assert_eq(fixture.store.calls.size(), 1);
   cr_assert_eq(fixture.store.calls.front().after, 0);
   cr_assert_not(fixture.Has("v1"));
@@ -94,9 +99,9 @@
 
 Test(version_recorder, nothing_changes_nothing_is_written) {
   RecorderFixture fixture;
-  fixture.recorder.Update();
+  fixture.Update();
   fixture.store.RespondWithRows({}, 9);
-  fixture.recorder.Update();
+  fixture.Update();
   cr_assert(fixture.store.calls.empty());
 }
 
@@ -104,17 +109,17 @@
 Test(version_recorder, daemon_that_does_not_read_the_store_writes_nothing) {
   RecorderFixture fixture;
   fixture.may_write = false;
-  fixture.recorder.Update();
+  fixture.Update();
   cr_assert(fixture.store.calls.empty());
 }
 
 Test(version_recorder, another_data_centre_comes_first_the_write_waits) {
   RecorderFixture fixture(milliseconds(50));
-  fixture.recorder.Update();
+  fixture.Update();
   cr_assert(fixture.store.calls.empty());
   fixture.recorder.MergePeerCopy({RowOf({"v1"}, 5)});
   RunLoopFor(fixture.loop, milliseconds(80));
-  fixture.recorder.Update();
+  fixture.Update();
   cr_assert(fixture.store.calls.empty());
 }
 
@@ -123,9 +128,10 @@
 Test(version_recorder, condition_fails_the_present_row_is_kept_and_extended) {
   RecorderFixture fixture;
   fixture.servers.push_back(ServerOf("v2"));
-  fixture.recorder.Update();
+  fixture.Update();
   fixture.RespondWithConflict({RowOf({"v1", "v3"}, 7)});
   cr_assert(fixture.Has("v3"));
+  fixture.Update();
   cr_assert_eq(fixture.store.calls.size(), 1);
   cr_assert_eq(fixture.store.calls.front().after, 7);
   fixture.store.RespondWithRows({}, 8);
@@ -135,28 +141,42 @@
 // Guards against a version counting as recorded whose write got no answer.
 Test(version_recorder, write_gets_no_answer_it_is_repeated) {
   RecorderFixture fixture;
-  fixture.recorder.Update();
+  fixture.Update();
   fixture.store.Respond(StoreAnswer{});
   cr_assert_not(fixture.Has("v1"));
-  fixture.recorder.Update();
+  fixture.Update();
   cr_assert(fixture.store.calls.empty());
   RunLoopFor(fixture.loop, milliseconds(120));
-  fixture.recorder.Update();
+  fixture.Update();
   cr_assert_eq(fixture.store.calls.size(), 1);
 }
 
 // Guards against the same where the lost write has taken effect.
 Test(version_recorder, lost_write_took_effect_the_row_is_adopted) {
   RecorderFixture fixture;
-  fixture.recorder.Update();
+  fixture.Update();
   fixture.store.Respond(StoreAnswer{});
   RunLoopFor(fixture.loop, milliseconds(120));
-  fixture.recorder.Update();
+  fixture.Update();
   fixture.RespondWithConflict({RowOf({"v1"}, 4)});
   cr_assert(fixture.Has("v1"));
   cr_assert(fixture.store.calls.empty());
 }
 
+// Guards against a list of thousands of changed servers being looked through
+// for each of them.
+Test(version_recorder, many_changes_at_once_cost_one_write) {
+  RecorderFixture fixture;
+  fixture.recorder.UpdateSoon();
+  fixture.servers.push_back(ServerOf("v2"));
+  fixture.recorder.UpdateSoon();
+  cr_assert(fixture.store.calls.empty());
+  fixture.Update();
+  cr_assert_eq(fixture.store.calls.size(), 1);
+  fixture.store.RespondWithRows({}, 9);
+  cr_assert(fixture.Has("v2"));
+}
+
 Test(version_recorder, older_row_of_a_peer_is_ignored) {
   RecorderFixture fixture;
   fixture.may_write = false;
@@ -206,7 +226,7 @@
 Test(version_recorder, unreadable_row_is_replaced_by_a_daemon_that_knows) {
   RecorderFixture fixture;
   fixture.recorder.MergePeerCopy({{"model", "cut", 5}});
-  fixture.recorder.Update();
+  fixture.Update();
   cr_assert_eq(fixture.store.calls.front().after, 5);
 }
 
@@ -214,7 +234,7 @@
 Test(version_recorder, row_of_a_newer_layout_is_left_alone) {
   RecorderFixture fixture;
   fixture.recorder.MergePeerCopy({{"model", R"({"layout":2})", 5}});
-  fixture.recorder.Update();
+  fixture.Update();
   cr_assert(fixture.store.calls.empty());
   cr_assert(fixture.recorder.records().Find("model") == nullptr);
 }
