Daemons that start together leave version records to the first reader

Cause: until its neighbours are heard, each daemon takes itself for the one that reads the store for its data centre, and so all would have written the first record of a fleet. Found by reading.

Change: a write waits 50 ms for each daemon of the data centre that ranks before, alive or not, and 200 ms for each data centre; a peer's copy arrives meanwhile. A write that finds another row has a log line.

Evidence: the tests of the recorder, of streams and of records pass (46). The number of writes at a start was not counted before.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -58,9 +58,16 @@
 /// After this time a daemon reads the store's tables even if it has not learnt
 /// its neighbours.
 inline constexpr Duration kMaxStartWait = std::chrono::seconds(3);
-/// Time that a data centre leaves a change of a version record to each one that
-/// ranks higher, whose daemons see it at about the same time.
-inline constexpr Duration kRecordWriteStep = std::chrono::milliseconds(200);
+/// Time for which a change of a version record is left to others: those of the
+/// data centres that rank higher, which see it at about the same time, and
+/// those of the own one, all of which would write when all start together.
+inline Duration RecordWriteDelay(std::size_t data_centre_rank,
+                                 std::size_t reader_rank) {
+  constexpr Duration kDataCentreStep = std::chrono::milliseconds(200);
+  constexpr Duration kReaderStep = std::chrono::milliseconds(50);
+  return kDataCentreStep * static_cast<std::int64_t>(data_centre_rank) +
+         kReaderStep * static_cast<std::int64_t>(reader_rank);
+}
 
 }  // namespace detail
 
@@ -93,12 +100,7 @@
                      settings_.max_propagation_time,
                      ServersListener()),
         cluster_(loop, settings_, store, *this),
-        version_recorder_(
-            loop,
-            store,
-            detail::kRecordWriteStep *
-                static_cast<std::int64_t>(cluster_.members().DataCentreRank()),
-            RecorderHooks()),
+        version_recorder_(loop, store, RecorderHooks()),
         senders_(cluster_.members()),
         placement_rules_{
             topology_,
@@ -288,6 +290,11 @@
 
   VersionRecorder::Hooks RecorderHooks() {
     return {[this] { return cluster_.IsStoreReader(); },
+            [this] {
+              return detail::RecordWriteDelay(
+                  cluster_.members().DataCentreRank(),
+                  cluster_.members().StoreReaderRank());
+            },
             [this] { return streams_.StreamServices(); },
             [this](std::string_view service) {
               return streams_.KnowledgeOf(service);
--- a/packages/gateway/include/gentianroute/gateway/stream_registry.h
+++ b/packages/gateway/include/gentianroute/gateway/stream_registry.h
@@ -30,15 +30,16 @@
 ///
 /// Only the daemon that sent the request knows them, and it may fail together
 /// with the stream. While servers of several versions serve, it therefore tells
-/// a few peers, which keep this until the caller's deadline. A daemon whose
-/// caller takes up a stream that it doesn't know asks its peers. While all
-/// servers of a service have one version, that answers the question, and nobody
-/// is told. A keeper that is lost or restarted has its successor told again,
-/// and a daemon that stops gives its peers all that it keeps. It does so only
-/// once the store has confirmed the list: a daemon
-/// that is out of step believes in the version that was the only one before. A
-/// daemon that hasn't watched the list for long enough reads in the version
-/// record of the service what was before it started.
+/// a few peers, which keep this until the caller's deadline. A keeper that is
+/// new or was restarted is given all open streams, and a daemon that stops
+/// gives its peers all that it keeps. A daemon whose caller takes up a stream
+/// that it doesn't know asks its peers.
+///
+/// While all servers of a service have one version, that answers the question,
+/// and nobody is told. It counts only once the store has confirmed the list: a
+/// daemon that is out of step believes in the version that was the only one
+/// before. What was before a daemon started to watch the list, it reads in the
+/// version record of the service.
 class StreamRegistry {
  public:
   /// @brief How this daemon's copies of the store's tables stand.
--- a/packages/gateway/include/gentianroute/gateway/version_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/version_recorder.h
@@ -29,6 +29,8 @@
   struct Hooks {
     /// Whether this daemon is one that writes.
     std::function<bool()> may_write;
+    /// Time for which a change is left to the daemons that write first.
+    std::function<Duration()> write_delay;
     /// The services that have a record.
     std::function<std::set<std::string, std::less<>>()> services;
     std::function<routing::StreamKnowledge(std::string_view service)> knowledge;
@@ -36,11 +38,7 @@
     std::function<void(ChangeSource source)> on_change;
   };
 
-  /// @param write_delay time for which a change is left to other daemons
-  VersionRecorder(EventLoop& loop,
-                  Store& store,
-                  Duration write_delay,
-                  Hooks hooks);
+  VersionRecorder(EventLoop& loop, Store& store, Hooks hooks);
   ~VersionRecorder() override;
 
   /// @brief Reads the records after a delay, unless a peer's copy arrives
@@ -88,7 +86,6 @@
 
   EventLoop& loop_;
   Store& store_;
-  Duration write_delay_;
   Hooks hooks_;
   routing::VersionRecords records_;
   std::map<std::string, StoredRow, std::less<>> rows_;
--- a/packages/gateway/src/version_recorder.cc
+++ b/packages/gateway/src/version_recorder.cc
@@ -36,13 +36,9 @@
 
 }  // namespace
 
-VersionRecorder::VersionRecorder(EventLoop& loop,
-                                 Store& store,
-                                 Duration write_delay,
-                                 Hooks hooks)
+VersionRecorder::VersionRecorder(EventLoop& loop, Store& store, Hooks hooks)
     : loop_(loop),
       store_(store),
-      write_delay_(write_delay),
       hooks_(std::move(hooks)),
       records_(kMemoryAtStart) {}
 
@@ -220,8 +216,8 @@
     writes_.erase(service);
     return;
   }
-  Write& write =
-      writes_.try_emplace(service, Write{now + write_delay_}).first->second;
+  Write& write = writes_.try_emplace(service, Write{now + hooks_.write_delay()})
+                     .first->second;
   if (write.due <= now) {
     write.is_pending = true;
     Send(service, *next);
@@ -272,6 +268,7 @@
 
 void VersionRecorder::OnConflict(const std::string& service,
                                  const StoreAnswer& answer) {
+  LogEvent("version_record_conflict").Field("service", service);
   const auto row = std::ranges::find(answer.rows, service, &StoredRow::key);
   if (row == answer.rows.end()) {
     RemoveRow(service);
--- a/packages/gateway/tests/version_recorder_test.cc
+++ b/packages/gateway/tests/version_recorder_test.cc
@@ -51,8 +51,8 @@
   explicit RecorderFixture(Duration write_delay = Duration{0})
       : recorder(loop,
                  store,
-                 write_delay,
                  {[this] { return may_write; },
+                  [write_delay] { return write_delay; },
                   [] { return std::set<std::string, std::less<>>{"model"}; },
                   [this](std::string_view /*service*/) { return Knowledge(); },
                   [this](ChangeSource source) { changes.push_back(source); }}) {
