The first version record of a service is a draft until all daemons know it

What callers would see: streams joined from two versions after a loss of all daemons.

Cause: the write of the first record is performed seconds after it was sent, its answer is lost, and streams begin meanwhile at a version that came after it, as there is no record to go by. The record then seems complete without that version.

Change: a new record is a draft, which binds new streams but isn't believed. The daemon that has known it for the time in which changes spread takes the mark off by a second conditional write. The model copies records from daemon to daemon, as the daemons do, and no longer out of the store.

The price is one more write for each service, once.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -100,7 +100,10 @@
                      settings_.max_propagation_time,
                      ServersListener()),
         cluster_(loop, settings_, store, *this),
-        version_recorder_(loop, store, RecorderHooks()),
+        version_recorder_(loop,
+                          store,
+                          settings_.max_propagation_time,
+                          RecorderHooks()),
         senders_(cluster_.members()),
         placement_rules_{
             topology_,
--- a/packages/gateway/include/gentianroute/gateway/version_recorder.h
+++ b/packages/gateway/include/gentianroute/gateway/version_recorder.h
@@ -38,7 +38,11 @@
     std::function<void(ChangeSource source)> on_change;
   };
 
-  VersionRecorder(EventLoop& loop, Store& store, Hooks hooks);
+  /// @param max_propagation_time after which all daemons know a record
+  VersionRecorder(EventLoop& loop,
+                  Store& store,
+                  Duration max_propagation_time,
+                  Hooks hooks);
   ~VersionRecorder() override;
 
   /// @brief Reads the records after a delay, unless a peer's copy arrives
--- a/packages/gateway/src/version_recorder.cc
+++ b/packages/gateway/src/version_recorder.cc
@@ -36,11 +36,14 @@
 
 }  // namespace
 
-VersionRecorder::VersionRecorder(EventLoop& loop, Store& store, Hooks hooks)
+VersionRecorder::VersionRecorder(EventLoop& loop,
+                                 Store& store,
+                                 Duration max_propagation_time,
+                                 Hooks hooks)
     : loop_(loop),
       store_(store),
       hooks_(std::move(hooks)),
-      records_(kMemoryAtStart) {}
+      records_(kMemoryAtStart, max_propagation_time) {}
 
 VersionRecorder::~VersionRecorder() {
   loop_.Cancel(update_timer_);
--- a/packages/gateway/src/version_rows.cc
+++ b/packages/gateway/src/version_rows.cc
@@ -26,6 +26,7 @@
   }
   record.routes = ReadNumber(row.at("routes"));
   record.routes_moved = row.at("routes_moved").get<bool>();
+  record.is_draft = row.at("draft").get<bool>();
   for (const json& data_centre : row.at("unguarded")) {
     record.unguarded.insert(data_centre.get<std::string>());
   }
@@ -40,6 +41,7 @@
               {"retiring", record.retiring},
               {"routes", record.routes},
               {"routes_moved", record.routes_moved},
+              {"draft", record.is_draft},
               {"unguarded", record.unguarded}}
       .dump();
 }
--- a/packages/gateway/tests/version_recorder_test.cc
+++ b/packages/gateway/tests/version_recorder_test.cc
@@ -46,7 +46,7 @@
                     const std::string& routes_moved) {
   return R"({"layout":1,"in_use":)" + in_use + R"(,"retiring":)" + retiring +
          R"(,"routes":)" + routes + R"(,"routes_moved":)" + routes_moved +
-         R"(,"unguarded":[]})";
+         R"(,"draft":false,"unguarded":[]})";
 }
 
 bool ReadsAsRecord(const std::string& value) {
@@ -66,6 +66,7 @@
   explicit RecorderFixture(Duration write_delay = Duration{0})
       : recorder(loop,
                  store,
+                 std::chrono::hours(1),
                  {[this] { return may_write; },
                   [write_delay] { return write_delay; },
                   [] { return std::set<std::string, std::less<>>{"model"}; },
--- a/packages/routing/include/gentianroute/routing/version_record.h
+++ b/packages/routing/include/gentianroute/routing/version_record.h
@@ -32,6 +32,8 @@
   std::uint64_t routes = 0;  ///< DigestOfStreamRoutes()
   /// Streams may have begun before their route moved to or from the service.
   bool routes_moved = false;
+  /// Not all daemons may know the record yet, and so follow it.
+  bool is_draft = true;
   /// Data centres with daemons that don't follow the record.
   std::set<std::string, std::less<>> unguarded;
 
@@ -66,14 +68,17 @@
 
 /// @brief The newest known records, and how a daemon changes them. Does no I/O.
 ///
-/// A version is added before its first stream begins. It is removed in two
-/// steps, as a write may take effect seconds after it was sent: it is retiring
-/// for as long as streams are remembered, in which all daemons learn that none
-/// may begin at it.
+/// A version is added before its first stream begins. A write may take effect
+/// seconds after it was sent, and until then streams begin by the record
+/// before. Therefore the first record of a service is a draft until all daemons
+/// know it, and a version is removed in two steps: it is retiring for as long
+/// as streams are remembered, in which all learn that none may begin at it.
 class VersionRecords {
  public:
   /// @param memory see StreamMemory()
-  explicit VersionRecords(Duration memory) : memory_(memory) {}
+  /// @param max_propagation_time after which all daemons know a record
+  VersionRecords(Duration memory, Duration max_propagation_time)
+      : memory_(memory), max_propagation_time_(max_propagation_time) {}
 
   void SetMemory(Duration memory) { memory_ = memory; }
   /// @param record nullopt if there is none, or none that can be read
@@ -107,11 +112,13 @@
  private:
   struct Entry {
     VersionRecord record;
+    TimePoint known_since{};
     /// When this daemon first saw a version retiring.
     std::map<std::string, TimePoint, std::less<>> retiring_since;
   };
 
   Duration memory_;
+  Duration max_propagation_time_;
   std::map<std::string, Entry, std::less<>> entries_;  ///< by service
 };
 
--- a/packages/routing/src/version_record.cc
+++ b/packages/routing/src/version_record.cc
@@ -146,7 +146,11 @@
     }
     return;
   }
-  Entry& entry = entries_[std::string(service)];
+  const auto [found, is_new] = entries_.try_emplace(std::string(service));
+  Entry& entry = found->second;
+  if (is_new) {
+    entry.known_since = now;
+  }
   entry.record = std::move(*record);
   std::erase_if(entry.retiring_since, [&entry](const auto& version) {
     return !entry.record.retiring.contains(version.first);
@@ -182,6 +186,7 @@
     next.unguarded.erase(knowledge.data_centre);
   }
   if (!is_new && knowledge.covers_streams) {
+    next.is_draft &= now < found->second.known_since + max_propagation_time_;
     RetireVersions(knowledge, next);
     std::erase_if(next.retiring, [&](const std::string& version) {
       const auto since = found->second.retiring_since.find(version);
@@ -197,7 +202,7 @@
 bool VersionRecords::IsComplete(std::string_view service,
                                 std::span<const ServerPtr> servers) const {
   const VersionRecord* record = Find(service);
-  return record != nullptr && record->unguarded.empty() &&
+  return record != nullptr && !record->is_draft && record->unguarded.empty() &&
          std::ranges::any_of(servers, [record](const ServerPtr& server) {
            return HasServedSince(*record, *server);
          });
--- a/packages/routing/tests/version_record_model_test.cc
+++ b/packages/routing/tests/version_record_model_test.cc
@@ -81,11 +81,12 @@
 struct ModelDaemon {
   SoftwareVersions versions{kMemory};
   RouteMoves moves{kMemory};
-  VersionRecords records{kMemory};
+  VersionRecords records{kMemory, kPropagation};
   std::uint64_t row_version = 0;
   std::uint64_t routes = 0;
   std::vector<ServerPtr> servers;
   TimePoint listed_at{};
+  TimePoint copied_at{};               ///< when it last had its peer's record
   std::map<int, std::string> origins;  ///< version, by stream
 
   bool IsListed() const { return listed_at != TimePoint{}; }
@@ -184,28 +185,42 @@
     Adopt(daemon);
   }
 
+  /// Takes over the record that a peer knows, if it is newer.
+  void Copy(const ModelDaemon& from, ModelDaemon& to) const {
+    to.copied_at = now;
+    if (from.row_version <= to.row_version) {
+      return;
+    }
+    const VersionRecord* record = from.records.Find("model");
+    to.records.Set(now, "model",
+                   record == nullptr ? std::nullopt : std::optional(*record));
+    to.row_version = from.row_version;
+  }
+
   void RunDaemons() {
-    bool is_first = true;
+    const ModelDaemon* first = nullptr;
     for (auto& daemon : daemons) {
       if (!daemon) {
         if (store.reads && Chance(0.3)) {
           daemon.emplace();
           Adopt(*daemon);
+          daemon->copied_at = now;
           List(*daemon, SoftwareVersions::FleetState::kRunning);
         }
         continue;
       }
       // The first one reads the store, and the others copy from it.
       const bool is_due = now - daemon->listed_at >= kPropagation - kStep;
-      if (store.reads && (is_first || is_due || Chance(0.3))) {
+      if (store.reads && (first == nullptr || is_due || Chance(0.3))) {
         List(*daemon, SoftwareVersions::FleetState::kRunning);
       }
-      if (is_first) {
+      const bool is_copy_due = now - daemon->copied_at >= kPropagation - kStep;
+      if (first == nullptr) {
         Write(*daemon);
-      } else if (store.reads && (is_due || Chance(0.3))) {
-        Adopt(*daemon);
+        first = &*daemon;
+      } else if (is_copy_due || Chance(0.3)) {
+        Copy(*first, *daemon);
       }
-      is_first = false;
     }
   }
 
@@ -332,7 +347,7 @@
     ++taken_up;
     const auto origin = reports.Origin();
     if (!origin) {
-      refused += store.reads && store.record ? 1 : 0;
+      refused += store.reads && store.record && !store.record->is_draft ? 1 : 0;
       return;
     }
     ++went_on;
@@ -369,7 +384,7 @@
   int joined = 0;   ///< at another version or service
 };
 
-constexpr std::uint32_t kSeeds = 150;
+constexpr std::uint32_t kSeeds = 300;
 
 }  // namespace
 
--- a/packages/routing/tests/version_record_test.cc
+++ b/packages/routing/tests/version_record_test.cc
@@ -17,6 +17,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kMemory = seconds(40);
+constexpr Duration kPropagation = seconds(3);
 constexpr std::uint64_t kRoutes = 7;
 
 ServerPtr ServerOf(const std::string& version, std::int64_t started = 100) {
@@ -30,7 +31,7 @@
 
 /// A daemon that has watched the list for long, and the store's record.
 struct RecordFixture {
-  VersionRecords records{kMemory};
+  VersionRecords records{kMemory, kPropagation};
   std::vector<ServerPtr> servers{ServerOf("v1")};
   StreamKnowledge knowledge;
   TimePoint now = kStart;
@@ -50,6 +51,12 @@
       records.Set(now, "model", std::move(next));
     }
   }
+  /// Makes the first record, and lets all daemons learn it.
+  void MakeRecord() {
+    Write();
+    now += kPropagation;
+    Write();
+  }
   void SwapTo(const std::string& version, std::int64_t started = 100) {
     servers = {ServerOf(version, started)};
   }
@@ -79,12 +86,33 @@
 
 Test(version_record, first_record_has_the_listed_versions) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   cr_assert(fixture.record().in_use.contains("v1"));
   cr_assert(fixture.IsComplete());
   cr_assert_not(fixture.Next());
 }
 
+// Guards against a first record that takes effect late being believed, while
+// streams have begun at versions that came after it was sent.
+Test(version_record, first_record_is_a_draft_until_all_daemons_know_it) {
+  RecordFixture fixture;
+  fixture.Write();
+  fixture.now += kPropagation - kMs;
+  fixture.Write();
+  cr_assert_not(fixture.IsComplete());
+  fixture.now += kMs;
+  fixture.Write();
+  cr_assert(fixture.IsComplete());
+}
+
+Test(version_record, draft_has_streams_begin_at_its_versions) {
+  RecordFixture fixture;
+  fixture.Write();
+  fixture.servers.push_back(ServerOf("v2"));
+  cr_assert_eq(fixture.records.VersionsForNewStreams("model", fixture.servers),
+               std::vector<std::string>{"v1"});
+}
+
 // Guards against a daemon that has just started vouching for a past that it has
 // not seen.
 Test(version_record, daemon_without_a_past_makes_no_record) {
@@ -103,7 +131,7 @@
 
 Test(version_record, new_version_is_added_by_a_daemon_that_has_just_started) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.knowledge.covers_streams = false;
   fixture.servers.push_back(ServerOf("v2"));
   fixture.Write();
@@ -115,7 +143,7 @@
 // nobody remembers after a loss of all daemons.
 Test(version_record, stream_begins_at_a_version_in_use) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.servers.push_back(ServerOf("v2"));
   cr_assert_eq(fixture.records.VersionsForNewStreams("model", fixture.servers),
                std::vector<std::string>{"v1"});
@@ -124,7 +152,7 @@
 // Guards against a release or a lost store turning all new streams away.
 Test(version_record, only_a_new_version_serves_streams_begin_there) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.servers.push_back(ServerOf("v2"));
   fixture.servers.front()->SetLeaving();
   cr_assert(
@@ -136,14 +164,14 @@
 Test(version_record,
      servers_are_all_younger_than_the_record_it_is_not_complete) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.SwapTo("v1", 200);
   cr_assert_not(fixture.IsComplete());
 }
 
 Test(version_record, servers_are_replaced_the_record_follows) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.SwapTo("v1", 200);
   fixture.Write();
   cr_assert(fixture.IsComplete());
@@ -153,7 +181,7 @@
 // version that was not recorded and all daemons were lost.
 Test(version_record, servers_were_replaced_a_new_daemon_does_not_vouch) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.SwapTo("v1", 200);
   fixture.knowledge.covers_streams = false;
   fixture.Write();
@@ -164,7 +192,7 @@
 // before all daemons know that none may begin there.
 Test(version_record, version_has_gone_it_retires_and_is_then_dropped) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.SwapTo("v2");
   fixture.knowledge.gone = {"v1"};
   fixture.Write();
@@ -184,7 +212,7 @@
 // Guards against streams beginning at a version whose removal is on its way.
 Test(version_record, retiring_version_returns_no_stream_begins_there_yet) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.SwapTo("v2");
   fixture.Write();
   fixture.servers.push_back(ServerOf("v1"));
@@ -197,7 +225,7 @@
 
 Test(version_record, new_daemon_keeps_versions_that_have_gone) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.SwapTo("v2");
   fixture.knowledge.covers_streams = false;
   fixture.Write();
@@ -210,7 +238,7 @@
 // while all daemons were lost.
 Test(version_record, routes_differ_unseen_they_count_as_moved) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.knowledge.routes = kRoutes + 1;
   fixture.knowledge.covers_streams = false;
   fixture.Write();
@@ -224,7 +252,7 @@
 // which begin streams anywhere, have not followed.
 Test(version_record, daemon_of_an_earlier_release_lives_it_is_not_complete) {
   RecordFixture fixture;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.knowledge.is_unguarded = true;
   fixture.Write();
   cr_assert_not(fixture.IsComplete());
@@ -236,7 +264,7 @@
 Test(version_record, other_data_centre_is_unguarded_its_mark_stays) {
   RecordFixture fixture;
   fixture.knowledge.is_unguarded = true;
-  fixture.Write();
+  fixture.MakeRecord();
   fixture.knowledge.is_unguarded = false;
   fixture.knowledge.data_centre = "south";
   fixture.Write();
