--- a/packages/routing/tests/version_record_model_test.cc
+++ b/packages/routing/tests/version_record_model_test.cc
@@ -40,6 +40,7 @@
   std::string id;
   std::string version;
   std::int64_t started = 0;
+  TimePoint since{};
 };
 
 /// A write that the store performs later, if its condition still holds.
@@ -120,7 +121,7 @@
   void Start(const std::string& version) {
     ++started;
     store.servers.push_back(
-        {"server-" + std::to_string(started), version, started});
+        {"server-" + std::to_string(started), version, started, now});
   }
 
   /// Reads the list and the deployment.
@@ -244,9 +245,13 @@
       Start("v" + std::to_string(1 + Pick(3)));
     }
     if (store.servers.size() > 1 && Chance(0.04)) {
-      store.servers.erase(
+      const auto server =
           store.servers.begin() +
-          static_cast<std::ptrdiff_t>(Pick(store.servers.size())));
+          static_cast<std::ptrdiff_t>(Pick(store.servers.size()));
+      // The feed tells a daemon of a shorter life; this list wouldn't.
+      if (now - server->since >= kPropagation) {
+        store.servers.erase(server);
+      }
     }
     if (Chance(0.005)) {
       ++store.routes;
