New daemons mark version records where an earlier release reads the store

Cause: records are written by the daemon that reads the store for its data centre. Where that is one of the landing before, nobody wrote: a version that came was not recorded, and the mark that the record isn't followed was missing, so that streams could be joined after a loss of all daemons. Besides, a daemon that had just started took the mark of its data centre off.

Change: a daemon that sees such a neighbour writes too, each one later than those that rank before it. Only a daemon that has watched for as long as streams are remembered takes the mark off.

--- a/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
+++ b/packages/gateway/include/gentianroute/gateway/detail/gateway_impl.h
@@ -292,7 +292,11 @@
   }
 
   VersionRecorder::Hooks RecorderHooks() {
-    return {[this] { return cluster_.IsStoreReader(); },
+    // A reader of an earlier release leaves the records as they are.
+    return {[this] {
+              return cluster_.IsStoreReader() ||
+                     cluster_.members().HasUnguardedNeighbour();
+            },
             [this] {
               return detail::RecordWriteDelay(
                   cluster_.members().DataCentreRank(),
--- a/packages/routing/src/version_record.cc
+++ b/packages/routing/src/version_record.cc
@@ -182,7 +182,7 @@
       (!knowledge.covers_streams && (next.routes_moved || has_other_routes));
   if (knowledge.is_unguarded) {
     next.unguarded.insert(knowledge.data_centre);
-  } else {
+  } else if (knowledge.covers_streams) {
     next.unguarded.erase(knowledge.data_centre);
   }
   if (!is_new && knowledge.covers_streams) {
--- a/packages/routing/tests/version_record_test.cc
+++ b/packages/routing/tests/version_record_test.cc
@@ -261,6 +261,18 @@
   cr_assert(fixture.IsComplete());
 }
 
+// Guards against a daemon that has just started taking the mark off again.
+Test(version_record, daemon_without_a_past_leaves_the_mark) {
+  RecordFixture fixture;
+  fixture.MakeRecord();
+  fixture.knowledge.is_unguarded = true;
+  fixture.Write();
+  fixture.knowledge.is_unguarded = false;
+  fixture.knowledge.covers_streams = false;
+  fixture.Write();
+  cr_assert_not(fixture.IsComplete());
+}
+
 Test(version_record, other_data_centre_is_unguarded_its_mark_stays) {
   RecordFixture fixture;
   fixture.knowledge.is_unguarded = true;
